--- /dev/null
+++ b/callers/errors.go
@@ -0,0 +1,138 @@
+// Copyright 2026 The Yardhall Authors. Licensed under the Apache License, Version 2.0.
+
+package callers
+
+import (
+	"encoding/json"
+	"math"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/labstack/echo/v4"
+	"github.com/pkg/errors"
+
+	"github.com/yardhall/yardhall/core/host"
+	"github.com/yardhall/yardhall/core/ident"
+	"github.com/yardhall/yardhall/core/outcome"
+)
+
+// ErrorBody is the one form of all errors; it contains the fields that OpenAI
+// clients read.
+type ErrorBody struct {
+	Error ErrorDetail `json:"error"`
+}
+
+// ErrorDetail says what went wrong.
+type ErrorDetail struct {
+	Message   string        `json:"message"`
+	Type      string        `json:"type"`
+	Code      host.Code     `json:"code"`
+	RequestID ident.Request `json:"request_id"`
+	Outcome   outcome.Kind  `json:"outcome"`
+	// EarlierRequest is the request that holds the idempotency key.
+	EarlierRequest ident.Request `json:"earlier_request,omitempty"`
+}
+
+// Codes of errors that never reach the core.
+const (
+	codeBadRequest host.Code = "invalid_request"
+	codeTooLarge   host.Code = "request_too_large"
+	codeNoRoute    host.Code = "not_found"
+	codeInternal   host.Code = "internal_error"
+)
+
+func statusOf(code host.Code) int {
+	switch code {
+	case host.CodeBadKey:
+		return http.StatusUnauthorized
+	case host.CodeBadClass:
+		return http.StatusForbidden
+	case host.CodeNoModel, host.CodeNoService, codeNoRoute:
+		return http.StatusNotFound
+	case host.CodeLimit:
+		return http.StatusTooManyRequests
+	case host.CodeAlreadyRan, host.CodeRunning, host.CodeKeyReused:
+		return http.StatusConflict
+	case host.CodeKeyExpired, host.CodeKeyInvalid, codeBadRequest:
+		return http.StatusBadRequest
+	case codeTooLarge:
+		return http.StatusRequestEntityTooLarge
+	case host.CodeDeadline:
+		return http.StatusGatewayTimeout
+	case host.CodeBroken:
+		return http.StatusBadGateway
+	case codeInternal:
+		return http.StatusInternalServerError
+	default:
+		return http.StatusServiceUnavailable
+	}
+}
+
+func typeOf(status int) string {
+	switch {
+	case status == http.StatusUnauthorized:
+		return "authentication_error"
+	case status == http.StatusTooManyRequests:
+		return "rate_limit_error"
+	case status < http.StatusInternalServerError:
+		return "invalid_request_error"
+	default:
+		return "server_error"
+	}
+}
+
+func bodyOf(id ident.Request, v host.Verdict) ErrorBody {
+	d := ErrorDetail{
+		Message: v.Reason, Type: typeOf(statusOf(v.Code)), Code: v.Code, RequestID: id, Outcome: v.Outcome,
+	}
+	if v.Claim != nil {
+		d.EarlierRequest = v.Claim.Request
+	}
+	return ErrorBody{Error: d}
+}
+
+// writeVerdict answers with an error in the one form.
+func writeVerdict(w http.ResponseWriter, id ident.Request, v host.Verdict) error {
+	h := w.Header()
+	h.Set("Content-Type", "application/json")
+	h.Set(HeaderOutcome, string(v.Outcome))
+	h.Set(HeaderRequest, string(id))
+	if v.RetryAfter > 0 {
+		h.Set("Retry-After", strconv.Itoa(int(math.Ceil(v.RetryAfter.Seconds()))))
+		h.Set("Retry-After-Ms", strconv.FormatInt(v.RetryAfter.Milliseconds(), 10))
+	}
+	// The caller decides about a repetition by the outcome, not its library.
+	h.Set("X-Should-Retry", strconv.FormatBool(v.Outcome == outcome.NotRun && v.RetryAfter > 0))
+	w.WriteHeader(statusOf(v.Code))
+	return errors.Wrap(json.NewEncoder(w).Encode(bodyOf(id, v)), "write error")
+}
+
+// onError answers requests that echo refuses, such as an unknown route.
+func (a *API) onError(err error, c echo.Context) {
+	if c.Response().Committed {
+		return
+	}
+	v := host.Verdict{Outcome: outcome.NotRun, Code: codeInternal, Reason: "the request failed inside the router"}
+	var he *echo.HTTPError
+	if errors.As(err, &he) && he.Code < http.StatusInternalServerError {
+		v.Code, v.Reason = codeNoRoute, "there is no such route"
+	}
+	_ = writeVerdict(c.Response(), a.newID(), v)
+}
+
+func (a *API) newID() ident.Request {
+	o := a.deps.Options
+	return ident.Request(string(o.ID) + "-" + strconv.FormatUint(o.Incarnation, idBase) + "-" +
+		strconv.FormatUint(a.seq.Add(1), idBase))
+}
+
+const idBase = 36
+
+// clampDeadline bounds a caller's deadline.
+func (a *API) clampDeadline(d time.Duration) time.Duration {
+	if limit := a.deps.Options.MaxStream; limit > 0 && (d <= 0 || d > limit) {
+		return limit
+	}
+	return d
+}
--- /dev/null
+++ b/callers/serve.go
@@ -0,0 +1,263 @@
+// Copyright 2026 The Yardhall Authors. Licensed under the Apache License, Version 2.0.
+
+package callers
+
+import (
+	"context"
+	"encoding/json"
+	"net/http"
+	"slices"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/labstack/echo/v4"
+	"github.com/pkg/errors"
+
+	"github.com/yardhall/yardhall/core/host"
+	"github.com/yardhall/yardhall/core/ident"
+	"github.com/yardhall/yardhall/core/outcome"
+	"github.com/yardhall/yardhall/targets"
+)
+
+// inference serves the model routes.
+func (a *API) inference(c echo.Context) error {
+	body, verdict := a.readBody(c)
+	if verdict != nil {
+		return writeVerdict(c.Response(), a.newID(), *verdict)
+	}
+	r, verdict := a.describe(c, body)
+	if verdict != nil {
+		return writeVerdict(c.Response(), r.ID, *verdict)
+	}
+	p, err := ParsePrompt(body, r.KeyHash, c.Request().Header.Get(HeaderChat))
+	if err != nil {
+		return writeVerdict(c.Response(), r.ID, *bad(err.Error()))
+	}
+	r.Model, r.Chat, r.Work, r.Path = ident.Model(p.Model), p.Chat, p.Work, c.Request().URL.Path
+	return a.run(c, r, targets.Exchange{
+		Request: r.ID, Method: http.MethodPost, Path: c.Request().URL.Path, Body: body, Streamed: p.Stream,
+		Header: http.Header{"Content-Type": {"application/json"}},
+	})
+}
+
+// plain serves plain services: method, path below the service, query, body and
+// headers are passed on.
+func (a *API) plain(c echo.Context) error {
+	body, verdict := a.readBody(c)
+	if verdict != nil {
+		return writeVerdict(c.Response(), a.newID(), *verdict)
+	}
+	r, verdict := a.describe(c, body)
+	if verdict != nil {
+		return writeVerdict(c.Response(), r.ID, *verdict)
+	}
+	r.Service = ident.Service(c.Param("service"))
+	path := "/" + strings.TrimPrefix(r.Path, "/")
+	if q := c.Request().URL.RawQuery; q != "" {
+		path += "?" + q
+	}
+	return a.run(c, r, targets.Exchange{
+		Request: r.ID, Method: c.Request().Method, Path: path, Body: body, Header: forwarded(c.Request().Header),
+	})
+}
+
+// kept are headers that end at the router: those of the connection, of the
+// account, and those by which net/http would take a request as safe to repeat.
+var kept = []string{
+	"Authorization", "Connection", "Keep-Alive", "Proxy-Authenticate", "Proxy-Authorization", "Te", "Trailer",
+	"Transfer-Encoding", "Upgrade", "Content-Length", "Accept-Encoding", "X-Idempotency-Key", HeaderKey, HeaderKeyCreated,
+}
+
+func forwarded(in http.Header) http.Header {
+	out := in.Clone()
+	for _, name := range strings.Split(in.Get("Connection"), ",") {
+		out.Del(strings.TrimSpace(name))
+	}
+	for _, name := range kept {
+		out.Del(name)
+	}
+	return out
+}
+
+// run takes a request through the core: tries what it dispatches, ends as it
+// says.
+func (a *API) run(c echo.Context, r host.Request, x targets.Exchange) error {
+	begun := a.deps.Now()
+	if !r.Once || r.IdempotencyKey == "" || !r.KeyCreated.IsZero() {
+		return a.follow(c, r, x, begun)
+	}
+	return writeVerdict(c.Response(), r.ID, *bad("the key of a request that must not run twice needs a time: use a UUID of version 7 or " + HeaderKeyCreated))
+}
+
+func (a *API) follow(c echo.Context, r host.Request, x targets.Exchange, begun time.Time) error {
+	ctx, cancel := context.WithDeadline(c.Request().Context(), r.Deadline)
+	defer cancel()
+	s := &sink{w: c.Response(), api: a, id: r.ID, streamed: x.Streamed, begun: begun}
+	x.Sink = s
+	effects := a.deps.Core.Begin(r)
+	var last outcome.Attempt
+	for {
+		select {
+		case e := <-effects:
+			switch e := e.(type) {
+			case host.Dispatch:
+				s.target = e.Target.ID
+				last = a.attempt(ctx, x, e)
+				a.deps.Core.Ended(host.AttemptEnded{Request: r.ID, Attempt: e.Attempt, Result: last})
+			case host.Finish:
+				a.observe(e.Verdict, last, s, begun)
+				return s.finish(e.Verdict)
+			}
+		case <-c.Request().Context().Done():
+			a.deps.Core.Ended(host.AttemptEnded{Request: r.ID, Result: outcome.Abandoned{}})
+			return a.drain(effects, s, begun)
+		}
+	}
+}
+
+// drain waits for the core's word on a request whose caller has left.
+func (a *API) drain(effects <-chan host.Effect, s *sink, begun time.Time) error {
+	for e := range effects {
+		if f, ok := e.(host.Finish); ok {
+			a.observe(f.Verdict, nil, s, begun)
+			return nil
+		}
+	}
+	return nil
+}
+
+func (a *API) attempt(ctx context.Context, x targets.Exchange, d host.Dispatch) outcome.Attempt {
+	x.Target = targets.Endpoint{ID: d.Target.ID, Address: d.Target.Address}
+	x.Once = d.Once
+	x.Header = x.Header.Clone()
+	x.Header.Set(targets.HeaderPriority, strconv.Itoa(d.Rank))
+	result := a.deps.Targets.Do(ctx, x)
+	if _, gone := result.(outcome.Abandoned); gone && errors.Is(ctx.Err(), context.DeadlineExceeded) {
+		return outcome.Broken{Reason: "the deadline passed", Begun: true}
+	}
+	return result
+}
+
+func (a *API) observe(v host.Verdict, last outcome.Attempt, s *sink, begun time.Time) {
+	o := Observation{Outcome: v.Outcome, Took: a.deps.Now().Sub(begun), FirstByte: s.first, Target: s.target}
+	if answered, ok := last.(outcome.Answered); ok {
+		o.CachedTokens, o.PromptTokens = answered.CachedTokens, answered.PromptTokens
+	}
+	a.deps.Observe(o)
+}
+
+// sink writes one answer to the caller.
+type sink struct {
+	w        *echo.Response
+	api      *API
+	id       ident.Request
+	target   ident.Target
+	streamed bool
+	started  bool
+	begun    time.Time
+	first    time.Duration
+}
+
+// passed returns the headers of a target's answer that go on to the caller.
+func passed(in http.Header) http.Header {
+	out := in.Clone()
+	for _, name := range []string{"Connection", "Keep-Alive", "Trailer", "Transfer-Encoding", "Content-Length", "Upgrade"} {
+		out.Del(name)
+	}
+	return out
+}
+
+// Begin implements targets.Sink.
+func (s *sink) Begin(status int, header http.Header) error {
+	h := s.w.Header()
+	for name, values := range passed(header) {
+		h[name] = slices.Clone(values)
+	}
+	h.Set(HeaderRequest, string(s.id))
+	h.Set(HeaderTarget, string(s.target))
+	if s.streamed && status == http.StatusOK {
+		// How a stream ends is known only then: it stands in the trailer.
+		h.Set("Trailer", HeaderOutcome)
+	} else {
+		h.Set(HeaderOutcome, string(outcome.Ran))
+	}
+	s.first = s.api.deps.Now().Sub(s.begun)
+	s.started = true
+	s.w.WriteHeader(status)
+	return nil
+}
+
+// Write implements targets.Sink; a caller that takes no bytes for too long is
+// cut.
+func (s *sink) Write(p []byte) error {
+	control := http.NewResponseController(s.w.Writer)
+	if stall := s.api.deps.Options.WriteStall; stall > 0 {
+		_ = control.SetWriteDeadline(time.Now().Add(stall))
+	}
+	if _, err := s.w.Write(p); err != nil {
+		return errors.Wrap(err, "write to caller")
+	}
+	if s.streamed {
+		s.w.Flush()
+	}
+	return nil
+}
+
+// finish tells the caller how the request ended. A stream that broke ends with
+// an error event and without the end mark.
+func (s *sink) finish(v host.Verdict) error {
+	defer func() { _ = http.NewResponseController(s.w.Writer).SetWriteDeadline(time.Time{}) }()
+	if !s.started {
+		return writeVerdict(s.w, s.id, v)
+	}
+	if !s.streamed {
+		return nil
+	}
+	s.w.Header().Set(HeaderOutcome, string(v.Outcome))
+	if v.Outcome == outcome.Ran {
+		return nil
+	}
+	text, err := json.Marshal(bodyOf(s.id, v))
+	if err != nil {
+		return errors.Wrap(err, "encode error")
+	}
+	_ = s.Write([]byte("event: error\ndata: " + string(text) + "\n\n"))
+	return nil
+}
+
+type modelList struct {
+	Object string      `json:"object"`
+	Data   []modelInfo `json:"data"`
+}
+
+type modelInfo struct {
+	ID      ident.Model   `json:"id"`
+	Object  string        `json:"object"`
+	Created int64         `json:"created"`
+	OwnedBy ident.Service `json:"owned_by"`
+}
+
+func (a *API) models(c echo.Context) error {
+	if v := a.checkKey(c); v != nil {
+		return writeVerdict(c.Response(), a.newID(), *v)
+	}
+	list := modelList{Object: "list", Data: []modelInfo{}}
+	for _, m := range a.deps.Core.Config().Models.All() {
+		list.Data = append(list.Data, modelInfo{ID: m.ID, Object: "model", OwnedBy: m.Service})
+	}
+	return c.JSON(http.StatusOK, list)
+}
+
+func (a *API) model(c echo.Context) error {
+	if v := a.checkKey(c); v != nil {
+		return writeVerdict(c.Response(), a.newID(), *v)
+	}
+	m, ok := a.deps.Core.Config().Models.Get(ident.Model(c.Param("model")))
+	if !ok {
+		return writeVerdict(c.Response(), a.newID(), host.Verdict{
+			Outcome: outcome.NotRun, Code: host.CodeNoModel, Reason: "the model does not exist",
+		})
+	}
+	return c.JSON(http.StatusOK, modelInfo{ID: m.ID, Object: "model", OwnedBy: m.Service})
+}
--- /dev/null
+++ b/commands/yardhalld/serve.go
@@ -0,0 +1,88 @@
+// Copyright 2026 The Yardhall Authors. Licensed under the Apache License, Version 2.0.
+
+package yardhalld
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/go-logr/logr"
+	"github.com/go-logr/zapr"
+	"github.com/google/subcommands"
+	"github.com/pkg/errors"
+	"go.uber.org/zap"
+
+	"github.com/yardhall/yardhall/daemon"
+	"github.com/yardhall/yardhall/settings"
+)
+
+// serveCommand runs the daemon until a signal stops it.
+type serveCommand struct{ file string }
+
+// Name implements subcommands.Command.
+func (*serveCommand) Name() string { return "serve" }
+
+// Synopsis implements subcommands.Command.
+func (*serveCommand) Synopsis() string { return "run the daemon" }
+
+// Usage implements subcommands.Command.
+func (*serveCommand) Usage() string {
+	return "yardhalld serve --settings FILE\n\nSIGTERM and SIGINT begin a planned stop: every request in flight is finished first.\n\n"
+}
+
+// SetFlags implements subcommands.Command.
+func (c *serveCommand) SetFlags(f *flag.FlagSet) {
+	f.StringVar(&c.file, "settings", "", "settings file")
+}
+
+// Execute implements subcommands.Command.
+func (c *serveCommand) Execute(ctx context.Context, _ *flag.FlagSet, _ ...any) subcommands.ExitStatus {
+	if err := c.serve(ctx); err != nil {
+		_, _ = fmt.Fprintln(os.Stderr, err)
+		return subcommands.ExitFailure
+	}
+	return subcommands.ExitSuccess
+}
+
+func (c *serveCommand) serve(ctx context.Context) error {
+	s, err := settings.Load(c.file)
+	if err != nil {
+		return errors.Wrap(err, "settings")
+	}
+	log, err := newLogger(s.Log)
+	if err != nil {
+		return err
+	}
+	ctx, stop := signal.NotifyContext(ctx, syscall.SIGTERM, os.Interrupt)
+	defer stop()
+	d, err := daemon.New(s, daemon.Options{Log: log.WithValues("host", s.Host.ID)})
+	if err != nil {
+		return errors.Wrap(err, "start")
+	}
+	return errors.Wrap(d.Run(ctx), "serve")
+}
+
+// newLogger returns a logr.Logger over zap, as the settings ask.
+func newLogger(s settings.Log) (logr.Logger, error) {
+	config := zap.NewProductionConfig()
+	if s.Format == "console" {
+		config = zap.NewDevelopmentConfig()
+	}
+	level, err := zap.ParseAtomicLevel(s.Level)
+	if err != nil {
+		return logr.Logger{}, errors.Wrap(err, "log level")
+	}
+	config.Level = level
+	config.Sampling = nil
+	config.DisableCaller = true
+	config.DisableStacktrace = true
+	z, err := config.Build()
+	if err != nil {
+		return logr.Logger{}, errors.Wrap(err, "logger")
+	}
+	return zapr.NewLogger(z), nil
+}
--- /dev/null
+++ b/core/catalog/catalog.go
@@ -0,0 +1,277 @@
+// Copyright 2026 The Yardhall Authors. Licensed under the Apache License, Version 2.0.
+
+// Package catalog is the replicated state machine: the configuration, plans
+// and their orders, claims of requests that must not run twice, remembered
+// writes and the audit trail.
+//
+// # Usage
+//
+// Replicas feed it the committed log in order:
+//
+//	next, result := c.Apply(write)
+//
+// Apply is pure and deterministic; equal logs give equal catalogs. Document
+// and FromDocument carry it through snapshots.
+package catalog
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/yardhall/yardhall/core/config"
+	"github.com/yardhall/yardhall/core/ident"
+	"github.com/yardhall/yardhall/core/plan"
+	"github.com/yardhall/yardhall/core/table"
+)
+
+// Bounds of what is remembered.
+const (
+	maxWrites = 4096
+	maxAudit  = 4096
+	// MaxDeltas is how many changes back a follower may be and still catch up
+	// without a whole document.
+	MaxDeltas = 1024
+)
+
+// Delta is the change that led to Version.
+type Delta struct {
+	Version config.Version
+	Change  config.Change
+}
+
+// Audit is one line of the audit trail.
+type Audit struct {
+	Seq    uint64
+	At     time.Time
+	Actor  string
+	Action string
+	Object string
+	Detail string
+}
+
+// Catalog is the replicated state. It is immutable.
+type Catalog struct {
+	// Time is the newest leader time seen; it never runs backwards.
+	Time   time.Time
+	Config config.Config
+	Plans  table.Table[ident.Plan, plan.Plan]
+
+	deltas     table.Table[uint64, Delta]
+	trail      table.Table[uint64, Audit]
+	auditSeq   uint64
+	planSeq    uint64
+	fence      uint64
+	claims     table.Table[string, Claim]
+	claimOrder table.Table[uint64, ClaimKey]
+	claimSeq   uint64
+	writes     table.Table[string, remembered]
+	writeOrder table.Table[uint64, string]
+	writeSeq   uint64
+}
+
+// remembered is the answer to a write that may be resent.
+type remembered struct {
+	Result Result
+	Seq    uint64
+}
+
+// Apply returns the catalog after w and what became of w.
+func (c Catalog) Apply(w Write) (Catalog, Result) {
+	if w.At.After(c.Time) {
+		c.Time = w.At
+	}
+	c = c.forgetClaims()
+	if first, ok := c.writes.Get(w.ID); ok && w.Remember {
+		return c, first.Result
+	}
+	next, result := c.run(w)
+	if w.Remember {
+		next = next.remember(w.ID, result)
+	}
+	return next, result
+}
+
+func (c Catalog) run(w Write) (Catalog, Result) {
+	switch cmd := w.Command.(type) {
+	case Edit:
+		return c.edit(w.Actor, cmd)
+	case StateIntent:
+		return c.stateIntent(w.Actor, cmd)
+	case Decide:
+		return c.decide(w.Actor, cmd)
+	case IssueOrder:
+		return c.issueOrder(cmd)
+	case EndOrder:
+		return c.endOrder(w.Actor, cmd)
+	case ClaimRun:
+		return c.claimRun(cmd)
+	case EndClaim:
+		return c.endClaim(cmd)
+	}
+	panic("catalog: command outside the closed set")
+}
+
+func (c Catalog) edit(actor string, cmd Edit) (Catalog, Result) {
+	if cmd.Guarded {
+		if have := c.Config.RevOf(cmd.Change); have != cmd.Rev {
+			return c, Result{
+				Code: Conflict, Version: have,
+				Reason: fmt.Sprintf("the object is at revision %d, not %d", have, cmd.Rev),
+			}
+		}
+	}
+	cfg, err := c.Config.With(cmd.Change)
+	if err != nil {
+		return c, Result{Code: Invalid, Reason: err.Error(), Version: c.Config.Version}
+	}
+	c = c.withConfig(cfg, cmd.Change)
+	c = c.audit(actor, fmt.Sprintf("%T", cmd.Change)[len("config."):], config.ObjectOf(cmd.Change), "")
+	return c, Result{Code: OK, Version: cfg.Version}
+}
+
+// withConfig takes a new configuration and keeps the change for followers.
+func (c Catalog) withConfig(cfg config.Config, ch config.Change) Catalog {
+	c.Config = cfg
+	c.deltas = c.deltas.With(uint64(cfg.Version), Delta{Version: cfg.Version, Change: ch})
+	for c.deltas.Len() > MaxDeltas {
+		oldest, _, _ := c.deltas.First()
+		c.deltas = c.deltas.Without(oldest)
+	}
+	return c
+}
+
+// DeltasAfter returns the changes after v, at most limit, or false where they
+// are no longer kept.
+func (c Catalog) DeltasAfter(v config.Version, limit int) ([]Delta, bool) {
+	if v >= c.Config.Version {
+		return nil, true
+	}
+	var out []Delta
+	for next := v + 1; next <= c.Config.Version && len(out) < limit; next++ {
+		d, ok := c.deltas.Get(uint64(next))
+		if !ok {
+			return nil, false
+		}
+		out = append(out, d)
+	}
+	return out, true
+}
+
+func (c Catalog) audit(actor, action, object, detail string) Catalog {
+	c.auditSeq++
+	c.trail = c.trail.With(c.auditSeq, Audit{
+		Seq: c.auditSeq, At: c.Time, Actor: actor, Action: action, Object: object, Detail: detail,
+	})
+	if c.trail.Len() > maxAudit {
+		oldest, _, _ := c.trail.First()
+		c.trail = c.trail.Without(oldest)
+	}
+	return c
+}
+
+// Trail returns the audit lines about object, or all where it is empty.
+func (c Catalog) Trail(object string) []Audit {
+	var out []Audit
+	for _, a := range c.trail.All() {
+		if object == "" || a.Object == object {
+			out = append(out, a)
+		}
+	}
+	return out
+}
+
+// Claims returns how many claims are remembered.
+func (c Catalog) Claims() int { return c.claims.Len() }
+
+func (c Catalog) remember(id string, r Result) Catalog {
+	c.writeSeq++
+	c.writes = c.writes.With(id, remembered{Result: r, Seq: c.writeSeq})
+	c.writeOrder = c.writeOrder.With(c.writeSeq, id)
+	if c.writeOrder.Len() > maxWrites {
+		seq, oldest, _ := c.writeOrder.First()
+		c.writeOrder = c.writeOrder.Without(seq)
+		c.writes = c.writes.Without(oldest)
+	}
+	return c
+}
+
+// Document is a catalog as snapshots store it.
+type Document struct {
+	Format       int
+	Time         time.Time
+	Config       config.Document
+	Plans        []plan.Plan
+	Deltas       []Delta
+	Trail        []Audit
+	AuditSeq     uint64
+	PlanSeq      uint64
+	Fence        uint64
+	Claims       []Claim
+	WriteIDs     []string
+	WriteAnswers []Result
+}
+
+// documentFormat is the version of Document.
+const documentFormat = 1
+
+// Encode returns the catalog as snapshot data.
+func (c Catalog) Encode() []byte {
+	d := Document{
+		Format: documentFormat, Time: c.Time, Config: c.Config.Document(), Plans: c.Plans.Values(),
+		Deltas: c.deltas.Values(), Trail: c.trail.Values(),
+		AuditSeq: c.auditSeq, PlanSeq: c.planSeq, Fence: c.fence,
+	}
+	for _, key := range c.claimOrder.All() {
+		claim, _ := c.claims.Get(key.table())
+		d.Claims = append(d.Claims, claim)
+	}
+	for _, id := range c.writeOrder.All() {
+		w, _ := c.writes.Get(id)
+		d.WriteIDs = append(d.WriteIDs, id)
+		d.WriteAnswers = append(d.WriteAnswers, w.Result)
+	}
+	b, err := modes.enc.Marshal(d)
+	if err != nil {
+		panic(errors.Wrap(err, "catalog: encode a snapshot"))
+	}
+	return b
+}
+
+// Decode reads snapshot data back.
+func Decode(b []byte) (Catalog, error) {
+	var d Document
+	if err := modes.dec.Unmarshal(b, &d); err != nil {
+		return Catalog{}, errors.Wrap(err, "decode snapshot")
+	}
+	if d.Format != documentFormat {
+		return Catalog{}, errors.Errorf("snapshot format %d, want %d", d.Format, documentFormat)
+	}
+	if len(d.WriteIDs) != len(d.WriteAnswers) {
+		return Catalog{}, errors.New("snapshot with uneven write memory")
+	}
+	c := Catalog{
+		Time: d.Time, Config: config.FromDocument(d.Config),
+		auditSeq: d.AuditSeq, planSeq: d.PlanSeq, fence: d.Fence,
+	}
+	for _, p := range d.Plans {
+		c.Plans = c.Plans.With(p.ID, p)
+	}
+	for _, delta := range d.Deltas {
+		delta.Change = byValue(delta.Change)
+		c.deltas = c.deltas.With(uint64(delta.Version), delta)
+	}
+	for _, a := range d.Trail {
+		c.trail = c.trail.With(a.Seq, a)
+	}
+	for _, claim := range d.Claims {
+		c.claimSeq++
+		c.claims = c.claims.With(claim.Key.table(), claim)
+		c.claimOrder = c.claimOrder.With(c.claimSeq, claim.Key)
+	}
+	for i, id := range d.WriteIDs {
+		c = c.remember(id, d.WriteAnswers[i])
+	}
+	return c, nil
+}
--- /dev/null
+++ b/core/catalog/command.go
@@ -0,0 +1,215 @@
+// Copyright 2026 The Yardhall Authors. Licensed under the Apache License, Version 2.0.
+
+package catalog
+
+import (
+	"reflect"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+	"github.com/pkg/errors"
+
+	"github.com/yardhall/yardhall/core/config"
+	"github.com/yardhall/yardhall/core/ident"
+	"github.com/yardhall/yardhall/core/outcome"
+)
+
+// Write is one entry of the replicated log.
+type Write struct {
+	// ID marks a logical write; its answer carries it.
+	ID string
+	// Remember keeps the first answer for writes resent under the same ID.
+	// Claims and orders are safe to resend without it.
+	Remember bool
+	// Actor is who asked: an operator, or a host of the fleet.
+	Actor string
+	// At is the leader's time; the catalog never lets it run backwards.
+	At      time.Time
+	Command Command
+}
+
+// Command is what a Write does. The set is closed.
+type Command interface{ command() }
+
+type (
+	// Edit changes the configuration.
+	Edit struct {
+		Change config.Change
+		// Guarded makes the edit depend on Rev, the object's revision that the
+		// operator saw; 0 for one that must not exist yet.
+		Guarded bool
+		Rev     config.Version
+	}
+	// StateIntent asks for a plan.
+	StateIntent struct {
+		Intent config.Intent
+		// Unusable are engines that the leader knows as down or leaving.
+		Unusable []ident.Target
+		// Repair is true where the system asks by itself.
+		Repair bool
+	}
+	// Decide confirms, rejects, pauses, resumes or aborts a plan.
+	Decide struct {
+		Plan     ident.Plan
+		Verb     Verb
+		Rev      uint64
+		Unusable []ident.Target
+	}
+	// IssueOrder gives a step its next fencing token before it is sent.
+	IssueOrder struct {
+		Plan ident.Plan
+		Step int
+	}
+	// EndOrder records what became of the order with Token.
+	EndOrder struct {
+		Plan  ident.Plan
+		Step  int
+		Token uint64
+		OK    bool
+		Error string
+	}
+	// ClaimRun asks for the right to run a request that must not run twice.
+	ClaimRun struct {
+		Key     ClaimKey
+		Created time.Time
+		// Digest is the hash of the request, so that a key used for two
+		// different requests is noticed.
+		Digest  uint64
+		Host    ident.Host
+		Request ident.Request
+	}
+	// EndClaim records how the claimed request ended.
+	EndClaim struct {
+		Key     ClaimKey
+		Request ident.Request
+		Outcome outcome.Kind
+	}
+)
+
+func (Edit) command()        {}
+func (StateIntent) command() {}
+func (Decide) command()      {}
+func (IssueOrder) command()  {}
+func (EndOrder) command()    {}
+func (ClaimRun) command()    {}
+func (EndClaim) command()    {}
+
+// Verb is an operator's decision on a plan.
+type Verb string
+
+// Verbs of a decision.
+const (
+	Confirm Verb = "confirm"
+	Reject  Verb = "reject"
+	Pause   Verb = "pause"
+	Resume  Verb = "resume"
+	Abort   Verb = "abort"
+)
+
+// Result is what became of a Write.
+type Result struct {
+	Code   Code
+	Reason string
+	// Version is the configuration version after the write.
+	Version config.Version
+	// Plan is the plan made or decided on.
+	Plan ident.Plan
+	// Token is the fencing token of an issued order.
+	Token uint64
+	// Claim is the claim that already stands.
+	Claim Claim
+}
+
+// Code is the kind of a Result.
+type Code string
+
+// Codes of a Result.
+const (
+	OK          Code = "ok"
+	Invalid     Code = "invalid"
+	Conflict    Code = "conflict"
+	NotFound    Code = "not_found"
+	GroundMoved Code = "ground_moved"
+	ClaimTaken  Code = "claim_taken"
+	KeyExpired  Code = "key_expired"
+	KeyReused   Code = "key_reused"
+)
+
+// Tags of commands; never renumber.
+const firstTag = 7000
+
+func commandTypes() []any {
+	return []any{
+		Edit{}, StateIntent{}, Decide{}, IssueOrder{}, EndOrder{}, ClaimRun{}, EndClaim{},
+	}
+}
+
+type codec struct {
+	enc cbor.EncMode
+	dec cbor.DecMode
+}
+
+// modes are built once from constant options and never change.
+var modes = newCodec()
+
+func newCodec() codec {
+	tags := cbor.NewTagSet()
+	for i, v := range commandTypes() {
+		opts := cbor.TagOptions{EncTag: cbor.EncTagRequired, DecTag: cbor.DecTagRequired}
+		mustBeRegistered(tags.Add(opts, reflect.TypeOf(v), firstTag+uint64(i)))
+	}
+	mustBeRegistered(config.RegisterTags(tags))
+	enc, err := cbor.EncOptions{Time: cbor.TimeRFC3339NanoUTC}.EncModeWithTags(tags)
+	mustBeRegistered(err)
+	dec, err := cbor.DecOptions{MaxArrayElements: maxElements, MaxMapPairs: maxElements}.DecModeWithTags(tags)
+	mustBeRegistered(err)
+	return codec{enc: enc, dec: dec}
+}
+
+const maxElements = 1 << 22
+
+func mustBeRegistered(err error) {
+	if err != nil {
+		panic(errors.Wrap(err, "catalog: codec"))
+	}
+}
+
+// Encode returns the write as log data.
+func (w Write) Encode() []byte {
+	b, err := modes.enc.Marshal(w)
+	if err != nil {
+		panic(errors.Wrap(err, "catalog: encode a write"))
+	}
+	return b
+}
+
+// DecodeWrite reads log data back.
+func DecodeWrite(b []byte) (Write, error) {
+	var w Write
+	if err := modes.dec.Unmarshal(b, &w); err != nil {
+		return Write{}, errors.Wrap(err, "decode write")
+	}
+	if w.Command == nil {
+		return Write{}, errors.New("write without a command")
+	}
+	w.Command = byValue(w.Command)
+	if e, ok := w.Command.(Edit); ok {
+		if e.Change == nil {
+			return Write{}, errors.New("edit without a change")
+		}
+		e.Change = byValue(e.Change)
+		w.Command = e
+	}
+	return w, nil
+}
+
+// byValue turns the pointers that the decoder puts into interfaces back into
+// the values that type switches expect.
+func byValue[T any](v T) T {
+	if r := reflect.ValueOf(v); r.Kind() == reflect.Pointer {
+		if value, ok := r.Elem().Interface().(T); ok {
+			return value
+		}
+	}
+	return v
+}
--- /dev/null
+++ b/core/health/health.go
@@ -0,0 +1,131 @@
+// Copyright 2026 The Yardhall Authors. Licensed under the Apache License, Version 2.0.
+
+// Package health joins what a host knows of a target into one verdict: its own
+// results, the target's reports, signs of leaving and the platform's lagging
+// list.
+//
+// # Usage
+//
+//	t := health.Target{}
+//	t = t.WithResult(false, now)
+//	if t.Usable(now) { ... }
+//
+// The zero value is a target of which nothing is known; it is usable.
+package health
+
+import "time"
+
+// Listing is what the platform's list says of a target.
+type Listing uint8
+
+// Listings.
+const (
+	Unlisted Listing = iota
+	Live
+	Leaving
+	Absent
+)
+
+const (
+	// maxFailures in a row eject a target.
+	maxFailures = 3
+	// ejectBase doubles with each further failure up to ejectMax.
+	ejectBase = time.Second
+	ejectMax  = 30 * time.Second
+	// evidence is how long a good answer outweighs an absence from the list.
+	evidence = 10 * time.Second
+	// signLife is how long a sign of leaving counts without being renewed.
+	signLife = 30 * time.Second
+	// heardLife is the same for one heard from another host, which repeats it
+	// with each heartbeat.
+	heardLife = 5 * time.Second
+)
+
+// Target is the health of one target. It is immutable.
+type Target struct {
+	Failures     int
+	EjectedUntil time.Time
+	LastGood     time.Time
+	// SignUntil is how long the target's own word that it is leaving counts;
+	// a later report that says otherwise ends it.
+	SignUntil time.Time
+	// HeardUntil is the same by word of another host. It is not passed on.
+	HeardUntil time.Time
+	Listing    Listing
+	// ReportSeq is the number of the newest load report.
+	ReportSeq uint64
+	// Boot is the start of the target as reported; a new one clears signs.
+	Boot uint64
+}
+
+// Usable tells whether new work may be sent at now.
+func (t Target) Usable(now time.Time) bool {
+	if t.IsLeaving(now) || now.Before(t.EjectedUntil) {
+		return false
+	}
+	if t.Listing == Absent {
+		return !t.LastGood.IsZero() && now.Sub(t.LastGood) < evidence
+	}
+	return true
+}
+
+// IsLeaving tells whether the target or the platform says that it is stopping.
+func (t Target) IsLeaving(now time.Time) bool {
+	return t.Listing == Leaving || t.Signed(now) || now.Before(t.HeardUntil)
+}
+
+// Signed tells whether the target itself told this host that it is leaving.
+func (t Target) Signed(now time.Time) bool { return now.Before(t.SignUntil) }
+
+// Ejected tells whether failures alone keep new work away.
+func (t Target) Ejected(now time.Time) bool { return !t.IsLeaving(now) && now.Before(t.EjectedUntil) }
+
+// WithResult counts one answer or failure.
+func (t Target) WithResult(good bool, now time.Time) Target {
+	if good {
+		t.Failures = 0
+		t.EjectedUntil = time.Time{}
+		t.LastGood = now
+		return t
+	}
+	t.Failures++
+	if t.Failures >= maxFailures {
+		t.EjectedUntil = now.Add(min(ejectBase<<min(t.Failures-maxFailures, maxShift), ejectMax))
+	}
+	return t
+}
+
+// maxShift keeps the doubling within range.
+const maxShift = 10
+
+// WithSign records the target's own word on whether it is leaving.
+func (t Target) WithSign(leaving bool, now time.Time) Target {
+	if leaving {
+		t.SignUntil = now.Add(signLife)
+		return t
+	}
+	t.SignUntil, t.HeardUntil = time.Time{}, time.Time{}
+	return t
+}
+
+// WithHeardSign records another host's word that the target is leaving.
+func (t Target) WithHeardSign(now time.Time) Target {
+	t.HeardUntil = now.Add(heardLife)
+	return t
+}
+
+// WithListing records what the platform's list says.
+func (t Target) WithListing(l Listing) Target {
+	t.Listing = l
+	return t
+}
+
+// WithReport takes a load report; old and doubled ones are ignored, and false
+// is returned.
+func (t Target) WithReport(boot, seq uint64, leaving bool, now time.Time) (Target, bool) {
+	if boot < t.Boot || (boot == t.Boot && seq <= t.ReportSeq) {
+		return t, false
+	}
+	t.Boot, t.ReportSeq = boot, seq
+	return t.WithSign(leaving, now).WithResult(true, now), true
+}
--- /dev/null
+++ b/core/host/host.go
@@ -0,0 +1,261 @@
+// Copyright 2026 The Yardhall Authors. Licensed under the Apache License, Version 2.0.
+
+// Package host is the whole behaviour of one yardhall process: one reducer
+// over all its events. It does no I/O and reads no clock; what must be done is
+// returned as effects.
+//
+// # Usage
+//
+//	s := host.New(host.Settings{ID: "entry-1", Zone: "hall-a", Serves: true}, seed, now)
+//	s, effects := host.Reduce(s, host.Tick{}, now)
+//
+// A process carries out the effects in order and feeds what comes of them back
+// as events. The same events at the same times give the same effects.
+package host
+
+import (
+	"time"
+
+	"github.com/yardhall/yardhall/core/catalog"
+	"github.com/yardhall/yardhall/core/config"
+	"github.com/yardhall/yardhall/core/health"
+	"github.com/yardhall/yardhall/core/ident"
+	"github.com/yardhall/yardhall/core/raft"
+	"github.com/yardhall/yardhall/core/routing"
+	"github.com/yardhall/yardhall/core/table"
+)
+
+// Settings are what a process learns from its settings file.
+type Settings struct {
+	ID   ident.Host
+	Zone ident.Zone
+	// Address is the peer ip:port that others dial.
+	Address string
+	// Serves is true where it takes callers' requests.
+	Serves bool
+	// Replicas are the hosts that keep the replicated state at first start.
+	Replicas []config.Host
+	// Neighbours are hosts of the same zone, asked for configuration where no
+	// replica can be reached.
+	Neighbours []config.Host
+	// Raft are the times of the replicated log.
+	Raft raft.Options
+	// Incarnation grows with each start of this process.
+	Incarnation uint64
+	// Chats bounds the chats remembered per group; 0 is the default.
+	Chats int
+}
+
+// IsReplica tells whether this process keeps the replicated state.
+func (s Settings) IsReplica() bool {
+	for _, r := range s.Replicas {
+		if r.ID == s.ID {
+			return true
+		}
+	}
+	return false
+}
+
+// State is a whole process. It is immutable; Reduce returns the next one. The
+// zero State belongs to a process without settings that serves nothing.
+type State struct {
+	settings Settings
+	seed     uint64
+	draws    uint64
+	started  time.Time
+	draining bool
+
+	// Replicated state, on replicas only.
+	raft    raft.State
+	catalog catalog.Catalog
+	applied raft.Index
+	// leaderSince is when this replica last became leader.
+	leaderSince time.Time
+	orders      table.Table[uint64, Order]
+
+	// Configuration in force here.
+	config   config.Config
+	ready    bool
+	leader   ident.Host
+	followAt time.Time
+	follows  int
+	// followers are the hosts that follow this replica.
+	followers table.Table[ident.Host, follower]
+
+	// Other hosts.
+	peers  table.Table[ident.Host, peer]
+	beatAt time.Time
+	beat   uint64
+
+	// Targets.
+	health  table.Table[ident.Target, health.Target]
+	probeAt time.Time
+	layout  layout
+	groups  table.Table[string, routing.Group]
+
+	// Callers' requests.
+	calls    table.Table[ident.Request, call]
+	inFlight table.Table[ident.Target, int]
+	accounts table.Table[ident.Account, accountUse]
+	budget   float64
+
+	writes   table.Table[string, pendingWrite]
+	writeSeq uint64
+	// origins are the hosts that wait for forwarded writes.
+	origins  table.Table[string, ident.Host]
+	orderAt  time.Time
+	counters Counters
+}
+
+// Counters count what a process decided; they only grow.
+type Counters struct {
+	Requests      uint64
+	Ran           uint64
+	NotRun        uint64
+	Unknown       uint64
+	Retries       uint64
+	Fallbacks     uint64
+	Grants        uint64
+	KnownGrants   uint64
+	Queued        uint64
+	Refused       uint64
+	Elsewhere     uint64
+	Claims        uint64
+	ClaimsDenied  uint64
+	Writes        uint64
+	OrdersSent    uint64
+	Elections     uint64
+	ConfigApplied uint64
+	StaleConfig   uint64
+	Adopted       uint64
+	Ejections     uint64
+}
+
+// New returns the process as it starts at now.
+func New(s Settings, seed uint64, now time.Time) State {
+	return State{settings: s, seed: seed, started: now, budget: maxBudget}
+}
+
+// WithReplica returns the process with the replicated state read from disk.
+func (s State) WithReplica(b raft.Boot, now time.Time) (State, error) {
+	if len(b.Snapshot.Data) > 0 {
+		c, err := catalog.Decode(b.Snapshot.Data)
+		if err != nil {
+			return s, err
+		}
+		s.catalog = c
+	}
+	if len(b.Members) == 0 {
+		for _, r := range s.settings.Replicas {
+			b.Members = append(b.Members, raft.Member{ID: r.ID, Voter: true})
+		}
+	}
+	s.applied = b.Snapshot.Index
+	s.raft = raft.New(s.settings.ID, s.settings.Raft, s.seed, b, now)
+	return s, nil
+}
+
+// Reduce is the transition of a process.
+func Reduce(s State, ev Event, now time.Time) (State, []Effect) {
+	t := turn{State: s, now: now}
+	switch ev := ev.(type) {
+	case Tick:
+		t.tick()
+	case Received:
+		t.receive(ev.From, ev.Message)
+	case Arrived:
+		t.arrive(ev.Request)
+	case AttemptEnded:
+		t.attemptEnded(ev)
+	case Reported:
+		t.reported(ev)
+	case Listed:
+		t.listed(ev.Targets)
+	case Submitted:
+		t.submit(ev.Write, ev.Deadline)
+	case OrderEnded:
+		t.orderEnded(ev)
+	case DiskSynced:
+		t.stepRaft(ev.Persisted)
+	case Drain:
+		t.drain()
+	case ReplicaChange:
+		t.stepRaft(raft.ChangeMember{Member: ev.Member, Remove: ev.Remove})
+	}
+	return t.State, t.out
+}
+
+// turn is the working copy of one transition.
+type turn struct {
+	State
+	now time.Time
+	out []Effect
+}
+
+func (t *turn) emit(e Effect) { t.out = append(t.out, e) }
+
+func (t *turn) note(kind NoteKind, object, detail string) {
+	t.emit(Note{Kind: kind, Object: object, Detail: detail})
+}
+
+// send transmits m, or delivers it at once where it is for this process.
+func (t *turn) send(to ident.Host, m Message) {
+	if to == t.settings.ID {
+		t.receive(to, m)
+		return
+	}
+	t.emit(Send{To: to, Message: m})
+}
+
+func (t *turn) tick() {
+	t.stepRaft(raft.Tick{})
+	t.tickPeers()
+	t.tickFollow()
+	t.tickWrites()
+	t.tickGroups()
+	t.tickCalls()
+	t.tickOrders()
+	t.maybeCompact()
+}
+
+func (t *turn) receive(from ident.Host, m Message) {
+	switch m := m.(type) {
+	case Raft:
+		t.stepRaft(raft.Receive{From: from, Message: m.Message})
+	case Gossip:
+		t.gossip(from, m.Beat)
+	case AskPlace:
+		t.askPlace(from, m)
+	case PlaceAnswer:
+		t.placeAnswer(m)
+	case NotOwner:
+		t.notOwner(m)
+	case FreePlace:
+		t.freePlace(m)
+	case AdoptPlaces:
+		t.adoptPlaces(m)
+	case AdoptChats:
+		t.adoptChats(m)
+	case Follow:
+		t.follow(from, m)
+	case Changes:
+		t.changes(from, m)
+	case WholeConfig:
+		t.wholeConfig(from, m)
+	case ForwardWrite:
+		t.forwardWrite(from, m)
+	case WriteAnswered:
+		t.writeAnswered(m.ID, m.Result)
+	}
+}
+
+func (t *turn) drain() {
+	if t.draining {
+		return
+	}
+	t.draining = true
+	t.note(NoteDrain, string(t.settings.ID), "")
+	t.sendBeats()
+	t.ownersChanged()
+	t.stepRaft(raft.HandOver{})
+}
--- /dev/null
+++ b/core/host/orders.go
@@ -0,0 +1,115 @@
+// Copyright 2026 The Yardhall Authors. Licensed under the Apache License, Version 2.0.
+
+package host
+
+import (
+	"fmt"
+	"strings"
+	"time"
+
+	"github.com/yardhall/yardhall/core/catalog"
+	"github.com/yardhall/yardhall/core/ident"
+	"github.com/yardhall/yardhall/core/plan"
+	"github.com/yardhall/yardhall/core/raft"
+)
+
+const (
+	// maxOrders bounds the orders under way, so that the weight store's rate
+	// is shared by few loads at a time.
+	maxOrders = 4
+	// orderSendTime is how long after the decision an order may still leave.
+	orderSendTime = 2 * time.Second
+	// orderTime bounds an order to an engine.
+	orderTime = 5 * time.Minute
+	// orderPoll is the time between two looks at the plans.
+	orderPoll = 250 * time.Millisecond
+)
+
+// tickOrders makes the leader drive the running plans: each step first gets
+// its fencing token through the log and only then goes to the engine.
+func (t *turn) tickOrders() {
+	if !t.raft.LeaseHeld(t.now) || t.now.Before(t.orderAt) {
+		return
+	}
+	t.orderAt = t.now.Add(orderPoll)
+	for _, p := range t.catalog.Plans.All() {
+		if p.Status != plan.Running {
+			continue
+		}
+		t.resendOrders(p)
+		if i, ok := p.Next(t.now, t.orders.Len(), maxOrders); ok && !t.mustWait(p.Steps[i].Target) {
+			t.issueOrder(p.ID, i)
+		}
+	}
+}
+
+// resendOrders takes up steps that an earlier leader ordered.
+func (t *turn) resendOrders(p plan.Plan) {
+	for i, s := range p.Steps {
+		if s.Status == plan.StepOrdered && !t.orders.Has(s.Token) && !t.mustWait(s.Target) {
+			t.issueOrder(p.ID, i)
+		}
+	}
+}
+
+// mustWait tells whether a target that checks no tokens may still receive an
+// order from an earlier leader.
+func (t *turn) mustWait(id ident.Target) bool {
+	target, ok := t.config.Targets.Get(id)
+	if !ok || target.ChecksFence {
+		return false
+	}
+	return t.now.Sub(t.leaderSince) < orderSendTime+2*raft.DefaultElection
+}
+
+func (t *turn) issueOrder(id ident.Plan, step int) {
+	write := fmt.Sprintf("auto/order/%s/%d", id, step)
+	if t.writes.Has(write) {
+		return
+	}
+	t.submit(catalog.Write{
+		ID: write, Actor: string(t.settings.ID), Command: catalog.IssueOrder{Plan: id, Step: step},
+	}, t.now.Add(claimTimeout))
+}
+
+// autoDone goes on after a write of this process itself.
+func (t *turn) autoDone(id string, r catalog.Result, known bool) {
+	if !known || r.Code != catalog.OK || r.Token == 0 || !strings.HasPrefix(id, "auto/order/") {
+		return
+	}
+	p, ok := t.catalog.Plans.Get(r.Plan)
+	if !ok || !t.raft.LeaseHeld(t.now) {
+		return
+	}
+	for i, s := range p.Steps {
+		if s.Token == r.Token && s.Status == plan.StepOrdered {
+			t.sendOrder(p, i)
+		}
+	}
+}
+
+func (t *turn) sendOrder(p plan.Plan, i int) {
+	s := p.Steps[i]
+	target, ok := t.config.Targets.Get(s.Target)
+	if !ok {
+		return
+	}
+	o := Order{
+		Plan: p.ID, Step: i, Token: s.Token, Action: string(s.Action), Model: s.Model,
+		Target: target, Bytes: s.Bytes, NotAfter: t.now.Add(orderSendTime),
+	}
+	t.orders = t.orders.With(o.Token, o)
+	t.counters.OrdersSent++
+	t.emit(SendOrder{Order: o, ReadFirst: !target.ChecksFence || s.Attempts > 1})
+}
+
+// orderEnded records an order's end in the log, until it is answered.
+func (t *turn) orderEnded(ev OrderEnded) {
+	t.orders = t.orders.Without(ev.Order.Token)
+	t.submit(catalog.Write{
+		ID: fmt.Sprintf("auto/end/%d", ev.Order.Token), Actor: string(t.settings.ID),
+		Command: catalog.EndOrder{
+			Plan: ev.Order.Plan, Step: ev.Order.Step, Token: ev.Order.Token, OK: ev.OK, Error: ev.Error,
+		},
+	}, t.now.Add(orderTime))
+}
--- /dev/null
+++ b/core/host/owner.go
@@ -0,0 +1,400 @@
+// Copyright 2026 The Yardhall Authors. Licensed under the Apache License, Version 2.0.
+
+package host
+
+import (
+	"fmt"
+	"slices"
+	"time"
+
+	"github.com/yardhall/yardhall/core/config"
+	"github.com/yardhall/yardhall/core/hash"
+	"github.com/yardhall/yardhall/core/health"
+	"github.com/yardhall/yardhall/core/ident"
+	"github.com/yardhall/yardhall/core/routing"
+)
+
+const (
+	// groupSize is the number of targets a group aims at.
+	groupSize = 24
+	// probeInterval is the time between two load reports asked of a target.
+	probeInterval = time.Second
+	// maxEjected is the share of a group that failures may take away.
+	maxEjected = 0.5
+)
+
+// layout is the division of targets into groups at one configuration version.
+type layout struct {
+	version config.Version
+	// owners is the division's owners as last seen.
+	owners   map[routing.GroupID]ident.Host
+	services map[ident.Service][]groupPart
+	groupOf  map[ident.Target]routing.GroupID
+}
+
+// groupPart is one group of a service.
+type groupPart struct {
+	id      routing.GroupID
+	key     hash.Key
+	targets []config.Target
+}
+
+func (p groupPart) serves(m ident.Model) int {
+	n := 0
+	for _, t := range p.targets {
+		if t.HasModel(m) {
+			n++
+		}
+	}
+	return n
+}
+
+// newLayout divides the targets of each service and zone into groups. The
+// shard of a target moves only when the number of shards changes, and then
+// only for the part that rendezvous gives to the new shard.
+func newLayout(cfg config.Config) layout {
+	l := layout{
+		version: cfg.Version, services: map[ident.Service][]groupPart{},
+		groupOf: map[ident.Target]routing.GroupID{},
+	}
+	counts := map[routing.GroupID]int{}
+	for _, t := range cfg.Targets.All() {
+		counts[routing.GroupID{Service: t.Service, Zone: t.Zone}]++
+	}
+	parts := map[routing.GroupID][]config.Target{}
+	for _, t := range cfg.Targets.All() {
+		id := routing.GroupID{Service: t.Service, Zone: t.Zone}
+		id.Shard = shardOf(t.ID, (counts[id]+groupSize-1)/groupSize)
+		parts[id] = append(parts[id], t)
+		l.groupOf[t.ID] = id
+	}
+	for id, targets := range parts {
+		part := groupPart{id: id, key: hash.Of(id.String()), targets: targets}
+		l.services[id.Service] = append(l.services[id.Service], part)
+	}
+	for _, ps := range l.services {
+		slices.SortFunc(ps, func(a, b groupPart) int { return a.id.Compare(b.id) })
+	}
+	return l
+}
+
+func shardOf(t ident.Target, shards int) int {
+	best, top := 0, uint64(0)
+	key := hash.Of(string(t))
+	for s := range shards {
+		if score := hash.Mix(key, hash.Key(s+1)); score >= top {
+			best, top = s, score
+		}
+	}
+	return best
+}
+
+// ownersChanged works out the groups' owners anew, takes up those that are now
+// ours, drops those that are not, and tells new owners of places held.
+func (t *turn) ownersChanged() {
+	old := t.layout.owners
+	owners := map[routing.GroupID]ident.Host{}
+	for _, parts := range t.layout.services {
+		for _, p := range parts {
+			if owner, ok := t.ownerOf(p.id); ok {
+				owners[p.id] = owner
+			}
+		}
+	}
+	t.layout.owners = owners
+	for _, p := range t.sortedParts() {
+		if owners[p.id] == old[p.id] {
+			continue
+		}
+		t.ownerMoved(p, owners[p.id])
+	}
+	t.refreshGroups()
+}
+
+func (t *turn) sortedParts() []groupPart {
+	var out []groupPart
+	for _, parts := range t.layout.services {
+		out = append(out, parts...)
+	}
+	slices.SortFunc(out, func(a, b groupPart) int { return a.id.Compare(b.id) })
+	return out
+}
+
+func (t *turn) ownerMoved(p groupPart, owner ident.Host) {
+	if owner == t.settings.ID {
+		g := routing.NewGroup(p.id).WithChatBound(t.settings.Chats)
+		t.groups = t.groups.With(p.id.String(), g)
+		t.note(NoteOwner, p.id.String(), "taken")
+	} else if g, ok := t.groups.Get(p.id.String()); ok {
+		t.handOverGroup(g, owner)
+		t.groups = t.groups.Without(p.id.String())
+		t.note(NoteOwner, p.id.String(), "given to "+string(owner))
+	}
+	t.reportPlaces(p.id, owner)
+	t.reask(p.id)
+}
+
+// refreshGroups brings the owned groups' engines to configuration and health.
+func (t *turn) refreshGroups() {
+	for _, p := range t.sortedParts() {
+		g, ok := t.groups.Get(p.id.String())
+		if !ok {
+			continue
+		}
+		g = g.WithEngines(t.specs(p.targets), t.now)
+		t.groups = t.groups.With(p.id.String(), g)
+		t.serve(g)
+	}
+}
+
+// specs says of each target whether it may get work. Where failures have taken
+// more than maxEjected of them, those are used all the same: most likely the
+// fault is on our side.
+func (t *turn) specs(targets []config.Target) []routing.Spec {
+	specs := make([]routing.Spec, 0, len(targets))
+	ejected := 0
+	for _, target := range targets {
+		h, _ := t.health.Get(target.ID)
+		if h.Ejected(t.now) {
+			ejected++
+		}
+		specs = append(specs, routing.Spec{
+			ID: target.ID, Slots: target.Slots, Models: target.Models, Usable: h.Usable(t.now),
+		})
+	}
+	if float64(ejected) <= maxEjected*float64(len(targets)) {
+		return specs
+	}
+	for i, target := range targets {
+		if h, _ := t.health.Get(target.ID); h.Ejected(t.now) {
+			specs[i].Usable = true
+		}
+	}
+	return specs
+}
+
+func (t *turn) tickGroups() {
+	for id, g := range t.groups.All() {
+		next, late := g.Expire(t.now)
+		t.groups = t.groups.With(id, next)
+		for _, ask := range late {
+			t.answerAsk(next.ID, ask, routing.Refused{Reason: routing.ReasonTimeout, RetryAfter: retryLater})
+		}
+	}
+	if t.now.Before(t.probeAt) {
+		return
+	}
+	t.probeAt = t.now.Add(probeInterval)
+	t.refreshGroups()
+	for _, p := range t.sortedParts() {
+		if !t.groups.Has(p.id.String()) {
+			continue
+		}
+		for _, target := range p.targets {
+			t.emit(Probe{Target: target})
+		}
+	}
+}
+
+// bound is the rule of a service with what other owners report.
+func (t *turn) bound(id routing.GroupID) routing.Bound {
+	s, _ := t.config.Services.Get(id.Service)
+	b := routing.Bound{Multiple: s.Multiple}
+	for _, p := range t.peers.All() {
+		if !p.alive {
+			continue
+		}
+		for _, l := range p.beat.Loads {
+			if l.Group.Service == id.Service && l.Group != id {
+				b.Others = append(b.Others, l)
+			}
+		}
+	}
+	for _, g := range t.groups.All() {
+		if g.ID.Service == id.Service && g.ID != id {
+			b.Others = append(b.Others, loadOf(g))
+		}
+	}
+	return b
+}
+
+func loadOf(g routing.Group) routing.GroupLoad {
+	return routing.GroupLoad{Group: g.ID, Load: g.Total(), Usable: g.Usable(), Waiting: g.Waiting()}
+}
+
+func (t *turn) ownLoads() []routing.GroupLoad {
+	var out []routing.GroupLoad
+	for _, g := range t.groups.All() {
+		out = append(out, loadOf(g))
+	}
+	return out
+}
+
+func (t *turn) askPlace(from ident.Host, m AskPlace) {
+	g, ok := t.groups.Get(m.Group.String())
+	if !ok {
+		t.send(from, NotOwner{Request: m.Ask.Request, Group: m.Group})
+		return
+	}
+	g, answer := g.Ask(m.Ask, t.bound(m.Group), t.now)
+	g, shed := g.TakeShed()
+	t.groups = t.groups.With(m.Group.String(), g)
+	for _, ask := range shed {
+		t.answerAsk(m.Group, ask, routing.Refused{Reason: routing.ReasonShed, RetryAfter: retryLater})
+	}
+	t.countAnswer(answer)
+	t.answerAsk(m.Group, m.Ask, answer)
+}
+
+func (t *turn) countAnswer(a routing.Answer) {
+	switch a := a.(type) {
+	case routing.Granted:
+		t.counters.Grants++
+		if a.Known {
+			t.counters.KnownGrants++
+		}
+	case routing.Queued:
+		t.counters.Queued++
+	case routing.Elsewhere:
+		t.counters.Elsewhere++
+	case routing.Refused:
+		t.counters.Refused++
+	}
+}
+
+func (t *turn) answerAsk(id routing.GroupID, ask routing.Ask, a routing.Answer) {
+	t.send(ask.Router, PlaceAnswer{Request: ask.Request, Group: id, Answer: a})
+}
+
+func (t *turn) freePlace(m FreePlace) {
+	g, ok := t.groups.Get(m.Group.String())
+	if !ok {
+		return
+	}
+	g, grants := g.Release(m.Request, t.bound(m.Group), t.now)
+	t.groups = t.groups.With(m.Group.String(), g)
+	t.sendGrants(g.ID, grants)
+}
+
+// serve gives places that became free to waiting asks.
+func (t *turn) serve(g routing.Group) {
+	if g.Waiting() == 0 {
+		return
+	}
+	g, grants := g.Serve(t.bound(g.ID), t.now)
+	t.groups = t.groups.With(g.ID.String(), g)
+	t.sendGrants(g.ID, grants)
+}
+
+func (t *turn) sendGrants(id routing.GroupID, grants []routing.Grant) {
+	for _, grant := range grants {
+		t.countAnswer(grant.Answer())
+		t.answerAsk(id, grant.Ask, grant.Answer())
+	}
+}
+
+func (t *turn) adoptPlaces(m AdoptPlaces) {
+	g, ok := t.groups.Get(m.Group.String())
+	if !ok {
+		return
+	}
+	t.counters.Adopted += uint64(len(m.Permits))
+	t.groups = t.groups.With(m.Group.String(), g.Adopt(m.Permits, t.now))
+}
+
+func (t *turn) dropRouter(id ident.Host, keep uint64) {
+	for key, g := range t.groups.All() {
+		g = g.DropRouter(id, keep, t.now)
+		t.groups = t.groups.With(key, g)
+		t.serve(g)
+	}
+}
+
+// handOverGroup passes what is remembered of chats to the next owner, in
+// messages of bounded size; asks that wait are asked anew by their routers.
+func (t *turn) handOverGroup(g routing.Group, owner ident.Host) {
+	if owner == "" {
+		return
+	}
+	for chats := range slices.Chunk(g.ChatList(), handOverChunk) {
+		t.send(owner, AdoptChats{Group: g.ID, Chats: chats})
+	}
+}
+
+// handOverChunk bounds the chats in one AdoptChats.
+const handOverChunk = 2048
+
+func (t *turn) adoptChats(m AdoptChats) {
+	if g, ok := t.groups.Get(m.Group.String()); ok {
+		t.groups = t.groups.With(m.Group.String(), g.AdoptChats(m.Chats))
+	}
+}
+
+func (t *turn) reported(ev Reported) {
+	h, _ := t.health.Get(ev.Target)
+	wasUsable := h.Usable(t.now)
+	if ev.Failed {
+		t.setHealth(ev.Target, h.WithResult(false, t.now), wasUsable)
+		return
+	}
+	h, fresh := h.WithReport(ev.Boot, ev.Seq, ev.Leaving, t.now)
+	if !fresh {
+		return
+	}
+	t.setHealth(ev.Target, h, wasUsable)
+	id, ok := t.layout.groupOf[ev.Target]
+	if !ok {
+		return
+	}
+	if g, ok := t.groups.Get(id.String()); ok {
+		t.groups = t.groups.With(id.String(), g.WithReport(ev.Target, ev.InFlight, t.now))
+	}
+}
+
+func (t *turn) listed(targets []ListedTarget) {
+	seen := map[ident.Target]health.Listing{}
+	for _, l := range targets {
+		seen[l.ID] = l.Listing
+	}
+	for id := range t.config.Targets.All() {
+		listing, ok := seen[id]
+		if !ok {
+			listing = health.Absent
+		}
+		h, _ := t.health.Get(id)
+		if h.Listing != listing {
+			t.setHealth(id, h.WithListing(listing), h.Usable(t.now))
+		}
+	}
+}
+
+func (t *turn) markLeaving(id ident.Target) {
+	h, _ := t.health.Get(id)
+	t.setHealth(id, h.WithHeardSign(t.now), h.Usable(t.now))
+}
+
+// setHealth stores h; a change of the verdict is noted and takes effect in the
+// target's group at once.
+func (t *turn) setHealth(id ident.Target, h health.Target, wasUsable bool) {
+	t.health = t.health.With(id, h)
+	usable := h.Usable(t.now)
+	if usable == wasUsable {
+		return
+	}
+	if h.Ejected(t.now) {
+		t.counters.Ejections++
+	}
+	t.note(NoteTarget, string(id), fmt.Sprintf("usable=%t leaving=%t failures=%d", usable, h.IsLeaving(t.now), h.Failures))
+	gid, ok := t.layout.groupOf[id]
+	if !ok || !t.groups.Has(gid.String()) {
+		return
+	}
+	for _, p := range t.layout.services[gid.Service] {
+		if p.id == gid {
+			g, _ := t.groups.Get(gid.String())
+			g = g.WithEngines(t.specs(p.targets), t.now)
+			t.groups = t.groups.With(gid.String(), g)
+			t.serve(g)
+		}
+	}
+}
--- /dev/null
+++ b/core/host/peers.go
@@ -0,0 +1,148 @@
+// Copyright 2026 The Yardhall Authors. Licensed under the Apache License, Version 2.0.
+
+package host
+
+import (
+	"time"
+
+	"github.com/yardhall/yardhall/core/config"
+	"github.com/yardhall/yardhall/core/hash"
+	"github.com/yardhall/yardhall/core/ident"
+	"github.com/yardhall/yardhall/core/routing"
+)
+
+const (
+	// beatInterval is the time between two heartbeats of a host.
+	beatInterval = time.Second
+	// peerTimeout without a new heartbeat makes a host count as gone.
+	peerTimeout = 3 * time.Second
+)
+
+// peer is what is known of another host.
+type peer struct {
+	beat  Beat
+	heard time.Time
+	alive bool
+}
+
+func (t *turn) tickPeers() {
+	for id, p := range t.peers.All() {
+		if p.alive && t.now.Sub(p.heard) > peerTimeout {
+			t.peerDown(id, p)
+		}
+	}
+	if t.now.Before(t.beatAt) {
+		return
+	}
+	t.beatAt = t.now.Add(beatInterval)
+	t.sendBeats()
+}
+
+func (t *turn) peerDown(id ident.Host, p peer) {
+	p.alive = false
+	t.peers = t.peers.With(id, p)
+	t.note(NoteHostDown, string(id), "")
+	t.dropRouter(id, 0)
+	t.ownersChanged()
+}
+
+// sendBeats tells every other host that this one lives and what it owns.
+func (t *turn) sendBeats() {
+	t.beat++
+	b := Beat{
+		Host: t.settings.ID, Incarnation: t.settings.Incarnation, Counter: t.beat,
+		Version: t.config.Version, Draining: t.draining, Serves: t.settings.Serves,
+		Zone: t.settings.Zone, Loads: t.ownLoads(), Leaving: t.leavingSigns(),
+	}
+	for _, h := range t.knownHosts() {
+		if h.ID != t.settings.ID {
+			t.send(h.ID, Gossip{Beat: b})
+		}
+	}
+}
+
+// knownHosts returns the configured hosts; before there is a configuration,
+// those of the settings.
+func (t *turn) knownHosts() []config.Host {
+	if t.config.Hosts.Len() > 0 {
+		return t.config.Hosts.Values()
+	}
+	return append(append([]config.Host{}, t.settings.Replicas...), t.settings.Neighbours...)
+}
+
+func (t *turn) gossip(from ident.Host, b Beat) {
+	if b.Host != from {
+		return
+	}
+	old, known := t.peers.Get(from)
+	if known && (b.Incarnation < old.beat.Incarnation ||
+		(b.Incarnation == old.beat.Incarnation && b.Counter <= old.beat.Counter)) {
+		return
+	}
+	t.peers = t.peers.With(from, peer{beat: b, heard: t.now, alive: true})
+	if !known || !old.alive {
+		t.note(NoteHostUp, string(from), "")
+	}
+	if known && b.Incarnation != old.beat.Incarnation {
+		t.dropRouter(from, b.Incarnation)
+	}
+	for _, id := range b.Leaving {
+		t.markLeaving(id)
+	}
+	if !known || !old.alive || old.beat.Draining != b.Draining || old.beat.Incarnation != b.Incarnation {
+		t.ownersChanged()
+	}
+}
+
+// mayOwn tells whether a host may own groups as seen from here.
+func (t *turn) mayOwn(h config.Host) bool {
+	if !h.Serves {
+		return false
+	}
+	if h.ID == t.settings.ID {
+		return !t.draining
+	}
+	p, ok := t.peers.Get(h.ID)
+	return ok && p.alive && !p.beat.Draining
+}
+
+// ownerOf returns the owner of a group as seen from here: by rendezvous among
+// the live serving hosts of its zone, and only where there is none, of others.
+func (t *turn) ownerOf(g routing.GroupID) (ident.Host, bool) {
+	var near, far []ident.Host
+	for _, h := range t.config.Hosts.All() {
+		switch {
+		case !t.mayOwn(h):
+		case h.Zone == g.Zone:
+			near = append(near, h.ID)
+		default:
+			far = append(far, h.ID)
+		}
+	}
+	if len(near) == 0 {
+		near = far
+	}
+	return hash.Best(hash.Of(g.String()), near, func(h ident.Host) string { return string(h) })
+}
+
+// aliveServing counts the hosts that take requests, this one included.
+func (t *turn) aliveServing() int {
+	n := 0
+	for _, h := range t.config.Hosts.All() {
+		if t.mayOwn(h) {
+			n++
+		}
+	}
+	return max(1, n)
+}
+
+// leavingSigns are the targets that told this host that they are stopping.
+func (t *turn) leavingSigns() []ident.Target {
+	var out []ident.Target
+	for id, h := range t.health.All() {
+		if h.Signed(t.now) {
+			out = append(out, id)
+		}
+	}
+	return out
+}
--- /dev/null
+++ b/core/host/write.go
@@ -0,0 +1,182 @@
+// Copyright 2026 The Yardhall Authors. Licensed under the Apache License, Version 2.0.
+
+package host
+
+import (
+	"fmt"
+	"strings"
+	"time"
+
+	"github.com/yardhall/yardhall/core/catalog"
+	"github.com/yardhall/yardhall/core/ident"
+	"github.com/yardhall/yardhall/core/raft"
+)
+
+const (
+	// resendInterval is the pause before an unanswered write is sent again.
+	resendInterval = 500 * time.Millisecond
+	// compactEvery is how many entries the log grows between snapshots.
+	compactEvery = 4096
+)
+
+// pendingWrite is a write that this process waits for.
+type pendingWrite struct {
+	write    catalog.Write
+	deadline time.Time
+	resend   time.Time
+}
+
+// submit sends a write to the leader until it is answered or its time is over.
+func (t *turn) submit(w catalog.Write, deadline time.Time) {
+	t.counters.Writes++
+	p := pendingWrite{write: w, deadline: deadline}
+	t.sendWrite(p)
+}
+
+func (t *turn) sendWrite(p pendingWrite) {
+	p.resend = t.now.Add(resendInterval)
+	t.writes = t.writes.With(p.write.ID, p)
+	if t.raft.Role() == raft.Leader {
+		t.propose(p.write)
+		return
+	}
+	if leader := t.leaderHint(); leader != "" && leader != t.settings.ID {
+		t.send(leader, ForwardWrite{Write: p.write})
+	}
+}
+
+func (t *turn) tickWrites() {
+	for id, p := range t.writes.All() {
+		switch {
+		case !t.now.Before(p.deadline):
+			t.writes = t.writes.Without(id)
+			t.writeDone(id, catalog.Result{}, false)
+		case !t.now.Before(p.resend):
+			t.sendWrite(p)
+		}
+	}
+}
+
+func (t *turn) propose(w catalog.Write) {
+	w.At = t.now
+	t.stepRaft(raft.Propose{Data: w.Encode()})
+}
+
+// forwardWrite takes a write from another host; only a leader acts on it, and
+// a write that has an answer already gets it when it is applied again.
+func (t *turn) forwardWrite(from ident.Host, m ForwardWrite) {
+	if t.raft.Role() != raft.Leader {
+		return
+	}
+	t.origins = t.origins.With(m.Write.ID, from)
+	t.propose(m.Write)
+}
+
+func (t *turn) writeAnswered(id string, r catalog.Result) {
+	if _, ok := t.writes.Get(id); !ok {
+		return
+	}
+	t.writes = t.writes.Without(id)
+	t.writeDone(id, r, true)
+}
+
+// writeDone hands the answer to whom the write was for.
+func (t *turn) writeDone(id string, r catalog.Result, known bool) {
+	if request, ok := strings.CutPrefix(id, "claim/"); ok {
+		t.claimAnswered(ident.Request(request), r, known)
+		return
+	}
+	if strings.HasPrefix(id, "end/") || strings.HasPrefix(id, "auto/") {
+		t.autoDone(id, r, known)
+		return
+	}
+	t.emit(AnswerWrite{ID: id, Result: r, Known: known})
+}
+
+// stepRaft feeds the replicated log and carries out what it asks for.
+func (t *turn) stepRaft(ev raft.Event) {
+	if !t.raft.Active() {
+		return
+	}
+	next, effects := t.raft.Step(ev, t.now)
+	t.raft = next
+	for _, e := range effects {
+		switch e := e.(type) {
+		case raft.Send:
+			t.send(e.To, Raft{Message: e.Message})
+		case raft.Persist:
+			t.emit(Persist{Persist: e})
+		case raft.RoleChange:
+			t.roleChanged(e)
+		}
+	}
+	// Applying comes last: it may feed the log again, and what the disk must
+	// write has to leave here in log order.
+	for _, e := range effects {
+		switch e := e.(type) {
+		case raft.Commit:
+			t.applyEntries(e.Entries)
+		case raft.Restore:
+			t.restore(e.Snapshot)
+		}
+	}
+}
+
+func (t *turn) roleChanged(e raft.RoleChange) {
+	if e.Role == raft.Leader {
+		t.counters.Elections++
+		t.leaderSince = t.now
+	}
+	t.leader = e.Leader
+	t.note(NoteRole, string(t.settings.ID), fmt.Sprintf("%s term=%d leader=%s", e.Role, e.Term, e.Leader))
+}
+
+func (t *turn) applyEntries(entries []raft.Entry) {
+	before := t.catalog.Config.Version
+	for _, e := range entries {
+		t.applied = e.Index
+		if e.Kind != raft.EntryNormal {
+			continue
+		}
+		w, err := catalog.DecodeWrite(e.Data)
+		if err != nil {
+			// A committed entry that cannot be read means that this replica
+			// would diverge.
+			panic("host: " + err.Error())
+		}
+		var r catalog.Result
+		t.catalog, r = t.catalog.Apply(w)
+		t.answerOrigin(w.ID, r)
+	}
+	if t.catalog.Config.Version != before {
+		t.useConfig(t.catalog.Config)
+		t.pushChanges()
+	}
+}
+
+func (t *turn) answerOrigin(id string, r catalog.Result) {
+	if from, ok := t.origins.Get(id); ok {
+		t.origins = t.origins.Without(id)
+		t.send(from, WriteAnswered{ID: id, Result: r})
+		return
+	}
+	t.writeAnswered(id, r)
+}
+
+func (t *turn) restore(s raft.Snapshot) {
+	c, err := catalog.Decode(s.Data)
+	if err != nil {
+		panic("host: " + err.Error())
+	}
+	t.catalog, t.applied = c, s.Index
+	t.useConfig(c.Config)
+	t.note(NoteStateLoad, string(t.settings.ID), fmt.Sprintf("index=%d version=%d", s.Index, c.Config.Version))
+}
+
+// maybeCompact takes a snapshot when the log has grown by compactEvery.
+func (t *turn) maybeCompact() {
+	if !t.raft.Active() || t.applied < t.raft.SnapshotIndex()+compactEvery {
+		return
+	}
+	t.stepRaft(raft.Compact{Index: t.applied, Data: t.catalog.Encode()})
+}
--- /dev/null
+++ b/core/raft/raft.go
@@ -0,0 +1,454 @@
+// Copyright 2026 The Yardhall Authors. Licensed under the Apache License, Version 2.0.
+
+// Package raft keeps one log equal on a few replicas. It follows Ongaro's
+// thesis "Consensus: Bridging Theory and Practice" (2014): elections with
+// pre-vote (9.6), check of quorum and leases for reads (6.4.1), one-at-a-time
+// membership change (4.1), learners that catch up first (4.2.1), leadership
+// transfer (3.10) and snapshots in chunks (5).
+//
+// # Usage
+//
+// State is an immutable value; Step is its only transition and does no I/O:
+//
+//	s := raft.New("a", raft.Options{}, seed, boot, now)
+//	s, effects := s.Step(raft.Tick{}, now)
+//
+// The process carries out the effects in order. Messages that promise
+// durability ride inside a Persist effect and leave only after it has synced.
+// The zero State belongs to a process that keeps no log and ignores all events.
+package raft
+
+import (
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"github.com/yardhall/yardhall/core/ident"
+)
+
+// Role is what a replica does at the moment.
+type Role uint8
+
+// Roles of a replica.
+const (
+	Follower Role = iota
+	PreCandidate
+	Candidate
+	Leader
+)
+
+// String returns the role in lower case.
+func (r Role) String() string {
+	return [...]string{"follower", "pre-candidate", "candidate", "leader"}[r]
+}
+
+// Defaults of Options.
+const (
+	DefaultElection  = time.Second
+	DefaultHeartbeat = 200 * time.Millisecond
+	DefaultMaxBatch  = 64 << 10
+	DefaultChunk     = 128 << 10
+	// leaseDrift is the share of the election time by which clocks may differ
+	// in rate while a lease is still trusted: 1/leaseDrift.
+	leaseDrift = 10
+)
+
+// Options are the times and bounds of a replica; zero fields take defaults.
+type Options struct {
+	// Election is the shortest time without a leader before an election.
+	Election time.Duration
+	// Heartbeat is the leader's sending interval.
+	Heartbeat time.Duration
+	// MaxBatch bounds the bytes of entries in one Append.
+	MaxBatch int
+	// Chunk bounds the bytes of one SnapshotChunk.
+	Chunk int
+}
+
+func (o Options) withDefaults() Options {
+	if o.Election == 0 {
+		o.Election = DefaultElection
+	}
+	if o.Heartbeat == 0 {
+		o.Heartbeat = DefaultHeartbeat
+	}
+	if o.MaxBatch == 0 {
+		o.MaxBatch = DefaultMaxBatch
+	}
+	if o.Chunk == 0 {
+		o.Chunk = DefaultChunk
+	}
+	return o
+}
+
+// Member is one replica; a learner has Voter false.
+type Member struct {
+	ID    ident.Host
+	Voter bool
+}
+
+// HardState is what must survive a restart besides entries.
+type HardState struct {
+	Term   Term
+	Vote   ident.Host
+	Commit Index
+}
+
+// Snapshot is the applied state up to Index.
+type Snapshot struct {
+	Index   Index
+	Term    Term
+	Members []Member
+	Data    []byte
+}
+
+// Boot is what a replica read from its disk; empty on a first start.
+type Boot struct {
+	Hard     HardState
+	Snapshot Snapshot
+	Entries  []Entry
+	// Members is the first member list, used where the disk holds none.
+	Members []Member
+}
+
+// progress is what a leader knows of one replica.
+type progress struct {
+	id ident.Host
+	// match is the highest index known synced there, next the one to send.
+	match, next Index
+	// heard is when it last answered; acked the send time of the newest
+	// heartbeat round it answered, from which the lease counts.
+	heard, acked time.Time
+	// sentAt is when entries were last sent without an answer yet.
+	sentAt time.Time
+	// offset is the progress of a snapshot transfer of snapIndex.
+	snapIndex Index
+	offset    int
+}
+
+// State is one replica. It is immutable; Step returns the next one.
+type State struct {
+	id       ident.Host
+	options  Options
+	hard     HardState
+	role     Role
+	leader   ident.Host
+	log      Log
+	stable   Index
+	commit   Index
+	snapshot Snapshot
+	members  []Member
+	// membersAt is the index of the entry that set members.
+	membersAt Index
+	peers     []progress
+	votes     []ident.Host
+	refusals  []ident.Host
+	due       time.Time
+	heard     time.Time
+	round     uint64
+	rounds    []sentRound
+	incoming  []byte
+	incomeIdx Index
+	handOver  time.Time
+	seed      uint64
+	draws     uint64
+}
+
+// sentRound remembers when a heartbeat round left, for the lease.
+type sentRound struct {
+	round uint64
+	at    time.Time
+}
+
+// maxRounds bounds the heartbeat rounds remembered.
+const maxRounds = 16
+
+// New returns a replica as read from disk at now.
+func New(id ident.Host, o Options, seed uint64, b Boot, now time.Time) State {
+	s := State{id: id, options: o.withDefaults(), hard: b.Hard, seed: seed}
+	s.snapshot = b.Snapshot
+	s.log = NewLog(b.Snapshot.Index, b.Snapshot.Term, b.Entries)
+	s.stable = s.log.Last()
+	s.commit = max(b.Snapshot.Index, 0)
+	s.members = b.Members
+	if len(b.Snapshot.Members) > 0 {
+		s.members = b.Snapshot.Members
+		s.membersAt = b.Snapshot.Index
+	}
+	s = s.withMembersFromLog()
+	w := step{State: s, now: now}
+	w.resetElection()
+	return w.State
+}
+
+// Active tells whether this process keeps a log at all.
+func (s State) Active() bool { return s.id != "" }
+
+// Role returns the present role.
+func (s State) Role() Role { return s.role }
+
+// Term returns the present term.
+func (s State) Term() Term { return s.hard.Term }
+
+// Leader returns the leader known, or "".
+func (s State) Leader() ident.Host { return s.leader }
+
+// CommitIndex returns the highest index known committed.
+func (s State) CommitIndex() Index { return s.commit }
+
+// Log returns the log.
+func (s State) Log() Log { return s.log }
+
+// Members returns the member list in force; the caller must not change it.
+func (s State) Members() []Member { return s.members }
+
+// SnapshotIndex returns the index of the newest snapshot.
+func (s State) SnapshotIndex() Index { return s.snapshot.Index }
+
+// Match returns, on a leader, the highest index known synced on id.
+func (s State) Match(id ident.Host) Index {
+	for _, p := range s.peers {
+		if p.id == id {
+			return p.match
+		}
+	}
+	return 0
+}
+
+// LeaseHeld tells whether this leader may answer reads at now: a quorum has
+// answered a heartbeat sent less than an election time ago, less the drift
+// allowed between clocks, and an entry of its own term is committed.
+func (s State) LeaseHeld(now time.Time) bool {
+	if s.role != Leader || !s.committedOwnTerm() {
+		return false
+	}
+	lease := s.options.Election - s.options.Election/leaseDrift
+	return now.Sub(s.quorumAcked(now)) < lease
+}
+
+func (s State) committedOwnTerm() bool {
+	t, ok := s.log.TermAt(s.commit)
+	return ok && t == s.hard.Term
+}
+
+// quorumAcked returns the send time of the newest heartbeat that a quorum has
+// answered.
+func (s State) quorumAcked(now time.Time) time.Time {
+	var times []time.Time
+	for _, m := range s.members {
+		if !m.Voter {
+			continue
+		}
+		at := now
+		if m.ID != s.id {
+			at = s.progressOf(m.ID).acked
+		}
+		times = append(times, at)
+	}
+	if len(times) == 0 {
+		return time.Time{}
+	}
+	slices.SortFunc(times, func(a, b time.Time) int { return b.Compare(a) })
+	return times[quorum(len(times))-1]
+}
+
+func (s State) progressOf(id ident.Host) progress {
+	for _, p := range s.peers {
+		if p.id == id {
+			return p
+		}
+	}
+	return progress{}
+}
+
+func (s State) isVoter(id ident.Host) bool {
+	return slices.Contains(s.members, Member{ID: id, Voter: true})
+}
+
+func (s State) voters() int {
+	n := 0
+	for _, m := range s.members {
+		if m.Voter {
+			n++
+		}
+	}
+	return n
+}
+
+func quorum(n int) int { return n/2 + 1 }
+
+// Step is the transition of a replica.
+func (s State) Step(ev Event, now time.Time) (State, []Effect) {
+	if !s.Active() {
+		return s, nil
+	}
+	w := step{State: s, now: now}
+	switch ev := ev.(type) {
+	case Tick:
+		w.tick()
+	case Receive:
+		w.receive(ev.From, ev.Message)
+	case Propose:
+		w.propose(Entry{Kind: EntryNormal, Data: ev.Data})
+	case Persisted:
+		w.persisted(ev)
+	case Compact:
+		w.compact(ev)
+	case ChangeMember:
+		w.changeMember(ev)
+	case HandOver:
+		w.startHandOver()
+	}
+	return w.finish(s)
+}
+
+// step is the working copy of one transition.
+type step struct {
+	State
+	now time.Time
+	out []Effect
+	// then are messages that must wait for the disk.
+	then     []Send
+	fresh    []Entry
+	newSnap  *Snapshot
+	syncOnly bool
+}
+
+// finish gathers what the disk must hold into one Persist effect.
+func (w *step) finish(before State) (State, []Effect) {
+	durable := w.hard.Term != before.hard.Term || w.hard.Vote != before.hard.Vote
+	if durable || len(w.fresh) > 0 || w.newSnap != nil || w.syncOnly || len(w.then) > 0 {
+		w.hard.Commit = w.commit
+		w.out = append(w.out, Persist{
+			Hard: w.hard, Entries: w.fresh, Snapshot: w.newSnap,
+			Index: w.log.Last(), Term: w.log.LastTerm(), Then: w.then,
+		})
+	}
+	if w.role != before.role || w.hard.Term != before.hard.Term || w.leader != before.leader {
+		w.out = append(w.out, RoleChange{Role: w.role, Term: w.hard.Term, Leader: w.leader})
+	}
+	return w.State, w.out
+}
+
+func (w *step) send(to ident.Host, m Message) {
+	w.out = append(w.out, Send{To: to, Message: m})
+}
+
+// sendSynced sends m once everything so far is on disk.
+func (w *step) sendSynced(to ident.Host, m Message) {
+	w.then = append(w.then, Send{To: to, Message: m})
+}
+
+func (w *step) tick() {
+	if w.role == Leader {
+		w.leaderTick()
+		return
+	}
+	if w.now.Before(w.due) || !w.isVoter(w.id) {
+		return
+	}
+	w.startElection(true, false)
+}
+
+func (w *step) receive(from ident.Host, m Message) {
+	if w.guardTerm(from, m) {
+		return
+	}
+	switch m := m.(type) {
+	case VoteRequest:
+		w.onVoteRequest(from, m)
+	case VoteReply:
+		w.onVoteReply(from, m)
+	case Append:
+		w.onAppend(from, m)
+	case AppendReply:
+		w.onAppendReply(from, m)
+	case SnapshotChunk:
+		w.onSnapshotChunk(from, m)
+	case SnapshotReply:
+		w.onSnapshotReply(from, m)
+	case TimeoutNow:
+		if w.isVoter(w.id) {
+			w.startElection(false, true)
+		}
+	}
+}
+
+// guardTerm handles messages of other terms and tells whether m is done with.
+func (w *step) guardTerm(from ident.Host, m Message) bool {
+	t := termOf(m)
+	if v, ok := m.(VoteRequest); ok && (v.Pre || !v.Transfer) && w.leaderAlive() && t > w.hard.Term {
+		// A replica back from a long cut must not unseat a live leader.
+		w.send(from, VoteReply{Term: w.hard.Term, Pre: v.Pre})
+		return true
+	}
+	if v, ok := m.(VoteReply); ok && v.Pre && v.Granted {
+		return false
+	}
+	if v, ok := m.(VoteRequest); ok && v.Pre {
+		return false
+	}
+	if t > w.hard.Term {
+		w.become(Follower, t)
+		return false
+	}
+	if t < w.hard.Term {
+		w.answerStale(from, m)
+		return true
+	}
+	return false
+}
+
+// answerStale tells a sender of an older term about the present one.
+func (w *step) answerStale(from ident.Host, m Message) {
+	switch m := m.(type) {
+	case Append, SnapshotChunk:
+		w.send(from, AppendReply{Term: w.hard.Term})
+	case VoteRequest:
+		w.send(from, VoteReply{Term: w.hard.Term, Pre: m.Pre})
+	}
+}
+
+func (w *step) leaderAlive() bool {
+	if w.role == Leader {
+		return true
+	}
+	return w.leader != "" && w.now.Sub(w.heard) < w.options.Election
+}
+
+func (w *step) become(r Role, t Term) {
+	if t > w.hard.Term {
+		w.hard.Term = t
+		w.hard.Vote = ""
+		w.leader = ""
+	}
+	if r != Leader && w.role == Leader {
+		w.leader = ""
+	}
+	w.role = r
+	w.votes, w.refusals = nil, nil
+	if r != Leader {
+		w.peers, w.rounds = nil, nil
+		w.resetElection()
+	}
+}
+
+// resetElection draws the next election time: 1 to 2 election timeouts ahead.
+func (w *step) resetElection() {
+	w.draws++
+	r := rand.New(rand.NewPCG(w.seed, w.draws)) //nolint:gosec // Election jitter must be reproducible, not secret.
+	w.due = w.now.Add(w.options.Election + time.Duration(r.Int64N(int64(w.options.Election))))
+}
+
+func (w *step) persisted(ev Persisted) {
+	if t, ok := w.log.TermAt(ev.Index); !ok || t != ev.Term {
+		return
+	}
+	w.stable = max(w.stable, ev.Index)
+	if w.role == Leader {
+		w.advanceCommit()
+	}
+}
+
+// MembersCommitted tells whether the member list in force is committed.
+func (s State) MembersCommitted() bool { return s.membersAt <= s.commit }
--- /dev/null
+++ b/core/routing/group.go
@@ -0,0 +1,339 @@
+// Copyright 2026 The Yardhall Authors. Licensed under the Apache License, Version 2.0.
+
+// Package routing decides which engine serves a request. The targets of a
+// service in one zone form groups; each group has one owner host, which knows
+// the exact load of its engines and remembers where each chat went.
+//
+// # Usage
+//
+// A Group is an immutable value held by its owner:
+//
+//	g := routing.NewGroup(id)
+//	g = g.WithEngines(engines)
+//	g, answer := g.Ask(ask, bound, now)
+//	g, granted := g.Release(request, bound, now)
+//
+// Ask answers Granted, Queued, Elsewhere or Refused. Release returns the asks
+// from the queue that the freed place has served.
+package routing
+
+import (
+	"slices"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/yardhall/yardhall/core/hash"
+	"github.com/yardhall/yardhall/core/ident"
+	"github.com/yardhall/yardhall/core/table"
+)
+
+// GroupID names a group of targets.
+type GroupID struct {
+	Service ident.Service
+	Zone    ident.Zone
+	Shard   int
+}
+
+// String returns service/zone/shard.
+func (g GroupID) String() string {
+	return string(g.Service) + "/" + string(g.Zone) + "/" + strconv.Itoa(g.Shard)
+}
+
+// Compare orders group ids.
+func (g GroupID) Compare(o GroupID) int { return strings.Compare(g.String(), o.String()) }
+
+// Engine is what an owner knows of one target of its group.
+type Engine struct {
+	ID     ident.Target
+	Slots  int
+	Models []ident.Model
+	// Usable is false while the target is down, ejected or leaving.
+	Usable bool
+	// Since is when it last became usable, from which slow start counts.
+	Since time.Time
+	// Mine counts the permits out, Work their estimated tokens.
+	Mine int
+	Work int64
+	// Foreign is the load that reports show beyond our permits.
+	Foreign int
+	// peak and lastPeak are the highest Mine in this and the last window; a
+	// late report is held against them, so that our own load is not taken for
+	// foreign.
+	peak, lastPeak int
+	window         time.Time
+}
+
+// Load is the requests in flight on the engine, ours and others'.
+func (e Engine) Load() int { return e.Mine + e.Foreign }
+
+func (e Engine) serves(m ident.Model) bool { return m == "" || slices.Contains(e.Models, m) }
+
+// reportWindow is how late a load report may be.
+const reportWindow = 4 * time.Second
+
+// withMine returns e with n more permits.
+func (e Engine) withMine(n int, work int64, now time.Time) Engine {
+	if now.Sub(e.window) > reportWindow {
+		e.lastPeak, e.peak, e.window = e.peak, e.Mine, now
+	}
+	e.Mine += n
+	e.Work += work
+	e.peak = max(e.peak, e.Mine)
+	return e
+}
+
+// Permit is a place on an engine given to one request.
+type Permit struct {
+	Request ident.Request
+	Target  ident.Target
+	Account ident.Account
+	Key     hash.Key
+	Work    int64
+	Router  ident.Host
+	// Incarnation is the start of the router that holds the permit.
+	Incarnation uint64
+	// Until is when the permit ends by itself.
+	Until time.Time
+}
+
+// Group is the owner's state of one group. It is immutable; the zero value
+// is a group without engines.
+type Group struct {
+	ID        GroupID
+	engines   []Engine
+	permits   table.Table[ident.Request, Permit]
+	accounts  table.Table[ident.Account, int]
+	directory Directory
+	queue     queue
+	total     int
+	// shed are asks that gave way in a full queue and must be told so.
+	shed []Ask
+}
+
+// NewGroup returns an empty group.
+func NewGroup(id GroupID) Group { return Group{ID: id} }
+
+// Engines returns the group's engines in id order; the caller must not change
+// them.
+func (g Group) Engines() []Engine { return g.engines }
+
+// Total is the load of all usable engines.
+func (g Group) Total() int { return g.total }
+
+// Usable counts the usable engines.
+func (g Group) Usable() int {
+	n := 0
+	for _, e := range g.engines {
+		if e.Usable {
+			n++
+		}
+	}
+	return n
+}
+
+// Waiting counts the asks in the queue.
+func (g Group) Waiting() int { return g.queue.len() }
+
+// Permits counts the permits out.
+func (g Group) Permits() int { return g.permits.Len() }
+
+// Chats counts the chats remembered.
+func (g Group) Chats() int { return g.directory.Len() }
+
+// Spec is what the configuration and the health of a target say of it.
+type Spec struct {
+	ID     ident.Target
+	Slots  int
+	Models []ident.Model
+	Usable bool
+}
+
+// WithEngines returns the group with its set of engines replaced. Known ones
+// keep their load; permits on engines that are gone stay until released.
+func (g Group) WithEngines(specs []Spec, now time.Time) Group {
+	engines := make([]Engine, 0, len(specs))
+	// Where no engine was usable before, there is none to spare the new ones.
+	warm := g.Usable() > 0
+	for _, s := range specs {
+		e := Engine{ID: s.ID, window: now}
+		if i := g.index(s.ID); i >= 0 {
+			e = g.engines[i]
+		} else {
+			e = g.withPermitsOf(e)
+		}
+		if s.Usable && !e.Usable && warm {
+			e.Since = now
+		}
+		e.Slots, e.Models, e.Usable = s.Slots, s.Models, s.Usable
+		engines = append(engines, e)
+	}
+	slices.SortFunc(engines, func(a, b Engine) int { return strings.Compare(string(a.ID), string(b.ID)) })
+	g.engines = engines
+	return g.retotal()
+}
+
+// withPermitsOf counts the permits already out on a target that joins.
+func (g Group) withPermitsOf(e Engine) Engine {
+	for _, p := range g.permits.All() {
+		if p.Target == e.ID {
+			e.Mine++
+			e.Work += p.Work
+		}
+	}
+	e.peak = e.Mine
+	return e
+}
+
+func (g Group) retotal() Group {
+	g.total = 0
+	for _, e := range g.engines {
+		if e.Usable {
+			g.total += e.Load()
+		}
+	}
+	return g
+}
+
+func (g Group) index(id ident.Target) int {
+	i, ok := slices.BinarySearchFunc(g.engines, id, func(e Engine, id ident.Target) int {
+		return strings.Compare(string(e.ID), string(id))
+	})
+	if !ok {
+		return -1
+	}
+	return i
+}
+
+func (g Group) withEngine(i int, e Engine) Group {
+	g.engines = slices.Clone(g.engines)
+	if e.Usable {
+		g.total += e.Load() - g.engines[i].Load()
+	}
+	g.engines[i] = e
+	return g
+}
+
+// WithReport takes an engine's own count of requests in flight. What exceeds
+// the most that we had there lately is load of others.
+func (g Group) WithReport(id ident.Target, inFlight int, now time.Time) Group {
+	i := g.index(id)
+	if i < 0 {
+		return g
+	}
+	e := g.engines[i].withMine(0, 0, now)
+	e.Foreign = max(0, inFlight-max(e.peak, e.lastPeak))
+	return g.withEngine(i, e)
+}
+
+// Adopt counts permits that routers hold from an earlier owner.
+func (g Group) Adopt(permits []Permit, now time.Time) Group {
+	for _, p := range permits {
+		if !g.permits.Has(p.Request) {
+			g = g.withPermit(p, now)
+		}
+	}
+	return g
+}
+
+func (g Group) withPermit(p Permit, now time.Time) Group {
+	g.permits = g.permits.With(p.Request, p)
+	n, _ := g.accounts.Get(p.Account)
+	g.accounts = g.accounts.With(p.Account, n+1)
+	if i := g.index(p.Target); i >= 0 {
+		g = g.withEngine(i, g.engines[i].withMine(1, p.Work, now))
+	}
+	g.directory = g.directory.With(p.Key, Place{Target: p.Target})
+	return g
+}
+
+func (g Group) withoutPermit(p Permit, now time.Time) Group {
+	g.permits = g.permits.Without(p.Request)
+	n, _ := g.accounts.Get(p.Account)
+	if n <= 1 {
+		g.accounts = g.accounts.Without(p.Account)
+	} else {
+		g.accounts = g.accounts.With(p.Account, n-1)
+	}
+	if i := g.index(p.Target); i >= 0 {
+		g = g.withEngine(i, g.engines[i].withMine(-1, -p.Work, now))
+	}
+	return g
+}
+
+// Grant is a place given to an ask.
+type Grant struct {
+	Ask    Ask
+	Target ident.Target
+	// Known is true where the chat was remembered on that engine.
+	Known bool
+}
+
+// Answer returns the grant as its router is told.
+func (g Grant) Answer() Granted { return Granted{Target: g.Target, Known: g.Known} }
+
+// Release frees the place of request and serves the queue.
+func (g Group) Release(request ident.Request, b Bound, now time.Time) (Group, []Grant) {
+	if p, ok := g.permits.Get(request); ok {
+		g = g.withoutPermit(p, now)
+	} else {
+		g.queue = g.queue.without(request)
+	}
+	return g.Serve(b, now)
+}
+
+// DropRouter frees all places held by a router that is gone or has restarted;
+// keep is the incarnation that lives, 0 for none.
+func (g Group) DropRouter(router ident.Host, keep uint64, now time.Time) Group {
+	for _, p := range g.permits.All() {
+		if p.Router == router && p.Incarnation != keep {
+			g = g.withoutPermit(p, now)
+		}
+	}
+	g.queue = g.queue.withoutRouter(router, keep)
+	return g
+}
+
+// Expire frees places past their time, and returns the asks that have waited
+// too long.
+func (g Group) Expire(now time.Time) (Group, []Ask) {
+	for _, p := range g.permits.All() {
+		if now.After(p.Until) {
+			g = g.withoutPermit(p, now)
+		}
+	}
+	var late []Ask
+	g.queue, late = g.queue.expire(now)
+	return g, late
+}
+
+// Serve gives free places to waiting asks, best first.
+func (g Group) Serve(b Bound, now time.Time) (Group, []Grant) {
+	var grants []Grant
+	for {
+		ask, ok := g.queue.next(g.accounts)
+		if !ok {
+			return g, grants
+		}
+		i, known := g.choose(ask, b, now)
+		if i < 0 {
+			return g, grants
+		}
+		g.queue = g.queue.without(ask.Request)
+		var grant Grant
+		g, grant = g.grant(ask, i, known, now)
+		grants = append(grants, grant)
+	}
+}
+
+func (g Group) grant(ask Ask, i int, known bool, now time.Time) (Group, Grant) {
+	target := g.engines[i].ID
+	g = g.withPermit(Permit{
+		Request: ask.Request, Target: target, Account: ask.Account, Key: ask.Key, Work: ask.Work,
+		Router: ask.Router, Incarnation: ask.Incarnation, Until: ask.Deadline.Add(permitGrace),
+	}, now)
+	return g, Grant{Ask: ask, Target: target, Known: known}
+}
+
+// permitGrace is how long a permit outlives its request's deadline.
+const permitGrace = 10 * time.Second
--- /dev/null
+++ b/daemon/daemon.go
@@ -0,0 +1,380 @@
+// Copyright 2026 The Yardhall Authors. Licensed under the Apache License, Version 2.0.
+
+// Package daemon puts one yardhall process together: the core, its event loop,
+// the ports and the disk.
+//
+// # Usage
+//
+//	d, err := daemon.New(settings, daemon.Options{Log: log})
+//	err = d.Run(ctx) // until ctx ends: then a planned stop
+//
+// Each part is an actor of an oklog/run group.
+package daemon
+
+import (
+	"context"
+	"crypto/tls"
+	"crypto/x509"
+	"net"
+	"net/http"
+	"net/netip"
+	"os"
+	"time"
+
+	"github.com/go-logr/logr"
+	"github.com/oklog/run"
+	"github.com/pkg/errors"
+
+	"github.com/yardhall/yardhall/callers"
+	"github.com/yardhall/yardhall/core/host"
+	"github.com/yardhall/yardhall/core/ident"
+	"github.com/yardhall/yardhall/core/raft"
+	"github.com/yardhall/yardhall/operators"
+	"github.com/yardhall/yardhall/peers"
+	"github.com/yardhall/yardhall/platform"
+	"github.com/yardhall/yardhall/settings"
+	"github.com/yardhall/yardhall/storage"
+	"github.com/yardhall/yardhall/targets"
+)
+
+// Options are what does not come from the settings file.
+type Options struct {
+	Log logr.Logger
+	// Raft are the times of the replicated log; zero takes defaults.
+	Raft raft.Options
+	// Blocked hosts and addresses are out of reach; tests cut zones off.
+	BlockedHost    func(ident.Host) bool
+	BlockedAddress func(string) bool
+	// WrapFile stands between the log and its files; tests put faults in.
+	WrapFile func(storage.File) storage.File
+}
+
+// Daemon is one process.
+type Daemon struct {
+	settings settings.Settings
+	options  Options
+	loop     *loop
+	pool     *peers.Pool
+	server   *peers.Server
+	targets  *targets.Client
+	counters *peers.Counters
+	metrics  *metrics
+	peerL    net.Listener
+	callerL  net.Listener
+	operL    net.Listener
+	kill     context.CancelFunc
+	killed   context.Context //nolint:containedctx // Ends the process whatever Run's own context says.
+}
+
+// New opens the data folder and the ports.
+func New(s settings.Settings, o Options) (*Daemon, error) {
+	d := &Daemon{settings: s, options: o, counters: &peers.Counters{}}
+	d.killed, d.kill = context.WithCancel(context.Background())
+	incarnation := uint64(time.Now().UnixNano())
+	from, err := localAddr(s.Peer.Listen)
+	if err != nil {
+		return nil, err
+	}
+	popts, err := d.peerOptions(from)
+	if err != nil {
+		return nil, err
+	}
+	d.pool = peers.NewPool(popts)
+	d.pool.Know(append(s.Replicas.Hosts(), s.Neighbors.Hosts()...))
+	d.targets = targets.NewClient(targets.Options{
+		DialTimeout: s.Targets.DialTimeout, ProbeTimeout: s.Targets.ProbeTimeout, StreamStall: s.Targets.StreamStall,
+		From: from, Blocked: o.BlockedAddress,
+	})
+	state := host.New(host.Settings{
+		ID: s.ID(), Zone: ident.Zone(s.Host.Zone), Address: s.Peer.Listen, Serves: s.Serves(),
+		Replicas: s.Replicas.Hosts(), Neighbours: s.Neighbors.Hosts(), Raft: o.Raft,
+		Incarnation: incarnation, Chats: s.Host.Chats,
+	}, incarnation, time.Now())
+	var log *storage.Log
+	if s.IsReplica() {
+		if log, state, err = d.openStorage(state); err != nil {
+			return nil, err
+		}
+	}
+	d.loop = newLoop(state, o.Log, d.pool, d.targets)
+	if log != nil {
+		d.loop.disk = newDiskWriter(d.loop, log)
+	}
+	d.server = peers.NewServer(popts, func(from ident.Host, m host.Message) {
+		d.loop.post(host.Received{From: from, Message: m})
+	})
+	d.metrics = newMetrics(d)
+	return d, d.listen()
+}
+
+func localAddr(listen string) (*net.TCPAddr, error) {
+	a, err := netip.ParseAddrPort(listen)
+	if err != nil {
+		return nil, errors.Wrap(err, "peer address")
+	}
+	return &net.TCPAddr{IP: a.Addr().AsSlice()}, nil
+}
+
+func (d *Daemon) peerOptions(from *net.TCPAddr) (peers.Options, error) {
+	s := d.settings
+	o := peers.Options{
+		Self: s.ID(), Fleet: s.Host.Fleet, Key: s.Peer.Key, MaxMessage: settings.Bytes(s.Peer.MaxSize),
+		Counters: d.counters, From: from, Blocked: d.options.BlockedHost,
+	}
+	if s.Peer.Cert == "" {
+		return o, nil
+	}
+	config, err := mutualTLS(s.Peer.Cert, s.Peer.KeyFile, s.Peer.CA)
+	o.TLS = config
+	return o, err
+}
+
+// mutualTLS is a configuration for both ends: each shows a certificate of the
+// given authorities.
+func mutualTLS(certFile, keyFile, caFile string) (*tls.Config, error) {
+	config, err := serverTLS(certFile, keyFile)
+	if err != nil {
+		return nil, err
+	}
+	pem, err := os.ReadFile(caFile)
+	if err != nil {
+		return nil, errors.Wrap(err, "read authorities")
+	}
+	config.RootCAs = x509.NewCertPool()
+	if !config.RootCAs.AppendCertsFromPEM(pem) {
+		return nil, errors.New("the file of authorities holds no certificate")
+	}
+	config.ClientCAs = config.RootCAs
+	config.ClientAuth = tls.RequireAndVerifyClientCert
+	return config, nil
+}
+
+func serverTLS(certFile, keyFile string) (*tls.Config, error) {
+	cert, err := tls.LoadX509KeyPair(certFile, keyFile)
+	if err != nil {
+		return nil, errors.Wrap(err, "load certificate")
+	}
+	return &tls.Config{Certificates: []tls.Certificate{cert}, MinVersion: tls.VersionTLS13}, nil
+}
+
+func (d *Daemon) openStorage(state host.State) (*storage.Log, host.State, error) {
+	o := storage.Options{Fleet: d.settings.Host.Fleet, Wrap: d.options.WrapFile}
+	if d.settings.Replicas.Join != "yes" {
+		for _, r := range d.settings.Replicas.Hosts() {
+			o.Members = append(o.Members, raft.Member{ID: r.ID, Voter: true})
+		}
+	}
+	log, boot, err := storage.Open(d.settings.Host.Data, o)
+	if err != nil {
+		return nil, state, errors.Wrap(err, "open data folder")
+	}
+	if log.Cut > 0 {
+		d.options.Log.Info("cut a torn end off the log", "bytes", log.Cut)
+	}
+	state, err = state.WithReplica(boot, time.Now())
+	return log, state, errors.Wrap(err, "read replicated state")
+}
+
+func (d *Daemon) listen() error {
+	var err error
+	if d.peerL, err = listenTCP(d.settings.Peer.Listen); err != nil {
+		return err
+	}
+	if d.settings.Serves() {
+		if d.callerL, err = listenTCP(d.settings.Callers.Listen); err != nil {
+			return err
+		}
+	}
+	if d.settings.Operators.Listen != "" {
+		d.operL, err = listenTCP(d.settings.Operators.Listen)
+	}
+	return err
+}
+
+func listenTCP(address string) (net.Listener, error) {
+	l, err := net.Listen("tcp", address)
+	return l, errors.Wrap(err, "listen")
+}
+
+// Run serves until ctx ends, then stops as planned: not ready first, no new
+// requests after a while, every request in flight finished, then the rest.
+func (d *Daemon) Run(ctx context.Context) error {
+	inner, stop := context.WithCancel(d.killed)
+	defer stop()
+	var g run.Group
+	d.addLoop(inner, &g, stop)
+	d.addPeers(&g)
+	if d.callerL != nil {
+		if err := d.addCallers(&g); err != nil {
+			return err
+		}
+	}
+	if d.operL != nil {
+		if err := d.addOperators(&g); err != nil {
+			return err
+		}
+	}
+	d.addPlatform(inner, &g)
+	g.Add(func() error { return d.awaitStop(ctx, inner) }, func(error) { stop() })
+	err := g.Run()
+	d.pool.Close()
+	d.targets.Close()
+	if errors.Is(err, context.Canceled) {
+		return nil
+	}
+	return errors.Wrap(err, "run")
+}
+
+// awaitStop waits for ctx and then drains.
+func (d *Daemon) awaitStop(ctx, inner context.Context) error {
+	select {
+	case <-ctx.Done():
+	case <-inner.Done():
+		return context.Canceled
+	}
+	d.options.Log.Info("planned stop", "host", d.settings.Host.ID)
+	d.loop.post(host.Drain{})
+	deadline := time.Now().Add(d.settings.Callers.DrainLimit)
+	if d.callerL != nil {
+		// The balancer needs time to notice; meanwhile requests are taken.
+		time.Sleep(d.settings.Callers.DrainNotice)
+		_ = d.callerL.Close()
+	} else {
+		time.Sleep(handOverTime)
+	}
+	for time.Now().Before(deadline) && !d.loop.State().Idle() {
+		time.Sleep(idlePoll)
+	}
+	time.Sleep(idlePoll)
+	return context.Canceled
+}
+
+const (
+	// handOverTime lets a replica pass on its leadership.
+	handOverTime = 500 * time.Millisecond
+	idlePoll     = 50 * time.Millisecond
+)
+
+func (d *Daemon) addLoop(ctx context.Context, g *run.Group, stop func()) {
+	g.Add(func() error { return d.loop.run(ctx) }, func(error) { stop() })
+	if d.loop.disk == nil {
+		return
+	}
+	g.Add(func() error {
+		err := d.loop.disk.run(ctx)
+		_ = d.loop.disk.log.Close()
+		return err
+	}, func(error) { stop() })
+}
+
+func (d *Daemon) addPeers(g *run.Group) {
+	g.Add(func() error { return d.server.Serve(d.peerL) }, func(error) {
+		_ = d.peerL.Close()
+		d.server.Close()
+	})
+}
+
+func (d *Daemon) addCallers(g *run.Group) error {
+	s := d.settings.Callers
+	api := callers.New(callers.Deps{
+		Core: d.loop, Targets: d.targets, Observe: d.metrics.observe,
+		Options: callers.Options{
+			MaxBody: settings.Bytes(s.MaxBody), WriteStall: s.WriteStall, MaxStream: s.MaxStream,
+			ID: d.settings.ID(), Incarnation: d.loop.State().Incarnation(),
+		},
+	})
+	l := d.callerL
+	if s.Cert != "" {
+		config, err := serverTLS(s.Cert, s.KeyFile)
+		if err != nil {
+			return err
+		}
+		l = tls.NewListener(l, config)
+	}
+	d.addHTTP(g, l, &http.Server{
+		Handler: api.Handler(), ReadTimeout: s.ReadTimeout, IdleTimeout: s.IdleTimeout,
+		MaxHeaderBytes: int(settings.Bytes(s.MaxHeader)),
+	})
+	return nil
+}
+
+// shutdownTime is what handlers get to write their last bytes; by then no
+// request is in flight in the core.
+const shutdownTime = 5 * time.Second
+
+func (d *Daemon) addHTTP(g *run.Group, l net.Listener, server *http.Server) {
+	ended := make(chan struct{})
+	g.Add(func() error {
+		err := server.Serve(l)
+		// A closed listener alone must not end the group: requests in flight
+		// go on until the planned stop is over.
+		if !errors.Is(err, http.ErrServerClosed) && !errors.Is(err, net.ErrClosed) {
+			return errors.Wrap(err, "serve")
+		}
+		<-ended
+		return nil
+	}, func(error) {
+		ctx, cancel := context.WithTimeout(context.Background(), shutdownTime)
+		defer cancel()
+		if d.killed.Err() == nil {
+			_ = server.Shutdown(ctx)
+		}
+		_ = server.Close()
+		close(ended)
+	})
+}
+
+const (
+	operatorReadTimeout = 10 * time.Second
+	operatorHeader      = 16 << 10
+)
+
+func (d *Daemon) addOperators(g *run.Group) error {
+	s := d.settings.Operators
+	api := operators.New(operators.Deps{
+		Core: d.loop, KeyHashes: s.KeyHashes, Counters: d.metrics.handler(),
+	})
+	l := d.operL
+	if s.Cert != "" {
+		config, err := serverTLS(s.Cert, s.KeyFile)
+		if err != nil {
+			return err
+		}
+		l = tls.NewListener(l, config)
+	}
+	d.addHTTP(g, l, &http.Server{
+		Handler: api.Handler(), ReadTimeout: operatorReadTimeout, MaxHeaderBytes: operatorHeader,
+	})
+	return nil
+}
+
+func (d *Daemon) addPlatform(ctx context.Context, g *run.Group) {
+	s := d.settings.Platform
+	if s.URL == "" && s.File == "" {
+		return
+	}
+	reader := platform.NewReader(s.URL, s.File)
+	ctx, cancel := context.WithCancel(ctx)
+	g.Add(func() error {
+		reader.Run(ctx, s.Interval, func(list []host.ListedTarget) { d.loop.post(host.Listed{Targets: list}) },
+			func(err error) { d.options.Log.Error(err, "platform list cannot be read") })
+		return nil
+	}, func(error) { cancel() })
+}
+
+// State returns the newest state of the core.
+func (d *Daemon) State() host.State { return d.loop.State() }
+
+// Post hands an event to the core.
+func (d *Daemon) Post(ev host.Event) { d.loop.post(ev) }
+
+// Counters returns the process's counters as JSON.
+func (d *Daemon) Counters() []byte { return d.metrics.snapshot() }
+
+// ControlBytes returns the bytes spent on other hosts and on load reports.
+func (d *Daemon) ControlBytes() int64 {
+	return d.counters.BytesIn.Load() + d.counters.BytesOut.Load() + d.targets.ProbeBytes.Load()
+}
+
+// Kill ends Run at once, as a crash would.
+func (d *Daemon) Kill() { d.kill() }
--- /dev/null
+++ b/daemon/loop.go
@@ -0,0 +1,319 @@
+// Copyright 2026 The Yardhall Authors. Licensed under the Apache License, Version 2.0.
+
+package daemon
+
+import (
+	"context"
+	"expvar"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/go-logr/logr"
+
+	"github.com/yardhall/yardhall/core/catalog"
+	"github.com/yardhall/yardhall/core/config"
+	"github.com/yardhall/yardhall/core/host"
+	"github.com/yardhall/yardhall/core/ident"
+	"github.com/yardhall/yardhall/core/raft"
+	"github.com/yardhall/yardhall/peers"
+	"github.com/yardhall/yardhall/targets"
+)
+
+const (
+	// tickInterval is the time between two Ticks of the core.
+	tickInterval = 50 * time.Millisecond
+	// eventQueue bounds the events that wait for the core.
+	eventQueue = 8192
+	// callEvents bounds the effects of one call that wait for its handler; the
+	// core emits at most maxTries dispatches and one end.
+	callEvents = 8
+)
+
+// loop feeds events to the core one at a time and carries out its effects.
+type loop struct {
+	log     logr.Logger
+	now     func() time.Time
+	events  chan host.Event
+	state   atomic.Pointer[host.State]
+	pool    *peers.Pool
+	targets *targets.Client
+	disk    *diskWriter
+	done    chan struct{}
+	reduced *expvar.Int
+
+	mu     sync.Mutex
+	calls  map[ident.Request]chan host.Effect
+	writes map[string]chan writeAnswer
+}
+
+type writeAnswer struct {
+	result catalog.Result
+	known  bool
+}
+
+func newLoop(s host.State, log logr.Logger, pool *peers.Pool, t *targets.Client) *loop {
+	l := &loop{
+		log: log, now: time.Now, events: make(chan host.Event, eventQueue), pool: pool, targets: t,
+		done: make(chan struct{}), calls: map[ident.Request]chan host.Effect{}, writes: map[string]chan writeAnswer{},
+		reduced: new(expvar.Int),
+	}
+	l.state.Store(&s)
+	return l
+}
+
+// post hands an event to the core, unless the process has stopped.
+func (l *loop) post(ev host.Event) {
+	select {
+	case l.events <- ev:
+	case <-l.done:
+	}
+}
+
+// run reduces events until ctx ends.
+func (l *loop) run(ctx context.Context) error {
+	defer close(l.done)
+	ticker := time.NewTicker(tickInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-ticker.C:
+			l.reduce(ctx, host.Tick{})
+		case ev := <-l.events:
+			l.reduce(ctx, ev)
+		}
+	}
+}
+
+func (l *loop) reduce(ctx context.Context, ev host.Event) {
+	next, effects := host.Reduce(*l.state.Load(), ev, l.now())
+	l.state.Store(&next)
+	l.reduced.Add(1)
+	for _, e := range effects {
+		l.carryOut(ctx, e)
+	}
+}
+
+func (l *loop) carryOut(ctx context.Context, e host.Effect) {
+	switch e := e.(type) {
+	case host.Send:
+		l.pool.Send(e.To, e.Message)
+	case host.Persist:
+		l.disk.queue(e.Persist)
+	case host.Dispatch:
+		l.toCall(e.Request, e, false)
+	case host.Finish:
+		l.toCall(e.Request, e, true)
+	case host.Probe:
+		go l.probe(ctx, e.Target)
+	case host.SendOrder:
+		go l.order(ctx, e)
+	case host.AnswerWrite:
+		l.answerWrite(e)
+	case host.Note:
+		l.log.Info(string(e.Kind), "object", e.Object, "detail", e.Detail)
+	case host.KnowHosts:
+		l.pool.Know(e.Hosts)
+	}
+}
+
+func (l *loop) toCall(id ident.Request, e host.Effect, last bool) {
+	l.mu.Lock()
+	ch, ok := l.calls[id]
+	if last {
+		delete(l.calls, id)
+	}
+	l.mu.Unlock()
+	if !ok {
+		return
+	}
+	ch <- e
+	if last {
+		close(ch)
+	}
+}
+
+// Begin implements callers.Core.
+func (l *loop) Begin(r host.Request) <-chan host.Effect {
+	ch := make(chan host.Effect, callEvents)
+	l.mu.Lock()
+	l.calls[r.ID] = ch
+	l.mu.Unlock()
+	l.post(host.Arrived{Request: r})
+	return ch
+}
+
+// Ended implements callers.Core.
+func (l *loop) Ended(ev host.AttemptEnded) { l.post(ev) }
+
+// Config implements callers.Core.
+func (l *loop) Config() config.Config { return l.state.Load().Config() }
+
+// Ready implements callers.Core.
+func (l *loop) Ready() bool { return l.state.Load().Ready() }
+
+// Write submits a write and waits for its answer, until ctx ends or the core
+// gives it up. known is false where it may or may not have been done.
+func (l *loop) Write(ctx context.Context, w catalog.Write, limit time.Duration) (result catalog.Result, known bool) {
+	ch := make(chan writeAnswer, 1)
+	l.mu.Lock()
+	l.writes[w.ID] = ch
+	l.mu.Unlock()
+	l.post(host.Submitted{Write: w, Deadline: l.now().Add(limit)})
+	select {
+	case a := <-ch:
+		return a.result, a.known
+	case <-ctx.Done():
+	case <-l.done:
+	}
+	l.mu.Lock()
+	delete(l.writes, w.ID)
+	l.mu.Unlock()
+	return catalog.Result{}, false
+}
+
+func (l *loop) answerWrite(e host.AnswerWrite) {
+	l.mu.Lock()
+	ch, ok := l.writes[e.ID]
+	delete(l.writes, e.ID)
+	l.mu.Unlock()
+	if ok {
+		ch <- writeAnswer{result: e.Result, known: e.Known}
+	}
+}
+
+// State returns the newest state of the core, which is immutable.
+func (l *loop) State() host.State { return *l.state.Load() }
+
+// Post hands an event of the operators' port to the core.
+func (l *loop) Post(ev host.Event) { l.post(ev) }
+
+func (l *loop) probe(ctx context.Context, t config.Target) {
+	load, err := l.targets.Load(ctx, t.Address)
+	if ctx.Err() != nil {
+		return
+	}
+	l.post(host.Reported{
+		Target: t.ID, Failed: err != nil, Boot: load.Boot, Seq: load.Seq, InFlight: load.InFlight, Leaving: load.Leaving,
+	})
+}
+
+// orderTimeout bounds an order to an engine, loading included.
+const orderTimeout = 4 * time.Minute
+
+func (l *loop) order(ctx context.Context, e host.SendOrder) {
+	ctx, cancel := context.WithTimeout(ctx, orderTimeout)
+	defer cancel()
+	err := l.targets.Order(ctx, targets.FencedOrder{
+		Address: e.Order.Target.Address, NotAfter: e.Order.NotAfter, ReadFirst: e.ReadFirst,
+		Body: targets.OrderBody{Token: e.Order.Token, Action: e.Order.Action, Model: e.Order.Model},
+	}, l.now)
+	ended := host.OrderEnded{Order: e.Order, OK: err == nil}
+	if err != nil {
+		ended.Error = err.Error()
+	}
+	l.post(ended)
+}
+
+// diskWriter writes the replicated log, all that waits with one sync.
+type diskWriter struct {
+	loop     *loop
+	log      persister
+	mu       sync.Mutex
+	waiting  []raft.Persist
+	wake     chan struct{}
+	failures expvar.Int
+	syncs    expvar.Int
+	written  expvar.Int
+	failing  bool
+}
+
+// persister is what the writer needs of storage.Log.
+type persister interface {
+	Write(persists []raft.Persist) error
+	Close() error
+}
+
+func newDiskWriter(l *loop, log persister) *diskWriter {
+	return &diskWriter{loop: l, log: log, wake: make(chan struct{}, 1)}
+}
+
+func (d *diskWriter) queue(p raft.Persist) {
+	d.mu.Lock()
+	d.waiting = append(d.waiting, p)
+	d.mu.Unlock()
+	select {
+	case d.wake <- struct{}{}:
+	default:
+	}
+}
+
+func (d *diskWriter) take() []raft.Persist {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	batch := d.waiting
+	d.waiting = nil
+	return batch
+}
+
+func (d *diskWriter) run(ctx context.Context) error {
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-d.wake:
+		}
+		batch := d.take()
+		if len(batch) == 0 {
+			continue
+		}
+		if !d.write(ctx, batch) {
+			return nil
+		}
+		d.synced(batch)
+	}
+}
+
+// diskRetry is the pause after a failed write, such as to a full disk.
+const diskRetry = time.Second
+
+// write repeats until the batch is on disk. Meanwhile nothing of it is
+// acknowledged; the counter tells, and the log does at the first failure and
+// at the recovery.
+func (d *diskWriter) write(ctx context.Context, batch []raft.Persist) bool {
+	for {
+		err := d.log.Write(batch)
+		if err == nil {
+			if d.failing {
+				d.loop.log.Info("disk writes work again")
+			}
+			d.failing = false
+			return true
+		}
+		d.failures.Add(1)
+		if !d.failing {
+			d.loop.log.Error(err, "disk write failed; nothing is acknowledged until it works")
+		}
+		d.failing = true
+		select {
+		case <-ctx.Done():
+			return false
+		case <-time.After(diskRetry):
+		}
+	}
+}
+
+// synced releases what waited for the disk.
+func (d *diskWriter) synced(batch []raft.Persist) {
+	d.syncs.Add(1)
+	d.written.Add(int64(len(batch)))
+	for _, p := range batch {
+		for _, m := range p.Then {
+			d.loop.pool.Send(m.To, host.Raft{Message: m.Message})
+		}
+	}
+	last := batch[len(batch)-1]
+	d.loop.post(host.DiskSynced{Persisted: raft.Persisted{Index: last.Index, Term: last.Term}})
+}
--- /dev/null
+++ b/daemon/metrics.go
@@ -0,0 +1,119 @@
+// Copyright 2026 The Yardhall Authors. Licensed under the Apache License, Version 2.0.
+
+package daemon
+
+import (
+	"encoding/json"
+	"expvar"
+	"net/http"
+	"runtime"
+	"sync"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+
+	"github.com/yardhall/yardhall/callers"
+)
+
+// metrics are the process's counters, published by expvar. A process may hold
+// several daemons in tests, so they stand in a map of their own.
+type metrics struct {
+	vars   *expvar.Map
+	mu     sync.Mutex
+	took   *hdrhistogram.Histogram
+	first  *hdrhistogram.Histogram
+	cached expvar.Int
+	prompt expvar.Int
+}
+
+// Times are measured in microseconds from 1 to an hour.
+const (
+	histogramMax    = int64(time.Hour / time.Microsecond)
+	histogramDigits = 2
+)
+
+func newMetrics(d *Daemon) *metrics {
+	m := &metrics{
+		vars:  new(expvar.Map).Init(),
+		took:  hdrhistogram.New(1, histogramMax, histogramDigits),
+		first: hdrhistogram.New(1, histogramMax, histogramDigits),
+	}
+	m.vars.Set("core", expvar.Func(func() any { return d.loop.State().Counters() }))
+	m.vars.Set("reduced_events", d.loop.reduced)
+	m.vars.Set("peers", expvar.Func(func() any { return peerCounters(d) }))
+	m.vars.Set("probe_bytes", expvar.Func(func() any { return d.targets.ProbeBytes.Load() }))
+	m.vars.Set("mismatched_answers", expvar.Func(func() any { return d.targets.Mismatched.Load() }))
+	m.vars.Set("cached_tokens", &m.cached)
+	m.vars.Set("prompt_tokens", &m.prompt)
+	m.vars.Set("request_time_us", expvar.Func(func() any { return m.summary(m.took) }))
+	m.vars.Set("first_byte_us", expvar.Func(func() any { return m.summary(m.first) }))
+	m.vars.Set("memory", expvar.Func(memory))
+	if disk := d.loop.disk; disk != nil {
+		m.vars.Set("disk_failures", &disk.failures)
+		m.vars.Set("disk_syncs", &disk.syncs)
+		m.vars.Set("disk_writes", &disk.written)
+	}
+	return m
+}
+
+type peerCounts struct {
+	BytesIn, BytesOut, Sent, Received, Dropped, Failed, Refused, Connected int64
+}
+
+func peerCounters(d *Daemon) peerCounts {
+	c := d.counters
+	return peerCounts{
+		BytesIn: c.BytesIn.Load(), BytesOut: c.BytesOut.Load(), Sent: c.Sent.Load(), Received: c.Received.Load(),
+		Dropped: c.Dropped.Load(), Failed: c.Failed.Load(), Refused: c.Refused.Load(), Connected: c.Connected.Load(),
+	}
+}
+
+type memoryUse struct {
+	HeapBytes  uint64
+	Goroutines int
+}
+
+func memory() any {
+	var m runtime.MemStats
+	runtime.ReadMemStats(&m)
+	return memoryUse{HeapBytes: m.HeapAlloc, Goroutines: runtime.NumGoroutine()}
+}
+
+type timeSummary struct {
+	Count, P50, P99, P999, Max int64
+}
+
+func (m *metrics) summary(h *hdrhistogram.Histogram) timeSummary {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return timeSummary{
+		Count: h.TotalCount(), P50: h.ValueAtQuantile(50), P99: h.ValueAtQuantile(99),
+		P999: h.ValueAtQuantile(99.9), Max: h.Max(),
+	}
+}
+
+func (m *metrics) observe(o callers.Observation) {
+	m.cached.Add(int64(o.CachedTokens))
+	m.prompt.Add(int64(o.PromptTokens))
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	_ = m.took.RecordValue(clampMicros(o.Took))
+	if o.FirstByte > 0 {
+		_ = m.first.RecordValue(clampMicros(o.FirstByte))
+	}
+}
+
+func clampMicros(d time.Duration) int64 {
+	return min(max(d.Microseconds(), 1), histogramMax)
+}
+
+// handler serves the counters as JSON.
+func (m *metrics) handler() http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("Content-Type", "application/json")
+		_, _ = w.Write([]byte(m.vars.String()))
+	})
+}
+
+// snapshot returns the counters as JSON, for reports.
+func (m *metrics) snapshot() json.RawMessage { return json.RawMessage(m.vars.String()) }
--- /dev/null
+++ b/operators/operators.go
@@ -0,0 +1,438 @@
+// Copyright 2026 The Yardhall Authors. Licensed under the Apache License, Version 2.0.
+
+// Package operators is the HTTP port for operators: configuration, plans,
+// status, audit trail and dumps as JSON.
+//
+// # Usage
+//
+//	api := operators.New(operators.Deps{Core: core, KeyHashes: hashes})
+//	server := &http.Server{Handler: api.Handler()}
+//
+// A write may carry If-Match with the ETag it was made from, or If-None-Match
+// with *, and an Idempotency-Key: a write resent under the same key is done
+// once and gets its first answer, whichever host it is sent to.
+package operators
+
+import (
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/google/uuid"
+	"github.com/labstack/echo/v4"
+	"github.com/pkg/errors"
+
+	"github.com/yardhall/yardhall/common/keys"
+	"github.com/yardhall/yardhall/core/catalog"
+	"github.com/yardhall/yardhall/core/config"
+	"github.com/yardhall/yardhall/core/host"
+	"github.com/yardhall/yardhall/core/ident"
+	"github.com/yardhall/yardhall/core/plan"
+	"github.com/yardhall/yardhall/core/raft"
+)
+
+// Core is what the port needs of the process's event loop.
+type Core interface {
+	State() host.State
+	Write(ctx context.Context, w catalog.Write, limit time.Duration) (result catalog.Result, known bool)
+	Post(ev host.Event)
+}
+
+// Deps is what an API needs.
+type Deps struct {
+	Core Core
+	// KeyHashes are the hex SHA-256 of the operators' keys.
+	KeyHashes []string
+	// Counters serves the process's counters.
+	Counters http.Handler
+}
+
+// API is the operators' port.
+type API struct {
+	deps  Deps
+	kinds map[string]kind
+}
+
+const (
+	writeLimit = 5 * time.Second
+	maxBody    = 1 << 20
+	// HeaderActor names the operator in the audit trail.
+	HeaderActor = "X-Yardhall-Operator"
+	headerKey   = "Idempotency-Key"
+)
+
+// New returns the operators' API.
+func New(d Deps) *API { return &API{deps: d, kinds: kinds()} }
+
+// Handler returns the routes of the API.
+func (a *API) Handler() http.Handler {
+	e := echo.New()
+	e.HideBanner, e.HidePort = true, true
+	e.HTTPErrorHandler = onError
+	g := e.Group("/v1", a.authorize)
+	g.GET("/status", a.status)
+	g.GET("/dump", func(c echo.Context) error { return c.JSON(http.StatusOK, a.deps.Core.State().Dump(time.Now())) })
+	g.GET("/counters", echo.WrapHandler(a.deps.Counters))
+	g.GET("/audit", a.audit)
+	g.GET("/backup", a.backup)
+	g.POST("/replicas", a.replica)
+	g.GET("/plans", a.plans)
+	g.POST("/plans", a.makePlan)
+	g.GET("/plans/:id", a.plan)
+	g.POST("/plans/:id/:verb", a.decide)
+	g.GET("/:kind", a.list)
+	g.GET("/:kind/*", a.get)
+	g.PUT("/:kind/*", a.put)
+	g.DELETE("/:kind/*", a.remove)
+	return e
+}
+
+func (a *API) authorize(next echo.HandlerFunc) echo.HandlerFunc {
+	return func(c echo.Context) error {
+		key := keys.Bearer(c.Request().Header.Get("Authorization"))
+		if !keys.Matches(keys.Hash(key), a.deps.KeyHashes) {
+			return fail(c, http.StatusUnauthorized, "unauthorized", "an operator key is needed")
+		}
+		return next(c)
+	}
+}
+
+// Error is the one form of all errors.
+type Error struct {
+	Code   string     `json:"code"`
+	Reason string     `json:"reason"`
+	Plan   ident.Plan `json:"plan,omitempty"`
+	// Version is the revision that won, where a write lost.
+	Version config.Version `json:"version,omitempty"`
+}
+
+func fail(c echo.Context, status int, code, reason string) error {
+	return errors.Wrap(c.JSON(status, Error{Code: code, Reason: reason}), "answer")
+}
+
+func onError(err error, c echo.Context) {
+	if c.Response().Committed {
+		return
+	}
+	var he *echo.HTTPError
+	if errors.As(err, &he) && he.Code < http.StatusInternalServerError {
+		_ = fail(c, he.Code, "not_found", "there is no such route")
+		return
+	}
+	_ = fail(c, http.StatusInternalServerError, "internal", "the request failed inside the host")
+}
+
+func etag(v config.Version) string { return strconv.Quote(strconv.FormatUint(uint64(v), 10)) }
+
+func (a *API) config() config.Config { return a.deps.Core.State().Config() }
+
+func (a *API) list(c echo.Context) error {
+	k, ok := a.kinds[c.Param("kind")]
+	if !ok {
+		return fail(c, http.StatusNotFound, "not_found", "there is no such collection")
+	}
+	cfg := a.config()
+	c.Response().Header().Set("ETag", etag(cfg.Version))
+	return c.JSON(http.StatusOK, k.list(cfg))
+}
+
+func (a *API) get(c echo.Context) error {
+	k, ok := a.kinds[c.Param("kind")]
+	if !ok {
+		return fail(c, http.StatusNotFound, "not_found", "there is no such collection")
+	}
+	o, ok := k.get(a.config(), c.Param("*"))
+	if !ok {
+		return fail(c, http.StatusNotFound, "not_found", "there is no such object")
+	}
+	c.Response().Header().Set("ETag", etag(o.rev))
+	return c.JSON(http.StatusOK, o.value)
+}
+
+func readBody(c echo.Context) ([]byte, error) {
+	body, err := io.ReadAll(http.MaxBytesReader(c.Response(), c.Request().Body, maxBody))
+	return body, errors.Wrap(err, "the body")
+}
+
+func (a *API) put(c echo.Context) error {
+	k, ok := a.kinds[c.Param("kind")]
+	if !ok {
+		return fail(c, http.StatusNotFound, "not_found", "there is no such collection")
+	}
+	body, err := readBody(c)
+	if err != nil {
+		return fail(c, http.StatusBadRequest, "invalid", err.Error())
+	}
+	change, err := k.put(c.Param("*"), body)
+	if err != nil {
+		return fail(c, http.StatusBadRequest, "invalid", err.Error())
+	}
+	return a.edit(c, change)
+}
+
+func (a *API) remove(c echo.Context) error {
+	k, ok := a.kinds[c.Param("kind")]
+	if !ok || k.remove == nil {
+		return fail(c, http.StatusNotFound, "not_found", "there is nothing to remove there")
+	}
+	return a.edit(c, k.remove(c.Param("*")))
+}
+
+func (a *API) edit(c echo.Context, change config.Change) error {
+	cmd := catalog.Edit{Change: change}
+	rev, guarded, err := readMatch(c)
+	if err != nil {
+		return fail(c, http.StatusBadRequest, "invalid", err.Error())
+	}
+	cmd.Guarded, cmd.Rev = guarded, rev
+	return a.write(c, cmd)
+}
+
+// readMatch reads the revision that a write was made from.
+func readMatch(c echo.Context) (config.Version, bool, error) {
+	h := c.Request().Header
+	if h.Get("If-None-Match") == "*" {
+		return 0, true, nil
+	}
+	text := h.Get("If-Match")
+	if text == "" {
+		return 0, false, nil
+	}
+	n, err := strconv.ParseUint(strings.Trim(text, `"`), 10, 64)
+	if err != nil {
+		return 0, false, errors.New("If-Match must be an ETag as given by a GET")
+	}
+	return config.Version(n), true, nil
+}
+
+// Written is the answer to a write.
+type Written struct {
+	Version config.Version `json:"version"`
+	Plan    ident.Plan     `json:"plan,omitempty"`
+	Reason  string         `json:"reason,omitempty"`
+}
+
+func (a *API) write(c echo.Context, cmd catalog.Command) error {
+	w := catalog.Write{Actor: actor(c), Command: cmd, Remember: true}
+	if key := c.Request().Header.Get(headerKey); key != "" {
+		w.ID = "operator/" + key
+	} else {
+		w.ID = "operator/" + uuid.NewString()
+	}
+	r, known := a.deps.Core.Write(c.Request().Context(), w, writeLimit)
+	if !known {
+		return fail(c, http.StatusServiceUnavailable, "unknown",
+			"no quorum answered in time; the write may or may not be done: send it again with the same "+headerKey)
+	}
+	if r.Code == catalog.OK {
+		c.Response().Header().Set("ETag", etag(r.Version))
+		return c.JSON(http.StatusOK, Written{Version: r.Version, Plan: r.Plan, Reason: r.Reason})
+	}
+	return c.JSON(statusOf(r.Code), Error{Code: string(r.Code), Reason: r.Reason, Plan: r.Plan, Version: r.Version})
+}
+
+func actor(c echo.Context) string {
+	if name := c.Request().Header.Get(HeaderActor); name != "" {
+		return "operator " + name
+	}
+	return "operator"
+}
+
+func statusOf(code catalog.Code) int {
+	switch code {
+	case catalog.Conflict, catalog.GroundMoved:
+		return http.StatusPreconditionFailed
+	case catalog.NotFound:
+		return http.StatusNotFound
+	default:
+		return http.StatusBadRequest
+	}
+}
+
+// unusable are engines that this host knows to be down or leaving.
+func (a *API) unusable() []ident.Target {
+	var out []ident.Target
+	for _, t := range a.deps.Core.State().Dump(time.Now()).Targets {
+		if !t.Usable {
+			out = append(out, t.Target)
+		}
+	}
+	return out
+}
+
+func (a *API) makePlan(c echo.Context) error {
+	body, err := readBody(c)
+	if err != nil {
+		return fail(c, http.StatusBadRequest, "invalid", err.Error())
+	}
+	var in config.Intent
+	if err := decode(body, &in); err != nil {
+		return fail(c, http.StatusBadRequest, "invalid", err.Error())
+	}
+	return a.write(c, catalog.StateIntent{Intent: in, Unusable: a.unusable()})
+}
+
+// plansHere returns the plans; only hosts with the replicated state have them.
+func (a *API) plansHere(c echo.Context) ([]plan.Plan, bool) {
+	s := a.deps.Core.State()
+	if !s.Raft().Active() {
+		_ = fail(c, http.StatusMisdirectedRequest, "no_state", "this host keeps no replicated state; ask one of [replicas]")
+		return nil, false
+	}
+	return s.Catalog().Plans.Values(), true
+}
+
+func (a *API) plans(c echo.Context) error {
+	plans, ok := a.plansHere(c)
+	if !ok {
+		return nil
+	}
+	return c.JSON(http.StatusOK, plans)
+}
+
+func (a *API) plan(c echo.Context) error {
+	plans, ok := a.plansHere(c)
+	if !ok {
+		return nil
+	}
+	for _, p := range plans {
+		if string(p.ID) == c.Param("id") {
+			c.Response().Header().Set("ETag", etag(config.Version(p.Rev)))
+			return c.JSON(http.StatusOK, p)
+		}
+	}
+	return fail(c, http.StatusNotFound, "not_found", "there is no such plan")
+}
+
+func (a *API) decide(c echo.Context) error {
+	rev, guarded, err := readMatch(c)
+	if err != nil || !guarded {
+		return fail(c, http.StatusBadRequest, "invalid", "If-Match with the plan's ETag is needed")
+	}
+	return a.write(c, catalog.Decide{
+		Plan: ident.Plan(c.Param("id")), Verb: catalog.Verb(c.Param("verb")), Rev: uint64(rev), Unusable: a.unusable(),
+	})
+}
+
+func (a *API) audit(c echo.Context) error {
+	s := a.deps.Core.State()
+	if !s.Raft().Active() {
+		return fail(c, http.StatusMisdirectedRequest, "no_state", "this host keeps no replicated state; ask one of [replicas]")
+	}
+	trail := s.Catalog().Trail(c.QueryParam("object"))
+	if trail == nil {
+		trail = []catalog.Audit{}
+	}
+	return c.JSON(http.StatusOK, trail)
+}
+
+// backup gives the replicated state as a snapshot, from a leader only, so that
+// it holds every acknowledged write.
+func (a *API) backup(c echo.Context) error {
+	s := a.deps.Core.State()
+	if !s.Raft().LeaseHeld(time.Now()) {
+		return fail(c, http.StatusMisdirectedRequest, "not_leader", "ask the leader, "+string(s.Leader()))
+	}
+	return c.Blob(http.StatusOK, "application/cbor", s.Catalog().Encode())
+}
+
+// ReplicaChange asks for a change of the replicas.
+type ReplicaChange struct {
+	Host   ident.Host `json:"host"`
+	Voter  bool       `json:"voter"`
+	Remove bool       `json:"remove"`
+}
+
+// replica changes one member and waits until the leader shows it.
+func (a *API) replica(c echo.Context) error {
+	body, err := readBody(c)
+	if err != nil {
+		return fail(c, http.StatusBadRequest, "invalid", err.Error())
+	}
+	var r ReplicaChange
+	if err := decode(body, &r); err != nil || r.Host == "" {
+		return fail(c, http.StatusBadRequest, "invalid", "host is missing or the body is not valid")
+	}
+	s := a.deps.Core.State()
+	if !s.Raft().LeaseHeld(time.Now()) {
+		return fail(c, http.StatusMisdirectedRequest, "not_leader", "ask the leader, "+string(s.Leader()))
+	}
+	a.deps.Core.Post(host.ReplicaChange{Member: raft.Member{ID: r.Host, Voter: r.Voter}, Remove: r.Remove})
+	for deadline := time.Now().Add(writeLimit); time.Now().Before(deadline); time.Sleep(memberPoll) {
+		if memberDone(a.deps.Core.State().Raft(), r) {
+			return c.JSON(http.StatusOK, a.deps.Core.State().Dump(time.Now()).Replica)
+		}
+	}
+	return fail(c, http.StatusConflict, "not_done",
+		"the change is not in force; a learner must catch up before it votes, and one change at a time is made")
+}
+
+const memberPoll = 50 * time.Millisecond
+
+func memberDone(s raft.State, r ReplicaChange) bool {
+	for _, m := range s.Members() {
+		if m.ID == r.Host {
+			return !r.Remove && m.Voter == r.Voter && s.MembersCommitted()
+		}
+	}
+	return r.Remove && s.MembersCommitted()
+}
+
+// Status is the fleet as this host sees it.
+type Status struct {
+	Host    ident.Host     `json:"host"`
+	Leader  ident.Host     `json:"leader"`
+	Version config.Version `json:"version"`
+	Ready   bool           `json:"ready"`
+	// InForce is the lowest version that a live host runs.
+	InForce  config.Version      `json:"in_force"`
+	Hosts    []HostStatus        `json:"hosts"`
+	Replicas []host.DumpMember   `json:"replicas,omitempty"`
+	Plans    map[plan.Status]int `json:"plans,omitempty"`
+}
+
+// HostStatus is one host in a Status.
+type HostStatus struct {
+	Host    ident.Host     `json:"host"`
+	Zone    ident.Zone     `json:"zone"`
+	Alive   bool           `json:"alive"`
+	Version config.Version `json:"version"`
+}
+
+func (a *API) status(c echo.Context) error {
+	return c.JSON(http.StatusOK, StatusOf(a.deps.Core.State(), time.Now()))
+}
+
+// StatusOf summarises the fleet as a process sees it.
+func StatusOf(s host.State, now time.Time) Status {
+	d := s.Dump(now)
+	out := Status{Host: d.Host, Leader: d.Leader, Version: d.Version, Ready: d.Ready, InForce: d.Version}
+	out.Hosts = append(out.Hosts, HostStatus{Host: d.Host, Zone: d.Zone, Alive: true, Version: d.Version})
+	for _, p := range d.Peers {
+		out.Hosts = append(out.Hosts, HostStatus{Host: p.Host, Zone: p.Zone, Alive: p.Alive, Version: p.Version})
+		if p.Alive {
+			out.InForce = min(out.InForce, p.Version)
+		}
+	}
+	if d.Replica != nil {
+		out.Replicas = d.Replica.Members
+		out.Plans = map[plan.Status]int{}
+		for _, p := range s.Catalog().Plans.All() {
+			out.Plans[p.Status]++
+		}
+	}
+	return out
+}
+
+// Marshal returns v as indented JSON, for tools.
+func Marshal(v any) string {
+	b, err := json.MarshalIndent(v, "", "  ")
+	if err != nil {
+		return err.Error()
+	}
+	return string(b)
+}
--- /dev/null
+++ b/peers/codec.go
@@ -0,0 +1,109 @@
+// Copyright 2026 The Yardhall Authors. Licensed under the Apache License, Version 2.0.
+
+package peers
+
+import (
+	"bufio"
+	"encoding/gob"
+	"io"
+	"net/rpc"
+
+	"github.com/pkg/errors"
+)
+
+// errTooLarge ends a connection whose peer sends more than is allowed.
+var errTooLarge = errors.New("message is too large")
+
+// boundedReader gives at most limit bytes between two resets.
+type boundedReader struct {
+	r     *bufio.Reader
+	limit int64
+	left  int64
+}
+
+func newBoundedReader(r io.Reader, limit int64) *boundedReader {
+	return &boundedReader{r: bufio.NewReader(r), limit: limit, left: limit}
+}
+
+func (b *boundedReader) reset() { b.left = b.limit }
+
+// Read implements io.Reader.
+func (b *boundedReader) Read(p []byte) (int, error) {
+	if b.left <= 0 {
+		return 0, errTooLarge
+	}
+	if int64(len(p)) > b.left {
+		p = p[:b.left]
+	}
+	n, err := b.r.Read(p)
+	b.left -= int64(n)
+	return n, err //nolint:wrapcheck // io.Reader must return io.EOF itself.
+}
+
+// ReadByte implements io.ByteReader, so that gob adds no buffer of its own.
+func (b *boundedReader) ReadByte() (byte, error) {
+	if b.left <= 0 {
+		return 0, errTooLarge
+	}
+	c, err := b.r.ReadByte()
+	if err == nil {
+		b.left--
+	}
+	return c, err //nolint:wrapcheck // io.ByteReader must return io.EOF itself.
+}
+
+// gobCodec is net/rpc's gob encoding with a bound on each message. It serves
+// both sides.
+type gobCodec struct {
+	conn io.ReadWriteCloser
+	in   *boundedReader
+	dec  *gob.Decoder
+	out  *bufio.Writer
+	enc  *gob.Encoder
+}
+
+func newGobCodec(conn io.ReadWriteCloser, limit int64) *gobCodec {
+	in := newBoundedReader(conn, limit)
+	out := bufio.NewWriter(conn)
+	return &gobCodec{conn: conn, in: in, dec: gob.NewDecoder(in), out: out, enc: gob.NewEncoder(out)}
+}
+
+func (c *gobCodec) readHeader(h any) error {
+	c.in.reset()
+	return c.dec.Decode(h) //nolint:wrapcheck // net/rpc compares with io.EOF.
+}
+
+// ReadRequestHeader implements rpc.ServerCodec.
+func (c *gobCodec) ReadRequestHeader(r *rpc.Request) error { return c.readHeader(r) }
+
+// ReadRequestBody implements rpc.ServerCodec.
+func (c *gobCodec) ReadRequestBody(body any) error {
+	return c.dec.Decode(body) //nolint:wrapcheck // net/rpc adds the context.
+}
+
+// ReadResponseHeader implements rpc.ClientCodec.
+func (c *gobCodec) ReadResponseHeader(r *rpc.Response) error { return c.readHeader(r) }
+
+// ReadResponseBody implements rpc.ClientCodec.
+func (c *gobCodec) ReadResponseBody(body any) error {
+	return c.dec.Decode(body) //nolint:wrapcheck // net/rpc adds the context.
+}
+
+// WriteRequest implements rpc.ClientCodec.
+func (c *gobCodec) WriteRequest(r *rpc.Request, body any) error { return c.write(r, body) }
+
+// WriteResponse implements rpc.ServerCodec.
+func (c *gobCodec) WriteResponse(r *rpc.Response, body any) error { return c.write(r, body) }
+
+func (c *gobCodec) write(h, body any) error {
+	if err := c.enc.Encode(h); err != nil {
+		return errors.Wrap(err, "encode header")
+	}
+	if err := c.enc.Encode(body); err != nil {
+		return errors.Wrap(err, "encode body")
+	}
+	return errors.Wrap(c.out.Flush(), "send")
+}
+
+// Close implements both codecs.
+func (c *gobCodec) Close() error { return errors.Wrap(c.conn.Close(), "close connection") }
--- /dev/null
+++ b/peers/pool.go
@@ -0,0 +1,238 @@
+// Copyright 2026 The Yardhall Authors. Licensed under the Apache License, Version 2.0.
+
+package peers
+
+import (
+	"context"
+	"crypto/tls"
+	"net"
+	"net/rpc"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/yardhall/yardhall/core/config"
+	"github.com/yardhall/yardhall/core/host"
+	"github.com/yardhall/yardhall/core/ident"
+)
+
+const (
+	// queueLen bounds the messages that wait for one host.
+	queueLen = 4096
+	// maxBatch bounds the messages in one call.
+	maxBatch = 128
+	// maxCalls bounds the calls under way to one host.
+	maxCalls = 8
+	// redialPause follows a failed dial.
+	redialPause = 200 * time.Millisecond
+)
+
+// Pool sends messages to other hosts, one connection each.
+type Pool struct {
+	options Options
+	mu      sync.Mutex
+	addrs   map[ident.Host]string
+	senders map[ident.Host]*sender
+	ctx     context.Context
+	cancel  context.CancelFunc
+	done    sync.WaitGroup
+}
+
+// NewPool returns a pool that knows no hosts yet.
+func NewPool(o Options) *Pool {
+	registerOnce.Do(registerTypes)
+	ctx, cancel := context.WithCancel(context.Background())
+	return &Pool{
+		options: o.withDefaults(), addrs: map[ident.Host]string{}, senders: map[ident.Host]*sender{},
+		ctx: ctx, cancel: cancel,
+	}
+}
+
+// Know sets where hosts listen.
+func (p *Pool) Know(hosts []config.Host) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, h := range hosts {
+		p.addrs[h.ID] = h.Address
+	}
+}
+
+// Send queues m for a host. It never blocks: a message to an unknown host or
+// beyond a full queue is dropped and counted.
+func (p *Pool) Send(to ident.Host, m host.Message) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	s, ok := p.senders[to]
+	if !ok {
+		if p.addrs[to] == "" || p.ctx.Err() != nil {
+			p.options.Counters.Dropped.Add(1)
+			return
+		}
+		s = &sender{pool: p, to: to, queue: make(chan host.Message, queueLen)}
+		p.senders[to] = s
+		p.done.Add(1)
+		go s.run()
+	}
+	select {
+	case s.queue <- m:
+	default:
+		p.options.Counters.Dropped.Add(1)
+	}
+}
+
+// Close ends all connections and waits for their senders.
+func (p *Pool) Close() {
+	p.cancel()
+	p.done.Wait()
+}
+
+func (p *Pool) address(h ident.Host) string {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.addrs[h]
+}
+
+// sender is the connection to one host.
+type sender struct {
+	pool   *Pool
+	to     ident.Host
+	queue  chan host.Message
+	client *rpc.Client
+	addr   string
+	calls  chan *rpc.Call
+	open   int
+}
+
+func (s *sender) run() {
+	defer s.pool.done.Done()
+	defer s.hangUp()
+	s.calls = make(chan *rpc.Call, maxCalls)
+	for {
+		select {
+		case <-s.pool.ctx.Done():
+			return
+		case call := <-s.calls:
+			s.callDone(call)
+		case m := <-s.queue:
+			s.deliver(m)
+		}
+	}
+}
+
+// deliver sends m together with what else waits.
+func (s *sender) deliver(m host.Message) {
+	batch := Batch{Messages: []host.Message{m}}
+	for len(batch.Messages) < maxBatch && len(s.queue) > 0 {
+		batch.Messages = append(batch.Messages, <-s.queue)
+	}
+	if err := s.connect(); err != nil {
+		s.pool.options.Counters.Failed.Add(1)
+		s.pool.options.Counters.Dropped.Add(int64(len(batch.Messages)))
+		s.drop()
+		return
+	}
+	if s.open == maxCalls && !s.await() {
+		s.pool.options.Counters.Dropped.Add(int64(len(batch.Messages)))
+		s.hangUp()
+		return
+	}
+	s.open++
+	s.pool.options.Counters.Sent.Add(int64(len(batch.Messages)))
+	s.client.Go(serviceName+".Deliver", batch, &Ack{}, s.calls)
+}
+
+// drop empties the queue after a failed dial and pauses: what waited is stale.
+func (s *sender) drop() {
+	pause := time.NewTimer(redialPause)
+	defer pause.Stop()
+	for {
+		select {
+		case <-s.pool.ctx.Done():
+			return
+		case <-s.queue:
+			s.pool.options.Counters.Dropped.Add(1)
+		case <-pause.C:
+			return
+		}
+	}
+}
+
+// await waits for one call to end, at most its deadline.
+func (s *sender) await() bool {
+	timer := time.NewTimer(callTimeout)
+	defer timer.Stop()
+	select {
+	case call := <-s.calls:
+		s.callDone(call)
+		return s.client != nil
+	case <-timer.C:
+		return false
+	case <-s.pool.ctx.Done():
+		return false
+	}
+}
+
+func (s *sender) callDone(call *rpc.Call) {
+	s.open = max(0, s.open-1)
+	if call.Error != nil && s.client != nil {
+		s.pool.options.Counters.Failed.Add(1)
+		s.hangUp()
+	}
+}
+
+func (s *sender) connect() error {
+	addr := s.pool.address(s.to)
+	if blocked := s.pool.options.Blocked; blocked != nil && blocked(s.to) {
+		s.hangUp()
+		return errors.New("unreachable")
+	}
+	if s.client != nil && s.addr == addr {
+		return nil
+	}
+	s.hangUp()
+	conn, err := s.dial(addr)
+	if err != nil {
+		return err
+	}
+	o := s.pool.options
+	counted := &countedConn{Conn: conn, counters: o.Counters}
+	client := rpc.NewClientWithCodec(newGobCodec(counted, o.MaxMessage))
+	hello := client.Go(serviceName+".Hello", Hello{From: o.Self, Fleet: o.Fleet, Key: o.Key}, &Ack{}, make(chan *rpc.Call, 1))
+	select {
+	case <-hello.Done:
+		err = hello.Error
+	case <-time.After(callTimeout):
+		err = errors.New("hello timed out")
+	}
+	if err != nil {
+		_ = client.Close()
+		return errors.Wrap(err, "hello")
+	}
+	s.client, s.addr, s.open = client, addr, 0
+	s.calls = make(chan *rpc.Call, maxCalls)
+	o.Counters.Connected.Add(1)
+	return nil
+}
+
+func (s *sender) dial(addr string) (net.Conn, error) {
+	d := &net.Dialer{Timeout: dialTimeout}
+	if from := s.pool.options.From; from != nil {
+		d.LocalAddr = from
+	}
+	if s.pool.options.TLS == nil {
+		conn, err := d.DialContext(s.pool.ctx, "tcp", addr)
+		return conn, errors.Wrap(err, "dial")
+	}
+	conn, err := (&tls.Dialer{NetDialer: d, Config: s.pool.options.TLS}).DialContext(s.pool.ctx, "tcp", addr)
+	return conn, errors.Wrap(err, "dial")
+}
+
+func (s *sender) hangUp() {
+	if s.client == nil {
+		return
+	}
+	_ = s.client.Close()
+	s.client = nil
+	s.pool.options.Counters.Connected.Add(-1)
+}
--- /dev/null
+++ b/peers/server.go
@@ -0,0 +1,221 @@
+// Copyright 2026 The Yardhall Authors. Licensed under the Apache License, Version 2.0.
+
+// Package peers carries messages between the hosts of a fleet over net/rpc.
+// It promises nothing: messages may be lost, doubled or reordered; the core
+// allows for that.
+//
+// # Usage
+//
+//	srv := peers.NewServer(options, func(from ident.Host, m host.Message) { ... })
+//	go srv.Serve(listener)
+//	pool := peers.NewPool(options)
+//	pool.Know(hosts)
+//	pool.Send("entry-2", message)
+//
+// Each connection opens with a Hello that must name the fleet and its key;
+// with TLS, certificates are checked both ways as well.
+package peers
+
+import (
+	"crypto/subtle"
+	"crypto/tls"
+	"net"
+	"net/rpc"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/yardhall/yardhall/core/host"
+	"github.com/yardhall/yardhall/core/ident"
+)
+
+// Options are what both sides of the transport need.
+type Options struct {
+	Self  ident.Host
+	Fleet string
+	Key   string
+	// MaxMessage bounds the bytes of one call or answer.
+	MaxMessage int64
+	// From is the local address to dial from; nil leaves it to the system.
+	From *net.TCPAddr
+	// TLS is set where connections are encrypted.
+	TLS *tls.Config
+	// Counters count the traffic; a nil one is replaced.
+	Counters *Counters
+	// Blocked, where set, tells which hosts must not be reached; tests cut
+	// zones off with it.
+	Blocked func(ident.Host) bool
+}
+
+// Counters count the traffic with other hosts.
+type Counters struct {
+	BytesIn   atomic.Int64
+	BytesOut  atomic.Int64
+	Sent      atomic.Int64
+	Received  atomic.Int64
+	Dropped   atomic.Int64
+	Failed    atomic.Int64
+	Refused   atomic.Int64
+	Connected atomic.Int64
+}
+
+const (
+	callTimeout  = 2 * time.Second
+	dialTimeout  = time.Second
+	idleTimeout  = time.Minute
+	helloTimeout = 5 * time.Second
+)
+
+func (o Options) withDefaults() Options {
+	if o.Counters == nil {
+		o.Counters = &Counters{}
+	}
+	return o
+}
+
+var registerOnce sync.Once
+
+// Server takes messages from other hosts.
+type Server struct {
+	options Options
+	deliver func(ident.Host, host.Message)
+	mu      sync.Mutex
+	conns   map[net.Conn]bool
+	closed  bool
+}
+
+// NewServer returns a server that hands every message to deliver.
+func NewServer(o Options, deliver func(ident.Host, host.Message)) *Server {
+	registerOnce.Do(registerTypes)
+	return &Server{options: o.withDefaults(), deliver: deliver, conns: map[net.Conn]bool{}}
+}
+
+// Serve accepts connections until the listener is closed.
+func (s *Server) Serve(l net.Listener) error {
+	if s.options.TLS != nil {
+		l = tls.NewListener(l, s.options.TLS)
+	}
+	for {
+		conn, err := l.Accept()
+		if err != nil {
+			return errors.Wrap(err, "accept")
+		}
+		if !s.track(conn) {
+			return nil
+		}
+		go s.serveConn(conn)
+	}
+}
+
+func (s *Server) track(conn net.Conn) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.closed {
+		_ = conn.Close()
+		return false
+	}
+	s.conns[conn] = true
+	return true
+}
+
+// Close ends all connections.
+func (s *Server) Close() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.closed = true
+	for c := range s.conns {
+		_ = c.Close()
+	}
+}
+
+func (s *Server) serveConn(conn net.Conn) {
+	defer func() {
+		s.mu.Lock()
+		delete(s.conns, conn)
+		s.mu.Unlock()
+		_ = conn.Close()
+	}()
+	r := rpc.NewServer()
+	f := &Fleet{server: s, conn: conn}
+	if err := r.RegisterName(serviceName, f); err != nil {
+		panic(err)
+	}
+	_ = conn.SetReadDeadline(time.Now().Add(helloTimeout))
+	counted := &countedConn{Conn: conn, counters: s.options.Counters, idle: &f.known}
+	r.ServeCodec(newGobCodec(counted, s.options.MaxMessage))
+}
+
+const serviceName = "Fleet"
+
+// Fleet is the RPC service of one connection.
+type Fleet struct {
+	server *Server
+	conn   net.Conn
+	known  atomic.Bool
+	from   ident.Host
+}
+
+// Hello checks who calls. Nothing else is answered before.
+func (f *Fleet) Hello(h Hello, a *Ack) error {
+	o := f.server.options
+	sameKey := subtle.ConstantTimeCompare([]byte(h.Key), []byte(o.Key)) == 1
+	if h.Fleet != o.Fleet || !sameKey || f.known.Load() {
+		o.Counters.Refused.Add(1)
+		_ = f.conn.Close()
+		return errors.New("refused")
+	}
+	f.from = h.From
+	f.known.Store(true)
+	a.Taken = 1
+	return nil
+}
+
+// Deliver takes a batch of messages.
+func (f *Fleet) Deliver(b Batch, a *Ack) error {
+	if !f.known.Load() {
+		f.server.options.Counters.Refused.Add(1)
+		_ = f.conn.Close()
+		return errors.New("hello is missing")
+	}
+	if blocked := f.server.options.Blocked; blocked != nil && blocked(f.from) {
+		_ = f.conn.Close()
+		return errors.New("unreachable")
+	}
+	for _, m := range b.Messages {
+		if m == nil {
+			continue
+		}
+		f.server.options.Counters.Received.Add(1)
+		f.server.deliver(f.from, m)
+	}
+	a.Taken = len(b.Messages)
+	return nil
+}
+
+// countedConn counts bytes and, once the peer is known, renews the idle
+// deadline at each read.
+type countedConn struct {
+	net.Conn
+	counters *Counters
+	idle     *atomic.Bool
+}
+
+// Read implements io.Reader.
+func (c *countedConn) Read(p []byte) (int, error) {
+	if c.idle != nil && c.idle.Load() {
+		_ = c.SetReadDeadline(time.Now().Add(idleTimeout))
+	}
+	n, err := c.Conn.Read(p)
+	c.counters.BytesIn.Add(int64(n))
+	return n, err //nolint:wrapcheck // io.Reader must return io.EOF itself.
+}
+
+// Write implements io.Writer.
+func (c *countedConn) Write(p []byte) (int, error) {
+	_ = c.SetWriteDeadline(time.Now().Add(callTimeout))
+	n, err := c.Conn.Write(p)
+	c.counters.BytesOut.Add(int64(n))
+	return n, err //nolint:wrapcheck // The codec adds the context.
+}
--- /dev/null
+++ b/settings/settings.go
@@ -0,0 +1,143 @@
+// Copyright 2026 The Yardhall Authors. Licensed under the Apache License, Version 2.0.
+
+// Package settings reads a process's settings from an INI file into typed
+// values and checks them whole.
+//
+// # Usage
+//
+//	s, err := settings.Load("entry-1.ini")
+//
+// Every mistake is found in one pass and named by file, section and key. Table
+// lists all keys with their defaults for the operators' page.
+package settings
+
+import (
+	"net/netip"
+	"time"
+
+	"github.com/yardhall/yardhall/core/config"
+	"github.com/yardhall/yardhall/core/ident"
+)
+
+// Settings are everything a daemon learns from its file.
+type Settings struct {
+	File      string    `ini:"-"`
+	Host      Host      `ini:"host"`
+	Peer      Peer      `ini:"peer"`
+	Callers   Callers   `ini:"callers"`
+	Operators Operators `ini:"operators"`
+	Replicas  Replicas  `ini:"replicas"`
+	Neighbors Members   `ini:"neighbours"`
+	Platform  Platform  `ini:"platform"`
+	Targets   Targets   `ini:"targets"`
+	Log       Log       `ini:"log"`
+}
+
+// Host says who the process is.
+type Host struct {
+	ID    string `ini:"id" doc:"Name of this host, unique over the fleet."`
+	Zone  string `ini:"zone" doc:"Availability zone of this host."`
+	Fleet string `ini:"fleet" default:"yardhall" doc:"Id of the fleet; hosts of another fleet are refused."`
+	Data  string `ini:"data" doc:"Data folder; needed where this host is named in [replicas]."`
+	Chats int    `ini:"chats" default:"32768" doc:"Chats remembered per group of targets owned."`
+}
+
+// Peer is the port for other hosts of the fleet.
+type Peer struct {
+	Listen  string `ini:"listen" doc:"ip:port for other hosts; also what they dial."`
+	Key     string `ini:"key" doc:"Key that all hosts of the fleet share, at least 16 characters."`
+	Cert    string `ini:"cert" doc:"TLS certificate file; with key_file and ca turns mutual TLS on. Needed off loopback."`
+	KeyFile string `ini:"key_file" doc:"TLS private key file."`
+	CA      string `ini:"ca" doc:"File with the authorities that sign hosts' certificates."`
+	MaxSize string `ini:"max_message" default:"8MiB" doc:"Largest message taken from another host."`
+}
+
+// Callers is the port for callers; without listen the host takes none.
+type Callers struct {
+	Listen      string        `ini:"listen" doc:"ip:port for callers; empty on a host that only keeps state."`
+	Cert        string        `ini:"cert" doc:"TLS certificate file."`
+	KeyFile     string        `ini:"key_file" doc:"TLS private key file."`
+	MaxBody     string        `ini:"max_body" default:"8MiB" doc:"Largest request body."`
+	MaxHeader   string        `ini:"max_header" default:"64KiB" doc:"Largest request header."`
+	ReadTimeout time.Duration `ini:"read_timeout" default:"30s" doc:"Time a caller has to send a request."`
+	IdleTimeout time.Duration `ini:"idle_timeout" default:"2m" doc:"Time an idle connection is kept."`
+	WriteStall  time.Duration `ini:"write_stall" default:"30s" doc:"Time a caller may take no bytes before it is cut."`
+	MaxStream   time.Duration `ini:"max_stream" default:"30m" doc:"Longest request, streams included."`
+	DrainNotice time.Duration `ini:"drain_notice" default:"5s" doc:"Time between not-ready and closed for new requests in a planned stop."`
+	DrainLimit  time.Duration `ini:"drain_limit" default:"30m" doc:"Longest wait for requests in flight in a planned stop."`
+}
+
+// Operators is the port for operators.
+type Operators struct {
+	Listen    string   `ini:"listen" doc:"ip:port for operators; loopback unless TLS is on."`
+	KeyHashes []string `ini:"key_hashes" doc:"Hex SHA-256 of each operator key; make one with 'yardhall key'."`
+	Cert      string   `ini:"cert" doc:"TLS certificate file."`
+	KeyFile   string   `ini:"key_file" doc:"TLS private key file."`
+}
+
+// Replicas are the hosts that keep the replicated state.
+type Replicas struct {
+	Members []string `ini:"members" doc:"Hosts as id@zone@ip:port, separated by commas; 1, 3 or 5 of them."`
+	Join    string   `ini:"join" default:"no" doc:"yes on a replica with an empty data folder that joins a running fleet."`
+}
+
+// Hosts returns the list in typed form; Load has checked it.
+func (r Replicas) Hosts() []config.Host { return Members{Members: r.Members}.Hosts() }
+
+// Members is a list of hosts.
+type Members struct {
+	Members []string `ini:"members" doc:"Hosts as id@zone@ip:port, separated by commas."`
+}
+
+// Platform is where the lagging list of live and leaving targets comes from.
+type Platform struct {
+	URL      string        `ini:"url" doc:"HTTP address of the list, by IP number."`
+	File     string        `ini:"file" doc:"File with the list; instead of url."`
+	Interval time.Duration `ini:"interval" default:"2s" doc:"Time between two readings of the list."`
+}
+
+// Targets bounds the traffic with targets.
+type Targets struct {
+	DialTimeout  time.Duration `ini:"dial_timeout" default:"1s" doc:"Time to connect to a target."`
+	ProbeTimeout time.Duration `ini:"probe_timeout" default:"800ms" doc:"Time for a load report."`
+	StreamStall  time.Duration `ini:"stream_stall" default:"30s" doc:"Time a target may send nothing before its answer counts as broken."`
+}
+
+// Log says what is logged.
+type Log struct {
+	Level  string `ini:"level" default:"info" doc:"debug, info or error."`
+	Format string `ini:"format" default:"json" doc:"json or console."`
+}
+
+// Hosts returns the list in typed form; Load has checked it.
+func (m Members) Hosts() []config.Host {
+	out := make([]config.Host, 0, len(m.Members))
+	for _, line := range m.Members {
+		if h, err := parseMember(line); err == nil {
+			out = append(out, h)
+		}
+	}
+	return out
+}
+
+// ID returns the host's id.
+func (s Settings) ID() ident.Host { return ident.Host(s.Host.ID) }
+
+// Serves tells whether the host takes callers' requests.
+func (s Settings) Serves() bool { return s.Callers.Listen != "" }
+
+// IsReplica tells whether the host keeps the replicated state.
+func (s Settings) IsReplica() bool {
+	for _, r := range s.Replicas.Hosts() {
+		if string(r.ID) == s.Host.ID {
+			return true
+		}
+	}
+	return false
+}
+
+// isLoopback tells whether an ip:port is on this machine only.
+func isLoopback(address string) bool {
+	a, err := netip.ParseAddrPort(address)
+	return err == nil && a.Addr().IsLoopback()
+}
--- /dev/null
+++ b/site/site.go
@@ -0,0 +1,490 @@
+// Copyright 2026 The Yardhall Authors. Licensed under the Apache License, Version 2.0.
+
+// Package site sets a whole small fleet up inside one process, on loopback
+// addresses of its own: hosts, engines and a plain service. Tests and the demo
+// use it.
+//
+// # Usage
+//
+//	s, err := site.Builder{Zones: 3, HostsPerZone: 2, EnginesPerZone: 2}.Start(ctx)
+//	defer s.Stop()
+//	url := s.URL(0)
+package site
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"net/http"
+	"os"
+	"path/filepath"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/go-logr/logr"
+	"github.com/pkg/errors"
+
+	"github.com/yardhall/yardhall/common/keys"
+	"github.com/yardhall/yardhall/core/config"
+	"github.com/yardhall/yardhall/core/host"
+	"github.com/yardhall/yardhall/core/ident"
+	"github.com/yardhall/yardhall/core/raft"
+	"github.com/yardhall/yardhall/daemon"
+	"github.com/yardhall/yardhall/operators"
+	"github.com/yardhall/yardhall/settings"
+	"github.com/yardhall/yardhall/standin"
+	"github.com/yardhall/yardhall/storage"
+)
+
+// Names of what every site has.
+const (
+	EngineService = "text"
+	PlainService  = "floor"
+	Model         = "text-1"
+	SecondModel   = "text-2"
+	Account       = "halls"
+	ClassUrgent   = "urgent"
+	ClassNormal   = "normal"
+	ClassBulk     = "bulk"
+)
+
+// Builder says how large a site is; zero fields take defaults.
+type Builder struct {
+	Zones          int
+	HostsPerZone   int
+	EnginesPerZone int
+	// Workers is the number of the plain service's workers.
+	Workers int
+	// Replicas keep the state; 1, 3 or 5, at most one host each.
+	Replicas int
+	// Dir is the folder for data; it must exist.
+	Dir string
+	// Net is the second byte of the loopback addresses, so that sites in one
+	// process do not meet; 1 where 0.
+	Net      int
+	Engine   standin.EngineOptions
+	Multiple float64
+	Log      logr.Logger
+	Raft     raft.Options
+	// WrapFile stands between a host's log and its files.
+	WrapFile func(ident.Host, storage.File) storage.File
+	// DrainNotice is how long a stopping host goes on accepting.
+	DrainNotice time.Duration
+}
+
+// Site is a running fleet with its targets.
+type Site struct {
+	builder     Builder
+	Hosts       []*Host
+	Engines     []*standin.Engine
+	Workers     []*standin.Service
+	OperatorKey string
+	AccountKey  string
+	mu          sync.Mutex
+	cut         map[ident.Zone]bool
+}
+
+// Host is one process of the fleet.
+type Host struct {
+	Settings settings.Settings
+	Daemon   *daemon.Daemon
+	site     *Site
+	cancel   context.CancelFunc
+	done     chan error
+}
+
+const (
+	peerPort     = 7100
+	callerPort   = 7180
+	operatorPort = 7190
+	enginePort   = 7200
+	workerPort   = 7300
+	startTime    = 30 * time.Second
+	startPoll    = 20 * time.Millisecond
+	peerKey      = "a key for this site only"
+)
+
+func (b Builder) withDefaults() Builder {
+	b.Zones = orDefault(b.Zones, 3)
+	b.HostsPerZone = orDefault(b.HostsPerZone, 2)
+	b.EnginesPerZone = orDefault(b.EnginesPerZone, 2)
+	b.Workers = orDefault(b.Workers, b.Zones)
+	b.Replicas = orDefault(b.Replicas, min(3, b.Zones))
+	b.Net = orDefault(b.Net, 1)
+	if b.Multiple == 0 {
+		b.Multiple = 1.5
+	}
+	if b.DrainNotice == 0 {
+		b.DrainNotice = 200 * time.Millisecond
+	}
+	return b
+}
+
+func orDefault(n, def int) int {
+	if n == 0 {
+		return def
+	}
+	return n
+}
+
+// ip is the loopback address of host h of zone z; targets have h from 100.
+func (b Builder) ip(z, h int) string { return fmt.Sprintf("127.%d.%d.%d", b.Net, z+1, h+1) }
+
+// ZoneName names a zone by its number.
+func ZoneName(z int) ident.Zone { return ident.Zone(fmt.Sprintf("zone-%c", 'a'+z)) }
+
+const targetHosts = 100
+
+// Start starts the site and waits until every host is ready.
+func (b Builder) Start(ctx context.Context) (*Site, error) {
+	b = b.withDefaults()
+	s := &Site{builder: b, OperatorKey: keys.New(), AccountKey: keys.New(), cut: map[ident.Zone]bool{}}
+	if err := s.start(ctx); err != nil {
+		s.Stop()
+		return nil, err
+	}
+	return s, nil
+}
+
+func (s *Site) start(ctx context.Context) error {
+	for z := range s.builder.Zones {
+		for h := range s.builder.HostsPerZone {
+			if err := s.addHost(z, h); err != nil {
+				return err
+			}
+		}
+	}
+	if err := s.startTargets(); err != nil {
+		return err
+	}
+	if err := s.awaitLeader(ctx); err != nil {
+		return err
+	}
+	if err := s.configure(ctx); err != nil {
+		return err
+	}
+	return s.AwaitReady(ctx)
+}
+
+func (s *Site) startTargets() error {
+	b := s.builder
+	for z := range b.Zones {
+		for i := range b.EnginesPerZone {
+			o := b.Engine
+			if len(o.Models) == 0 {
+				o.Models = []string{Model}
+			}
+			e, err := standin.StartEngine(fmt.Sprintf("%s:%d", b.ip(z, targetHosts+i), enginePort), o)
+			if err != nil {
+				return errors.Wrap(err, "engine")
+			}
+			s.Engines = append(s.Engines, e)
+		}
+	}
+	for i := range b.Workers {
+		w, err := standin.StartService(fmt.Sprintf("%s:%d", b.ip(i%b.Zones, targetHosts+i), workerPort), time.Millisecond)
+		if err != nil {
+			return errors.Wrap(err, "worker")
+		}
+		s.Workers = append(s.Workers, w)
+	}
+	return nil
+}
+
+// HostName names host h of zone z.
+func HostName(z, h int) ident.Host { return ident.Host(fmt.Sprintf("host-%c%d", 'a'+z, h+1)) }
+
+// replicaList spreads the replicas over the zones.
+func (b Builder) replicaList() []string {
+	out := make([]string, 0, b.Replicas)
+	for i := range b.Replicas {
+		z, h := i%b.Zones, i/b.Zones
+		out = append(out, fmt.Sprintf("%s@%s@%s:%d", HostName(z, h), ZoneName(z), b.ip(z, h), peerPort))
+	}
+	return out
+}
+
+func (s *Site) addHost(z, h int) error {
+	b := s.builder
+	id := HostName(z, h)
+	members := b.replicaList()
+	var neighbours []string
+	for n := range b.HostsPerZone {
+		if n != h {
+			neighbours = append(neighbours, fmt.Sprintf("%s@%s@%s:%d", HostName(z, n), ZoneName(z), b.ip(z, n), peerPort))
+		}
+	}
+	data := ""
+	if strings.Contains(strings.Join(members, ","), string(id)+"@") {
+		data = filepath.Join(b.Dir, string(id))
+		if err := os.MkdirAll(data, 0o700); err != nil {
+			return errors.Wrap(err, "data folder")
+		}
+	}
+	text := fmt.Sprintf(settingsText, id, ZoneName(z), data, b.ip(z, h), peerPort, peerKey, b.ip(z, h), callerPort,
+		b.DrainNotice, b.ip(z, h), operatorPort, keys.Hash(s.OperatorKey), strings.Join(members, ", "), strings.Join(neighbours, ", "))
+	file := filepath.Join(b.Dir, string(id)+".ini")
+	if err := os.WriteFile(file, []byte(text), 0o600); err != nil {
+		return errors.Wrap(err, "write settings")
+	}
+	loaded, err := settings.Load(file)
+	if err != nil {
+		return errors.Wrap(err, "load settings")
+	}
+	host := &Host{Settings: loaded, site: s}
+	s.Hosts = append(s.Hosts, host)
+	return host.Start()
+}
+
+const settingsText = `[host]
+id = %s
+zone = %s
+data = %s
+[peer]
+listen = %s:%d
+key = %s
+[callers]
+listen = %s:%d
+drain_notice = %s
+[operators]
+listen = %s:%d
+key_hashes = %s
+[replicas]
+members = %s
+[neighbours]
+members = %s
+`
+
+// Start starts the host's process, again after a Kill.
+func (h *Host) Start() error {
+	s := h.site
+	zone := ident.Zone(h.Settings.Host.Zone)
+	o := daemon.Options{
+		Log: s.builder.Log, Raft: s.builder.Raft,
+		BlockedHost:    func(other ident.Host) bool { return s.blocked(zone, s.zoneOf(other)) },
+		BlockedAddress: func(address string) bool { return s.blocked(zone, s.zoneOfAddress(address)) },
+	}
+	if s.builder.WrapFile != nil {
+		o.WrapFile = func(f storage.File) storage.File { return s.builder.WrapFile(h.Settings.ID(), f) }
+	}
+	d, err := daemon.New(h.Settings, o)
+	if err != nil {
+		return errors.Wrap(err, "start "+h.Settings.Host.ID)
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	h.Daemon, h.cancel, h.done = d, cancel, make(chan error, 1)
+	go func() { h.done <- d.Run(ctx) }()
+	return nil
+}
+
+// Stop makes a planned stop and waits for its end.
+func (h *Host) Stop() error {
+	if h.cancel == nil {
+		return nil
+	}
+	h.cancel()
+	h.cancel = nil
+	return <-h.done
+}
+
+// Kill stops the process at once, as a crash would: nothing is finished or
+// handed over, and what was not synced is not waited for.
+func (h *Host) Kill() {
+	if h.cancel == nil {
+		return
+	}
+	h.Daemon.Kill()
+	if err := <-h.done; err != nil {
+		s := h.site.builder.Log
+		s.Error(err, "a killed host ended with an error")
+	}
+	h.cancel()
+	h.cancel = nil
+}
+
+// Stop ends the whole site.
+func (s *Site) Stop() {
+	for _, h := range s.Hosts {
+		h.Kill()
+	}
+	for _, e := range s.Engines {
+		e.Close()
+	}
+	for _, w := range s.Workers {
+		w.Close()
+	}
+}
+
+// CutZone cuts a zone off from the others, or joins it again.
+func (s *Site) CutZone(zone ident.Zone, cut bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.cut[zone] = cut
+}
+
+func (s *Site) blocked(a, b ident.Zone) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return a != b && b != "" && (s.cut[a] || s.cut[b])
+}
+
+func (s *Site) zoneOf(id ident.Host) ident.Zone {
+	for z := range s.builder.Zones {
+		for h := range s.builder.HostsPerZone {
+			if HostName(z, h) == id {
+				return ZoneName(z)
+			}
+		}
+	}
+	return ""
+}
+
+func (s *Site) zoneOfAddress(address string) ident.Zone {
+	ip, _, err := net.SplitHostPort(address)
+	if err != nil {
+		return ""
+	}
+	var a, n, z, h int
+	if _, err := fmt.Sscanf(ip, "%d.%d.%d.%d", &a, &n, &z, &h); err != nil {
+		return ""
+	}
+	return ZoneName(z - 1)
+}
+
+// URL is the callers' address of host i.
+func (s *Site) URL(i int) string { return "http://" + s.Hosts[i].Settings.Callers.Listen }
+
+// Operator returns a client of all hosts' operators' ports.
+func (s *Site) Operator() *operators.Client {
+	c := &operators.Client{Key: s.OperatorKey, Operator: "site", HTTP: &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}}
+	for _, h := range s.Hosts {
+		c.Addresses = append(c.Addresses, h.Settings.Operators.Listen)
+	}
+	return c
+}
+
+// Leader returns the host that leads now, or nil.
+func (s *Site) Leader() *Host {
+	for _, h := range s.Hosts {
+		if h.cancel != nil && h.Daemon.State().Raft().LeaseHeld(time.Now()) {
+			return h
+		}
+	}
+	return nil
+}
+
+func (s *Site) awaitLeader(ctx context.Context) error {
+	return Await(ctx, startTime, "a leader", func() bool { return s.Leader() != nil })
+}
+
+// AwaitReady waits until all running hosts hold the same configuration and
+// know each other.
+func (s *Site) AwaitReady(ctx context.Context) error {
+	return Await(ctx, startTime, "all hosts ready", func() bool {
+		leader := s.Leader()
+		if leader == nil {
+			return false
+		}
+		version := leader.Daemon.State().Config().Version
+		for _, h := range s.Hosts {
+			if h.cancel != nil && !s.settled(h.Daemon.State(), version) {
+				return false
+			}
+		}
+		return true
+	})
+}
+
+func (s *Site) settled(state host.State, version config.Version) bool {
+	if !state.Ready() || state.Config().Version != version || state.Config().Hosts.Len() < len(s.Hosts) {
+		return false
+	}
+	alive := 0
+	for _, p := range state.Dump(time.Now()).Peers {
+		if p.Alive {
+			alive++
+		}
+	}
+	return alive >= s.running()-1
+}
+
+func (s *Site) running() int {
+	n := 0
+	for _, h := range s.Hosts {
+		if h.cancel != nil {
+			n++
+		}
+	}
+	return n
+}
+
+// Await polls until cond holds.
+func Await(ctx context.Context, limit time.Duration, what string, cond func() bool) error {
+	deadline := time.Now().Add(limit)
+	for !cond() {
+		if time.Now().After(deadline) || ctx.Err() != nil {
+			return errors.Errorf("waited in vain for %s", what)
+		}
+		time.Sleep(startPoll)
+	}
+	return nil
+}
+
+// configure enters classes, services, models, targets and one account.
+func (s *Site) configure(ctx context.Context) error {
+	c := s.Operator()
+	put := func(path string, body any) error {
+		_, err := c.Do(ctx, operators.Request{Method: http.MethodPut, Path: "/v1/" + path, Body: body, Key: keys.New()}, nil)
+		return errors.Wrap(err, path)
+	}
+	for i, id := range []string{ClassUrgent, ClassNormal, ClassBulk} {
+		if err := put("classes/"+id, config.Class{Rank: i, QueueLimit: 256, MaxWait: config.Duration(20 * time.Second)}); err != nil {
+			return err
+		}
+	}
+	if err := put("services/"+EngineService, config.Service{Kind: config.KindEngine, Multiple: s.builder.Multiple}); err != nil {
+		return err
+	}
+	if err := put("services/"+PlainService, config.Service{Kind: config.KindPlain, OnceRoutes: []string{"/once"}}); err != nil {
+		return err
+	}
+	for _, m := range []string{Model, SecondModel} {
+		if err := put("models/"+m, config.Model{Service: EngineService, WeightBytes: 1 << 30}); err != nil {
+			return err
+		}
+	}
+	if err := s.configureTargets(put); err != nil {
+		return err
+	}
+	return put("accounts/"+Account, config.Account{
+		KeyHash: keys.Hash(s.AccountKey), Classes: []ident.Class{ClassNormal, ClassUrgent, ClassBulk},
+	})
+}
+
+func (s *Site) configureTargets(put func(path string, body any) error) error {
+	slots := orDefault(s.builder.Engine.Slots, 32)
+	for i, e := range s.Engines {
+		z := ZoneName(i / s.builder.EnginesPerZone)
+		err := put("targets/"+EngineName(i), config.Target{
+			Service: EngineService, Zone: z, Address: e.Address(), Slots: slots, MaxModels: 2,
+			ChecksFence: s.builder.Engine.ChecksFence, Models: []ident.Model{Model},
+		})
+		if err != nil {
+			return err
+		}
+	}
+	for i, w := range s.Workers {
+		z := ZoneName(i % s.builder.Zones)
+		err := put(fmt.Sprintf("targets/worker-%d", i), config.Target{
+			Service: PlainService, Zone: z, Address: w.Address(), Slots: slots,
+		})
+		if err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// EngineName names engine i of the site.
+func EngineName(i int) string { return fmt.Sprintf("engine-%d", i) }
--- /dev/null
+++ b/standin/engine.go
@@ -0,0 +1,455 @@
+// Copyright 2026 The Yardhall Authors. Licensed under the Apache License, Version 2.0.
+
+// Package standin has small fakes of the systems that yardhall meets: a model
+// engine, a plain service and the platform's list. They speak the protocols of
+// docs/target-contract.md over real HTTP, for tests and the demo.
+//
+// # Usage
+//
+//	e, err := standin.StartEngine("127.0.0.1:0", standin.EngineOptions{Models: []string{"m-1"}})
+//	defer e.Close()
+//	address := e.Address()
+package standin
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"slices"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+)
+
+// EngineOptions shape a fake engine; zero fields take defaults.
+type EngineOptions struct {
+	Models []string
+	// Slots is how many requests it decodes at once.
+	Slots int
+	// TokenTime is the time of one decoded token.
+	TokenTime time.Duration
+	// PrefillTime is the time of one block of the prompt that is not cached.
+	PrefillTime time.Duration
+	// CacheBlocks bounds the prefix cache.
+	CacheBlocks int
+	// ChecksFence makes it refuse orders with a token that is not the highest.
+	ChecksFence bool
+	// LoadTime is the time that loading a model takes.
+	LoadTime time.Duration
+	// Boot is what load reports name as its start; the time where 0.
+	Boot uint64
+}
+
+// Engine is a fake model engine.
+type Engine struct {
+	options  EngineOptions
+	listener net.Listener
+	server   *http.Server
+	mu       sync.Mutex
+	idle     *sync.Cond
+	cache    *prefixCache
+	models   []string
+	token    uint64
+	seq      uint64
+	inFlight int
+	peak     int
+	running  int
+	waiting  []int
+	leaving  bool
+	faults   Faults
+	stats    EngineStats
+	runs     map[string]int
+}
+
+// Faults are misbehaviours that a test turns on.
+type Faults struct {
+	// CutAfter breaks each stream after so many events; 0 never.
+	CutAfter int
+	// WrongID answers with the id of another request.
+	WrongID bool
+	// Hang accepts requests and never answers.
+	Hang bool
+	// SilentReports keeps load reports from being answered.
+	SilentReports bool
+}
+
+// EngineStats count what an engine did.
+type EngineStats struct {
+	Requests     int
+	CachedBlocks int
+	PromptBlocks int
+	Orders       int
+	StaleOrders  int
+	Peak         int
+	// AfterLeaving counts requests that came while it was leaving.
+	AfterLeaving int
+}
+
+const (
+	defaultSlots       = 32
+	defaultTokenTime   = 2 * time.Millisecond
+	defaultPrefill     = 200 * time.Microsecond
+	defaultCacheBlocks = 20000
+	defaultTokens      = 16
+)
+
+// StartEngine starts a fake engine that listens on address.
+func StartEngine(address string, o EngineOptions) (*Engine, error) {
+	l, err := net.Listen("tcp", address)
+	if err != nil {
+		return nil, fmt.Errorf("start engine: %w", err)
+	}
+	o.Slots = orInt(o.Slots, defaultSlots)
+	o.CacheBlocks = orInt(o.CacheBlocks, defaultCacheBlocks)
+	if o.TokenTime == 0 {
+		o.TokenTime = defaultTokenTime
+	}
+	if o.PrefillTime == 0 {
+		o.PrefillTime = defaultPrefill
+	}
+	if o.Boot == 0 {
+		o.Boot = uint64(time.Now().UnixNano()) //nolint:gosec // Times since 1970 are positive.
+	}
+	e := &Engine{
+		options: o, listener: l, cache: newPrefixCache(o.CacheBlocks), models: slices.Clone(o.Models),
+		runs: map[string]int{},
+	}
+	e.idle = sync.NewCond(&e.mu)
+	mux := http.NewServeMux()
+	mux.HandleFunc("POST /v1/chat/completions", e.complete)
+	mux.HandleFunc("POST /v1/completions", e.complete)
+	mux.HandleFunc("GET /yardhall/load", e.load)
+	mux.HandleFunc("GET /yardhall/state", e.state)
+	mux.HandleFunc("POST /yardhall/orders", e.order)
+	e.server = &http.Server{Handler: mux} //nolint:gosec // A fake on loopback needs no header timeout.
+	go func() { _ = e.server.Serve(l) }()
+	return e, nil
+}
+
+func orInt(n, def int) int {
+	if n == 0 {
+		return def
+	}
+	return n
+}
+
+// Address is where the engine listens, as ip:port.
+func (e *Engine) Address() string { return e.listener.Addr().String() }
+
+// Close stops the engine at once, requests in flight included.
+func (e *Engine) Close() { _ = e.server.Close() }
+
+// SetLeaving makes the engine say that it is stopping: it declines new
+// requests and finishes those it has.
+func (e *Engine) SetLeaving(leaving bool) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.leaving = leaving
+}
+
+// SetFaults turns misbehaviours on or off.
+func (e *Engine) SetFaults(f Faults) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.faults = f
+}
+
+// Stats returns what the engine did so far.
+func (e *Engine) Stats() EngineStats {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	s := e.stats
+	s.Peak = e.peak
+	return s
+}
+
+// InFlight returns the requests on the engine, waiting ones included.
+func (e *Engine) InFlight() int {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.inFlight
+}
+
+// Models returns the models loaded.
+func (e *Engine) Models() []string {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return slices.Clone(e.models)
+}
+
+// Runs returns how often the request body with this marker was run.
+func (e *Engine) Runs(marker string) int {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.runs[marker]
+}
+
+type completionRequest struct {
+	Model     string            `json:"model"`
+	Stream    bool              `json:"stream"`
+	MaxTokens int               `json:"max_tokens"`
+	Prompt    json.RawMessage   `json:"prompt"`
+	Messages  []json.RawMessage `json:"messages"`
+	User      string            `json:"user"`
+}
+
+func (r completionRequest) prompt() []byte {
+	out := slices.Clone([]byte(r.Prompt))
+	for _, m := range r.Messages {
+		out = append(out, m...)
+	}
+	return out
+}
+
+func (e *Engine) complete(w http.ResponseWriter, r *http.Request) {
+	id := r.Header.Get("X-Request-Id")
+	body, err := io.ReadAll(r.Body)
+	var req completionRequest
+	if err != nil || json.Unmarshal(body, &req) != nil {
+		http.Error(w, "bad request", http.StatusBadRequest)
+		return
+	}
+	w.Header().Set("X-Request-Id", id)
+	if reason := e.admit(req); reason != "" {
+		w.Header().Set("X-Yardhall-Declined", reason)
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
+	defer e.leave()
+	faults := e.begin(r.Context(), req, w, rank(r))
+	defer e.end()
+	if faults.Hang {
+		<-r.Context().Done()
+		return
+	}
+	if faults.WrongID {
+		w.Header().Set("X-Request-Id", "another-request")
+	}
+	if req.Stream {
+		e.stream(w, r, id, req, faults)
+		return
+	}
+	e.answer(w, r, id, req)
+}
+
+func rank(r *http.Request) int {
+	n, err := strconv.Atoi(r.Header.Get("X-Priority"))
+	if err != nil {
+		return 1
+	}
+	return n
+}
+
+// admit takes a request or says why not; a declined one did not run.
+func (e *Engine) admit(req completionRequest) string {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.leaving {
+		e.stats.AfterLeaving++
+		return "leaving"
+	}
+	if !slices.Contains(e.models, req.Model) {
+		return "model is not loaded"
+	}
+	e.inFlight++
+	e.peak = max(e.peak, e.inFlight)
+	e.stats.Requests++
+	e.runs[req.User]++
+	return ""
+}
+
+func (e *Engine) leave() {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.inFlight--
+}
+
+// begin waits for a slot, better ranks first, then takes the time to prefill
+// what is not cached.
+func (e *Engine) begin(ctx context.Context, req completionRequest, w http.ResponseWriter, rank int) Faults {
+	e.mu.Lock()
+	e.waiting = append(e.waiting, rank)
+	for e.running >= e.options.Slots || slices.Min(e.waiting) < rank {
+		e.idle.Wait()
+	}
+	i := slices.Index(e.waiting, rank)
+	e.waiting = slices.Delete(e.waiting, i, i+1)
+	e.running++
+	cached, all := e.cache.use(req.prompt())
+	e.stats.CachedBlocks += cached
+	e.stats.PromptBlocks += all
+	faults := e.faults
+	e.idle.Broadcast()
+	e.mu.Unlock()
+	w.Header().Set("X-Yardhall-Cached-Tokens", strconv.Itoa(cached*blockBytes/bytesPerToken))
+	w.Header().Set("X-Yardhall-Prompt-Tokens", strconv.Itoa(all*blockBytes/bytesPerToken))
+	pause(ctx, time.Duration(all-cached)*e.options.PrefillTime)
+	return faults
+}
+
+const bytesPerToken = 4
+
+func (e *Engine) end() {
+	e.mu.Lock()
+	e.running--
+	e.idle.Broadcast()
+	e.mu.Unlock()
+}
+
+func pause(ctx context.Context, d time.Duration) {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+	case <-t.C:
+	}
+}
+
+func tokensOf(req completionRequest) int { return orInt(req.MaxTokens, defaultTokens) }
+
+// word is the text of token i of the answer to a request.
+func word(id string, i int) string { return fmt.Sprintf("%s.%d ", id, i) }
+
+type chunkDelta struct {
+	Role    string `json:"role,omitempty"`
+	Content string `json:"content"`
+}
+
+type choice struct {
+	Index        int         `json:"index"`
+	Delta        *chunkDelta `json:"delta,omitempty"`
+	Message      *chunkDelta `json:"message,omitempty"`
+	Text         string      `json:"text,omitempty"`
+	FinishReason *string     `json:"finish_reason"`
+}
+
+type usage struct {
+	PromptTokens     int `json:"prompt_tokens"`
+	CompletionTokens int `json:"completion_tokens"`
+	TotalTokens      int `json:"total_tokens"`
+}
+
+type completion struct {
+	ID      string   `json:"id"`
+	Object  string   `json:"object"`
+	Created int64    `json:"created"`
+	Model   string   `json:"model"`
+	Choices []choice `json:"choices"`
+	Usage   *usage   `json:"usage,omitempty"`
+}
+
+func (e *Engine) stream(w http.ResponseWriter, r *http.Request, id string, req completionRequest, f Faults) {
+	w.Header().Set("Content-Type", "text/event-stream")
+	control := http.NewResponseController(w)
+	n := tokensOf(req)
+	for i := range n {
+		pause(r.Context(), e.options.TokenTime)
+		if r.Context().Err() != nil {
+			return
+		}
+		if f.CutAfter > 0 && i == f.CutAfter {
+			panic(http.ErrAbortHandler)
+		}
+		c := choice{Delta: &chunkDelta{Role: "assistant", Content: word(id, i)}}
+		if i == n-1 {
+			stop := "stop"
+			c.FinishReason = &stop
+		}
+		text, _ := json.Marshal(completion{
+			ID: id, Object: "chat.completion.chunk", Created: time.Now().Unix(), Model: req.Model, Choices: []choice{c},
+		})
+		_, _ = fmt.Fprintf(w, "data: %s\n\n", text)
+		_ = control.Flush()
+	}
+	_, _ = io.WriteString(w, "data: [DONE]\n\n")
+}
+
+func (e *Engine) answer(w http.ResponseWriter, r *http.Request, id string, req completionRequest) {
+	n := tokensOf(req)
+	pause(r.Context(), time.Duration(n)*e.options.TokenTime)
+	var text strings.Builder
+	for i := range n {
+		text.WriteString(word(id, i))
+	}
+	stop := "stop"
+	w.Header().Set("Content-Type", "application/json")
+	_ = json.NewEncoder(w).Encode(completion{
+		ID: id, Object: "chat.completion", Created: time.Now().Unix(), Model: req.Model,
+		Choices: []choice{{Message: &chunkDelta{Role: "assistant", Content: text.String()}, Text: text.String(), FinishReason: &stop}},
+		Usage:   &usage{PromptTokens: len(req.prompt()) / bytesPerToken, CompletionTokens: n, TotalTokens: len(req.prompt())/bytesPerToken + n},
+	})
+}
+
+type loadReport struct {
+	Boot     uint64    `json:"boot"`
+	Seq      uint64    `json:"seq"`
+	Time     time.Time `json:"time"`
+	InFlight int       `json:"in_flight"`
+	Leaving  bool      `json:"leaving"`
+}
+
+func (e *Engine) load(w http.ResponseWriter, r *http.Request) {
+	e.mu.Lock()
+	silent := e.faults.SilentReports
+	e.seq++
+	report := loadReport{
+		Boot: e.options.Boot, Seq: e.seq, Time: time.Now(), InFlight: e.inFlight, Leaving: e.leaving,
+	}
+	e.mu.Unlock()
+	if silent {
+		<-r.Context().Done()
+		return
+	}
+	writeJSON(w, report)
+}
+
+type engineState struct {
+	Models []string `json:"models"`
+	Token  uint64   `json:"token"`
+}
+
+func (e *Engine) state(w http.ResponseWriter, _ *http.Request) {
+	e.mu.Lock()
+	s := engineState{Models: slices.Clone(e.models), Token: e.token}
+	e.mu.Unlock()
+	writeJSON(w, s)
+}
+
+func writeJSON(w http.ResponseWriter, v any) {
+	w.Header().Set("Content-Type", "application/json")
+	_ = json.NewEncoder(w).Encode(v)
+}
+
+type orderBody struct {
+	Token  uint64 `json:"token"`
+	Action string `json:"action"`
+	Model  string `json:"model"`
+}
+
+func (e *Engine) order(w http.ResponseWriter, r *http.Request) {
+	var o orderBody
+	if err := json.NewDecoder(r.Body).Decode(&o); err != nil {
+		http.Error(w, "bad order", http.StatusBadRequest)
+		return
+	}
+	w.Header().Set("X-Request-Id", r.Header.Get("X-Request-Id"))
+	pause(r.Context(), e.options.LoadTime)
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.options.ChecksFence && o.Token <= e.token {
+		e.stats.StaleOrders++
+		http.Error(w, "the token is not the highest", http.StatusConflict)
+		return
+	}
+	e.token = max(e.token, o.Token)
+	e.stats.Orders++
+	e.models = slices.DeleteFunc(e.models, func(m string) bool { return m == o.Model })
+	if o.Action == "load" {
+		e.models = append(e.models, o.Model)
+	}
+	writeJSON(w, engineState{Models: e.models, Token: e.token})
+}
--- /dev/null
+++ b/standin/service.go
@@ -0,0 +1,110 @@
+// Copyright 2026 The Yardhall Authors. Licensed under the Apache License, Version 2.0.
+
+package standin
+
+import (
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+)
+
+// Service is one worker of a fake plain service. It counts what it ran.
+type Service struct {
+	listener net.Listener
+	server   *http.Server
+	took     time.Duration
+	mu       sync.Mutex
+	runs     map[string]int
+	boot     uint64
+	seq      uint64
+	inFlight int
+	leaving  bool
+	cut      bool
+}
+
+// StartService starts a worker on address whose calls take so long.
+func StartService(address string, took time.Duration) (*Service, error) {
+	l, err := net.Listen("tcp", address)
+	if err != nil {
+		return nil, fmt.Errorf("start service: %w", err)
+	}
+	s := &Service{listener: l, took: took, runs: map[string]int{}, boot: uint64(time.Now().UnixNano())} //nolint:gosec // Positive.
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /yardhall/load", s.load)
+	mux.HandleFunc("/", s.call)
+	s.server = &http.Server{Handler: mux} //nolint:gosec // A fake on loopback needs no header timeout.
+	go func() { _ = s.server.Serve(l) }()
+	return s, nil
+}
+
+// Address is where the worker listens, as ip:port.
+func (s *Service) Address() string { return s.listener.Addr().String() }
+
+// Close stops the worker at once.
+func (s *Service) Close() { _ = s.server.Close() }
+
+// Runs returns how often each marker (the body of a call) was run.
+func (s *Service) Runs() map[string]int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	out := make(map[string]int, len(s.runs))
+	for k, v := range s.runs {
+		out[k] = v
+	}
+	return out
+}
+
+// SetCut makes the worker run calls and break the connection before it
+// answers.
+func (s *Service) SetCut(cut bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.cut = cut
+}
+
+// SetLeaving makes the worker decline new calls.
+func (s *Service) SetLeaving(leaving bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.leaving = leaving
+}
+
+func (s *Service) call(w http.ResponseWriter, r *http.Request) {
+	body, err := io.ReadAll(r.Body)
+	if err != nil {
+		return
+	}
+	w.Header().Set("X-Request-Id", r.Header.Get("X-Request-Id"))
+	s.mu.Lock()
+	if s.leaving {
+		s.mu.Unlock()
+		w.Header().Set("X-Yardhall-Declined", "leaving")
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
+	s.runs[string(body)]++
+	s.inFlight++
+	cut := s.cut
+	s.mu.Unlock()
+	defer func() {
+		s.mu.Lock()
+		s.inFlight--
+		s.mu.Unlock()
+	}()
+	time.Sleep(s.took)
+	if cut {
+		panic(http.ErrAbortHandler)
+	}
+	_, _ = fmt.Fprintf(w, "%s %s done: %s", r.Method, r.URL.Path, body)
+}
+
+func (s *Service) load(w http.ResponseWriter, _ *http.Request) {
+	s.mu.Lock()
+	s.seq++
+	report := loadReport{Boot: s.boot, Seq: s.seq, Time: time.Now(), InFlight: s.inFlight, Leaving: s.leaving}
+	s.mu.Unlock()
+	writeJSON(w, report)
+}
--- /dev/null
+++ b/targets/exchange.go
@@ -0,0 +1,175 @@
+// Copyright 2026 The Yardhall Authors. Licensed under the Apache License, Version 2.0.
+
+package targets
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"io"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/yardhall/yardhall/core/ident"
+	"github.com/yardhall/yardhall/core/outcome"
+)
+
+// Exchange is one attempt of a caller's request on a target.
+type Exchange struct {
+	Request ident.Request
+	Target  Endpoint
+	Method  string
+	Path    string
+	Header  http.Header
+	Body    []byte
+	// Once forbids reused connections.
+	Once bool
+	// Streamed is true where the caller asked for server-sent events.
+	Streamed bool
+	// Sink takes the answer.
+	Sink Sink
+}
+
+// Sink is the caller's end of an answer. Begin is called once, before the
+// first Write.
+type Sink interface {
+	Begin(status int, header http.Header) error
+	Write(p []byte) error
+}
+
+// errCaller marks an error of the sink, which is the caller's and not the
+// target's.
+var errCaller = errors.New("the caller cannot be written to")
+
+// Do makes one attempt and says how it ended. An answer that is not streamed
+// reaches the sink only once it is whole.
+func (c *Client) Do(ctx context.Context, x Exchange) outcome.Attempt {
+	attempt, cancel := context.WithCancel(ctx)
+	defer cancel()
+	stall := time.AfterFunc(c.options.StreamStall, cancel)
+	defer stall.Stop()
+	resp, touched, err := c.send(attempt, x)
+	if err != nil {
+		return c.failed(ctx, touched, false, err)
+	}
+	defer closeBody(resp)
+	if got := resp.Header.Get(HeaderRequestID); got != string(x.Request) {
+		// The answer belongs to another request: drop it and its connection.
+		c.Mismatched.Add(1)
+		return outcome.Broken{Reason: "the answer carries the id of another request"}
+	}
+	if reason := resp.Header.Get(HeaderDeclined); reason != "" {
+		return outcome.Declined{Reason: reason, Leaving: reason == DeclinedLeaving}
+	}
+	if x.Streamed && resp.StatusCode == http.StatusOK {
+		return c.stream(ctx, x, resp, stall)
+	}
+	return c.whole(ctx, x, resp)
+}
+
+// failed classifies an error: the caller's leaving, nothing sent, or broken.
+func (c *Client) failed(ctx context.Context, touched, begun bool, err error) outcome.Attempt {
+	switch {
+	case errors.Is(ctx.Err(), context.Canceled) || errors.Is(err, errCaller):
+		return outcome.Abandoned{Sent: touched}
+	case !touched:
+		return outcome.NeverSent{Reason: short(err)}
+	default:
+		return outcome.Broken{Reason: short(err), Begun: begun}
+	}
+}
+
+func short(err error) string {
+	text := errors.Cause(err).Error()
+	return text[:min(len(text), maxReason)]
+}
+
+func (c *Client) whole(ctx context.Context, x Exchange, resp *http.Response) outcome.Attempt {
+	body, err := io.ReadAll(io.LimitReader(resp.Body, c.options.MaxAnswer+1))
+	if err != nil {
+		return c.failed(ctx, true, false, err)
+	}
+	if int64(len(body)) > c.options.MaxAnswer {
+		return outcome.Broken{Reason: "the answer is too large"}
+	}
+	if err := x.Sink.Begin(resp.StatusCode, resp.Header); err != nil {
+		return outcome.Abandoned{Sent: true}
+	}
+	// The target's answer is whole; whether the caller still reads it does not
+	// change that it ran.
+	_ = x.Sink.Write(body)
+	return answered(resp)
+}
+
+func answered(resp *http.Response) outcome.Answered {
+	return outcome.Answered{
+		Status:       resp.StatusCode,
+		CachedTokens: number(resp.Header.Get(HeaderCached)),
+		PromptTokens: number(resp.Header.Get(HeaderPrompt)),
+	}
+}
+
+func number(text string) int {
+	n, err := strconv.Atoi(text)
+	if err != nil {
+		return 0
+	}
+	return n
+}
+
+var (
+	dataPrefix = []byte("data:")
+	doneMark   = []byte("[DONE]")
+)
+
+// maxEventLine bounds one line of a stream.
+const maxEventLine = 1 << 20
+
+// stream passes events on line by line and holds back the end mark, so that
+// the caller sees it only of a whole answer.
+func (c *Client) stream(ctx context.Context, x Exchange, resp *http.Response, stall *time.Timer) outcome.Attempt {
+	lines := bufio.NewReaderSize(resp.Body, 4<<10)
+	begun := false
+	for {
+		line, err := readLine(lines)
+		if err != nil {
+			return c.failed(ctx, true, begun, err)
+		}
+		stall.Reset(c.options.StreamStall)
+		if !begun {
+			if err := x.Sink.Begin(resp.StatusCode, resp.Header); err != nil {
+				return outcome.Abandoned{Sent: true}
+			}
+			begun = true
+		}
+		if isDone(line) {
+			_ = x.Sink.Write([]byte("data: [DONE]\n\n"))
+			return answered(resp)
+		}
+		if err := x.Sink.Write(line); err != nil {
+			return outcome.Abandoned{Sent: true}
+		}
+	}
+}
+
+func readLine(r *bufio.Reader) ([]byte, error) {
+	var line []byte
+	for {
+		part, err := r.ReadSlice('\n')
+		line = append(line, part...)
+		if err == nil {
+			return line, nil
+		}
+		if !errors.Is(err, bufio.ErrBufferFull) || len(line) > maxEventLine {
+			return nil, errors.Wrap(err, "read stream")
+		}
+	}
+}
+
+func isDone(line []byte) bool {
+	rest, ok := bytes.CutPrefix(line, dataPrefix)
+	return ok && bytes.Equal(bytes.TrimSpace(rest), doneMark)
+}
