--- a/core/health/health.go
+++ b/core/health/health.go
@@ -69,6 +69,11 @@
 	return true
 }
 
+// Answers tells whether the target's last sign of life is good and recent.
+func (t Target) Answers(now time.Time) bool {
+	return t.Failures == 0 && !t.LastGood.IsZero() && now.Sub(t.LastGood) < evidence
+}
+
 // IsLeaving tells whether the target or the platform says that it is stopping.
 func (t Target) IsLeaving(now time.Time) bool {
 	return t.Listing == Leaving || t.Signed(now) || now.Before(t.HeardUntil)
--- a/core/host/call.go
+++ b/core/host/call.go
@@ -65,6 +65,8 @@
 	attempt int
 	hops    int
 	tried   []ident.Target
+	// avoid are groups in which a target could not be reached.
+	avoid []routing.GroupID
 	// worst joins the outcomes of the attempts so far.
 	worst   outcome.Kind
 	claimed bool
@@ -379,8 +381,8 @@
 // groupFor picks the chat's group by rendezvous, weighted by the engines that
 // hold the model; groups that nobody can own are passed over.
 func (t *turn) groupFor(c call) (routing.GroupID, bool) {
-	var best routing.GroupID
-	var top float64
+	best, second := routing.GroupID{}, routing.GroupID{}
+	var top, next float64
 	key := c.req.Chat
 	if key == 0 {
 		key = hash.Of(string(c.req.ID))
@@ -390,11 +392,22 @@
 		if n == 0 || t.layout.owners[p.id] == "" || t.emptyGroup(p.id) {
 			continue
 		}
-		if score := hash.Weighted(key, p.key, float64(n)); score > top {
+		score := hash.Weighted(key, p.key, float64(n))
+		if slices.Contains(c.avoid, p.id) {
+			if score > next {
+				second, next = p.id, score
+			}
+			continue
+		}
+		if score > top {
 			best, top = p.id, score
 		}
 	}
-	return best, top > 0
+	if top == 0 {
+		// Better a group that failed once than none.
+		return second, next > 0
+	}
+	return best, true
 }
 
 // emptyGroup tells whether the owner last said that no engine is usable.
@@ -595,6 +608,7 @@
 	case outcome.Answered:
 		t.finish(c, Verdict{Outcome: outcome.Ran, Code: CodeOK})
 	case outcome.NeverSent:
+		c.avoid = append(c.avoid[:len(c.avoid):len(c.avoid)], c.group)
 		t.retry(c, Verdict{Code: CodeNoTarget, Reason: "the target could not be reached: " + r.Reason}, 0)
 	case outcome.Declined:
 		t.retry(c, Verdict{Code: CodeOverloaded, Reason: "the target declined: " + r.Reason}, 0)
--- a/core/host/owner.go
+++ b/core/host/owner.go
@@ -147,16 +147,17 @@
 		if !ok {
 			continue
 		}
-		g = g.WithEngines(t.specs(p.targets), t.now)
+		g = g.WithEngines(t.specs(p.id, p.targets), t.now)
 		t.groups = t.groups.With(p.id.String(), g)
 		t.serve(g)
 	}
 }
 
 // specs says of each target whether it may get work. Where failures have taken
-// more than maxEjected of them, those are used all the same: most likely the
-// fault is on our side.
-func (t *turn) specs(targets []config.Target) []routing.Spec {
+// more than maxEjected of a service's last usable group, those are used all the
+// same: most likely the fault is on our side. Targets of a zone without hosts
+// of its own are used only while they answer: the zone may be cut off.
+func (t *turn) specs(id routing.GroupID, targets []config.Target) []routing.Spec {
 	specs := make([]routing.Spec, 0, len(targets))
 	ejected := 0
 	for _, target := range targets {
@@ -165,10 +166,11 @@
 			ejected++
 		}
 		specs = append(specs, routing.Spec{
-			ID: target.ID, Slots: target.Slots, Models: target.Models, Usable: h.Usable(t.now),
+			ID: target.ID, Slots: target.Slots, Models: target.Models,
+			Usable: h.Usable(t.now) && (id.Zone == t.settings.Zone || h.Answers(t.now)),
 		})
 	}
-	if float64(ejected) <= maxEjected*float64(len(targets)) {
+	if float64(ejected) <= maxEjected*float64(len(targets)) || t.usableElsewhere(id) {
 		return specs
 	}
 	for i, target := range targets {
@@ -179,6 +181,11 @@
 	return specs
 }
 
+// usableElsewhere tells whether another group of the service has an engine.
+func (t *turn) usableElsewhere(id routing.GroupID) bool {
+	return slices.ContainsFunc(t.bound(id).Others, func(l routing.GroupLoad) bool { return l.Usable > 0 })
+}
+
 func (t *turn) tickGroups() {
 	for id, g := range t.groups.All() {
 		next, late := g.Expire(t.now)
@@ -428,7 +435,7 @@
 	for _, p := range t.layout.services[gid.Service] {
 		if p.id == gid {
 			g, _ := t.groups.Get(gid.String())
-			g = g.WithEngines(t.specs(p.targets), t.now)
+			g = g.WithEngines(t.specs(p.id, p.targets), t.now)
 			t.groups = t.groups.With(gid.String(), g)
 			t.serve(g)
 		}
--- a/core/host/policy_test.go
+++ b/core/host/policy_test.go
@@ -108,7 +108,7 @@
 		w.churnEngines(p)
 	}
 	w.run(begun.Add(40*time.Second + length))
-	var waits []float64
+	waits := make([]float64, 0, len(w.wait[0]))
 	for _, d := range w.wait[0] {
 		waits = append(waits, d.Seconds()*1000)
 	}
@@ -119,17 +119,19 @@
 	}
 }
 
+const benchTime = 5 * time.Minute
+
 // BenchmarkPolicy prints the table of docs/measurements.md.
 func BenchmarkPolicy(b *testing.B) {
 	for _, name := range []string{"zbiorka", "mtatsminda", "zbiorka-10"} {
 		p := profiles[name]
 		calm := p
 		calm.churn = false
-		ideal := measure(calm, baselines["rendezvous"], time.Minute).reuse
+		ideal := measure(calm, baselines["rendezvous"], benchTime).reuse
 		for _, policy := range []string{"round-robin", "two-choices", "rendezvous", "bounded-local", "yardhall"} {
 			b.Run(fmt.Sprintf("%s/%s", name, policy), func(b *testing.B) {
 				for b.Loop() {
-					f := measure(p, baselines[policy], 5*time.Minute)
+					f := measure(p, baselines[policy], benchTime)
 					b.ReportMetric(f.reuse/ideal, "reuse/ideal")
 					b.ReportMetric(f.skew, "skew-p99.9")
 					b.ReportMetric(f.worst, "skew-max")
@@ -171,7 +173,7 @@
 	require.GreaterOrEqual(t, owner, 0)
 	send := func(turn, router int) {
 		for c := range 40 {
-			w.arrive(turn*100+c, 1, &job{
+			w.arrive(1, &job{
 				id: ident.Request(fmt.Sprintf("t%d-%d", turn, c)), chat: hash.Of(fmt.Sprint("chat", c)),
 				tokens: float64(1000 * (turn + 1)), fresh: turn == 0, rank: 1, router: router, began: w.now,
 			})
--- a/core/host/wire.go
+++ b/core/host/wire.go
@@ -18,9 +18,13 @@
 	Value any
 }
 
+// maxWireTypes is a little above their number.
+const maxWireTypes = 64
+
 // WireTypes lists every type that travels inside an interface.
 func WireTypes() []WireType {
-	types := []WireType{
+	types := make([]WireType, 0, maxWireTypes)
+	types = append(types, []WireType{
 		{"r", Raft{}},
 		{"g", Gossip{}},
 		{"a", AskPlace{}},
@@ -52,7 +56,7 @@
 		{"eo", catalog.EndOrder{}},
 		{"cr", catalog.ClaimRun{}},
 		{"ec", catalog.EndClaim{}},
-	}
+	}...)
 	for i, v := range config.Types() {
 		types = append(types, WireType{"c" + strconv.Itoa(i), v})
 	}
--- a/core/host/world_test.go
+++ b/core/host/world_test.go
@@ -143,7 +143,6 @@
 	multiple                     float64
 	perEngine                    float64
 	chats                        int
-	answer                       time.Duration
 	surge                        bool
 	churn                        bool
 	urgent                       bool
@@ -417,7 +416,7 @@
 		if p.urgent && w.rng.IntN(10) == 0 {
 			rank = 0
 		}
-		w.arrive(n, account, &job{
+		w.arrive(account, &job{
 			id: ident.Request(fmt.Sprintf("r%d", n)), chat: hash.Of(fmt.Sprint(account, c)), tokens: st.tokens,
 			fresh: fresh, rank: rank, router: w.rng.IntN(p.hosts), began: w.now,
 		})
@@ -425,7 +424,7 @@
 	arrive()
 }
 
-func (w *world) arrive(n, account int, j *job) {
+func (w *world) arrive(account int, j *job) {
 	for w.down[j.router] {
 		j.router = (j.router + 1) % len(w.hosts)
 	}
