host: Decide without walking all targets; measure slopes for the capacity page

Cause: a profile of BenchmarkReduce showed the group choice counting each target's models, and the bound gathered from all heartbeats, at every request. Holders of a model are counted once per configuration, reports gathered once per heartbeat.

--- a/core/host/call.go
+++ b/core/host/call.go
@@ -388,7 +388,7 @@
 		key = hash.Of(string(c.req.ID))
 	}
 	for _, p := range t.layout.services[c.service.ID] {
-		n := p.serves(c.req.Model)
+		n := p.holders[c.req.Model]
 		if n == 0 || t.layout.owners[p.id] == "" || t.emptyGroup(p.id) {
 			continue
 		}
@@ -417,8 +417,7 @@
 		g, ok := t.groups.Get(id.String())
 		return ok && g.Usable() == 0
 	}
-	p, _ := t.peers.Get(owner)
-	for _, l := range p.beat.Loads {
+	for _, l := range t.loads[id.Service] {
 		if l.Group == id {
 			return l.Usable == 0
 		}
--- /dev/null
+++ b/core/host/capacity_test.go
@@ -0,0 +1,272 @@
+// Copyright 2026 The Yardhall Authors. Licensed under the Apache License, Version 2.0.
+
+package host_test
+
+import (
+	"bytes"
+	"encoding/gob"
+	"flag"
+	"fmt"
+	"math"
+	"os"
+	"runtime"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/yardhall/yardhall/core/catalog"
+	"github.com/yardhall/yardhall/core/config"
+	"github.com/yardhall/yardhall/core/hash"
+	"github.com/yardhall/yardhall/core/host"
+	"github.com/yardhall/yardhall/core/ident"
+	"github.com/yardhall/yardhall/core/outcome"
+	"github.com/yardhall/yardhall/core/routing"
+)
+
+var writeCapacity = flag.String("capacity", "", "file whose table of slopes is measured and written again")
+
+// slope is a cost per unit, fitted over several sizes by least squares.
+type slope struct {
+	what, unit string
+	sizes      []int
+	costs      []float64
+}
+
+// fit returns the cost per unit, the fixed cost, and the largest deviation of
+// a measured point from the line, as a share of that point.
+func (s slope) fit() (per, fixed, deviation float64) {
+	n, sx, sy, sxx, sxy := float64(len(s.sizes)), 0.0, 0.0, 0.0, 0.0
+	for i, x := range s.sizes {
+		fx := float64(x)
+		sx, sy, sxx, sxy = sx+fx, sy+s.costs[i], sxx+fx*fx, sxy+fx*s.costs[i]
+	}
+	per = (n*sxy - sx*sy) / (n*sxx - sx*sx)
+	fixed = (sy - per*sx) / n
+	for i, x := range s.sizes {
+		deviation = max(deviation, math.Abs(fixed+per*float64(x)-s.costs[i])/math.Abs(s.costs[i]))
+	}
+	return per, fixed, deviation
+}
+
+func measureSlope(what, unit string, sizes []int, cost func(size int) float64) slope {
+	s := slope{what: what, unit: unit, sizes: sizes}
+	for _, n := range sizes {
+		s.costs = append(s.costs, cost(n))
+	}
+	return s
+}
+
+// heapOf returns the heap that what make returns keeps alive.
+func heapOf(build func() any) float64 {
+	var before, after runtime.MemStats
+	runtime.GC()
+	runtime.ReadMemStats(&before)
+	v := build()
+	runtime.GC()
+	runtime.ReadMemStats(&after)
+	runtime.KeepAlive(v)
+	return float64(after.HeapAlloc) - float64(before.HeapAlloc)
+}
+
+func nanos(f func(b *testing.B)) float64 {
+	r := testing.Benchmark(f)
+	return float64(r.T.Nanoseconds()) / float64(r.N)
+}
+
+func encodedSize(m host.Message) float64 {
+	var b bytes.Buffer
+	enc := gob.NewEncoder(&b)
+	// The second message has no type descriptions, as on a live connection.
+	_ = enc.Encode(&m)
+	first := b.Len()
+	_ = enc.Encode(&m)
+	return float64(b.Len() - first)
+}
+
+func specs(n int) []routing.Spec {
+	var out []routing.Spec
+	for i := range n {
+		out = append(out, routing.Spec{ID: ident.Target(fmt.Sprintf("e%03d", i)), Slots: 64, Models: []ident.Model{model}, Usable: true})
+	}
+	return out
+}
+
+func askOf(i int, now time.Time) routing.Ask {
+	return routing.Ask{
+		Request: ident.Request(fmt.Sprintf("h01-abc-%d", i)), Router: "h01", Account: "account-1", Rank: 1, Model: model,
+		Key: hash.Of(fmt.Sprint("chat", i)), Deadline: now.Add(time.Minute), MaxWait: time.Minute,
+	}
+}
+
+func fleet(hosts, targets int) *world {
+	return newWorld(profile{zones: 6, hosts: hosts, engines: targets, slots: 64, multiple: 1.5}, 1)
+}
+
+func slopes() []slope {
+	now := time.Unix(1_000_000, 0)
+	bound := routing.Bound{Multiple: 1.5}
+	return []slope{
+		measureSlope("chat remembered by an owner", "heap bytes", []int{8000, 16000, 32000}, func(n int) float64 {
+			return heapOf(func() any {
+				d := routing.Directory{Bound: 4 * n}
+				for i := range n {
+					d = d.With(hash.Of(fmt.Sprint(i)), routing.Place{Target: "e001"})
+				}
+				return d
+			})
+		}),
+		measureSlope("target in the configuration of a host", "heap bytes", []int{600, 1200, 2400}, func(n int) float64 {
+			w := fleet(1, n)
+			doc := w.cfg.Document()
+			return heapOf(func() any { return bootWith(doc, now) })
+		}),
+		measureSlope("host in the configuration of a host", "heap bytes", []int{65, 130, 390}, func(n int) float64 {
+			w := fleet(1, 6)
+			for i := range n {
+				w.cfg = must(w.cfg, config.PutHost{Host: config.Host{ID: hostName(i), Zone: zone(i % 6), Address: "127.0.0.1:1", Serves: true}})
+			}
+			doc := w.cfg.Document()
+			return heapOf(func() any { return bootWith(doc, now) })
+		}),
+		measureSlope("claim remembered by a replica", "heap bytes", []int{5000, 10000, 20000}, func(n int) float64 {
+			return heapOf(func() any { return claims(n) })
+		}),
+		measureSlope("claim in a snapshot", "bytes", []int{2000, 4000, 8000}, func(n int) float64 {
+			return float64(len(claims(n).Encode()))
+		}),
+		measureSlope("engine in a group, per ask and release", "ns", []int{8, 16, 24}, func(n int) float64 {
+			g := routing.NewGroup(routing.GroupID{Service: service, Zone: "z0"}, now).WithEngines(specs(n), now)
+			return nanos(func(b *testing.B) {
+				for i := 0; b.Loop(); i++ {
+					ask := askOf(i%1000, now)
+					g, _ = g.Ask(ask, bound, now)
+					g, _ = g.Release(ask.Request, bound, now)
+				}
+			})
+		}),
+		measureSlope("engine of the fleet, per request through a router", "ns", []int{50, 300, 600}, func(n int) float64 {
+			w := fleet(1, n)
+			w.run(w.now.Add(4 * time.Second))
+			s, at := w.hosts[0], w.now
+			return nanos(func(b *testing.B) {
+				for i := 0; b.Loop(); i++ {
+					id := ident.Request(fmt.Sprintf("r%d", i))
+					s, _ = host.Reduce(s, host.Arrived{Request: host.Request{
+						ID: id, KeyHash: keyOf("account-1"), Model: model, Chat: hash.Of(fmt.Sprint(i % 1000)), Deadline: at.Add(time.Minute),
+					}}, at)
+					s, _ = host.Reduce(s, host.AttemptEnded{Request: id, Attempt: 1, Result: outcome.Answered{}}, at)
+				}
+			})
+		}),
+		measureSlope("host of the fleet, per second of ticks", "ns", []int{7, 65, 130}, func(n int) float64 {
+			w := fleet(n, 60)
+			w.run(w.now.Add(4 * time.Second))
+			s, at := w.hosts[0], w.now
+			return 20 * nanos(func(b *testing.B) {
+				for b.Loop() {
+					at = at.Add(tickTime)
+					s, _ = host.Reduce(s, host.Tick{}, at)
+				}
+			})
+		}),
+		measureSlope("group in a heartbeat", "bytes", []int{1, 2, 4}, func(n int) float64 {
+			beat := host.Beat{Host: "host-a1", Incarnation: 1 << 60, Counter: 1000, Version: 1000, Serves: true, Zone: "zone-a"}
+			for i := range n {
+				beat.Loads = append(beat.Loads, routing.GroupLoad{Group: routing.GroupID{Service: "text", Zone: "zone-a", Shard: i}, Load: 480, Usable: 24})
+			}
+			return encodedSize(host.Gossip{Beat: beat})
+		}),
+		measureSlope("change sent to a host", "bytes", []int{1, 4, 16}, func(n int) float64 {
+			m := host.Changes{Leader: "host-a1", Fresh: true, Version: 1000}
+			for i := range n {
+				m.Deltas = append(m.Deltas, catalog.Delta{Version: config.Version(1000 + i), Change: config.PutAccount{Account: config.Account{
+					ID: "account-100", KeyHash: keyOf("x"), Weight: 2, Classes: []ident.Class{"urgent", "normal"}, Rev: 999,
+				}}})
+			}
+			return encodedSize(m)
+		}),
+		measureSlope("target of the fleet, per change put in force", "ns", []int{300, 1200, 3600}, func(n int) float64 {
+			w := fleet(1, n)
+			s, at, version := w.hosts[0], w.now, w.cfg.Version
+			return nanos(func(b *testing.B) {
+				for b.Loop() {
+					version++
+					s, _ = host.Reduce(s, host.Received{From: "state", Message: host.Changes{
+						Version: version, Deltas: []catalog.Delta{{Version: version, Change: config.PutClass{Class: config.Class{ID: "bulk", Rank: 2}}}},
+					}}, at)
+				}
+			})
+		}),
+		measureSlope("claim remembered, per claim applied", "ns", []int{5000, 10000, 20000}, func(n int) float64 {
+			c, i := claims(n), n
+			return nanos(func(b *testing.B) {
+				for b.Loop() {
+					i++
+					c, _ = c.Apply(claimWrite(i))
+				}
+			})
+		}),
+	}
+}
+
+func bootWith(doc config.Document, now time.Time) host.State {
+	s := host.New(host.Settings{ID: hostName(0), Zone: zone(0), Serves: true}, 1, now)
+	s, _ = host.Reduce(s, host.Received{From: "state", Message: host.WholeConfig{Leader: "state", Fresh: true, Document: doc}}, now)
+	return s
+}
+
+func claimWrite(i int) catalog.Write {
+	at := time.Unix(1_000_000, 0)
+	return catalog.Write{ID: "claim", At: at, Command: catalog.ClaimRun{
+		Key:     catalog.ClaimKey{Account: "account-1", Key: fmt.Sprintf("01930000-0000-7000-8000-%012d", i)},
+		Created: at, Digest: 1, Host: "host-a1", Request: ident.Request(fmt.Sprintf("host-a1-abc-%d", i)),
+	}}
+}
+
+func claims(n int) catalog.Catalog {
+	var c catalog.Catalog
+	for i := range n {
+		c, _ = c.Apply(claimWrite(i))
+	}
+	return c
+}
+
+const (
+	beginMark = "<!-- slopes: written by make capacity -->\n"
+	endMark   = "<!-- end of slopes -->\n"
+)
+
+// TestCapacitySlopes measures the slopes of docs/CAPACITY.md; with -capacity
+// it writes them into the page.
+func TestCapacitySlopes(t *testing.T) {
+	if *writeCapacity == "" {
+		// The costs' shape is checked at small sizes; times are not asserted.
+		n := 4000
+		per := heapOf(func() any { return claims(n) }) / float64(n)
+		require.Less(t, per, 2000.0, "heap bytes of a claim")
+		return
+	}
+	var b strings.Builder
+	b.WriteString(beginMark)
+	b.WriteString("| cost of one more | unit | sizes | measured at them | slope | fixed | worst deviation from the line |\n|---|---|---|---|---|---|---|\n")
+	for _, s := range slopes() {
+		per, fixed, off := s.fit()
+		costs := make([]string, 0, len(s.costs))
+		for _, c := range s.costs {
+			costs = append(costs, fmt.Sprintf("%.0f", c))
+		}
+		fmt.Fprintf(&b, "| %s | %s | %s | %s | %.4g | %.4g | %.0f%% |\n", s.what, s.unit,
+			strings.Trim(fmt.Sprint(s.sizes), "[]"), strings.Join(costs, " "), per, fixed, 100*off)
+	}
+	fmt.Fprintf(&b, "\nMachine: %d cores, %s/%s, %s.\n", runtime.NumCPU(), runtime.GOOS, runtime.GOARCH, runtime.Version())
+	b.WriteString(endMark)
+	page, err := os.ReadFile(*writeCapacity)
+	require.NoError(t, err)
+	head, rest, ok := strings.Cut(string(page), beginMark)
+	require.True(t, ok, "the page has lost its mark")
+	_, tail, ok := strings.Cut(rest, endMark)
+	require.True(t, ok, "the page has lost its end mark")
+	require.NoError(t, os.WriteFile(*writeCapacity, []byte(head+b.String()+tail), 0o600))
+}
--- a/core/host/host.go
+++ b/core/host/host.go
@@ -85,7 +85,9 @@
 	// Other hosts.
 	peers  table.Table[ident.Host, peer]
 	beatAt time.Time
-	beat   uint64
+	// loads are the live owners' reports by service; never changed in place.
+	loads map[ident.Service][]routing.GroupLoad
+	beat  uint64
 
 	// Targets.
 	health  table.Table[ident.Target, health.Target]
--- a/core/host/owner.go
+++ b/core/host/owner.go
@@ -39,16 +39,8 @@
 	id      routing.GroupID
 	key     hash.Key
 	targets []config.Target
-}
-
-func (p groupPart) serves(m ident.Model) int {
-	n := 0
-	for _, t := range p.targets {
-		if t.HasModel(m) {
-			n++
-		}
-	}
-	return n
+	// holders counts the targets that hold a model.
+	holders map[ident.Model]int
 }
 
 // newLayout divides the targets of each service and zone into groups. The
@@ -71,7 +63,12 @@
 		l.groupOf[t.ID] = id
 	}
 	for id, targets := range parts {
-		part := groupPart{id: id, key: hash.Of(id.String()), targets: targets}
+		part := groupPart{id: id, key: hash.Of(id.String()), targets: targets, holders: map[ident.Model]int{}}
+		for _, t := range targets {
+			for _, m := range t.Models {
+				part.holders[m]++
+			}
+		}
 		l.services[id.Service] = append(l.services[id.Service], part)
 	}
 	for _, ps := range l.services {
@@ -213,14 +210,9 @@
 func (t *turn) bound(id routing.GroupID) routing.Bound {
 	s, _ := t.config.Services.Get(id.Service)
 	b := routing.Bound{Multiple: s.Multiple}
-	for _, p := range t.peers.All() {
-		if !p.alive {
-			continue
-		}
-		for _, l := range p.beat.Loads {
-			if l.Group.Service == id.Service && l.Group != id {
-				b.Others = append(b.Others, l)
-			}
+	for _, l := range t.loads[id.Service] {
+		if l.Group != id {
+			b.Others = append(b.Others, l)
 		}
 	}
 	for _, g := range t.groups.All() {
@@ -231,6 +223,28 @@
 	return b
 }
 
+// boundIfWaiting saves the work where nobody waits for the bound's answer.
+func (t *turn) boundIfWaiting(g routing.Group) routing.Bound {
+	if g.Waiting() == 0 {
+		return routing.Bound{}
+	}
+	return t.bound(g.ID)
+}
+
+// gatherLoads keeps what live owners last reported, by service.
+func (t *turn) gatherLoads() {
+	loads := map[ident.Service][]routing.GroupLoad{}
+	for _, p := range t.peers.All() {
+		if !p.alive {
+			continue
+		}
+		for _, l := range p.beat.Loads {
+			loads[l.Group.Service] = append(loads[l.Group.Service], l)
+		}
+	}
+	t.loads = loads
+}
+
 func loadOf(g routing.Group) routing.GroupLoad {
 	return routing.GroupLoad{Group: g.ID, Load: g.Total(), Usable: g.Usable(), Waiting: g.Waiting()}
 }
@@ -288,7 +302,7 @@
 	if !ok {
 		return
 	}
-	g, grants := g.Release(m.Request, t.bound(m.Group), t.now)
+	g, grants := g.Release(m.Request, t.boundIfWaiting(g), t.now)
 	t.groups = t.groups.With(m.Group.String(), g)
 	t.sendGrants(g.ID, grants)
 }
--- a/core/host/peers.go
+++ b/core/host/peers.go
@@ -44,6 +44,7 @@
 func (t *turn) peerDown(id ident.Host, p peer) {
 	p.alive = false
 	t.peers = t.peers.With(id, p)
+	t.gatherLoads()
 	t.note(NoteHostDown, string(id), "")
 	t.dropRouter(id, 0)
 	t.ownersChanged()
@@ -90,6 +91,7 @@
 		return
 	}
 	t.peers = t.peers.With(from, peer{beat: b, heard: t.now, alive: true})
+	t.gatherLoads()
 	if !known || !old.alive {
 		t.note(NoteHostUp, string(from), "")
 	}
--- a/core/routing/group.go
+++ b/core/routing/group.go
@@ -110,9 +110,9 @@
 	accounts  table.Table[ident.Account, int]
 	directory Directory
 	// moved are chats placed anew since TakeMoved, for the group's backup.
-	moved []Chat
-	queue queue
-	total int
+	moved         []Chat
+	queue         queue
+	total, usable int
 	// shed are asks that gave way in a full queue and must be told so.
 	shed []Ask
 }
@@ -128,15 +128,7 @@
 func (g Group) Total() int { return g.total }
 
 // Usable counts the usable engines.
-func (g Group) Usable() int {
-	n := 0
-	for _, e := range g.engines {
-		if e.Usable {
-			n++
-		}
-	}
-	return n
-}
+func (g Group) Usable() int { return g.usable }
 
 // Waiting counts the asks in the queue.
 func (g Group) Waiting() int { return g.queue.len() }
@@ -192,9 +184,10 @@
 }
 
 func (g Group) retotal() Group {
-	g.total = 0
+	g.total, g.usable = 0, 0
 	for _, e := range g.engines {
 		if e.Usable {
+			g.usable++
 			g.total += e.Load()
 		}
 	}
