host: Name each ask for a place, and say less on the wire

After: every ask has a name of its own; asks carry account, class and the time left; net/rpc answers no longer repeat the method.

--- a/core/host/call.go
+++ b/core/host/call.go
@@ -64,7 +64,10 @@
 	target  ident.Target
 	attempt int
 	hops    int
-	tried   []ident.Target
+	// asks counts the asks for a place; place names the newest.
+	asks  int
+	place ident.Place
+	tried []ident.Target
 	// avoid are groups in which a target could not be reached.
 	avoid []routing.GroupID
 	// worst joins the outcomes of the attempts so far.
@@ -272,7 +275,7 @@
 		t.useTarget(c.target, -1)
 	}
 	if c.owner != "" {
-		t.send(c.owner, FreePlace{Group: c.group, Request: c.req.ID})
+		t.send(c.owner, FreePlace{Place: c.place})
 	}
 }
 
@@ -430,26 +433,26 @@
 	c.group = id
 	c.owner = t.layout.owners[id]
 	c.target = ""
+	c.asks++
+	c.place = ident.PlaceOf(c.req.ID, c.asks)
 	c.wake = earlier(c.req.Deadline, t.now.Add(askTimeout))
 	t.put(c)
-	t.send(c.owner, AskPlace{Group: id, Ask: routing.Ask{
-		Request: c.req.ID, Router: t.settings.ID, Incarnation: t.settings.Incarnation,
-		Account: c.account.ID, Weight: c.account.Weight, Rank: c.class.Rank,
-		QueueLimit: c.class.QueueLimit, MaxWait: time.Duration(c.class.MaxWait), Model: c.req.Model,
-		Key: c.req.Chat, Work: c.req.Work, Deadline: c.req.Deadline,
+	t.send(c.owner, AskPlace{
+		Group: id, Place: c.place, Account: c.account.ID, Class: c.class.ID, Model: c.req.Model,
+		Chat: c.req.Chat, Work: c.req.Work, Within: c.req.Deadline.Sub(t.now),
 		Exclude: c.tried, Final: final || c.hops >= maxHops,
-	}})
+	})
 }
 
 // placeAnswer goes on with a call whose group has answered. An answer that
 // nobody waits for any more frees its place.
-func (t *turn) placeAnswer(m PlaceAnswer) {
-	c, ok := t.calls.Get(m.Request)
-	waiting := ok && c.group == m.Group && (c.phase == phaseAsking || c.phase == phaseQueued)
+func (t *turn) placeAnswer(from ident.Host, m PlaceAnswer) {
+	c, ok := t.calls.Get(m.Place.Request())
+	waiting := ok && c.place == m.Place && (c.phase == phaseAsking || c.phase == phaseQueued)
 	switch a := m.Answer.(type) {
 	case routing.Granted:
 		if !waiting {
-			t.freeUnwanted(m, c, ok)
+			t.freeUnwanted(from, m, c, ok)
 			return
 		}
 		t.dispatch(c, a.Target)
@@ -473,13 +476,11 @@
 
 // freeUnwanted gives back a place that came too late, unless the call already
 // runs on it (a doubled answer).
-func (t *turn) freeUnwanted(m PlaceAnswer, c call, ok bool) {
-	if ok && c.phase == phaseRunning && c.group == m.Group && c.owner != "" {
+func (t *turn) freeUnwanted(from ident.Host, m PlaceAnswer, c call, ok bool) {
+	if ok && c.phase == phaseRunning && c.place == m.Place && c.owner != "" {
 		return
 	}
-	if owner, known := t.layout.owners[m.Group]; known {
-		t.send(owner, FreePlace{Group: m.Group, Request: m.Request})
-	}
+	t.send(from, FreePlace{Place: m.Place})
 }
 
 func refusedVerdict(c call, a routing.Refused) Verdict {
@@ -496,8 +497,8 @@
 }
 
 func (t *turn) notOwner(m NotOwner) {
-	c, ok := t.calls.Get(m.Request)
-	if ok && c.phase == phaseAsking && c.group == m.Group {
+	c, ok := t.calls.Get(m.Place.Request())
+	if ok && c.phase == phaseAsking && c.place == m.Place {
 		t.pickLocally(c)
 	}
 }
@@ -692,7 +693,7 @@
 	case c.phase == phaseAsking:
 		// The owner is told in case the ask still arrives.
 		t.note(NoteFallback, c.group.String(), string(c.owner))
-		t.send(c.owner, FreePlace{Group: c.group, Request: c.req.ID})
+		t.send(c.owner, FreePlace{Place: c.place})
 		t.pickLocally(c)
 		t.suspect(c.owner)
 	case c.phase == phaseWaiting:
@@ -713,7 +714,7 @@
 		c.owner = owner
 		t.put(c)
 		permits = append(permits, routing.Permit{
-			Request: c.req.ID, Target: c.target, Account: c.account.ID, Key: c.req.Chat, Work: c.req.Work,
+			Place: c.place, Target: c.target, Account: c.account.ID, Key: c.req.Chat, Work: c.req.Work,
 			Router: t.settings.ID, Incarnation: t.settings.Incarnation, Until: c.req.Deadline.Add(retryLater),
 		})
 	}
--- a/core/host/capacity_test.go
+++ b/core/host/capacity_test.go
@@ -95,7 +95,7 @@
 
 func askOf(i int, now time.Time) routing.Ask {
 	return routing.Ask{
-		Request: ident.Request(fmt.Sprintf("h01-abc-%d", i)), Router: "h01", Account: "account-1", Rank: 1, Model: model,
+		Place: ident.PlaceOf(ident.Request(fmt.Sprintf("h01-abc-%d", i)), 1), Router: "h01", Account: "account-1", Rank: 1, Model: model,
 		Key: hash.Of(fmt.Sprint("chat", i)), Deadline: now.Add(time.Minute), MaxWait: time.Minute,
 	}
 }
@@ -142,7 +142,7 @@
 				for i := 0; b.Loop(); i++ {
 					ask := askOf(i%1000, now)
 					g, _ = g.Ask(ask, bound, now)
-					g, _ = g.Release(ask.Request, bound, now)
+					g, _ = g.Release(ask.Place, bound, now)
 				}
 			})
 		}),
--- a/core/host/event.go
+++ b/core/host/event.go
@@ -129,25 +129,28 @@
 	Gossip struct{ Beat Beat }
 	// AskPlace asks a group's owner for a place.
 	AskPlace struct {
-		Group routing.GroupID
-		Ask   routing.Ask
+		Group   routing.GroupID
+		Place   ident.Place
+		Account ident.Account
+		Class   ident.Class
+		Model   ident.Model
+		Chat    hash.Key
+		Work    int64
+		// Within is the time left; hosts' clocks may differ.
+		Within  time.Duration
+		Exclude []ident.Target
+		// Final is set where another group has sent the ask on.
+		Final bool
 	}
 	// PlaceAnswer answers AskPlace, perhaps twice: Queued, then the end.
 	PlaceAnswer struct {
-		Request ident.Request
-		Group   routing.GroupID
-		Answer  routing.Answer
+		Place  ident.Place
+		Answer routing.Answer
 	}
 	// NotOwner says that the receiver of AskPlace does not own the group.
-	NotOwner struct {
-		Request ident.Request
-		Group   routing.GroupID
-	}
+	NotOwner struct{ Place ident.Place }
 	// FreePlace gives a place back, or takes an ask out of the queue.
-	FreePlace struct {
-		Group   routing.GroupID
-		Request ident.Request
-	}
+	FreePlace struct{ Place ident.Place }
 	// AdoptPlaces tells a new owner of the places its router holds.
 	AdoptPlaces struct {
 		Group   routing.GroupID
--- a/core/host/host.go
+++ b/core/host/host.go
@@ -231,7 +231,7 @@
 	case AskPlace:
 		t.askPlace(from, m)
 	case PlaceAnswer:
-		t.placeAnswer(m)
+		t.placeAnswer(from, m)
 	case NotOwner:
 		t.notOwner(m)
 	case FreePlace:
--- a/core/host/owner.go
+++ b/core/host/owner.go
@@ -188,7 +188,7 @@
 		next, late := g.Expire(t.now)
 		t.groups = t.groups.With(id, next)
 		for _, ask := range late {
-			t.answerAsk(next.ID, ask, routing.Refused{Reason: routing.ReasonTimeout, RetryAfter: retryLater})
+			t.answerAsk(ask, routing.Refused{Reason: routing.ReasonTimeout, RetryAfter: retryLater})
 		}
 	}
 	if t.now.Before(t.probeAt) {
@@ -264,17 +264,42 @@
 func (t *turn) askPlace(from ident.Host, m AskPlace) {
 	g, ok := t.groups.Get(m.Group.String())
 	if !ok {
-		t.send(from, NotOwner{Request: m.Ask.Request, Group: m.Group})
+		t.send(from, NotOwner{Place: m.Place})
 		return
 	}
-	g, answer := g.Ask(m.Ask, t.bound(m.Group), t.now)
+	ask := t.askOf(from, m)
+	g, answer := g.Ask(ask, t.bound(m.Group), t.now)
 	g, shed := g.TakeShed()
 	t.groups = t.groups.With(m.Group.String(), g)
-	for _, ask := range shed {
-		t.answerAsk(m.Group, ask, routing.Refused{Reason: routing.ReasonShed, RetryAfter: retryLater})
+	for _, a := range shed {
+		t.answerAsk(a, routing.Refused{Reason: routing.ReasonShed, RetryAfter: retryLater})
 	}
 	t.countAnswer(answer)
-	t.answerAsk(m.Group, m.Ask, answer)
+	t.answerAsk(ask, answer)
+}
+
+// askOf completes an ask from the configuration, which the wire need not
+// carry.
+func (t *turn) askOf(from ident.Host, m AskPlace) routing.Ask {
+	account, _ := t.config.Accounts.Get(m.Account)
+	class, ok := t.config.Classes.Get(m.Class)
+	if !ok {
+		class.Rank = defaultRank
+	}
+	return routing.Ask{
+		Place: m.Place, Router: from, Incarnation: t.incarnationOf(from),
+		Account: m.Account, Weight: account.Weight, Rank: class.Rank, QueueLimit: class.QueueLimit,
+		MaxWait: time.Duration(class.MaxWait), Model: m.Model, Key: m.Chat, Work: m.Work,
+		Deadline: t.now.Add(m.Within), Exclude: m.Exclude, Final: m.Final,
+	}
+}
+
+func (t *turn) incarnationOf(h ident.Host) uint64 {
+	if h == t.settings.ID {
+		return t.settings.Incarnation
+	}
+	p, _ := t.peers.Get(h)
+	return p.beat.Incarnation
 }
 
 func (t *turn) countAnswer(a routing.Answer) {
@@ -293,18 +318,20 @@
 	}
 }
 
-func (t *turn) answerAsk(id routing.GroupID, ask routing.Ask, a routing.Answer) {
-	t.send(ask.Router, PlaceAnswer{Request: ask.Request, Group: id, Answer: a})
+func (t *turn) answerAsk(ask routing.Ask, a routing.Answer) {
+	t.send(ask.Router, PlaceAnswer{Place: ask.Place, Answer: a})
 }
 
 func (t *turn) freePlace(m FreePlace) {
-	g, ok := t.groups.Get(m.Group.String())
-	if !ok {
+	for key, g := range t.groups.All() {
+		if !g.Holds(m.Place) {
+			continue
+		}
+		next, grants := g.Release(m.Place, t.boundIfWaiting(g), t.now)
+		t.groups = t.groups.With(key, next)
+		t.sendGrants(grants)
 		return
 	}
-	g, grants := g.Release(m.Request, t.boundIfWaiting(g), t.now)
-	t.groups = t.groups.With(m.Group.String(), g)
-	t.sendGrants(g.ID, grants)
 }
 
 // serve gives places that became free to waiting asks.
@@ -314,13 +341,13 @@
 	}
 	g, grants := g.Serve(t.bound(g.ID), t.now)
 	t.groups = t.groups.With(g.ID.String(), g)
-	t.sendGrants(g.ID, grants)
+	t.sendGrants(grants)
 }
 
-func (t *turn) sendGrants(id routing.GroupID, grants []routing.Grant) {
+func (t *turn) sendGrants(grants []routing.Grant) {
 	for _, grant := range grants {
 		t.countAnswer(grant.Answer())
-		t.answerAsk(id, grant.Ask, grant.Answer())
+		t.answerAsk(grant.Ask, grant.Answer())
 	}
 }
 
--- a/core/ident/ident.go
+++ b/core/ident/ident.go
@@ -12,6 +12,11 @@
 //	var z ident.Zone = "hall-a"
 package ident
 
+import (
+	"strconv"
+	"strings"
+)
+
 type (
 	// Host names one process of the fleet; unique over the fleet.
 	Host string
@@ -29,8 +34,30 @@
 	Class string
 	// Request names one caller request; unique over the fleet.
 	Request string
+	// Place names one ask of a request for a place on an engine; a request
+	// that asks again has another.
+	Place string
 	// Intent names a placement intent.
 	Intent string
 	// Plan names a plan.
 	Plan string
 )
+
+const (
+	placeMark = "."
+	placeBase = 36
+)
+
+// PlaceOf names the ask with that number of a request.
+func PlaceOf(r Request, number int) Place {
+	return Place(string(r) + placeMark + strconv.FormatInt(int64(number), placeBase))
+}
+
+// Request returns the request that asked for the place.
+func (p Place) Request() Request {
+	i := strings.LastIndex(string(p), placeMark)
+	if i < 0 {
+		return Request(p)
+	}
+	return Request(p[:i])
+}
--- a/core/routing/ask.go
+++ b/core/routing/ask.go
@@ -13,7 +13,7 @@
 
 // Ask is a router's request for a place on an engine.
 type Ask struct {
-	Request     ident.Request
+	Place       ident.Place
 	Router      ident.Host
 	Incarnation uint64
 	Account     ident.Account
--- a/core/routing/group.go
+++ b/core/routing/group.go
@@ -11,7 +11,7 @@
 //	g := routing.NewGroup(id, now)
 //	g = g.WithEngines(engines)
 //	g, answer := g.Ask(ask, bound, now)
-//	g, granted := g.Release(request, bound, now)
+//	g, granted := g.Release(place, bound, now)
 //
 // Ask answers Granted, Queued, Elsewhere or Refused. Release returns the asks
 // from the queue that the freed place has served.
@@ -87,7 +87,7 @@
 
 // Permit is a place on an engine given to one request.
 type Permit struct {
-	Request ident.Request
+	Place   ident.Place
 	Target  ident.Target
 	Account ident.Account
 	Key     hash.Key
@@ -106,7 +106,7 @@
 	// Taken is when this owner took the group up.
 	Taken     time.Time
 	engines   []Engine
-	permits   table.Table[ident.Request, Permit]
+	permits   table.Table[ident.Place, Permit]
 	accounts  table.Table[ident.Account, int]
 	directory Directory
 	// moved are chats placed anew since TakeMoved, for the group's backup.
@@ -228,7 +228,7 @@
 // Adopt counts permits that routers hold from an earlier owner.
 func (g Group) Adopt(permits []Permit, now time.Time) Group {
 	for _, p := range permits {
-		if !g.permits.Has(p.Request) {
+		if !g.permits.Has(p.Place) {
 			g = g.withPermit(p, now).withLessForeign(p.Target)
 		}
 	}
@@ -248,7 +248,7 @@
 }
 
 func (g Group) withPermit(p Permit, now time.Time) Group {
-	g.permits = g.permits.With(p.Request, p)
+	g.permits = g.permits.With(p.Place, p)
 	n, _ := g.accounts.Get(p.Account)
 	g.accounts = g.accounts.With(p.Account, n+1)
 	if i := g.index(p.Target); i >= 0 {
@@ -274,7 +274,7 @@
 }
 
 func (g Group) withoutPermit(p Permit, now time.Time) Group {
-	g.permits = g.permits.Without(p.Request)
+	g.permits = g.permits.Without(p.Place)
 	n, _ := g.accounts.Get(p.Account)
 	if n <= 1 {
 		g.accounts = g.accounts.Without(p.Account)
@@ -298,12 +298,17 @@
 // Answer returns the grant as its router is told.
 func (g Grant) Answer() Granted { return Granted{Target: g.Target, Known: g.Known} }
 
-// Release frees the place of request and serves the queue.
-func (g Group) Release(request ident.Request, b Bound, now time.Time) (Group, []Grant) {
-	if p, ok := g.permits.Get(request); ok {
+// Holds tells whether a place is given or asked for here.
+func (g Group) Holds(place ident.Place) bool {
+	return g.permits.Has(place) || g.queue.index.Has(place)
+}
+
+// Release frees a place, or takes its ask out of the queue, and serves the queue.
+func (g Group) Release(place ident.Place, b Bound, now time.Time) (Group, []Grant) {
+	if p, ok := g.permits.Get(place); ok {
 		g = g.withoutPermit(p, now)
 	} else {
-		g.queue = g.queue.without(request)
+		g.queue = g.queue.without(place)
 	}
 	return g.Serve(b, now)
 }
@@ -345,7 +350,7 @@
 		if i < 0 {
 			return g, grants
 		}
-		g.queue = g.queue.without(ask.Request)
+		g.queue = g.queue.without(ask.Place)
 		var grant Grant
 		g, grant = g.grant(ask, i, known, now)
 		grants = append(grants, grant)
@@ -355,7 +360,7 @@
 func (g Group) grant(ask Ask, i int, known bool, now time.Time) (Group, Grant) {
 	target := g.engines[i].ID
 	g = g.withPermit(Permit{
-		Request: ask.Request, Target: target, Account: ask.Account, Key: ask.Key, Work: ask.Work,
+		Place: ask.Place, Target: target, Account: ask.Account, Key: ask.Key, Work: ask.Work,
 		Router: ask.Router, Incarnation: ask.Incarnation, Until: ask.Deadline.Add(permitGrace),
 	}, now)
 	return g, Grant{Ask: ask, Target: target, Known: known}
--- a/core/routing/queue.go
+++ b/core/routing/queue.go
@@ -13,7 +13,7 @@
 type queue struct {
 	ranks table.Table[int, rankQueue]
 	// index finds an ask's rank and account by its request.
-	index table.Table[ident.Request, Ask]
+	index table.Table[ident.Place, Ask]
 	seq   uint64
 }
 
@@ -37,11 +37,11 @@
 	r.accounts = r.accounts.With(ask.Account, line.With(ask.seq, ask))
 	r.count++
 	q.ranks = q.ranks.With(ask.Rank, r)
-	q.index = q.index.With(ask.Request, ask)
+	q.index = q.index.With(ask.Place, ask)
 	return q
 }
 
-func (q queue) without(id ident.Request) queue {
+func (q queue) without(id ident.Place) queue {
 	ask, ok := q.index.Get(id)
 	if !ok {
 		return q
@@ -84,7 +84,7 @@
 		_, ask, _ := line.First()
 		n, _ := inFlight.Get(account)
 		share := float64(n+1) / weightOf(ask)
-		if best.Request == "" || share < bestShare || (share == bestShare && ask.seq < best.seq) {
+		if best.Place == "" || share < bestShare || (share == bestShare && ask.seq < best.seq) {
 			best, bestShare = ask, share
 		}
 	}
@@ -106,7 +106,7 @@
 		}
 	}
 	for _, ask := range late {
-		q = q.without(ask.Request)
+		q = q.without(ask.Place)
 	}
 	return q, late
 }
@@ -149,7 +149,7 @@
 	if float64(line.Len()+1)/weightOf(ask) >= most {
 		return g, Refused{Reason: ReasonQueueFull, RetryAfter: retryAfter}
 	}
-	g.queue = g.queue.without(worst.Request).with(ask, now)
+	g.queue = g.queue.without(worst.Place).with(ask, now)
 	g.shed = append(g.shed[:len(g.shed):len(g.shed)], worst)
 	return g, Queued{Position: r.count}
 }
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -70,7 +70,7 @@
 func New(s settings.Settings, o Options) (*Daemon, error) {
 	d := &Daemon{settings: s, options: o, counters: &peers.Counters{}}
 	d.killed, d.kill = context.WithCancel(context.Background())
-	incarnation := uint64(time.Now().UnixNano())
+	incarnation := uint64(time.Now().UnixMilli())
 	from, err := localAddr(s.Peer.Listen)
 	if err != nil {
 		return nil, err
--- a/peers/codec.go
+++ b/peers/codec.go
@@ -93,7 +93,11 @@
 func (c *gobCodec) WriteRequest(r *rpc.Request, body any) error { return c.write(r, body) }
 
 // WriteResponse implements rpc.ServerCodec.
-func (c *gobCodec) WriteResponse(r *rpc.Response, body any) error { return c.write(r, body) }
+func (c *gobCodec) WriteResponse(r *rpc.Response, body any) error {
+	// The caller finds its call by Seq and does not need the name back.
+	r.ServiceMethod = ""
+	return c.write(r, body)
+}
 
 func (c *gobCodec) write(h, body any) error {
 	if err := c.enc.Encode(h); err != nil {
--- a/peers/pool.go
+++ b/peers/pool.go
@@ -139,7 +139,7 @@
 	}
 	s.open++
 	s.pool.options.Counters.Sent.Add(int64(len(batch.Messages)))
-	s.client.Go(serviceName+".Deliver", batch, &Ack{}, s.calls)
+	s.client.Go(serviceName+".D", batch, &Ack{}, s.calls)
 }
 
 // drop empties the queue after a failed dial and pauses: what waited is stale.
--- a/peers/server.go
+++ b/peers/server.go
@@ -172,8 +172,9 @@
 	return nil
 }
 
-// Deliver takes a batch of messages.
-func (f *Fleet) Deliver(b Batch, a *Ack) error {
+// D delivers a batch of messages; the name stands in each call, so it is
+// short.
+func (f *Fleet) D(b Batch, a *Ack) error {
 	if !f.known.Load() {
 		f.server.options.Counters.Refused.Add(1)
 		_ = f.conn.Close()
