routing: Let no model's full engines hold up another's asks; draw group events

Cause: the queue's first ask blocked all others even where only its model's engines were full, and asks that wait under the bound stayed while another group was lighter. Tests: drawn events on a group (bound, slots and counts held after each), urgent before bulk, a surge that sheds itself.

--- a/core/host/owner.go
+++ b/core/host/owner.go
@@ -186,7 +186,11 @@
 func (t *turn) tickGroups() {
 	for id, g := range t.groups.All() {
 		next, late := g.Expire(t.now)
+		next, moved, to := next.Reroute(t.boundIfWaiting(next))
 		t.groups = t.groups.With(id, next)
+		for _, ask := range moved {
+			t.answerAsk(ask, routing.Elsewhere{Group: to})
+		}
 		for _, ask := range late {
 			t.answerAsk(ask, routing.Refused{Reason: routing.ReasonTimeout, RetryAfter: retryLater})
 		}
--- a/core/routing/ask.go
+++ b/core/routing/ask.go
@@ -140,7 +140,7 @@
 
 // Ask places a request, queues it, sends it elsewhere or refuses it.
 func (g Group) Ask(ask Ask, b Bound, now time.Time) (Group, Answer) {
-	if ask.Rank > 0 && g.queue.waitingAtOrBefore(ask.Rank) {
+	if ask.Rank > 0 && g.queue.waitingBefore(ask) {
 		// Nobody overtakes those that wait in the same or a better class.
 		return g.unplaced(ask, b, now)
 	}
--- a/core/routing/group.go
+++ b/core/routing/group.go
@@ -341,14 +341,16 @@
 // Serve gives free places to waiting asks, best first.
 func (g Group) Serve(b Bound, now time.Time) (Group, []Grant) {
 	var grants []Grant
+	var full []ident.Model
 	for {
-		ask, ok := g.queue.next(g.accounts)
+		ask, ok := g.queue.next(g.accounts, full)
 		if !ok {
 			return g, grants
 		}
 		i, known := g.choose(ask, b, now)
 		if i < 0 {
-			return g, grants
+			full = append(full, ask.Model)
+			continue
 		}
 		g.queue = g.queue.without(ask.Place)
 		var grant Grant
--- a/core/routing/queue.go
+++ b/core/routing/queue.go
@@ -3,6 +3,7 @@
 package routing
 
 import (
+	"slices"
 	"time"
 
 	"github.com/yardhall/yardhall/core/ident"
@@ -24,9 +25,15 @@
 
 func (q queue) len() int { return q.index.Len() }
 
-func (q queue) waitingAtOrBefore(rank int) bool {
-	first, _, ok := q.ranks.First()
-	return ok && first <= rank
+// waitingBefore tells whether an ask for the same model waits in this rank or
+// a better one.
+func (q queue) waitingBefore(ask Ask) bool {
+	for _, w := range q.index.All() {
+		if w.Model == ask.Model && w.Rank <= ask.Rank {
+			return true
+		}
+	}
+	return false
 }
 
 func (q queue) with(ask Ask, now time.Time) queue {
@@ -72,23 +79,41 @@
 }
 
 // next returns the ask to serve: of the best rank, that of the account with
-// the fewest requests in flight for its weight, oldest first.
-func (q queue) next(inFlight table.Table[ident.Account, int]) (Ask, bool) {
-	_, r, ok := q.ranks.First()
-	if !ok {
-		return Ask{}, false
+// the fewest requests in flight for its weight, oldest first. Models without a
+// free place are passed over.
+func (q queue) next(inFlight table.Table[ident.Account, int], full []ident.Model) (Ask, bool) {
+	for _, r := range q.ranks.All() {
+		if ask, ok := r.next(inFlight, full); ok {
+			return ask, true
+		}
 	}
+	return Ask{}, false
+}
+
+func (r rankQueue) next(inFlight table.Table[ident.Account, int], full []ident.Model) (Ask, bool) {
 	var best Ask
 	var bestShare float64
 	for account, line := range r.accounts.All() {
-		_, ask, _ := line.First()
+		ask, ok := firstOf(line, full)
+		if !ok {
+			continue
+		}
 		n, _ := inFlight.Get(account)
 		share := float64(n+1) / weightOf(ask)
 		if best.Place == "" || share < bestShare || (share == bestShare && ask.seq < best.seq) {
 			best, bestShare = ask, share
 		}
 	}
-	return best, true
+	return best, best.Place != ""
+}
+
+func firstOf(line table.Table[uint64, Ask], full []ident.Model) (Ask, bool) {
+	for _, ask := range line.All() {
+		if !slices.Contains(full, ask.Model) {
+			return ask, true
+		}
+	}
+	return Ask{}, false
 }
 
 func weightOf(a Ask) float64 {
@@ -160,3 +185,26 @@
 	g.shed = nil
 	return g, shed
 }
+
+// rerouteAtOnce bounds the asks sent on in one call of Reroute.
+const rerouteAtOnce = 16
+
+// Reroute takes asks out of the queue that a lighter group may serve, and
+// returns that group.
+func (g Group) Reroute(b Bound) (Group, []Ask, GroupID) {
+	to, ok := g.lighter(b)
+	if g.queue.len() == 0 || !ok {
+		return g, nil, GroupID{}
+	}
+	var moved []Ask
+	for _, ask := range g.queue.index.All() {
+		if !ask.Final && len(moved) < rerouteAtOnce {
+			moved = append(moved, ask)
+		}
+	}
+	for _, ask := range moved {
+		g.queue = g.queue.without(ask.Place)
+		g = g.withPlace(ask.Key, Place{Group: to})
+	}
+	return g, moved, to
+}
--- /dev/null
+++ b/core/routing/routing_test.go
@@ -0,0 +1,183 @@
+// Copyright 2026 The Yardhall Authors. Licensed under the Apache License, Version 2.0.
+
+package routing_test
+
+import (
+	"fmt"
+	"math"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"github.com/yardhall/yardhall/core/hash"
+	"github.com/yardhall/yardhall/core/ident"
+	"github.com/yardhall/yardhall/core/routing"
+)
+
+var (
+	begin = time.Unix(1_000_000, 0)
+	id    = routing.GroupID{Service: "text", Zone: "z"}
+)
+
+func engines(n, slots int, models ...ident.Model) []routing.Spec {
+	var out []routing.Spec
+	for i := range n {
+		out = append(out, routing.Spec{ID: ident.Target(fmt.Sprintf("e%02d", i)), Slots: slots, Models: models, Usable: true})
+	}
+	return out
+}
+
+func ask(place, account string, rank int) routing.Ask {
+	return routing.Ask{
+		Place: ident.Place(place), Router: "h", Account: ident.Account(account), Rank: rank, Model: "m",
+		Key: hash.Of(place), Deadline: begin.Add(time.Hour), QueueLimit: 8,
+	}
+}
+
+// TestGroupUnderArbitraryEvents draws asks, releases, losses of engines and
+// routers, reports and adoptions. No placement may go over the bound or the
+// slots, the counts must equal the permits, and no ask is forgotten.
+func TestGroupUnderArbitraryEvents(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		now := begin
+		n := rapid.IntRange(1, 6).Draw(t, "engines")
+		specs := engines(n, 4, "m")
+		b := routing.Bound{Multiple: 1.5}
+		g := routing.NewGroup(id, now).WithEngines(specs, now)
+		open := map[ident.Place]bool{}
+		granted := map[ident.Place]ident.Target{}
+		take := func(gr routing.Grant) {
+			require.True(t, open[gr.Ask.Place], "granted twice or never asked")
+			delete(open, gr.Ask.Place)
+			granted[gr.Ask.Place] = gr.Target
+		}
+		for i := range rapid.IntRange(1, 120).Draw(t, "steps") {
+			now = now.Add(time.Duration(rapid.IntRange(0, 400).Draw(t, "ms")) * time.Millisecond)
+			switch rapid.IntRange(0, 6).Draw(t, "act") {
+			case 0, 1, 2:
+				a := ask(fmt.Sprint("r", i), fmt.Sprint("a", i%3), i%3)
+				a.Key = hash.Of(fmt.Sprint(i % 7))
+				var answer routing.Answer
+				g, answer = g.Ask(a, b, now)
+				var shed []routing.Ask
+				g, shed = g.TakeShed()
+				for _, s := range shed {
+					require.True(t, open[s.Place])
+					delete(open, s.Place)
+				}
+				switch answer := answer.(type) {
+				case routing.Granted:
+					open[a.Place] = true
+					take(routing.Grant{Ask: a, Target: answer.Target})
+					checkPlacement(t, g, answer.Target, b)
+				case routing.Queued:
+					open[a.Place] = true
+				}
+			case 3, 4:
+				for p := range granted {
+					var grants []routing.Grant
+					g, grants = g.Release(p, b, now)
+					delete(granted, p)
+					for _, gr := range grants {
+						take(gr)
+					}
+					break
+				}
+			case 5:
+				specs[i%n].Usable = !specs[i%n].Usable
+				g = g.WithEngines(specs, now)
+				var grants []routing.Grant
+				g, grants = g.Serve(b, now)
+				for _, gr := range grants {
+					take(gr)
+				}
+			case 6:
+				g = g.WithReport(specs[i%n].ID, rapid.IntRange(0, 6).Draw(t, "reported"), now)
+			}
+			mine := 0
+			for _, e := range g.Engines() {
+				require.GreaterOrEqual(t, e.Mine, 0)
+				mine += e.Mine
+			}
+			require.Equal(t, len(granted), mine)
+			require.Equal(t, len(granted), g.Permits())
+			require.Equal(t, len(open), g.Waiting())
+		}
+		g = g.DropRouter("h", 7, now)
+		require.Zero(t, g.Permits()+g.Waiting())
+	})
+}
+
+func checkPlacement(t *rapid.T, g routing.Group, target ident.Target, b routing.Bound) {
+	for _, e := range g.Engines() {
+		if e.ID != target {
+			continue
+		}
+		mean := float64(g.Total()) / float64(g.Usable())
+		require.LessOrEqual(t, e.Load(), max(1, int(math.Ceil(mean*b.Multiple))))
+		require.LessOrEqual(t, e.Load(), e.Slots)
+	}
+}
+
+func TestUrgentAsksDoNotWaitBehindOthers(t *testing.T) {
+	b := routing.Bound{Multiple: 2}
+	g := routing.NewGroup(id, begin).WithEngines(engines(1, 10, "m"), begin)
+	for i := range 12 {
+		g, _ = g.Ask(ask(fmt.Sprint("bulk", i), "surging", 2), b, begin)
+	}
+	require.Equal(t, 3, g.Waiting(), "a tenth of the slots is kept for rank 0")
+	_, answer := g.Ask(ask("stop", "floor", 0), b, begin)
+	require.IsType(t, routing.Granted{}, answer)
+	g, _ = g.Ask(ask("normal", "quiet", 1), b, begin)
+	_, grants := g.Release("bulk0", b, begin)
+	require.Equal(t, ident.Place("normal"), grants[0].Ask.Place, "a better class goes first")
+}
+
+func TestSurgeIsHeldToItsShareAndShedsItself(t *testing.T) {
+	b := routing.Bound{Multiple: 2}
+	g := routing.NewGroup(id, begin).WithEngines(engines(1, 20, "m"), begin)
+	for i := range 26 {
+		g, _ = g.Ask(ask(fmt.Sprint("s", i), "surging", 1), b, begin)
+	}
+	g, answer := g.Ask(ask("q0", "quiet", 1), b, begin)
+	require.IsType(t, routing.Queued{}, answer, "a full line makes room for an account that has less in it")
+	g, shed := g.TakeShed()
+	require.Len(t, shed, 1)
+	require.Equal(t, ident.Account("surging"), shed[0].Account)
+	_, answer = g.Ask(ask("s99", "surging", 1), b, begin)
+	require.IsType(t, routing.Refused{}, answer, "the surge itself is told at once")
+	_, grants := g.Release("s0", b, begin)
+	require.Equal(t, ident.Place("q0"), grants[0].Ask.Place)
+}
+
+func TestFullModelDoesNotHoldUpAnother(t *testing.T) {
+	specs := append(engines(1, 2, "m"), routing.Spec{ID: "x", Slots: 2, Models: []ident.Model{"other"}, Usable: true})
+	g := routing.NewGroup(id, begin).WithEngines(specs, begin)
+	var b routing.Bound
+	for i := range 4 {
+		g, _ = g.Ask(ask(fmt.Sprint("m", i), "a", 1), b, begin)
+	}
+	other := ask("other", "a", 1)
+	other.Model = "other"
+	_, answer := g.Ask(other, b, begin)
+	require.IsType(t, routing.Granted{}, answer)
+}
+
+func TestDirectoryIsBoundedAndKeepsWhatIsUsed(t *testing.T) {
+	d := routing.Directory{Bound: 100}
+	for i := range 1000 {
+		d = d.With(hash.Of(fmt.Sprint(i)), routing.Place{Target: "e"})
+		if p, ok := d.Get(hash.Of("0")); ok {
+			d = d.With(hash.Of("0"), p)
+		}
+		require.LessOrEqual(t, d.Len(), 100)
+	}
+	_, ok := d.Get(hash.Of("0"))
+	require.True(t, ok, "a chat that returns is kept")
+	_, ok = d.Get(hash.Of("980"))
+	require.True(t, ok)
+	_, ok = d.Get(hash.Of("5"))
+	require.False(t, ok)
+}
