routing: Keep chats sent away from drawing a full group fuller

Cause: with the loads of each group printed whenever the skew passed 1.25, one group stood at 31 a engine and the others at 27: asks sent on were placed by that group's own higher mean, also for chats known there, and chats once sent there were sent again whatever its load.

--- a/core/host/policy_test.go
+++ b/core/host/policy_test.go
@@ -142,6 +142,15 @@
 				}
 			})
 		}
+		p.keepRouters = true
+		b.Run(name+"/yardhall-no-router-lost", func(b *testing.B) {
+			for b.Loop() {
+				f := measure(p, nil, benchTime)
+				b.ReportMetric(f.reuse/ideal, "reuse/ideal")
+				b.ReportMetric(f.skew, "skew-p99.9")
+				b.ReportMetric(f.worst, "skew-max")
+			}
+		})
 	}
 }
 
--- a/core/routing/ask.go
+++ b/core/routing/ask.go
@@ -100,12 +100,15 @@
 
 // Shares of the room between the mean and the bound.
 const (
-	// newShare is how far into that room a new chat may go; the rest is kept
-	// for returning ones.
+	// newShare is how far into that room a new chat may go: not beyond the
+	// mean, as the room is kept for returning ones.
 	newShare = 0.0
 	// knownShare is how far a returning chat may go; the rest is kept for the
 	// mean falling while long answers run.
-	knownShare = 0.6
+	knownShare = 0.8
+	// awayShare is how far another group's mean may be into that room for its
+	// chats to be sent back to it.
+	awayShare = 0.3
 	// reserveShare of each engine's slots is kept for rank 0.
 	reserveShare = 0.1
 	// slowStart is how long an engine that returns takes to its full part.
@@ -130,12 +133,13 @@
 }
 
 // limit is the load that an engine may have after a placement that uses
-// share of the room between mean and bound, rounded up to whole requests.
+// share of the room between mean and bound; at least the mean itself, rounded
+// up, so that there always is a place.
 func limit(b Bound, mean, share float64) int {
 	if b.Multiple == 0 {
 		return math.MaxInt
 	}
-	return max(1, int(math.Ceil(mean*(1+(b.Multiple-1)*share))))
+	return max(1, int(math.Ceil(mean)), int(mean*(1+(b.Multiple-1)*share)))
 }
 
 // Ask places a request, queues it, sends it elsewhere or refuses it.
@@ -144,7 +148,7 @@
 		// Nobody overtakes those that wait in the same or a better class.
 		return g.unplaced(ask, b, now)
 	}
-	if p, ok := g.directory.Get(ask.Key); ok && p.Group != (GroupID{}) && !ask.Final && hasGroup(b.Others, p.Group) {
+	if p, ok := g.directory.Get(ask.Key); ok && p.Group != (GroupID{}) && !ask.Final && g.worthGoing(b, p.Group) {
 		return g, Elsewhere{Group: p.Group}
 	}
 	i, known := g.choose(ask, b, now)
@@ -156,8 +160,13 @@
 	return g.unplaced(ask, b, now)
 }
 
-func hasGroup(loads []GroupLoad, id GroupID) bool {
-	return slices.ContainsFunc(loads, func(l GroupLoad) bool { return l.Group == id && l.Usable > 0 })
+// worthGoing tells whether a chat that was sent to another group may go there
+// again: not where that one is the fuller by now.
+func (g Group) worthGoing(b Bound, id GroupID) bool {
+	most := g.mean(b) * (1 + (b.Multiple-1)*awayShare)
+	return slices.ContainsFunc(b.Others, func(l GroupLoad) bool {
+		return l.Group == id && l.Usable > 0 && (b.Multiple == 0 || float64(l.Load) <= most*float64(l.Usable))
+	})
 }
 
 // unplaced finds what to do with an ask that no engine here may take.
@@ -204,17 +213,17 @@
 // the least loaded.
 func (g Group) choose(ask Ask, b Bound, now time.Time) (int, bool) {
 	mean := g.mean(b)
-	if ask.Final {
-		// Sent here by a group that is fuller: what others reported may be a
-		// second old, so the group's own mean counts where it is higher.
-		mean = max(mean, g.mean(Bound{}))
-	}
 	if p, ok := g.directory.Get(ask.Key); ok && p.Target != "" {
 		i := g.index(p.Target)
 		if i >= 0 && g.eligible(g.engines[i], ask) && fits(g.engines[i], ask, limit(b, mean, knownShare)) {
 			return i, true
 		}
 	}
+	if ask.Final {
+		// Sent here by a group that is fuller: what others reported may be a
+		// second old, so the group's own mean counts where it is higher.
+		mean = max(mean, g.mean(Bound{}))
+	}
 	if i := g.first(ask, limit(b, mean, newShare), now); i >= 0 {
 		return i, false
 	}
