failures: Kill, freeze and stop real processes; ready only once entered as a host

Cause: failures had been brought about inside one process only. make failures starts yardhalld processes on loopback and kills the leader with SIGKILL among 80 calls that must not run twice, freezes it with SIGSTOP over 20 changes, stops a host with SIGTERM under 30 streams, and loses a second state host right after a repair.

Found: the first request after the start got not-run, no_target: a host said ready at version 11, before it stood in the configuration as a host (version 12 to 14), so no group had an owner. Ready now waits for its own entry. Ruled out: health and group loads, by a trace of the group choice.

--- a/Makefile
+++ b/Makefile
@@ -10,7 +10,7 @@
 RAPID_CORE := $(shell cd core && grep -rl --include=*_test.go pgregory.net/rapid . | xargs -n1 dirname | sort -u)
 OTHER_CORE = $(filter-out $(RAPID_CORE),$(shell cd core && $(GO) list -f '.{{slice .Dir (len .Module.Dir)}}' ./...))
 
-.PHONY: all build test race lint fmt demo clean
+.PHONY: all build test failures capacity measure lint fmt demo clean
 
 all: build
 
@@ -25,6 +25,21 @@
 	cd standin && $(GO) test -race -count=1 ./...
 	$(GO) test -race -count=1 -timeout 20m ./...
 
+# Tests that kill, freeze and stop real processes on loopback.
+failures: build
+	$(GO) test -tags failures -count=1 -v -timeout 10m ./failures -yardhalld $(CURDIR)/bin/yardhalld
+
+# Measures the slopes of docs/CAPACITY.md and writes them into it.
+capacity:
+	cd core && $(GO) test -count=1 ./host -run TestCapacitySlopes -capacity $(CURDIR)/docs/CAPACITY.md
+
+# The figures of docs/measurements.md.
+measure:
+	cd core && $(GO) test -run xxx -bench . -benchtime 1x ./host -timeout 30m
+	cd core && $(GO) test -run xxx -bench Reduce ./host
+	$(GO) test -run xxx -bench . -benchtime 400x ./site
+	$(GO) test -run xxx -bench GroupCommit ./storage
+
 demo: build
 	./bin/yardhall demo
 
--- a/core/host/follow.go
+++ b/core/host/follow.go
@@ -64,7 +64,7 @@
 	if t.ready || t.config.Version == 0 {
 		return
 	}
-	if t.raft.Leader() != "" || t.now.Sub(t.started) >= cutOffBoot {
+	if t.raft.Leader() != "" && t.entered() || t.now.Sub(t.started) >= cutOffBoot {
 		t.becomeReady("replicated state")
 	}
 }
@@ -79,6 +79,10 @@
 	}
 }
 
+// entered tells whether this host stands in the configuration: before that no
+// group could have it for its owner.
+func (t *turn) entered() bool { return t.config.Hosts.Has(t.settings.ID) }
+
 func (t *turn) becomeReady(how string) {
 	t.ready = true
 	t.note(NoteReady, string(t.settings.ID), fmt.Sprintf("version=%d from %s", t.config.Version, how))
@@ -229,7 +233,7 @@
 	if t.ready || t.config.Version == 0 || t.config.Version < newest {
 		return
 	}
-	if fresh || t.now.Sub(t.started) >= cutOffBoot {
+	if fresh && t.entered() || t.now.Sub(t.started) >= cutOffBoot {
 		t.becomeReady(string(from))
 	}
 }
--- a/site/site.go
+++ b/site/site.go
@@ -138,8 +138,10 @@
 
 // Start starts the site and waits until every host is ready.
 func (b Builder) Start(ctx context.Context) (*Site, error) {
-	b = b.withDefaults()
-	s := &Site{builder: b, OperatorKey: keys.New(), AccountKey: keys.New(), cut: map[ident.Zone]bool{}}
+	s, err := b.Prepare()
+	if err != nil {
+		return nil, err
+	}
 	if err := s.start(ctx); err != nil {
 		s.Stop()
 		return nil, err
@@ -147,21 +149,35 @@
 	return s, nil
 }
 
-func (s *Site) start(ctx context.Context) error {
-	for z := range s.builder.Zones {
-		for h := range s.builder.HostsPerZone {
+// Prepare writes the hosts' settings and starts the targets, but no host: they
+// may be started as processes of their own.
+func (b Builder) Prepare() (*Site, error) {
+	b = b.withDefaults()
+	s := &Site{builder: b, OperatorKey: keys.New(), AccountKey: keys.New(), cut: map[ident.Zone]bool{}}
+	for z := range b.Zones {
+		for h := range b.HostsPerZone {
 			if err := s.addHost(z, h); err != nil {
-				return err
+				return nil, err
 			}
 		}
 	}
 	if err := s.startTargets(); err != nil {
-		return err
+		s.Stop()
+		return nil, err
+	}
+	return s, nil
+}
+
+func (s *Site) start(ctx context.Context) error {
+	for _, h := range s.Hosts {
+		if err := h.Start(); err != nil {
+			return err
+		}
 	}
 	if err := s.awaitLeader(ctx); err != nil {
 		return err
 	}
-	if err := s.configure(ctx); err != nil {
+	if err := s.Configure(ctx); err != nil {
 		return err
 	}
 	return s.AwaitReady(ctx)
@@ -232,9 +248,8 @@
 	if err != nil {
 		return errors.Wrap(err, "load settings")
 	}
-	host := &Host{Settings: loaded, site: s}
-	s.Hosts = append(s.Hosts, host)
-	return host.Start()
+	s.Hosts = append(s.Hosts, &Host{Settings: loaded, site: s})
+	return nil
 }
 
 const settingsText = `[host]
@@ -431,8 +446,8 @@
 	return nil
 }
 
-// configure enters classes, services, models, targets and one account.
-func (s *Site) configure(ctx context.Context) error {
+// Configure enters classes, services, models, targets and one account.
+func (s *Site) Configure(ctx context.Context) error {
 	c := s.Operator()
 	put := func(path string, body any) error {
 		_, err := c.Do(ctx, operators.Request{Method: http.MethodPut, Path: "/v1/" + path, Body: body, Key: keys.New()}, nil)
