--- /dev/null
+++ b/core/host/fanout_test.go
@@ -0,0 +1,108 @@
+// Copyright 2026 The Yardhall Authors. Licensed under the Apache License, Version 2.0.
+
+package host_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/yardhall/yardhall/core/catalog"
+	"github.com/yardhall/yardhall/core/config"
+	"github.com/yardhall/yardhall/core/host"
+	"github.com/yardhall/yardhall/core/ident"
+	"github.com/yardhall/yardhall/core/raft"
+)
+
+// replica returns a leader that keeps the state alone.
+func replica(t testing.TB, now *time.Time) (host.State, func(host.Event) []host.Effect) {
+	self := config.Host{ID: "state", Zone: "z0", Address: "127.0.0.1:1"}
+	s := host.New(host.Settings{ID: self.ID, Zone: self.Zone, Address: self.Address, Replicas: []config.Host{self}}, 1, *now)
+	s, err := s.WithReplica(raft.Boot{}, *now)
+	require.NoError(t, err)
+	feed := func(ev host.Event) []host.Effect {
+		var out []host.Effect
+		queue := []host.Event{ev}
+		for len(queue) > 0 {
+			var effects []host.Effect
+			s, effects = host.Reduce(s, queue[0], *now)
+			queue = queue[1:]
+			for _, e := range effects {
+				if p, ok := e.(host.Persist); ok {
+					queue = append(queue, host.DiskSynced{Persisted: raft.Persisted{Index: p.Persist.Index, Term: p.Persist.Term}})
+				}
+				out = append(out, e)
+			}
+		}
+		return out
+	}
+	for range 100 {
+		*now = now.Add(tickTime)
+		feed(host.Tick{})
+	}
+	require.True(t, s.Raft().LeaseHeld(*now))
+	return s, feed
+}
+
+func putClass(rank int) host.Submitted {
+	return host.Submitted{Deadline: time.Unix(2_000_000_000, 0), Write: catalog.Write{
+		ID: fmt.Sprint("w", rank), Command: catalog.Edit{Change: config.PutClass{Class: config.Class{ID: "c", Rank: rank}}},
+	}}
+}
+
+// TestFollowersNeverRevert delivers configurations to a follower late, doubled
+// and out of order: the version in force never falls.
+func TestFollowersNeverRevert(t *testing.T) {
+	now := time.Unix(1_000_000, 0)
+	_, feed := replica(t, &now)
+	var sent []host.Message
+	for i := range 30 {
+		feed(putClass(i))
+		for _, version := range []config.Version{0, config.Version(i / 2)} {
+			for _, e := range feed(host.Received{From: "h", Message: host.Follow{Host: config.Host{ID: "h", Zone: "z0", Address: "127.0.0.1:1"}, Version: version}}) {
+				if m, ok := e.(host.Send); ok && m.To == "h" {
+					sent = append(sent, m.Message)
+				}
+			}
+		}
+	}
+	f := host.New(host.Settings{ID: "h", Zone: "z0", Serves: true}, 1, now)
+	highest := config.Version(0)
+	for i := range sent {
+		f, _ = host.Reduce(f, host.Received{From: "state", Message: sent[(i*37)%len(sent)]}, now)
+		require.GreaterOrEqual(t, f.Config().Version, highest)
+		highest = f.Config().Version
+	}
+	require.Greater(t, highest, config.Version(20))
+}
+
+// BenchmarkFanOut measures one change at a replica that 390 hosts follow, and
+// at one follower.
+func BenchmarkFanOut(b *testing.B) {
+	for _, hosts := range []int{7, 78, 390} {
+		b.Run(fmt.Sprint(hosts, "-followers"), func(b *testing.B) {
+			now := time.Unix(1_000_000, 0)
+			_, feed := replica(b, &now)
+			for i := range hosts {
+				id := ident.Host(fmt.Sprintf("h%03d", i))
+				feed(host.Received{From: id, Message: host.Follow{Host: config.Host{ID: id, Zone: "z0", Address: "127.0.0.1:1"}, Version: 1}})
+			}
+			n, sends, bytes := 0, 0, 0.0
+			for b.Loop() {
+				n++
+				for _, e := range feed(putClass(n)) {
+					if m, ok := e.(host.Send); ok {
+						sends++
+						if sends%hosts == 1 {
+							bytes += encodedSize(m.Message)
+						}
+					}
+				}
+			}
+			b.ReportMetric(float64(sends)/float64(n), "sends/change")
+			b.ReportMetric(bytes/float64(n), "B/host/change")
+		})
+	}
+}
--- a/core/raft/raft.go
+++ b/core/raft/raft.go
@@ -119,6 +119,8 @@
 	// heard is when it last answered; acked the send time of the newest
 	// heartbeat round it answered, from which the lease counts.
 	heard, acked time.Time
+	// told is the highest commit index sent that it could act on.
+	told Index
 	// sentAt is when entries were last sent without an answer yet.
 	sentAt time.Time
 	// offset is the progress of a snapshot transfer of snapIndex.
--- a/core/raft/raft_test.go
+++ b/core/raft/raft_test.go
@@ -337,3 +337,30 @@
 	c.settle(20)
 	require.Greater(t, c.states[c.leader()].CommitIndex(), last)
 }
+
+// TestSlowFollowerLearnsOfACommitAtOnce lets one follower answer after the
+// others have made the commit: it must not wait for the next heartbeat.
+func TestSlowFollowerLearnsOfACommitAtOnce(t *testing.T) {
+	c := newCluster(3, func(f string, a ...any) { t.Fatalf(f, a...) })
+	c.settle(100)
+	leader := c.leader()
+	c.step(leader, raft.Propose{Data: []byte("x")})
+	for range 12 {
+		for i := range 3 {
+			c.sync(name(i))
+		}
+		batch := c.wire
+		c.wire = nil
+		for i, p := range batch {
+			if i%2 == 1 {
+				// Every other message comes a round later.
+				c.wire = append(c.wire, p)
+				continue
+			}
+			c.step(p.to, raft.Receive{From: p.from, Message: p.message})
+		}
+	}
+	for i := range 3 {
+		require.Equal(t, c.applied[leader], c.applied[name(i)])
+	}
+}
--- a/core/raft/replicate.go
+++ b/core/raft/replicate.go
@@ -111,10 +111,11 @@
 		Term: w.hard.Term, Prev: p.next - 1, PrevTerm: prevTerm,
 		Entries: entries, Commit: w.commit, Round: w.round,
 	})
+	p.told = max(p.told, min(w.commit, p.next-1+Index(len(entries))))
 	if len(entries) > 0 {
 		p.sentAt = w.now
-		w.setPeer(i, p)
 	}
+	w.setPeer(i, p)
 }
 
 func (w *step) setPeer(i int, p progress) {
@@ -205,6 +206,8 @@
 	if p.next <= w.log.Last() {
 		w.replicateTo(i, false)
 	}
+	// A follower whose answer came after the commit must hear of it too.
+	w.sendCommit(i)
 	w.maybeTimeoutNow(i)
 }
 
@@ -244,9 +247,11 @@
 func (w *step) sendCommit(i int) {
 	p := w.peers[i]
 	prevTerm, ok := w.log.TermAt(p.match)
-	if !ok {
+	if !ok || min(w.commit, p.match) <= p.told {
 		return
 	}
+	p.told = min(w.commit, p.match)
+	w.setPeer(i, p)
 	w.send(p.id, Append{
 		Term: w.hard.Term, Prev: p.match, PrevTerm: prevTerm, Commit: w.commit, Round: w.round,
 	})
