peers: Try keys, fleets, bounds and certificates; hand-over and bad calls on a site

Cause: the peers' port, hand-over steps and callers' errors had no tests. Wrong keys, another fleet's id, calls without a Hello, messages over the bound and certificates of another authority are refused, each by a test.

Conclusion: no fault found.

--- /dev/null
+++ b/peers/peers_test.go
@@ -0,0 +1,161 @@
+// Copyright 2026 The Yardhall Authors. Licensed under the Apache License, Version 2.0.
+
+package peers_test
+
+import (
+	"bytes"
+	"crypto/ecdsa"
+	"crypto/elliptic"
+	"crypto/rand"
+	"crypto/tls"
+	"crypto/x509"
+	"encoding/gob"
+	"math/big"
+	"net"
+	"net/rpc"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/yardhall/yardhall/core/config"
+	"github.com/yardhall/yardhall/core/host"
+	"github.com/yardhall/yardhall/core/ident"
+	"github.com/yardhall/yardhall/peers"
+)
+
+func options(self ident.Host) peers.Options {
+	return peers.Options{Self: self, Fleet: "f", Key: "the key of the fleet", MaxMessage: 1 << 16, Counters: &peers.Counters{}}
+}
+
+// serve starts a server that counts what arrives.
+func serve(t *testing.T, o peers.Options) (string, *atomic.Int32) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	var taken atomic.Int32
+	s := peers.NewServer(o, func(ident.Host, host.Message) { taken.Add(1) })
+	go func() { _ = s.Serve(l) }()
+	t.Cleanup(func() {
+		_ = l.Close()
+		s.Close()
+	})
+	return l.Addr().String(), &taken
+}
+
+// send sends messages until some arrive or it is clear that none will.
+func send(t *testing.T, address string, o peers.Options, m host.Message, taken *atomic.Int32) int {
+	p := peers.NewPool(o)
+	defer p.Close()
+	p.Know([]config.Host{{ID: "b", Address: address}})
+	for range 15 {
+		p.Send("b", m)
+		time.Sleep(20 * time.Millisecond)
+	}
+	return int(taken.Load())
+}
+
+var beat = host.Gossip{Beat: host.Beat{Host: "a", Counter: 1}}
+
+func TestOnlyHostsOfTheFleetAreHeard(t *testing.T) {
+	address, taken := serve(t, options("b"))
+	wrong := options("a")
+	wrong.Key = "another key of a fleet"
+	require.Zero(t, send(t, address, wrong, beat, taken))
+	other := options("a")
+	other.Fleet = "restored"
+	require.Zero(t, send(t, address, other, beat, taken))
+	require.Positive(t, send(t, address, options("a"), beat, taken))
+
+	// A call without a Hello ends the connection.
+	before := taken.Load()
+	c, err := rpc.Dial("tcp", address)
+	require.NoError(t, err)
+	require.Error(t, c.Call("F.D", peers.Batch{Messages: []host.Message{beat}}, &peers.Ack{}))
+	require.Equal(t, before, taken.Load())
+}
+
+func TestMessagesAreBounded(t *testing.T) {
+	small := options("b")
+	small.MaxMessage = 4 << 10
+	address, taken := serve(t, small)
+	huge := host.AdoptPlaces{}
+	huge.Group.Zone = ident.Zone(make([]byte, 64<<10))
+	require.Zero(t, send(t, address, options("a"), huge, taken))
+	require.Positive(t, send(t, address, options("a"), beat, taken), "the server goes on")
+}
+
+// authority signs certificates for one test.
+type authority struct {
+	cert *x509.Certificate
+	key  *ecdsa.PrivateKey
+}
+
+func newAuthority(t *testing.T) authority {
+	key, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
+	require.NoError(t, err)
+	template := &x509.Certificate{
+		SerialNumber: big.NewInt(1), NotAfter: time.Now().Add(time.Hour), IsCA: true, BasicConstraintsValid: true,
+		KeyUsage: x509.KeyUsageCertSign,
+	}
+	der, err := x509.CreateCertificate(rand.Reader, template, template, &key.PublicKey, key)
+	require.NoError(t, err)
+	cert, err := x509.ParseCertificate(der)
+	require.NoError(t, err)
+	return authority{cert, key}
+}
+
+func (a authority) config(t *testing.T, trusted authority) *tls.Config {
+	key, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
+	require.NoError(t, err)
+	template := &x509.Certificate{
+		SerialNumber: big.NewInt(2), NotAfter: time.Now().Add(time.Hour), IPAddresses: []net.IP{net.IPv4(127, 0, 0, 1)},
+		ExtKeyUsage: []x509.ExtKeyUsage{x509.ExtKeyUsageServerAuth, x509.ExtKeyUsageClientAuth},
+	}
+	der, err := x509.CreateCertificate(rand.Reader, template, a.cert, &key.PublicKey, a.key)
+	require.NoError(t, err)
+	pool := x509.NewCertPool()
+	pool.AddCert(trusted.cert)
+	return &tls.Config{
+		Certificates: []tls.Certificate{{Certificate: [][]byte{der}, PrivateKey: key}},
+		RootCAs:      pool, ClientCAs: pool, ClientAuth: tls.RequireAndVerifyClientCert, MinVersion: tls.VersionTLS13,
+	}
+}
+
+func TestMutualTLS(t *testing.T) {
+	ours, theirs := newAuthority(t), newAuthority(t)
+	server := options("b")
+	server.TLS = ours.config(t, ours)
+	address, taken := serve(t, server)
+	require.Zero(t, send(t, address, options("a"), beat, taken), "no TLS")
+	stranger := options("a")
+	stranger.TLS = theirs.config(t, ours)
+	require.Zero(t, send(t, address, stranger, beat, taken), "a certificate of another authority")
+	good := options("a")
+	good.TLS = ours.config(t, ours)
+	require.Positive(t, send(t, address, good, beat, taken))
+}
+
+// Two neighbouring versions of a message: the newer has one field more.
+type (
+	oldBeat struct{ Counter uint64 }
+	newBeat struct {
+		Counter uint64
+		Added   string
+	}
+)
+
+// TestNeighbouringVersionsUnderstandEachOther exchanges both ways a message
+// that one side knows with a field more.
+func TestNeighbouringVersionsUnderstandEachOther(t *testing.T) {
+	var b bytes.Buffer
+	require.NoError(t, gob.NewEncoder(&b).Encode(newBeat{Counter: 7, Added: "x"}))
+	var old oldBeat
+	require.NoError(t, gob.NewDecoder(&b).Decode(&old))
+	require.EqualValues(t, 7, old.Counter)
+	b.Reset()
+	require.NoError(t, gob.NewEncoder(&b).Encode(oldBeat{Counter: 8}))
+	var fresh newBeat
+	require.NoError(t, gob.NewDecoder(&b).Decode(&fresh))
+	require.EqualValues(t, 8, fresh.Counter)
+}
--- a/site/site_test.go
+++ b/site/site_test.go
@@ -15,6 +15,7 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/yardhall/yardhall/callers"
+	"github.com/yardhall/yardhall/core/config"
 	"github.com/yardhall/yardhall/site"
 )
 
@@ -93,3 +94,33 @@
 	require.Equal(t, "PUT /slots/17 done: confirm", string(body))
 	require.Equal(t, "ran", resp.Header.Get(callers.HeaderOutcome))
 }
+
+func TestServiceIsHandedOverByZone(t *testing.T) {
+	s := start(t, site.Builder{Net: 13, Zones: 1, HostsPerZone: 1})
+	for percent, outcome := range map[int]string{0: "not-run", 100: "ran"} {
+		put(t, s, "handovers/floor/zone-a", config.HandOver{Service: "floor", Zone: "zone-a", Percent: percent})
+		await(t, "the step is in force", func() bool { return s.Hosts[0].Daemon.State().Config().Share("floor", "zone-a") == percent })
+		r := call(s, 0, "/services/floor/slots", "x")
+		require.Equal(t, outcome, r.outcome, r.body)
+	}
+}
+
+func TestBadCallsGetClearErrors(t *testing.T) {
+	s := start(t, site.Builder{Net: 14, Zones: 1, HostsPerZone: 1})
+	for path, want := range map[string]string{
+		"/v1/chat/completions":  "invalid_request",
+		"/services/none/x":      "service_not_found",
+		"/services/text/x":      "service_not_found",
+		"/no/such/route":        "not_found",
+		"/services/floor/slots": "class_not_allowed",
+	} {
+		r := call(s, 0, path, "{}", callers.HeaderClass, "golden")
+		require.Equal(t, want, codeOf(r), "%s: %s", path, r.body)
+		require.Equal(t, "not-run", r.outcome)
+	}
+	key := s.AccountKey
+	s.AccountKey = "yh-wrong"
+	require.Equal(t, "invalid_api_key", codeOf(call(s, 0, "/services/floor/slots", "x")))
+	s.AccountKey = key
+	require.Equal(t, "invalid_request", codeOf(call(s, 0, "/services/floor/slots", "x", callers.HeaderDeadline, "soon")))
+}
