host: Replace lost engines by confirmed intents; split large files by job

Owners now report engines that failed for a minute, the leader loads the model on another by the confirmed intent, with dampers: one plan at a time, an intent each 2 minutes, nothing in a zone of which over a third is lost. Test: one engine lost gives one order, 5 minutes more give none, a whole zone lost gives none.

--- a/core/catalog/plans.go
+++ b/core/catalog/plans.go
@@ -32,7 +32,9 @@
 	id := ident.Plan(fmt.Sprintf("plan-%d", c.planSeq))
 	p := plan.Make(id, c.Config, cmd.Intent, cmd.Unusable)
 	p.Created = c.Time
-	p.Repair = cmd.Repair
+	if p.Repair = cmd.Repair; p.Repair {
+		p = p.WithoutUnloads()
+	}
 	p.Rev = 1
 	if cmd.Repair && len(p.Steps) > 0 {
 		p.Status = plan.Running
--- a/core/health/health.go
+++ b/core/health/health.go
@@ -34,6 +34,8 @@
 	ejectMax  = 30 * time.Second
 	// evidence is how long a good answer outweighs an absence from the list.
 	evidence = 10 * time.Second
+	// lostAfter is how long a target fails before it counts as gone for good.
+	lostAfter = time.Minute
 	// signLife is how long a sign of leaving counts without being renewed.
 	signLife = 30 * time.Second
 	// heardLife is the same for one heard from another host, which repeats it
@@ -46,6 +48,8 @@
 	Failures     int
 	EjectedUntil time.Time
 	LastGood     time.Time
+	// FailingSince is the first of the present row of failures.
+	FailingSince time.Time
 	// SignUntil is how long the target's own word that it is leaving counts;
 	// a later report that says otherwise ends it.
 	SignUntil time.Time
@@ -69,6 +73,11 @@
 	return true
 }
 
+// Lost tells whether the target failed for so long that it is taken for gone.
+func (t Target) Lost(now time.Time) bool {
+	return t.Failures >= maxFailures && now.Sub(t.FailingSince) >= lostAfter
+}
+
 // Answers tells whether the target's last sign of life is good and recent.
 func (t Target) Answers(now time.Time) bool {
 	return t.Failures == 0 && !t.LastGood.IsZero() && now.Sub(t.LastGood) < evidence
@@ -93,6 +102,9 @@
 		t.LastGood = now
 		return t
 	}
+	if t.Failures == 0 {
+		t.FailingSince = now
+	}
 	t.Failures++
 	if t.Failures >= maxFailures {
 		t.EjectedUntil = now.Add(min(ejectBase<<min(t.Failures-maxFailures, maxShift), ejectMax))
--- /dev/null
+++ b/core/host/claim.go
@@ -0,0 +1,83 @@
+// Copyright 2026 The Yardhall Authors. Licensed under the Apache License, Version 2.0.
+
+package host
+
+import (
+	"time"
+
+	"github.com/yardhall/yardhall/core/catalog"
+	"github.com/yardhall/yardhall/core/ident"
+	"github.com/yardhall/yardhall/core/outcome"
+)
+
+// claim asks the replicated state for the right to run.
+func (t *turn) claim(c call) {
+	c.phase = phaseClaiming
+	c.wake = earlier(c.req.Deadline, t.now.Add(claimTimeout))
+	t.put(c)
+	t.counters.Claims++
+	t.submit(catalog.Write{
+		ID: "claim/" + string(c.req.ID), Actor: string(t.settings.ID),
+		Command: catalog.ClaimRun{
+			Key:     catalog.ClaimKey{Account: c.account.ID, Key: c.req.IdempotencyKey},
+			Created: c.req.KeyCreated, Digest: c.req.Digest, Host: t.settings.ID, Request: c.req.ID,
+		},
+	}, c.wake)
+}
+
+// claimAnswered goes on with a call whose claim was decided.
+func (t *turn) claimAnswered(id ident.Request, r catalog.Result, known bool) {
+	c, ok := t.calls.Get(id)
+	if !ok || c.phase != phaseClaiming {
+		return
+	}
+	if !known {
+		// Nothing was sent, and the claim, if it was taken, is given back.
+		c.claimed = true
+		t.finish(c, Verdict{
+			Outcome: outcome.NotRun, Code: CodeNoQuorum, RetryAfter: retryLater,
+			Reason: "the right to run it once could not be had in time; this attempt did not run",
+		}.unlessEarlier(c))
+		return
+	}
+	if r.Code == catalog.OK {
+		c.claimed = true
+		t.ask(c)
+		return
+	}
+	t.counters.ClaimsDenied++
+	t.finish(c, deniedVerdict(r))
+}
+
+// deniedVerdict tells what is known of the earlier request under the same key.
+func deniedVerdict(r catalog.Result) Verdict {
+	v := Verdict{Outcome: outcome.Unknown, Reason: r.Reason, Claim: &r.Claim}
+	switch r.Code {
+	case catalog.ClaimTaken:
+		v.Code, v.Reason = CodeRunning, "a request with this key has begun and its end is not known"
+		if r.Claim.Ended == outcome.Ran {
+			v.Outcome, v.Code, v.Reason = outcome.Ran, CodeAlreadyRan, "a request with this key has run"
+		}
+	case catalog.KeyExpired:
+		// An earlier attempt under this key may have run and been forgotten.
+		v.Code, v.Claim = CodeKeyExpired, nil
+	case catalog.KeyReused:
+		v.Outcome, v.Code = outcome.NotRun, CodeKeyReused
+	default:
+		v.Outcome, v.Code, v.Claim = outcome.NotRun, CodeKeyInvalid, nil
+	}
+	return v
+}
+
+func (t *turn) endClaim(c call, k outcome.Kind) {
+	t.submit(catalog.Write{
+		ID: "end/" + string(c.req.ID), Actor: string(t.settings.ID),
+		Command: catalog.EndClaim{
+			Key:     catalog.ClaimKey{Account: c.account.ID, Key: c.req.IdempotencyKey},
+			Request: c.req.ID, Outcome: k,
+		},
+	}, t.now.Add(endClaimTime))
+}
+
+// endClaimTime is how long the end of a claim is sent again until answered.
+const endClaimTime = time.Minute
--- a/core/host/event.go
+++ b/core/host/event.go
@@ -218,6 +218,8 @@
 	Loads  []routing.GroupLoad
 	// Leaving are targets that said so to this host.
 	Leaving []ident.Target
+	// Lost are targets of its own groups that have not answered for long.
+	Lost []ident.Target
 }
 
 // Effect is what the process must do. The set is closed.
--- a/core/host/host.go
+++ b/core/host/host.go
@@ -106,8 +106,10 @@
 	writes   table.Table[string, pendingWrite]
 	writeSeq uint64
 	// origins are the hosts that wait for forwarded writes.
-	origins  table.Table[string, ident.Host]
-	orderAt  time.Time
+	origins table.Table[string, ident.Host]
+	orderAt time.Time
+	// repairAt is when the leader next looks for what to repair.
+	repairAt time.Time
 	counters Counters
 }
 
@@ -133,6 +135,7 @@
 	StaleConfig   uint64
 	Adopted       uint64
 	Ejections     uint64
+	Repairs       uint64
 }
 
 // New returns the process as it starts at now.
@@ -219,6 +222,7 @@
 	t.tickGroups()
 	t.tickCalls()
 	t.tickOrders()
+	t.tickRepair()
 	t.maybeCompact()
 }
 
--- a/core/host/owner.go
+++ b/core/host/owner.go
@@ -3,13 +3,9 @@
 package host
 
 import (
-	"fmt"
 	"slices"
 	"time"
 
-	"github.com/yardhall/yardhall/core/config"
-	"github.com/yardhall/yardhall/core/hash"
-	"github.com/yardhall/yardhall/core/health"
 	"github.com/yardhall/yardhall/core/ident"
 	"github.com/yardhall/yardhall/core/routing"
 )
@@ -25,118 +21,6 @@
 	settleTime = 2 * time.Second
 )
 
-// layout is the division of targets into groups at one configuration version.
-type layout struct {
-	version config.Version
-	// owners is the division's owners as last seen.
-	owners   map[routing.GroupID]ident.Host
-	services map[ident.Service][]groupPart
-	groupOf  map[ident.Target]routing.GroupID
-}
-
-// groupPart is one group of a service.
-type groupPart struct {
-	id      routing.GroupID
-	key     hash.Key
-	targets []config.Target
-	// holders counts the targets that hold a model.
-	holders map[ident.Model]int
-}
-
-// newLayout divides the targets of each service and zone into groups. The
-// shard of a target moves only when the number of shards changes, and then
-// only for the part that rendezvous gives to the new shard.
-func newLayout(cfg config.Config) layout {
-	l := layout{
-		version: cfg.Version, services: map[ident.Service][]groupPart{},
-		groupOf: map[ident.Target]routing.GroupID{},
-	}
-	counts := map[routing.GroupID]int{}
-	for _, t := range cfg.Targets.All() {
-		counts[routing.GroupID{Service: t.Service, Zone: t.Zone}]++
-	}
-	parts := map[routing.GroupID][]config.Target{}
-	for _, t := range cfg.Targets.All() {
-		id := routing.GroupID{Service: t.Service, Zone: t.Zone}
-		id.Shard = shardOf(t.ID, (counts[id]+groupSize-1)/groupSize)
-		parts[id] = append(parts[id], t)
-		l.groupOf[t.ID] = id
-	}
-	for id, targets := range parts {
-		part := groupPart{id: id, key: hash.Of(id.String()), targets: targets, holders: map[ident.Model]int{}}
-		for _, t := range targets {
-			for _, m := range t.Models {
-				part.holders[m]++
-			}
-		}
-		l.services[id.Service] = append(l.services[id.Service], part)
-	}
-	for _, ps := range l.services {
-		slices.SortFunc(ps, func(a, b groupPart) int { return a.id.Compare(b.id) })
-	}
-	return l
-}
-
-func shardOf(t ident.Target, shards int) int {
-	best, top := 0, uint64(0)
-	key := hash.Of(string(t))
-	for s := range shards {
-		if score := hash.Mix(key, hash.Key(s+1)); score >= top {
-			best, top = s, score
-		}
-	}
-	return best
-}
-
-// ownersChanged works out the groups' owners anew, takes up those that are now
-// ours, drops those that are not, and tells new owners of places held.
-func (t *turn) ownersChanged() {
-	old := t.layout.owners
-	owners := map[routing.GroupID]ident.Host{}
-	for _, parts := range t.layout.services {
-		for _, p := range parts {
-			if owner, ok := t.ownerOf(p.id); ok {
-				owners[p.id] = owner
-			}
-		}
-	}
-	t.layout.owners = owners
-	for _, p := range t.sortedParts() {
-		if owners[p.id] == old[p.id] {
-			continue
-		}
-		t.ownerMoved(p, owners[p.id])
-	}
-	t.refreshGroups()
-}
-
-func (t *turn) sortedParts() []groupPart {
-	var out []groupPart
-	for _, parts := range t.layout.services {
-		out = append(out, parts...)
-	}
-	slices.SortFunc(out, func(a, b groupPart) int { return a.id.Compare(b.id) })
-	return out
-}
-
-func (t *turn) ownerMoved(p groupPart, owner ident.Host) {
-	if owner == t.settings.ID {
-		g := routing.NewGroup(p.id, t.now).WithChatBound(t.settings.Chats)
-		if backup, ok := t.backups.Get(p.id.String()); ok {
-			g = g.WithDirectory(backup)
-			t.backups = t.backups.Without(p.id.String())
-		}
-		t.groups = t.groups.With(p.id.String(), g)
-		t.note(NoteOwner, p.id.String(), "taken")
-	} else if g, ok := t.groups.Get(p.id.String()); ok {
-		t.handOverGroup(g, owner)
-		t.groups = t.groups.Without(p.id.String())
-		t.note(NoteOwner, p.id.String(), "given to "+string(owner))
-	}
-	t.reportPlaces(p.id, owner)
-	t.reask(p.id)
-}
-
 // refreshGroups brings the owned groups' engines to configuration and health.
 func (t *turn) refreshGroups() {
 	for _, p := range t.sortedParts() {
@@ -150,39 +34,6 @@
 	}
 }
 
-// specs says of each target whether it may get work. Where failures have taken
-// more than maxEjected of a service's last usable group, those are used all the
-// same: most likely the fault is on our side. Targets of a zone without hosts
-// of its own are used only while they answer: the zone may be cut off.
-func (t *turn) specs(id routing.GroupID, targets []config.Target) []routing.Spec {
-	specs := make([]routing.Spec, 0, len(targets))
-	ejected := 0
-	for _, target := range targets {
-		h, _ := t.health.Get(target.ID)
-		if h.Ejected(t.now) {
-			ejected++
-		}
-		specs = append(specs, routing.Spec{
-			ID: target.ID, Slots: target.Slots, Models: target.Models,
-			Usable: h.Usable(t.now) && (id.Zone == t.settings.Zone || h.Answers(t.now)),
-		})
-	}
-	if float64(ejected) <= maxEjected*float64(len(targets)) || t.usableElsewhere(id) {
-		return specs
-	}
-	for i, target := range targets {
-		if h, _ := t.health.Get(target.ID); h.Ejected(t.now) {
-			specs[i].Usable = true
-		}
-	}
-	return specs
-}
-
-// usableElsewhere tells whether another group of the service has an engine.
-func (t *turn) usableElsewhere(id routing.GroupID) bool {
-	return slices.ContainsFunc(t.bound(id).Others, func(l routing.GroupLoad) bool { return l.Usable > 0 })
-}
-
 func (t *turn) tickGroups() {
 	for id, g := range t.groups.All() {
 		next, late := g.Expire(t.now)
@@ -417,72 +268,3 @@
 		}
 	}
 }
-
-func (t *turn) reported(ev Reported) {
-	h, _ := t.health.Get(ev.Target)
-	wasUsable := h.Usable(t.now)
-	if ev.Failed {
-		t.setHealth(ev.Target, h.WithResult(false, t.now), wasUsable)
-		return
-	}
-	h, fresh := h.WithReport(ev.Boot, ev.Seq, ev.Leaving, t.now)
-	if !fresh {
-		return
-	}
-	t.setHealth(ev.Target, h, wasUsable)
-	id, ok := t.layout.groupOf[ev.Target]
-	if !ok {
-		return
-	}
-	if g, ok := t.groups.Get(id.String()); ok {
-		t.groups = t.groups.With(id.String(), g.WithReport(ev.Target, ev.InFlight, t.now))
-	}
-}
-
-func (t *turn) listed(targets []ListedTarget) {
-	seen := map[ident.Target]health.Listing{}
-	for _, l := range targets {
-		seen[l.ID] = l.Listing
-	}
-	for id := range t.config.Targets.All() {
-		listing, ok := seen[id]
-		if !ok {
-			listing = health.Absent
-		}
-		h, _ := t.health.Get(id)
-		if h.Listing != listing {
-			t.setHealth(id, h.WithListing(listing), h.Usable(t.now))
-		}
-	}
-}
-
-func (t *turn) markLeaving(id ident.Target) {
-	h, _ := t.health.Get(id)
-	t.setHealth(id, h.WithHeardSign(t.now), h.Usable(t.now))
-}
-
-// setHealth stores h; a change of the verdict is noted and takes effect in the
-// target's group at once.
-func (t *turn) setHealth(id ident.Target, h health.Target, wasUsable bool) {
-	t.health = t.health.With(id, h)
-	usable := h.Usable(t.now)
-	if usable == wasUsable {
-		return
-	}
-	if h.Ejected(t.now) {
-		t.counters.Ejections++
-	}
-	t.note(NoteTarget, string(id), fmt.Sprintf("usable=%t leaving=%t failures=%d", usable, h.IsLeaving(t.now), h.Failures))
-	gid, ok := t.layout.groupOf[id]
-	if !ok || !t.groups.Has(gid.String()) {
-		return
-	}
-	for _, p := range t.layout.services[gid.Service] {
-		if p.id == gid {
-			g, _ := t.groups.Get(gid.String())
-			g = g.WithEngines(t.specs(p.id, p.targets), t.now)
-			t.groups = t.groups.With(gid.String(), g)
-			t.serve(g)
-		}
-	}
-}
--- a/core/host/peers.go
+++ b/core/host/peers.go
@@ -63,7 +63,7 @@
 	b := Beat{
 		Host: t.settings.ID, Incarnation: t.settings.Incarnation, Counter: t.beat,
 		Version: t.config.Version, Draining: t.draining, Serves: t.settings.Serves,
-		Zone: t.settings.Zone, Loads: t.ownLoads(), Leaving: t.leavingSigns(),
+		Zone: t.settings.Zone, Loads: t.ownLoads(), Leaving: t.leavingSigns(), Lost: t.lostTargets(),
 	}
 	for _, h := range t.knownHosts() {
 		if h.ID != t.settings.ID {
--- /dev/null
+++ b/core/host/place.go
@@ -0,0 +1,257 @@
+// Copyright 2026 The Yardhall Authors. Licensed under the Apache License, Version 2.0.
+
+package host
+
+import (
+	"slices"
+
+	"github.com/yardhall/yardhall/core/config"
+	"github.com/yardhall/yardhall/core/hash"
+	"github.com/yardhall/yardhall/core/ident"
+	"github.com/yardhall/yardhall/core/routing"
+)
+
+// ask finds a place for the call.
+func (t *turn) ask(c call) {
+	if c.service.Kind == config.KindPlain {
+		t.pickPlain(c)
+		return
+	}
+	id, ok := t.groupFor(c)
+	if !ok {
+		t.finish(c, t.noTarget(c))
+		return
+	}
+	t.askGroup(c, id, false)
+}
+
+func (t *turn) noTarget(c call) Verdict {
+	return Verdict{
+		Outcome: c.worst, Code: CodeNoTarget, RetryAfter: retryLater,
+		Reason: "no target can take the request now",
+	}
+}
+
+// groupFor picks the chat's group by rendezvous, weighted by the engines that
+// hold the model; groups that nobody can own are passed over.
+func (t *turn) groupFor(c call) (routing.GroupID, bool) {
+	best, second := routing.GroupID{}, routing.GroupID{}
+	var top, next float64
+	key := c.req.Chat
+	if key == 0 {
+		key = hash.Of(string(c.req.ID))
+	}
+	for _, p := range t.layout.services[c.service.ID] {
+		n := p.holders[c.req.Model]
+		if n == 0 || t.layout.owners[p.id] == "" || t.emptyGroup(p.id) {
+			continue
+		}
+		score := hash.Weighted(key, p.key, float64(n))
+		if slices.Contains(c.avoid, p.id) {
+			if score > next {
+				second, next = p.id, score
+			}
+			continue
+		}
+		if score > top {
+			best, top = p.id, score
+		}
+	}
+	if top == 0 {
+		// Better a group that failed once than none.
+		return second, next > 0
+	}
+	return best, true
+}
+
+// emptyGroup tells whether the owner last said that no engine is usable.
+func (t *turn) emptyGroup(id routing.GroupID) bool {
+	owner := t.layout.owners[id]
+	if owner == t.settings.ID {
+		g, ok := t.groups.Get(id.String())
+		return ok && g.Usable() == 0
+	}
+	for _, l := range t.loads[id.Service] {
+		if l.Group == id {
+			return l.Usable == 0
+		}
+	}
+	return false
+}
+
+func (t *turn) askGroup(c call, id routing.GroupID, final bool) {
+	c.phase = phaseAsking
+	c.group = id
+	c.owner = t.layout.owners[id]
+	c.target = ""
+	c.asks++
+	c.place = ident.PlaceOf(c.req.ID, c.asks)
+	c.wake = earlier(c.req.Deadline, t.now.Add(askTimeout))
+	t.put(c)
+	t.send(c.owner, AskPlace{
+		Group: id, Place: c.place, Account: c.account.ID, Class: c.class.ID, Model: c.req.Model,
+		Chat: c.req.Chat, Work: c.req.Work, Within: c.req.Deadline.Sub(t.now),
+		Exclude: c.tried, Final: final || c.hops >= maxHops,
+	})
+}
+
+// placeAnswer goes on with a call whose group has answered. An answer that
+// nobody waits for any more frees its place.
+func (t *turn) placeAnswer(from ident.Host, m PlaceAnswer) {
+	c, ok := t.calls.Get(m.Place.Request())
+	waiting := ok && c.place == m.Place && (c.phase == phaseAsking || c.phase == phaseQueued)
+	switch a := m.Answer.(type) {
+	case routing.Granted:
+		if !waiting {
+			t.freeUnwanted(from, m, c, ok)
+			return
+		}
+		t.dispatch(c, a.Target)
+	case routing.Queued:
+		if waiting {
+			c.phase, c.wake = phaseQueued, c.req.Deadline
+			t.put(c)
+		}
+	case routing.Elsewhere:
+		if waiting {
+			c.hops++
+			t.askGroup(c, a.Group, true)
+		}
+	case routing.Refused:
+		if waiting {
+			c.owner = ""
+			t.finish(c, refusedVerdict(c, a))
+		}
+	}
+}
+
+// freeUnwanted gives back a place that came too late, unless the call already
+// runs on it (a doubled answer).
+func (t *turn) freeUnwanted(from ident.Host, m PlaceAnswer, c call, ok bool) {
+	if ok && c.phase == phaseRunning && c.place == m.Place && c.owner != "" {
+		return
+	}
+	t.send(from, FreePlace{Place: m.Place})
+}
+
+func refusedVerdict(c call, a routing.Refused) Verdict {
+	v := Verdict{Outcome: c.worst, Code: CodeOverloaded, RetryAfter: a.RetryAfter}
+	switch a.Reason {
+	case routing.ReasonNoTarget:
+		v.Code, v.Reason = CodeNoTarget, "no target can take the request now"
+	case routing.ReasonTimeout:
+		v.Reason = "no engine became free in time"
+	case routing.ReasonShed, routing.ReasonQueueFull, routing.ReasonOverBound:
+		v.Reason = "too many requests wait for the engines"
+	}
+	return v
+}
+
+func (t *turn) notOwner(m NotOwner) {
+	c, ok := t.calls.Get(m.Place.Request())
+	if ok && c.phase == phaseAsking && c.place == m.Place {
+		t.pickLocally(c)
+	}
+}
+
+// pickLocally chooses by this host's own view, as the owner cannot be asked:
+// the least loaded by own requests, no engine beyond this host's part of what
+// the bound allows it.
+func (t *turn) pickLocally(c call) {
+	t.counters.Fallbacks++
+	c.owner = ""
+	var best config.Target
+	lowest := -1
+	for _, p := range t.layout.services[c.service.ID] {
+		if p.id != c.group {
+			continue
+		}
+		for _, target := range p.targets {
+			h, _ := t.health.Get(target.ID)
+			n, _ := t.inFlight.Get(target.ID)
+			open := h.Usable(t.now) && target.HasModel(c.req.Model) && !slices.Contains(c.tried, target.ID)
+			if open && n < t.ownPart(target) && (lowest < 0 || n < lowest) {
+				best, lowest = target, n
+			}
+		}
+	}
+	if lowest < 0 {
+		t.finish(c, t.noTarget(c))
+		return
+	}
+	t.dispatch(c, best.ID)
+}
+
+// ownPart is what one host may send to a target without its owner's word.
+func (t *turn) ownPart(target config.Target) int {
+	return max(1, target.Slots/t.aliveServing())
+}
+
+// pickPlain chooses a worker of a plain service: the one with the fewest of
+// this host's requests, workers of the own zone first.
+func (t *turn) pickPlain(c call) {
+	var best config.Target
+	found := false
+	var bestCost int
+	for _, p := range t.layout.services[c.service.ID] {
+		for _, target := range p.targets {
+			h, _ := t.health.Get(target.ID)
+			if !h.Usable(t.now) || slices.Contains(c.tried, target.ID) {
+				continue
+			}
+			if cost := t.plainCost(target); !found || cost < bestCost {
+				best, bestCost, found = target, cost, true
+			}
+		}
+	}
+	if !found {
+		t.finish(c, t.noTarget(c))
+		return
+	}
+	t.dispatch(c, best.ID)
+}
+
+// plainCost orders workers by the share of their slots in use from here; a
+// worker of another zone counts as farPenalty fuller.
+func (t *turn) plainCost(target config.Target) int {
+	n, _ := t.inFlight.Get(target.ID)
+	cost := n * percent / target.Slots
+	if target.Zone != t.settings.Zone {
+		cost += farPenalty
+	}
+	return cost
+}
+
+const farPenalty = 25
+
+// reportPlaces tells a group's new owner which places this host's calls hold.
+func (t *turn) reportPlaces(id routing.GroupID, owner ident.Host) {
+	if owner == "" {
+		return
+	}
+	var permits []routing.Permit
+	for _, c := range t.calls.All() {
+		if c.phase != phaseRunning || c.group != id {
+			continue
+		}
+		c.owner = owner
+		t.put(c)
+		permits = append(permits, routing.Permit{
+			Place: c.place, Target: c.target, Account: c.account.ID, Key: c.req.Chat, Work: c.req.Work,
+			Router: t.settings.ID, Incarnation: t.settings.Incarnation, Until: c.req.Deadline.Add(retryLater),
+		})
+	}
+	if len(permits) > 0 {
+		t.send(owner, AdoptPlaces{Group: id, Permits: permits})
+	}
+}
+
+// reask sends the asks that wait at a group's old owner to the new one.
+func (t *turn) reask(id routing.GroupID) {
+	for _, c := range t.calls.All() {
+		if c.group == id && (c.phase == phaseAsking || c.phase == phaseQueued) {
+			c.owner = ""
+			t.ask(c)
+		}
+	}
+}
--- /dev/null
+++ b/core/host/repair_test.go
@@ -0,0 +1,75 @@
+// Copyright 2026 The Yardhall Authors. Licensed under the Apache License, Version 2.0.
+
+package host_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/yardhall/yardhall/core/catalog"
+	"github.com/yardhall/yardhall/core/config"
+	"github.com/yardhall/yardhall/core/host"
+	"github.com/yardhall/yardhall/core/ident"
+)
+
+// TestLostEngineIsReplacedOnceAndACutZoneIsNot reports one engine of a zone
+// lost, then a whole zone: the first is replaced by the confirmed intent's
+// rules, the second causes no loads.
+func TestLostEngineIsReplacedOnceAndACutZoneIsNot(t *testing.T) {
+	now := time.Unix(1_000_000, 0)
+	_, feed := replica(t, &now)
+	id := 0
+	write := func(cmd catalog.Command) catalog.Result {
+		id++
+		for _, e := range feed(host.Submitted{Deadline: now.Add(time.Minute), Write: catalog.Write{ID: fmt.Sprint("w", id), Command: cmd}}) {
+			if a, ok := e.(host.AnswerWrite); ok {
+				require.Equal(t, catalog.OK, a.Result.Code, a.Result.Reason)
+				return a.Result
+			}
+		}
+		t.Fatal("no answer")
+		return catalog.Result{}
+	}
+	edit := func(ch config.Change) { write(catalog.Edit{Change: ch}) }
+	edit(config.PutService{Service: config.Service{ID: service, Kind: config.KindEngine, Multiple: 1.5}})
+	edit(config.PutModel{Model: config.Model{ID: model, Service: service}})
+	for i := range 8 {
+		edit(config.PutTarget{Target: config.Target{
+			ID: ident.Target(fmt.Sprintf("e%d", i)), Service: service, Zone: zone(i % 2), Address: "127.0.0.1:1", Slots: 4, ChecksFence: true,
+		}})
+	}
+	in := config.Intent{ID: "i", Service: service, Model: model, Replicas: []config.ZoneReplicas{{Zone: zone(0), Count: 1}, {Zone: zone(1), Count: 1}}}
+	made := write(catalog.StateIntent{Intent: in})
+	write(catalog.Decide{Plan: made.Plan, Verb: catalog.Confirm, Rev: 1})
+
+	var orders []host.Order
+	counter := uint64(0)
+	pass := func(d time.Duration, lost ...ident.Target) {
+		for until := now.Add(d); now.Before(until); {
+			now = now.Add(tickTime)
+			counter++
+			feed(host.Received{From: "h", Message: host.Gossip{Beat: host.Beat{Host: "h", Counter: counter, Lost: lost}}})
+			for _, e := range feed(host.Tick{}) {
+				if o, ok := e.(host.SendOrder); ok {
+					orders = append(orders, o.Order)
+					feed(host.OrderEnded{Order: o.Order, OK: true})
+				}
+			}
+		}
+	}
+	pass(5 * time.Second)
+	require.Len(t, orders, 2)
+	first := orders[0].Target.ID
+	pass(10*time.Second, first)
+	require.Len(t, orders, 3, "replaced once")
+	require.Equal(t, zone(0), orders[2].Target.Zone)
+	require.NotEqual(t, first, orders[2].Target.ID)
+	require.Greater(t, orders[2].Token, orders[1].Token)
+	pass(5*time.Minute, first)
+	require.Len(t, orders, 3, "and not again")
+	pass(5*time.Minute, first, "e1", "e3", "e5", "e7")
+	require.Len(t, orders, 3, "a zone that is cut off causes no storm")
+}
--- a/core/plan/plan.go
+++ b/core/plan/plan.go
@@ -177,6 +177,13 @@
 	return p
 }
 
+// WithoutUnloads returns the plan with its loads only: a repair takes nothing
+// away, as what is lost may come back.
+func (p Plan) WithoutUnloads() Plan {
+	p.Steps = slices.DeleteFunc(slices.Clone(p.Steps), func(s Step) bool { return s.Action == Unload })
+	return p
+}
+
 func (p Plan) withStep(cfg config.Config, a Action, t config.Target, reason string) Plan {
 	s := Step{Action: a, Target: t.ID, Zone: t.Zone, Model: p.Intent.Model, Reason: reason, Status: StepWaiting}
 	if m, ok := cfg.Models.Get(s.Model); ok && a == Load {
--- a/peers/peers_test.go
+++ b/peers/peers_test.go
@@ -44,7 +44,7 @@
 }
 
 // send sends messages until some arrive or it is clear that none will.
-func send(t *testing.T, address string, o peers.Options, m host.Message, taken *atomic.Int32) int {
+func send(address string, o peers.Options, m host.Message, taken *atomic.Int32) int {
 	p := peers.NewPool(o)
 	defer p.Close()
 	p.Know([]config.Host{{ID: "b", Address: address}})
@@ -61,11 +61,11 @@
 	address, taken := serve(t, options("b"))
 	wrong := options("a")
 	wrong.Key = "another key of a fleet"
-	require.Zero(t, send(t, address, wrong, beat, taken))
+	require.Zero(t, send(address, wrong, beat, taken))
 	other := options("a")
 	other.Fleet = "restored"
-	require.Zero(t, send(t, address, other, beat, taken))
-	require.Positive(t, send(t, address, options("a"), beat, taken))
+	require.Zero(t, send(address, other, beat, taken))
+	require.Positive(t, send(address, options("a"), beat, taken))
 
 	// A call without a Hello ends the connection.
 	before := taken.Load()
@@ -81,8 +81,8 @@
 	address, taken := serve(t, small)
 	huge := host.AdoptPlaces{}
 	huge.Group.Zone = ident.Zone(make([]byte, 64<<10))
-	require.Zero(t, send(t, address, options("a"), huge, taken))
-	require.Positive(t, send(t, address, options("a"), beat, taken), "the server goes on")
+	require.Zero(t, send(address, options("a"), huge, taken))
+	require.Positive(t, send(address, options("a"), beat, taken), "the server goes on")
 }
 
 // authority signs certificates for one test.
@@ -127,13 +127,13 @@
 	server := options("b")
 	server.TLS = ours.config(t, ours)
 	address, taken := serve(t, server)
-	require.Zero(t, send(t, address, options("a"), beat, taken), "no TLS")
+	require.Zero(t, send(address, options("a"), beat, taken), "no TLS")
 	stranger := options("a")
 	stranger.TLS = theirs.config(t, ours)
-	require.Zero(t, send(t, address, stranger, beat, taken), "a certificate of another authority")
+	require.Zero(t, send(address, stranger, beat, taken), "a certificate of another authority")
 	good := options("a")
 	good.TLS = ours.config(t, ours)
-	require.Positive(t, send(t, address, good, beat, taken))
+	require.Positive(t, send(address, good, beat, taken))
 }
 
 // Two neighbouring versions of a message: the newer has one field more.
