config: Keep an account's key where a change leaves it out; say once what stood twice

Cause: keys are never shown, so an account read and written back was refused. A change without a key now keeps the one in force.

--- a/callers/read.go
+++ b/callers/read.go
@@ -120,7 +120,17 @@
 	return &host.Verdict{Outcome: outcome.NotRun, Code: codeBadRequest, Reason: reason}
 }
 
-// describe reads what all requests have in common.
+// read reads a request as far as all kinds have it in common.
+func (a *API) read(c echo.Context) ([]byte, host.Request, *host.Verdict) {
+	body, verdict := a.readBody(c)
+	if verdict != nil {
+		return nil, host.Request{ID: a.newID()}, verdict
+	}
+	r, verdict := a.describe(c, body)
+	return body, r, verdict
+}
+
+// describe reads the headers.
 func (a *API) describe(c echo.Context, body []byte) (host.Request, *host.Verdict) {
 	h := c.Request().Header
 	r := host.Request{
--- a/callers/serve.go
+++ b/callers/serve.go
@@ -22,11 +22,7 @@
 
 // inference serves the model routes.
 func (a *API) inference(c echo.Context) error {
-	body, verdict := a.readBody(c)
-	if verdict != nil {
-		return writeVerdict(c.Response(), a.newID(), *verdict)
-	}
-	r, verdict := a.describe(c, body)
+	body, r, verdict := a.read(c)
 	if verdict != nil {
 		return writeVerdict(c.Response(), r.ID, *verdict)
 	}
@@ -44,11 +40,7 @@
 // plain serves plain services: method, path below the service, query, body and
 // headers are passed on.
 func (a *API) plain(c echo.Context) error {
-	body, verdict := a.readBody(c)
-	if verdict != nil {
-		return writeVerdict(c.Response(), a.newID(), *verdict)
-	}
-	r, verdict := a.describe(c, body)
+	body, r, verdict := a.read(c)
 	if verdict != nil {
 		return writeVerdict(c.Response(), r.ID, *verdict)
 	}
--- a/core/config/config.go
+++ b/core/config/config.go
@@ -63,6 +63,7 @@
 // With returns the configuration after ch, one version higher, or an error
 // that says what is wrong with ch.
 func (c Config) With(ch Change) (Config, error) {
+	ch = c.completed(ch)
 	if err := c.check(ch); err != nil {
 		return c, err
 	}
@@ -116,6 +117,18 @@
 	return c, nil
 }
 
+// completed fills in what a change may leave out: the key of an account that
+// exists, which is never shown and so cannot be sent back.
+func (c Config) completed(ch Change) Change {
+	put, ok := ch.(PutAccount)
+	if !ok || put.Account.KeyHash != "" {
+		return ch
+	}
+	old, _ := c.Accounts.Get(put.Account.ID)
+	put.Account.KeyHash = old.KeyHash
+	return put
+}
+
 func (c Config) withAccount(a Account) Config {
 	if old, ok := c.Accounts.Get(a.ID); ok {
 		c.keys = c.keys.Without(old.KeyHash)
--- a/core/host/capacity_test.go
+++ b/core/host/capacity_test.go
@@ -86,7 +86,7 @@
 }
 
 func specs(n int) []routing.Spec {
-	var out []routing.Spec
+	out := make([]routing.Spec, 0, n)
 	for i := range n {
 		out = append(out, routing.Spec{ID: ident.Target(fmt.Sprintf("e%03d", i)), Slots: 64, Models: []ident.Model{model}, Usable: true})
 	}
--- a/core/host/fanout_test.go
+++ b/core/host/fanout_test.go
@@ -16,8 +16,9 @@
 	"github.com/yardhall/yardhall/core/raft"
 )
 
-// replica returns a leader that keeps the state alone.
-func replica(t testing.TB, now *time.Time) (host.State, func(host.Event) []host.Effect) {
+// replica starts a leader that keeps the state alone; the function returned
+// feeds it events and its own disk's answers.
+func replica(t testing.TB, now *time.Time) func(host.Event) []host.Effect {
 	self := config.Host{ID: "state", Zone: "z0", Address: "127.0.0.1:1"}
 	s := host.New(host.Settings{ID: self.ID, Zone: self.Zone, Address: self.Address, Replicas: []config.Host{self}}, 1, *now)
 	s, err := s.WithReplica(raft.Boot{}, *now)
@@ -43,7 +44,7 @@
 		feed(host.Tick{})
 	}
 	require.True(t, s.Raft().LeaseHeld(*now))
-	return s, feed
+	return feed
 }
 
 func putClass(rank int) host.Submitted {
@@ -56,7 +57,7 @@
 // and out of order: the version in force never falls.
 func TestFollowersNeverRevert(t *testing.T) {
 	now := time.Unix(1_000_000, 0)
-	_, feed := replica(t, &now)
+	feed := replica(t, &now)
 	var sent []host.Message
 	for i := range 30 {
 		feed(putClass(i))
@@ -84,7 +85,7 @@
 	for _, hosts := range []int{7, 78, 390} {
 		b.Run(fmt.Sprint(hosts, "-followers"), func(b *testing.B) {
 			now := time.Unix(1_000_000, 0)
-			_, feed := replica(b, &now)
+			feed := replica(b, &now)
 			for i := range hosts {
 				id := ident.Host(fmt.Sprintf("h%03d", i))
 				feed(host.Received{From: id, Message: host.Follow{Host: config.Host{ID: id, Zone: "z0", Address: "127.0.0.1:1"}, Version: 1}})
--- a/core/host/repair_test.go
+++ b/core/host/repair_test.go
@@ -20,7 +20,7 @@
 // rules, the second causes no loads.
 func TestLostEngineIsReplacedOnceAndACutZoneIsNot(t *testing.T) {
 	now := time.Unix(1_000_000, 0)
-	_, feed := replica(t, &now)
+	feed := replica(t, &now)
 	id := 0
 	write := func(cmd catalog.Command) catalog.Result {
 		id++
--- a/core/raft/raft.go
+++ b/core/raft/raft.go
@@ -236,16 +236,21 @@
 // quorumAcked returns the send time of the newest heartbeat that a quorum has
 // answered.
 func (s State) quorumAcked(now time.Time) time.Time {
-	var times []time.Time
+	return s.quorumTime(now, func(p progress) time.Time { return p.acked })
+}
+
+// quorumTime returns the newest time that a quorum of voters has reached, this
+// replica being at now.
+func (s State) quorumTime(now time.Time, of func(progress) time.Time) time.Time {
+	times := make([]time.Time, 0, len(s.members))
 	for _, m := range s.members {
-		if !m.Voter {
-			continue
-		}
-		at := now
-		if m.ID != s.id {
-			at = s.progressOf(m.ID).acked
+		switch {
+		case !m.Voter:
+		case m.ID == s.id:
+			times = append(times, now)
+		default:
+			times = append(times, of(s.progressOf(m.ID)))
 		}
-		times = append(times, at)
 	}
 	if len(times) == 0 {
 		return time.Time{}
--- a/core/raft/replicate.go
+++ b/core/raft/replicate.go
@@ -48,7 +48,7 @@
 }
 
 func (w *step) leaderTick() {
-	if w.now.Sub(w.quorumHeard()) > w.options.Election {
+	if w.now.Sub(w.quorumTime(w.now, func(p progress) timeStamp { return p.heard })) > w.options.Election {
 		// Cut off from the quorum: a leader that cannot commit must not go on.
 		w.become(Follower, w.hard.Term)
 		return
@@ -59,26 +59,6 @@
 	w.broadcast()
 }
 
-// quorumHeard is the newest time by which a quorum had answered.
-func (w *step) quorumHeard() (at timeStamp) {
-	var times []timeStamp
-	for _, m := range w.members {
-		if !m.Voter {
-			continue
-		}
-		t := w.now
-		if m.ID != w.id {
-			t = w.progressOf(m.ID).heard
-		}
-		times = append(times, t)
-	}
-	if len(times) == 0 {
-		return w.now
-	}
-	slices.SortFunc(times, func(a, b timeStamp) int { return b.Compare(a) })
-	return times[quorum(len(times))-1]
-}
-
 // broadcast sends a heartbeat round to every member.
 func (w *step) broadcast() {
 	w.round++
--- a/core/routing/routing_test.go
+++ b/core/routing/routing_test.go
@@ -22,7 +22,7 @@
 )
 
 func engines(n, slots int, models ...ident.Model) []routing.Spec {
-	var out []routing.Spec
+	out := make([]routing.Spec, 0, n)
 	for i := range n {
 		out = append(out, routing.Spec{ID: ident.Target(fmt.Sprintf("e%02d", i)), Slots: slots, Models: models, Usable: true})
 	}
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -157,6 +157,18 @@
 	return &tls.Config{Certificates: []tls.Certificate{cert}, MinVersion: tls.VersionTLS13}, nil
 }
 
+// withTLS encrypts a listener where a certificate is set.
+func withTLS(l net.Listener, certFile, keyFile string) (net.Listener, error) {
+	if certFile == "" {
+		return l, nil
+	}
+	config, err := serverTLS(certFile, keyFile)
+	if err != nil {
+		return nil, err
+	}
+	return tls.NewListener(l, config), nil
+}
+
 func (d *Daemon) openStorage(state host.State) (*storage.Log, host.State, error) {
 	o := storage.Options{Fleet: d.settings.Host.Fleet, Wrap: d.options.WrapFile}
 	if d.settings.Replicas.Join != "yes" {
@@ -283,13 +295,9 @@
 			ID: d.settings.ID(), Incarnation: d.loop.State().Incarnation(),
 		},
 	})
-	l := d.callerL
-	if s.Cert != "" {
-		config, err := serverTLS(s.Cert, s.KeyFile)
-		if err != nil {
-			return err
-		}
-		l = tls.NewListener(l, config)
+	l, err := withTLS(d.callerL, s.Cert, s.KeyFile)
+	if err != nil {
+		return err
 	}
 	d.addHTTP(g, l, &http.Server{
 		Handler: api.Handler(), ReadTimeout: s.ReadTimeout, IdleTimeout: s.IdleTimeout,
@@ -334,13 +342,9 @@
 	api := operators.New(operators.Deps{
 		Core: d.loop, KeyHashes: s.KeyHashes, Counters: d.metrics.handler(),
 	})
-	l := d.operL
-	if s.Cert != "" {
-		config, err := serverTLS(s.Cert, s.KeyFile)
-		if err != nil {
-			return err
-		}
-		l = tls.NewListener(l, config)
+	l, err := withTLS(d.operL, s.Cert, s.KeyFile)
+	if err != nil {
+		return err
 	}
 	d.addHTTP(g, l, &http.Server{
 		Handler: api.Handler(), ReadTimeout: operatorReadTimeout, MaxHeaderBytes: operatorHeader,
--- a/operators/kinds.go
+++ b/operators/kinds.go
@@ -10,6 +10,7 @@
 
 	"github.com/yardhall/yardhall/core/config"
 	"github.com/yardhall/yardhall/core/ident"
+	"github.com/yardhall/yardhall/core/table"
 )
 
 // object is one configured object with its revision.
@@ -26,127 +27,117 @@
 	remove func(id string) config.Change
 }
 
+// kindOf makes the collection of a table from its objects' changes. remove may
+// be nil.
+func kindOf[K ~string, V any](
+	objects func(config.Config) table.Table[K, V],
+	rev func(V) config.Version,
+	put func(K, V) config.Change,
+	remove func(K) config.Change,
+) kind {
+	k := kind{
+		list: func(c config.Config) any { return objects(c).Values() },
+		get: func(c config.Config, id string) (object, bool) {
+			v, ok := objects(c).Get(K(id))
+			return object{v, rev(v)}, ok
+		},
+		put: func(id string, body []byte) (config.Change, error) {
+			var v V
+			err := decode(body, &v)
+			return put(K(id), v), err
+		},
+	}
+	if remove != nil {
+		k.remove = func(id string) config.Change { return remove(K(id)) }
+	}
+	return k
+}
+
 // kinds returns the collections by their names in paths.
 func kinds() map[string]kind {
 	return map[string]kind{
-		"accounts": {
-			list: func(c config.Config) any { return withoutKeys(c.Accounts.Values()) },
-			get: func(c config.Config, id string) (object, bool) {
-				v, ok := c.Accounts.Get(ident.Account(id))
-				return object{withoutKeys([]config.Account{v})[0], v.Rev}, ok
-			},
-			put: func(id string, body []byte) (config.Change, error) {
-				v := config.Account{}
-				err := decode(body, &v)
-				v.ID = ident.Account(id)
-				return config.PutAccount{Account: v}, err
-			},
-			remove: func(id string) config.Change { return config.DeleteAccount{ID: ident.Account(id)} },
-		},
-		"classes": {
-			list: func(c config.Config) any { return c.Classes.Values() },
-			get: func(c config.Config, id string) (object, bool) {
-				v, ok := c.Classes.Get(ident.Class(id))
-				return object{v, v.Rev}, ok
-			},
-			put: func(id string, body []byte) (config.Change, error) {
-				v := config.Class{}
-				err := decode(body, &v)
-				v.ID = ident.Class(id)
-				return config.PutClass{Class: v}, err
-			},
-			remove: func(id string) config.Change { return config.DeleteClass{ID: ident.Class(id)} },
-		},
-		"services": {
-			list: func(c config.Config) any { return c.Services.Values() },
-			get: func(c config.Config, id string) (object, bool) {
-				v, ok := c.Services.Get(ident.Service(id))
-				return object{v, v.Rev}, ok
-			},
-			put: func(id string, body []byte) (config.Change, error) {
-				v := config.Service{}
-				err := decode(body, &v)
-				v.ID = ident.Service(id)
-				return config.PutService{Service: v}, err
-			},
-			remove: func(id string) config.Change { return config.DeleteService{ID: ident.Service(id)} },
-		},
-		"models": {
-			list: func(c config.Config) any { return c.Models.Values() },
-			get: func(c config.Config, id string) (object, bool) {
-				v, ok := c.Models.Get(ident.Model(id))
-				return object{v, v.Rev}, ok
-			},
-			put: func(id string, body []byte) (config.Change, error) {
-				v := config.Model{}
-				err := decode(body, &v)
-				v.ID = ident.Model(id)
-				return config.PutModel{Model: v}, err
-			},
-			remove: func(id string) config.Change { return config.DeleteModel{ID: ident.Model(id)} },
-		},
-		"targets": {
-			list: func(c config.Config) any { return c.Targets.Values() },
-			get: func(c config.Config, id string) (object, bool) {
-				v, ok := c.Targets.Get(ident.Target(id))
-				return object{v, v.Rev}, ok
-			},
-			put: func(id string, body []byte) (config.Change, error) {
-				v := config.Target{}
-				err := decode(body, &v)
-				v.ID = ident.Target(id)
-				return config.PutTarget{Target: v}, err
-			},
-			remove: func(id string) config.Change { return config.DeleteTarget{ID: ident.Target(id)} },
-		},
-		"hosts": {
-			list: func(c config.Config) any { return c.Hosts.Values() },
-			get: func(c config.Config, id string) (object, bool) {
-				v, ok := c.Hosts.Get(ident.Host(id))
-				return object{v, v.Rev}, ok
-			},
-			put: func(id string, body []byte) (config.Change, error) {
-				v := config.Host{}
-				err := decode(body, &v)
-				v.ID = ident.Host(id)
-				return config.PutHost{Host: v}, err
-			},
-			remove: func(id string) config.Change { return config.DeleteHost{ID: ident.Host(id)} },
-		},
-		"intents": {
-			list: func(c config.Config) any { return c.Intents.Values() },
-			get: func(c config.Config, id string) (object, bool) {
-				v, ok := c.Intents.Get(ident.Intent(id))
-				return object{v, v.Rev}, ok
-			},
-			put: func(string, []byte) (config.Change, error) {
-				return nil, errors.New("an intent comes into force by its confirmed plan: POST it to /v1/plans")
-			},
-			remove: func(id string) config.Change { return config.DeleteIntent{ID: ident.Intent(id)} },
-		},
-		"handovers": {
-			list: func(c config.Config) any { return c.HandOvers.Values() },
-			get: func(c config.Config, id string) (object, bool) {
-				v, ok := c.HandOvers.Get(id)
-				return object{v, v.Rev}, ok
-			},
-			put: func(_ string, body []byte) (config.Change, error) {
-				v := config.HandOver{}
-				err := decode(body, &v)
-				return config.PutHandOver{HandOver: v}, err
-			},
+		"accounts": accountKind(),
+		"classes": kindOf(
+			func(c config.Config) table.Table[ident.Class, config.Class] { return c.Classes },
+			func(v config.Class) config.Version { return v.Rev },
+			func(id ident.Class, v config.Class) config.Change { v.ID = id; return config.PutClass{Class: v} },
+			func(id ident.Class) config.Change { return config.DeleteClass{ID: id} },
+		),
+		"services": kindOf(
+			func(c config.Config) table.Table[ident.Service, config.Service] { return c.Services },
+			func(v config.Service) config.Version { return v.Rev },
+			func(id ident.Service, v config.Service) config.Change {
+				v.ID = id
+				return config.PutService{Service: v}
+			},
+			func(id ident.Service) config.Change { return config.DeleteService{ID: id} },
+		),
+		"models": kindOf(
+			func(c config.Config) table.Table[ident.Model, config.Model] { return c.Models },
+			func(v config.Model) config.Version { return v.Rev },
+			func(id ident.Model, v config.Model) config.Change { v.ID = id; return config.PutModel{Model: v} },
+			func(id ident.Model) config.Change { return config.DeleteModel{ID: id} },
+		),
+		"targets": kindOf(
+			func(c config.Config) table.Table[ident.Target, config.Target] { return c.Targets },
+			func(v config.Target) config.Version { return v.Rev },
+			func(id ident.Target, v config.Target) config.Change { v.ID = id; return config.PutTarget{Target: v} },
+			func(id ident.Target) config.Change { return config.DeleteTarget{ID: id} },
+		),
+		"hosts": kindOf(
+			func(c config.Config) table.Table[ident.Host, config.Host] { return c.Hosts },
+			func(v config.Host) config.Version { return v.Rev },
+			func(id ident.Host, v config.Host) config.Change { v.ID = id; return config.PutHost{Host: v} },
+			func(id ident.Host) config.Change { return config.DeleteHost{ID: id} },
+		),
+		"intents": intentKind(),
+		"handovers": kindOf(
+			func(c config.Config) table.Table[string, config.HandOver] { return c.HandOvers },
+			func(v config.HandOver) config.Version { return v.Rev },
+			func(_ string, v config.HandOver) config.Change { return config.PutHandOver{HandOver: v} },
+			nil,
+		),
+	}
+}
+
+// accountKind hides the key hashes, which are nobody's business to read.
+func accountKind() kind {
+	k := kindOf(
+		func(c config.Config) table.Table[ident.Account, config.Account] { return c.Accounts },
+		func(v config.Account) config.Version { return v.Rev },
+		func(id ident.Account, v config.Account) config.Change {
+			v.ID = id
+			return config.PutAccount{Account: v}
 		},
+		func(id ident.Account) config.Change { return config.DeleteAccount{ID: id} },
+	)
+	k.list = func(c config.Config) any {
+		accounts := c.Accounts.Values()
+		for i := range accounts {
+			accounts[i].KeyHash = ""
+		}
+		return accounts
+	}
+	k.get = func(c config.Config, id string) (object, bool) {
+		v, ok := c.Accounts.Get(ident.Account(id))
+		v.KeyHash = ""
+		return object{v, v.Rev}, ok
 	}
+	return k
 }
 
-// withoutKeys hides the key hashes, which are nobody's business to read.
-func withoutKeys(accounts []config.Account) []config.Account {
-	out := make([]config.Account, 0, len(accounts))
-	for _, a := range accounts {
-		a.KeyHash = ""
-		out = append(out, a)
+// intentKind takes no writes: an intent comes into force by its plan.
+func intentKind() kind {
+	k := kindOf(
+		func(c config.Config) table.Table[ident.Intent, config.Intent] { return c.Intents },
+		func(v config.Intent) config.Version { return v.Rev },
+		func(ident.Intent, config.Intent) config.Change { return nil },
+		func(id ident.Intent) config.Change { return config.DeleteIntent{ID: id} },
+	)
+	k.put = func(string, []byte) (config.Change, error) {
+		return nil, errors.New("an intent comes into force by its confirmed plan: POST it to /v1/plans")
 	}
-	return out
+	return k
 }
 
 func decode(body []byte, v any) error {
