routing: Let known chats keep their engine where engines are nearly idle

Below a mean of 8 known chats may now use the bound rounded up. Nothing changes at a mean of 8 or more.

--- a/core/routing/ask.go
+++ b/core/routing/ask.go
@@ -134,14 +134,22 @@
 
 // limit is the load that an engine may have after a placement that uses
 // share of the room between mean and bound; at least the mean itself, rounded
-// up, so that there always is a place.
+// up, so that there always is a place. Where engines are nearly idle, one
+// request more or less is no skew, and known chats may use the bound rounded up.
 func limit(b Bound, mean, share float64) int {
 	if b.Multiple == 0 {
 		return math.MaxInt
 	}
-	return max(1, int(math.Ceil(mean)), int(mean*(1+(b.Multiple-1)*share)))
+	most := int(mean * (1 + (b.Multiple-1)*share))
+	if share > 0 && mean < idleMean {
+		most = int(math.Ceil(mean * b.Multiple))
+	}
+	return max(1, int(math.Ceil(mean)), most)
 }
 
+// idleMean is the mean load below which whole requests are coarse.
+const idleMean = 8
+
 // Ask places a request, queues it, sends it elsewhere or refuses it.
 func (g Group) Ask(ask Ask, b Bound, now time.Time) (Group, Answer) {
 	if ask.Rank > 0 && g.queue.waitingBefore(ask) {
--- a/demo/demo.go
+++ b/demo/demo.go
@@ -71,6 +71,8 @@
 type Figures struct {
 	Requests int
 	Failed   int
+	// FirstFailure is the first failed answer.
+	FirstFailure string
 	// Reuse is the share of returning chats' prompt tokens served from cache.
 	Reuse float64
 	// Skew is the busiest engine's mean requests in flight over the mean of
@@ -223,6 +225,9 @@
 	p("%-34s %12s %12s", "", "yardhall", "round robin")
 	p("%-34s %12d %12d", "requests answered", r.Yardhall.Requests-r.Yardhall.Failed, r.RoundRobin.Requests-r.RoundRobin.Failed)
 	p("%-34s %12d %12d", "requests failed", r.Yardhall.Failed, r.RoundRobin.Failed)
+	if r.Yardhall.Failed > 0 {
+		p("  the first: %s", r.Yardhall.FirstFailure)
+	}
 	p("%-34s %12.2f %12.2f", "cache reuse of returning prompts", r.Yardhall.Reuse, r.RoundRobin.Reuse)
 	p("%-34s %12.2f %12.2f", "busiest engine over mean", r.Yardhall.Skew, r.RoundRobin.Skew)
 	p("%-34s %12.0f", "control bytes/s per host", r.ControlBytes)
--- a/demo/load.go
+++ b/demo/load.go
@@ -39,8 +39,10 @@
 	failed   atomic.Int64
 	cached   atomic.Int64
 	prompt   atomic.Int64
-	samples  []float64
-	sampled  int
+	// firstFailure is the first failed answer, as a string.
+	firstFailure atomic.Value
+	samples      []float64
+	sampled      int
 }
 
 type event struct {
@@ -102,6 +104,7 @@
 
 func (l *load) figures() Figures {
 	f := Figures{Requests: int(l.requests.Load()), Failed: int(l.failed.Load())}
+	f.FirstFailure, _ = l.firstFailure.Load().(string)
 	if l.prompt.Load() > 0 {
 		f.Reuse = float64(l.cached.Load()) / float64(l.prompt.Load())
 	}
@@ -186,9 +189,10 @@
 	}
 	defer func() { _ = resp.Body.Close() }()
 	var a chatAnswer
-	if resp.StatusCode != http.StatusOK || json.NewDecoder(resp.Body).Decode(&a) != nil || len(a.Choices) == 0 {
+	text, err = io.ReadAll(resp.Body)
+	if err != nil || resp.StatusCode != http.StatusOK || json.Unmarshal(text, &a) != nil || len(a.Choices) == 0 {
 		if ctx.Err() == nil {
-			l.failed.Add(1)
+			l.fail(resp.Status, text)
 		}
 		return "", false
 	}
@@ -199,6 +203,16 @@
 	return a.Choices[0].Message.Content, true
 }
 
+// fail counts a failed request and keeps the first answer for the report.
+func (l *load) fail(status string, text []byte) {
+	if l.failed.Add(1) == 1 {
+		l.firstFailure.Store(status + " " + string(text[:min(len(text), maxShown)]))
+	}
+}
+
+// maxShown bounds what the report shows of a failed answer.
+const maxShown = 300
+
 func headerNumber(resp *http.Response, name string) int64 {
 	n, err := strconv.ParseInt(resp.Header.Get(name), 10, 64)
 	if err != nil {
