host: Prove not-run under a key by the claim alone, and give claims back

Cause: read again as a newcomer, the claim's end was wrong in three places. A claim that could not be had in time was ended with what the caller was told (unknown), so the key could never run; a claim granted after its caller had left stayed open; a late copy of an ended attempt's ask was granted again. And a request with a key but without a claim could be told not-run though an earlier one may have run.

After: claims end with what the attempts prove; a grant nobody waits for is given back; not-run under a key needs a decided claim.

--- a/core/catalog/claim.go
+++ b/core/catalog/claim.go
@@ -51,7 +51,8 @@
 		// The same attempt asks again, as its answer was lost.
 		return c, Result{Code: OK, Claim: old}
 	}
-	if ok && old.Ended != outcome.NotRun {
+	if ok && (old.Ended != outcome.NotRun || old.Request == cmd.Request) {
+		// Also an attempt that has ended: a late copy of its ask grants nothing.
 		return c, Result{Code: ClaimTaken, Claim: old}
 	}
 	claim := Claim{Key: cmd.Key, Created: cmd.Created, Digest: cmd.Digest, Host: cmd.Host, Request: cmd.Request}
--- a/core/host/admit.go
+++ b/core/host/admit.go
@@ -25,15 +25,6 @@
 	return Verdict{Outcome: outcome.NotRun, Code: code, Reason: reason}
 }
 
-// unlessEarlier weakens not-run where the claim of the request's key was not
-// decided: an earlier attempt under that key may have run.
-func (v Verdict) unlessEarlier(c call) Verdict {
-	if c.req.Once && c.req.IdempotencyKey != "" && v.Outcome == outcome.NotRun {
-		v.Outcome = outcome.Unknown
-	}
-	return v
-}
-
 // admit resolves account, service, class and limits.
 func (t *turn) admit(c *call) (Verdict, bool) {
 	if !t.ready {
--- a/core/host/call.go
+++ b/core/host/call.go
@@ -67,8 +67,10 @@
 	// avoid are groups in which a target could not be reached.
 	avoid []routing.GroupID
 	// worst joins the outcomes of the attempts so far.
-	worst   outcome.Kind
-	claimed bool
+	worst outcome.Kind
+	// claimed is true while this call may hold the claim of its key; decided
+	// once the claim's answer proves what earlier requests under it did.
+	claimed, decided bool
 }
 
 func (t *turn) put(c call) { t.calls = t.calls.With(c.req.ID, c) }
@@ -82,7 +84,7 @@
 	}
 	c := call{req: r, worst: outcome.NotRun}
 	if v, ok := t.admit(&c); !ok {
-		t.refuse(c, v.unlessEarlier(c))
+		t.refuse(c, v)
 		return
 	}
 	t.useAccount(c.account.ID, 1)
@@ -94,8 +96,13 @@
 	t.ask(c)
 }
 
-// refuse ends a request that was never admitted.
+// refuse tells the caller how the request ended. Only a decided claim proves
+// that nothing ran under a key before.
 func (t *turn) refuse(c call, v Verdict) {
+	if c.req.IdempotencyKey != "" && !c.decided && v.Outcome == outcome.NotRun {
+		// This attempt did not run, but an earlier one under its key may have.
+		v.Outcome = outcome.Unknown
+	}
 	t.countOutcome(v.Outcome)
 	t.emit(Finish{Request: c.req.ID, Verdict: v})
 }
@@ -117,7 +124,7 @@
 	t.useAccount(c.account.ID, -1)
 	t.leave(c)
 	if c.claimed {
-		t.endClaim(c, v.Outcome)
+		t.endClaim(c, c.worst)
 	}
 	t.refuse(c, v)
 }
--- a/core/host/claim.go
+++ b/core/host/claim.go
@@ -29,6 +29,7 @@
 func (t *turn) claimAnswered(id ident.Request, r catalog.Result, known bool) {
 	c, ok := t.calls.Get(id)
 	if !ok || c.phase != phaseClaiming {
+		t.dropClaim(id, r, known)
 		return
 	}
 	if !known {
@@ -37,9 +38,10 @@
 		t.finish(c, Verdict{
 			Outcome: outcome.NotRun, Code: CodeNoQuorum, RetryAfter: retryLater,
 			Reason: "the right to run it once could not be had in time; this attempt did not run",
-		}.unlessEarlier(c))
+		})
 		return
 	}
+	c.decided = true
 	if r.Code == catalog.OK {
 		c.claimed = true
 		t.ask(c)
@@ -69,13 +71,21 @@
 	return v
 }
 
+// dropClaim gives back a claim whose caller left before it was granted.
+func (t *turn) dropClaim(id ident.Request, r catalog.Result, known bool) {
+	if known && r.Code == catalog.OK && r.Claim.Request == id {
+		t.submitEnd(r.Claim.Key, id, outcome.NotRun)
+	}
+}
+
 func (t *turn) endClaim(c call, k outcome.Kind) {
+	t.submitEnd(catalog.ClaimKey{Account: c.account.ID, Key: c.req.IdempotencyKey}, c.req.ID, k)
+}
+
+func (t *turn) submitEnd(key catalog.ClaimKey, id ident.Request, k outcome.Kind) {
 	t.submit(catalog.Write{
-		ID: "end/" + string(c.req.ID), Actor: string(t.settings.ID),
-		Command: catalog.EndClaim{
-			Key:     catalog.ClaimKey{Account: c.account.ID, Key: c.req.IdempotencyKey},
-			Request: c.req.ID, Outcome: k,
-		},
+		ID: "end/" + string(id), Actor: string(t.settings.ID),
+		Command: catalog.EndClaim{Key: key, Request: id, Outcome: k},
 	}, t.now.Add(endClaimTime))
 }
 
--- a/core/host/policy_test.go
+++ b/core/host/policy_test.go
@@ -154,6 +154,23 @@
 	}
 }
 
+// BenchmarkPolicyDesignZone runs one zone of the design size for a minute.
+func BenchmarkPolicyDesignZone(b *testing.B) {
+	p := profiles["design-zone"]
+	for _, policy := range []string{"rendezvous", "bounded-local", "yardhall"} {
+		b.Run(policy, func(b *testing.B) {
+			for b.Loop() {
+				f := measure(p, baselines[policy], time.Minute)
+				b.ReportMetric(f.reuse, "reuse")
+				b.ReportMetric(f.skew, "skew-p99.9")
+				b.ReportMetric(f.bytes, "B/s/router")
+				b.ReportMetric(f.urgent, "urgent-p99-ms")
+				b.ReportMetric(float64(f.notRun), "not-run")
+			}
+		})
+	}
+}
+
 // TestBoundHoldsWhileAnAccountSurges brings about what breaks the bound: half
 // the traffic from one account's few chats, engines replaced and flapping, a
 // router lost and back. The same load breaks it where routers guess.
