targets: Resume broken streams on their engine

A broken stream is now taken up after the events that the caller has, at most twice; a caller that leaves cancels its stream by word, as its engine would otherwise keep it.

A stream cut a third time is told as before.

--- a/targets/client.go
+++ b/targets/client.go
@@ -46,6 +46,8 @@
 	control *http.Transport
 	// Mismatched counts answers that belonged to another request.
 	Mismatched atomic.Int64
+	// Resumed counts streams taken up again after a break.
+	Resumed atomic.Int64
 	// ProbeBytes counts the bytes of load reports, both ways.
 	ProbeBytes atomic.Int64
 }
--- a/targets/exchange.go
+++ b/targets/exchange.go
@@ -65,7 +65,11 @@
 		return outcome.Declined{Reason: reason, Leaving: reason == DeclinedLeaving}
 	}
 	if x.Streamed && resp.StatusCode == http.StatusOK {
-		return c.stream(ctx, x, resp, stall)
+		result := c.stream(ctx, x, resp, stall)
+		if _, left := result.(outcome.Abandoned); left {
+			c.cancel(x)
+		}
+		return result
 	}
 	return c.whole(ctx, x, resp)
 }
@@ -129,32 +133,102 @@
 const maxEventLine = 1 << 20
 
 // stream passes events on line by line and holds back the end mark, so that
-// the caller sees it only of a whole answer.
+// the caller sees it only of a whole answer. A stream that breaks is resumed on
+// its engine, which goes on with it for a while.
 func (c *Client) stream(ctx context.Context, x Exchange, resp *http.Response, stall *time.Timer) outcome.Attempt {
+	p := &streamPass{client: c, exchange: x, stall: stall}
+	for tries := 0; ; tries++ {
+		err := p.pass(resp)
+		if err == nil {
+			return answered(resp)
+		}
+		if errors.Is(err, errCaller) || ctx.Err() != nil || tries == maxResumes || !p.begun {
+			return c.failed(ctx, true, p.begun, err)
+		}
+		next, resumeErr := p.resume(ctx)
+		if resumeErr != nil {
+			return c.failed(ctx, true, p.begun, errors.Wrap(err, resumeErr.Error()))
+		}
+		defer closeBody(next)
+		c.Resumed.Add(1)
+		resp = next
+	}
+}
+
+// maxResumes bounds how often one stream is taken up again.
+const maxResumes = 2
+
+// streamPass is the passing on of one stream, over several connections if
+// need be.
+type streamPass struct {
+	client   *Client
+	exchange Exchange
+	stall    *time.Timer
+	begun    bool
+	// events counts the events passed on; open is true after an event's line
+	// until its blank line.
+	events int
+	open   bool
+}
+
+// pass hands lines to the caller until the end mark or an error.
+func (p *streamPass) pass(resp *http.Response) error {
 	lines := bufio.NewReaderSize(resp.Body, 4<<10)
-	begun := false
 	for {
 		line, err := readLine(lines)
 		if err != nil {
-			return c.failed(ctx, true, begun, err)
+			return err
 		}
-		stall.Reset(c.options.StreamStall)
-		if !begun {
-			if err := x.Sink.Begin(resp.StatusCode, resp.Header); err != nil {
-				return outcome.Abandoned{Sent: true}
+		p.stall.Reset(p.client.options.StreamStall)
+		if !p.begun {
+			if err := p.exchange.Sink.Begin(resp.StatusCode, resp.Header); err != nil {
+				return errCaller
 			}
-			begun = true
+			p.begun = true
 		}
 		if isDone(line) {
-			_ = x.Sink.Write([]byte("data: [DONE]\n\n"))
-			return answered(resp)
+			_ = p.exchange.Sink.Write([]byte("data: [DONE]\n\n"))
+			return nil
 		}
-		if err := x.Sink.Write(line); err != nil {
-			return outcome.Abandoned{Sent: true}
+		if err := p.exchange.Sink.Write(line); err != nil {
+			return errCaller
 		}
+		p.count(line)
 	}
 }
 
+func (p *streamPass) count(line []byte) {
+	if bytes.HasPrefix(line, dataPrefix) {
+		p.events++
+	}
+	p.open = len(bytes.TrimSpace(line)) > 0
+}
+
+// resume asks the engine for the rest of the stream, after the events that the
+// caller has.
+func (p *streamPass) resume(ctx context.Context) (*http.Response, error) {
+	x := p.exchange
+	x.Method, x.Body, x.Once = http.MethodGet, nil, true
+	x.Path = PathStream + string(x.Request) + "?from=" + strconv.Itoa(p.events)
+	resp, _, err := p.client.send(ctx, x)
+	if err != nil {
+		return nil, err
+	}
+	if resp.StatusCode != http.StatusOK || resp.Header.Get(HeaderRequestID) != string(x.Request) {
+		closeBody(resp)
+		return nil, errors.New("the engine does not resume it")
+	}
+	if p.open {
+		// The blank line that ends the last event was lost.
+		p.open = false
+		if err := p.exchange.Sink.Write([]byte("\n")); err != nil {
+			closeBody(resp)
+			return nil, errCaller
+		}
+	}
+	return resp, nil
+}
+
 func readLine(r *bufio.Reader) ([]byte, error) {
 	var line []byte
 	for {
@@ -173,3 +247,18 @@
 	rest, ok := bytes.CutPrefix(line, dataPrefix)
 	return ok && bytes.Equal(bytes.TrimSpace(rest), doneMark)
 }
+
+// cancelTimeout bounds the word to an engine that its caller has left.
+const cancelTimeout = 2 * time.Second
+
+// cancel tells an engine that nobody waits for a stream any more; it would
+// keep it for a resume otherwise.
+func (c *Client) cancel(x Exchange) {
+	ctx, done := context.WithTimeout(context.Background(), cancelTimeout)
+	defer done()
+	x.Method, x.Body, x.Once = http.MethodPost, nil, true
+	x.Path = PathCancel + string(x.Request)
+	if resp, _, err := c.send(ctx, x); err == nil {
+		closeBody(resp)
+	}
+}
