callers: Give a resend the first answer of a call that must not run twice

Cause: a resend was told that the call had run, but not its answer, so a picker whose answer was lost could not go on.

Before: 409 already_ran on all 6 hosts; after: 200 with the first body on all 6, 409 again once the host that ran it is gone, one run throughout (TestResendGetsTheFirstAnswer).

--- a/callers/api.go
+++ b/callers/api.go
@@ -30,13 +30,16 @@
 
 // Headers of the callers' API.
 const (
-	HeaderOutcome    = "X-Yardhall-Outcome"
-	HeaderRequest    = "X-Request-Id"
-	HeaderClass      = "X-Yardhall-Class"
-	HeaderDeadline   = "X-Yardhall-Deadline"
-	HeaderOnce       = "X-Yardhall-Not-Repeatable"
-	HeaderChat       = "X-Yardhall-Chat"
-	HeaderTarget     = "X-Yardhall-Target"
+	HeaderOutcome  = "X-Yardhall-Outcome"
+	HeaderRequest  = "X-Request-Id"
+	HeaderClass    = "X-Yardhall-Class"
+	HeaderDeadline = "X-Yardhall-Deadline"
+	HeaderOnce     = "X-Yardhall-Not-Repeatable"
+	HeaderChat     = "X-Yardhall-Chat"
+	HeaderTarget   = "X-Yardhall-Target"
+	// HeaderReplayed is true on the answer of an earlier request under the
+	// same key.
+	HeaderReplayed   = "X-Yardhall-Replayed"
 	HeaderKey        = "Idempotency-Key"
 	HeaderKeyCreated = "Idempotency-Key-Created"
 )
@@ -74,6 +77,8 @@
 	Core    Core
 	Targets Doer
 	Options Options
+	// Answers keeps answers for resends; nil keeps none.
+	Answers *Answers
 	// Observe, where set, is told of each finished request.
 	Observe func(Observation)
 	Now     func() time.Time
--- a/callers/serve.go
+++ b/callers/serve.go
@@ -87,6 +87,7 @@
 	defer cancel()
 	s := &sink{w: c.Response(), api: a, id: r.ID, streamed: x.Streamed, begun: begun}
 	x.Sink = s
+	s.keep = r.IdempotencyKey != "" && a.deps.Answers != nil
 	effects := a.deps.Core.Begin(r)
 	var last outcome.Attempt
 	for {
@@ -98,6 +99,9 @@
 				last = a.attempt(ctx, x, e)
 				a.deps.Core.Ended(host.AttemptEnded{Request: r.ID, Attempt: e.Attempt, Result: last})
 			case host.Finish:
+				if s.keep && s.started && e.Verdict.Outcome == outcome.Ran {
+					a.deps.Answers.Keep(r.ID, s.copy)
+				}
 				a.observe(e.Verdict, last, s, begun)
 				return s.finish(e.Verdict)
 			}
@@ -149,6 +153,9 @@
 	started  bool
 	begun    time.Time
 	first    time.Duration
+	// keep copies the answer for resends, up to maxKeptOne bytes.
+	keep bool
+	copy host.Answer
 }
 
 // passed returns the headers of a target's answer that go on to the caller.
@@ -176,6 +183,7 @@
 	}
 	s.first = s.api.deps.Now().Sub(s.begun)
 	s.started = true
+	s.copy = host.Answer{Status: status, ContentType: h.Get("Content-Type")}
 	s.w.WriteHeader(status)
 	return nil
 }
@@ -187,6 +195,7 @@
 	if stall := s.api.deps.Options.WriteStall; stall > 0 {
 		_ = control.SetWriteDeadline(time.Now().Add(stall))
 	}
+	s.remember(p)
 	if _, err := s.w.Write(p); err != nil {
 		return errors.Wrap(err, "write to caller")
 	}
@@ -196,10 +205,31 @@
 	return nil
 }
 
+func (s *sink) remember(p []byte) {
+	if s.keep = s.keep && len(s.copy.Body)+len(p) <= maxKeptOne; s.keep {
+		s.copy.Body = append(s.copy.Body, p...)
+	}
+}
+
+// replay gives the answer of an earlier request under the same key.
+func (s *sink) replay(a host.Answer) error {
+	h := s.w.Header()
+	h.Set("Content-Type", a.ContentType)
+	h.Set(HeaderOutcome, string(outcome.Ran))
+	h.Set(HeaderRequest, string(s.id))
+	h.Set(HeaderReplayed, "true")
+	s.w.WriteHeader(a.Status)
+	_, err := s.w.Write(a.Body)
+	return errors.Wrap(err, "replay answer")
+}
+
 // finish tells the caller how the request ended. A stream that broke ends with
 // an error event and without the end mark.
 func (s *sink) finish(v host.Verdict) error {
 	defer func() { _ = http.NewResponseController(s.w.Writer).SetWriteDeadline(time.Time{}) }()
+	if !s.started && v.Answer != nil {
+		return s.replay(*v.Answer)
+	}
 	if !s.started {
 		return writeVerdict(s.w, s.id, v)
 	}
--- a/core/host/call.go
+++ b/core/host/call.go
@@ -43,6 +43,7 @@
 	phaseQueued
 	phaseWaiting
 	phaseRunning
+	phaseFetching
 )
 
 // call is one caller's request in progress.
@@ -71,6 +72,9 @@
 	// claimed is true while this call may hold the claim of its key; decided
 	// once the claim's answer proves what earlier requests under it did.
 	claimed, decided bool
+	// denied is what the caller is told where the earlier request's answer
+	// cannot be had.
+	denied Verdict
 }
 
 func (t *turn) put(c call) { t.calls = t.calls.With(c.req.ID, c) }
@@ -261,6 +265,8 @@
 	switch {
 	case c.phase == phaseClaiming:
 		// The write's own deadline answers it.
+	case c.phase == phaseFetching:
+		t.finish(c, c.denied)
 	case expired:
 		t.finish(c, Verdict{
 			Outcome: c.worst, Code: CodeDeadline, RetryAfter: retryLater, Reason: "no place was free before the deadline",
--- a/core/host/claim.go
+++ b/core/host/claim.go
@@ -48,7 +48,32 @@
 		return
 	}
 	t.counters.ClaimsDenied++
-	t.finish(c, deniedVerdict(r))
+	c.denied = deniedVerdict(r)
+	if r.Code == catalog.ClaimTaken && r.Claim.Ended == outcome.Ran {
+		t.fetchAnswer(c, r.Claim)
+		return
+	}
+	t.finish(c, c.denied)
+}
+
+// fetchTimeout bounds the wait for the answer of an earlier request.
+const fetchTimeout = time.Second
+
+// fetchAnswer asks the host that ran the earlier request for its answer.
+func (t *turn) fetchAnswer(c call, earlier catalog.Claim) {
+	c.phase, c.wake = phaseFetching, t.now.Add(fetchTimeout)
+	t.put(c)
+	t.send(earlier.Host, FetchAnswer{Request: earlier.Request, For: c.req.ID})
+}
+
+func (t *turn) answerOf(m AnswerOf) {
+	c, ok := t.calls.Get(m.For)
+	if !ok || c.phase != phaseFetching {
+		return
+	}
+	v := c.denied
+	v.Answer = m.Answer
+	t.finish(c, v)
 }
 
 // deniedVerdict tells what is known of the earlier request under the same key.
--- a/core/host/event.go
+++ b/core/host/event.go
@@ -161,6 +161,17 @@
 		Group routing.GroupID
 		Chats []routing.Chat
 	}
+	// FetchAnswer asks the host that ran a request for its answer, for a resend
+	// that another host has taken.
+	FetchAnswer struct {
+		Request ident.Request
+		For     ident.Request
+	}
+	// AnswerOf answers FetchAnswer; Answer is nil where it is not kept.
+	AnswerOf struct {
+		For    ident.Request
+		Answer *Answer
+	}
 	// Follow asks for configuration after Version.
 	Follow struct {
 		Host    config.Host
@@ -198,6 +209,8 @@
 func (FreePlace) message()     {}
 func (AdoptPlaces) message()   {}
 func (AdoptChats) message()    {}
+func (FetchAnswer) message()   {}
+func (AnswerOf) message()      {}
 func (Follow) message()        {}
 func (Changes) message()       {}
 func (WholeConfig) message()   {}
@@ -270,6 +283,12 @@
 		Object string
 		Detail string
 	}
+	// LookUp asks for a kept answer, to be sent in an AnswerOf.
+	LookUp struct {
+		Request ident.Request
+		For     ident.Request
+		To      ident.Host
+	}
 	// KnowHosts tells the transport where hosts listen.
 	KnowHosts struct{ Hosts []config.Host }
 )
@@ -282,6 +301,7 @@
 func (SendOrder) effect()   {}
 func (AnswerWrite) effect() {}
 func (Note) effect()        {}
+func (LookUp) effect()      {}
 func (KnowHosts) effect()   {}
 
 // NoteKind names a change of state.
@@ -310,6 +330,15 @@
 	RetryAfter time.Duration
 	// Claim is set where an earlier request under the same key stands.
 	Claim *catalog.Claim
+	// Answer is that request's answer, where it is kept.
+	Answer *Answer
+}
+
+// Answer is a target's whole answer, kept for resends.
+type Answer struct {
+	Status      int
+	ContentType string
+	Body        []byte
 }
 
 // Code is the machine-readable part of a Verdict.
--- a/core/host/host.go
+++ b/core/host/host.go
@@ -244,6 +244,10 @@
 		t.adoptPlaces(m)
 	case AdoptChats:
 		t.adoptChats(m)
+	case FetchAnswer:
+		t.emit(LookUp{Request: m.Request, For: m.For, To: from})
+	case AnswerOf:
+		t.answerOf(m)
 	case Follow:
 		t.follow(from, m)
 	case Changes:
--- a/core/host/view.go
+++ b/core/host/view.go
@@ -131,7 +131,7 @@
 
 // String returns the phase's name.
 func (p phase) String() string {
-	return [...]string{"claiming", "asking", "queued", "waiting", "running"}[p]
+	return [...]string{"claiming", "asking", "queued", "waiting", "running", "fetching"}[p]
 }
 
 // Dump returns the state for operators at now.
--- a/core/host/wire.go
+++ b/core/host/wire.go
@@ -33,6 +33,8 @@
 		{"f", FreePlace{}},
 		{"ap", AdoptPlaces{}},
 		{"ac", AdoptChats{}},
+		{"fa", FetchAnswer{}},
+		{"ao", AnswerOf{}},
 		{"fo", Follow{}},
 		{"ch", Changes{}},
 		{"wc", WholeConfig{}},
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -289,7 +289,7 @@
 func (d *Daemon) addCallers(g *run.Group) error {
 	s := d.settings.Callers
 	api := callers.New(callers.Deps{
-		Core: d.loop, Targets: d.targets, Observe: d.metrics.observe,
+		Core: d.loop, Targets: d.targets, Observe: d.metrics.observe, Answers: d.loop.answers,
 		Options: callers.Options{
 			MaxBody: settings.Bytes(s.MaxBody), WriteStall: s.WriteStall, MaxStream: s.MaxStream,
 			ID: d.settings.ID(), Incarnation: d.loop.State().Incarnation(),
--- a/daemon/loop.go
+++ b/daemon/loop.go
@@ -11,6 +11,7 @@
 
 	"github.com/go-logr/logr"
 
+	"github.com/yardhall/yardhall/callers"
 	"github.com/yardhall/yardhall/core/catalog"
 	"github.com/yardhall/yardhall/core/config"
 	"github.com/yardhall/yardhall/core/host"
@@ -41,6 +42,7 @@
 	disk    *diskWriter
 	done    chan struct{}
 	reduced *expvar.Int
+	answers *callers.Answers
 
 	mu     sync.Mutex
 	calls  map[ident.Request]chan host.Effect
@@ -56,7 +58,7 @@
 	l := &loop{
 		log: log, now: time.Now, events: make(chan host.Event, eventQueue), pool: pool, targets: t,
 		done: make(chan struct{}), calls: map[ident.Request]chan host.Effect{}, writes: map[string]chan writeAnswer{},
-		reduced: new(expvar.Int),
+		reduced: new(expvar.Int), answers: &callers.Answers{},
 	}
 	l.state.Store(&s)
 	return l
@@ -114,11 +116,24 @@
 		l.answerWrite(e)
 	case host.Note:
 		l.log.Info(string(e.Kind), "object", e.Object, "detail", e.Detail)
+	case host.LookUp:
+		l.lookUp(e)
 	case host.KnowHosts:
 		l.pool.Know(e.Hosts)
 	}
 }
 
+// lookUp sends a kept answer to the host that asked for it.
+func (l *loop) lookUp(e host.LookUp) {
+	m := host.AnswerOf{For: e.For, Answer: l.answers.Get(e.Request)}
+	if self := l.state.Load().ID(); e.To == self {
+		// The loop cannot wait for itself.
+		go l.post(host.Received{From: self, Message: m})
+		return
+	}
+	l.pool.Send(e.To, m)
+}
+
 func (l *loop) toCall(id ident.Request, e host.Effect, last bool) {
 	l.mu.Lock()
 	ch, ok := l.calls[id]
--- a/site/failure_test.go
+++ b/site/failure_test.go
@@ -125,6 +125,30 @@
 	require.NoError(t, s.AwaitReady(context.Background()))
 }
 
+// TestResendGetsTheFirstAnswer resends calls that have run, at the same host
+// and at others, before and after the host that ran them is gone.
+func TestResendGetsTheFirstAnswer(t *testing.T) {
+	s := start(t, site.Builder{Net: 31, Replicas: 1})
+	marker := uuid.Must(uuid.NewV7()).String()
+	first := call(s, 5, "/services/floor/once/wave", marker, callers.HeaderKey, marker)
+	require.Equal(t, "ran", first.outcome)
+	for i := range s.Hosts {
+		var again reply
+		await(t, "the end of the claim is known", func() bool {
+			again = call(s, i, "/services/floor/once/wave", marker, callers.HeaderKey, marker)
+			return again.outcome == "ran"
+		})
+		require.Equal(t, first.body, again.body, "host %d", i)
+		require.Equal(t, http.StatusOK, again.status)
+	}
+	require.Equal(t, "idempotency_key_reused", codeOf(call(s, 0, "/services/floor/once/wave", "another body", callers.HeaderKey, marker)))
+	s.Hosts[5].Kill()
+	gone := call(s, 0, "/services/floor/once/wave", marker, callers.HeaderKey, marker)
+	require.Equal(t, "already_ran", codeOf(gone), gone.body)
+	require.Equal(t, "ran", gone.outcome)
+	require.Equal(t, 1, runsOf(s, marker))
+}
+
 // TestBrokenOnceCallIsUnknownAndStays breaks the connection after the worker
 // has run the call: no resend may run it again, none may be told not-run.
 func TestBrokenOnceCallIsUnknownAndStays(t *testing.T) {
