--- a/core/host/fanout_test.go
+++ b/core/host/fanout_test.go
@@ -107,3 +107,40 @@
 		})
 	}
 }
+
+// BenchmarkRecovery measures the start of a replica from a log of changes, and
+// from a snapshot with claims.
+func BenchmarkRecovery(b *testing.B) {
+	now := time.Unix(1_000_000, 0)
+	self := config.Host{ID: "state", Zone: "z0", Address: "127.0.0.1:1"}
+	boot := func(b *testing.B, disk raft.Boot) {
+		for b.Loop() {
+			s := host.New(host.Settings{ID: self.ID, Replicas: []config.Host{self}}, 1, now)
+			s, err := s.WithReplica(disk, now)
+			require.NoError(b, err)
+			at := now
+			for s.Raft().Role() != raft.Leader {
+				at = at.Add(tickTime)
+				s, _ = host.Reduce(s, host.Tick{}, at)
+			}
+			last := s.Raft().Log().Last()
+			s, _ = host.Reduce(s, host.DiskSynced{Persisted: raft.Persisted{Index: last, Term: s.Raft().Term()}}, at)
+			require.Equal(b, last, s.Raft().CommitIndex())
+		}
+	}
+	for _, n := range []int{500, 2000, 4000} {
+		var disk raft.Boot
+		for i := range n {
+			data := catalog.Write{Command: catalog.Edit{Change: config.PutClass{Class: config.Class{ID: "c", Rank: i}}}}.Encode()
+			disk.Entries = append(disk.Entries, raft.Entry{Index: raft.Index(i + 1), Term: 1, Data: data})
+		}
+		disk.Hard.Term = 1
+		b.Run(fmt.Sprint(n, "-entries"), func(b *testing.B) { boot(b, disk) })
+	}
+	for _, n := range []int{5000, 20000, 40000} {
+		disk := raft.Boot{Hard: raft.HardState{Term: 1}, Snapshot: raft.Snapshot{
+			Index: 1, Term: 1, Members: []raft.Member{{ID: self.ID, Voter: true}}, Data: claims(n).Encode(),
+		}}
+		b.Run(fmt.Sprint(n, "-claims"), func(b *testing.B) { boot(b, disk) })
+	}
+}
--- a/site/latency_test.go
+++ b/site/latency_test.go
@@ -115,3 +115,28 @@
 	report(b, "in-force", everywhere)
 	b.ReportMetric(float64(everywhere.Max()), "in-force-max-us")
 }
+
+// BenchmarkClaims sends calls that must not run twice from 64 callers at once.
+func BenchmarkClaims(b *testing.B) {
+	s := start(b, site.Builder{Net: 44})
+	var wg sync.WaitGroup
+	work := make(chan int)
+	for range 64 {
+		wg.Go(func() {
+			for i := range work {
+				marker := uuid.Must(uuid.NewV7()).String()
+				if r := call(s, i%len(s.Hosts), "/services/floor/once/wave", marker, callers.HeaderKey, marker); r.outcome != "ran" {
+					b.Errorf("%+v", r)
+				}
+			}
+		})
+	}
+	n := 0
+	for b.Loop() {
+		n++
+		work <- n
+	}
+	close(work)
+	wg.Wait()
+	b.ReportMetric(float64(n)/b.Elapsed().Seconds(), "claimed-calls/s")
+}
