catalog: Hold loads to the weight store's rate over the whole fleet

Cause: only the number of loads was bounded. A service may now name the weight store's bytes a second; the time at which the store is free again is part of the replicated state, so a new leader keeps it, and repairs go first.

--- a/commands/yardhall/objects.go
+++ b/commands/yardhall/objects.go
@@ -164,6 +164,7 @@
 	return config.Service{
 		ID: ident.Service(s.id), Kind: config.ServiceKind(s.text("kind")), Multiple: s.number("multiple"),
 		NotRepeatable: s.truth("not_repeatable"), OnceRoutes: s.list("once_routes"), Timeout: s.duration("timeout"),
+		LoadBytesPerSecond: int64(s.number("load_bytes_per_second")),
 	}
 }
 
--- a/core/catalog/catalog.go
+++ b/core/catalog/catalog.go
@@ -58,11 +58,13 @@
 	Config config.Config
 	Plans  table.Table[ident.Plan, plan.Plan]
 
-	deltas     table.Table[uint64, Delta]
-	trail      table.Table[uint64, Audit]
-	auditSeq   uint64
-	planSeq    uint64
-	fence      uint64
+	deltas   table.Table[uint64, Delta]
+	trail    table.Table[uint64, Audit]
+	auditSeq uint64
+	planSeq  uint64
+	fence    uint64
+	// loadFree is when the weight store has sent all that was ordered.
+	loadFree   time.Time
 	claims     table.Table[string, Claim]
 	claimOrder table.Table[uint64, ClaimKey]
 	claimSeq   uint64
@@ -206,6 +208,7 @@
 	Deltas       []Delta
 	Trail        []Audit
 	AuditSeq     uint64
+	LoadFree     time.Time
 	PlanSeq      uint64
 	Fence        uint64
 	Claims       []Claim
@@ -221,7 +224,7 @@
 	d := Document{
 		Format: documentFormat, Time: c.Time, Config: c.Config.Document(), Plans: c.Plans.Values(),
 		Deltas: c.deltas.Values(), Trail: c.trail.Values(),
-		AuditSeq: c.auditSeq, PlanSeq: c.planSeq, Fence: c.fence,
+		AuditSeq: c.auditSeq, PlanSeq: c.planSeq, Fence: c.fence, LoadFree: c.loadFree,
 	}
 	for _, key := range c.claimOrder.All() {
 		claim, _ := c.claims.Get(key.table())
@@ -253,7 +256,7 @@
 	}
 	c := Catalog{
 		Time: d.Time, Config: config.FromDocument(d.Config),
-		auditSeq: d.AuditSeq, planSeq: d.PlanSeq, fence: d.Fence,
+		auditSeq: d.AuditSeq, planSeq: d.PlanSeq, fence: d.Fence, loadFree: d.LoadFree,
 	}
 	for _, p := range d.Plans {
 		c.Plans = c.Plans.With(p.ID, p)
--- a/core/catalog/plans.go
+++ b/core/catalog/plans.go
@@ -125,6 +125,12 @@
 	if p.Status != plan.Running || (s.Status != plan.StepWaiting && !resend) {
 		return c, Result{Code: Conflict, Reason: "the step is not waiting"}
 	}
+	if s.Action == plan.Load && !resend {
+		if c.Time.Before(c.loadFree) {
+			return c, Result{Code: Conflict, Reason: "the weight store is busy"}
+		}
+		c.loadFree = c.Time.Add(c.loadTime(p, s))
+	}
 	c.fence++
 	s.Status, s.Token = plan.StepOrdered, c.fence
 	s.Attempts++
@@ -132,6 +138,18 @@
 	return c, Result{Code: OK, Plan: p.ID, Token: c.fence}
 }
 
+// loadTime is how long the weight store sends a step's bytes at its rate.
+func (c Catalog) loadTime(p plan.Plan, s plan.Step) time.Duration {
+	service, _ := c.Config.Services.Get(p.Intent.Service)
+	if service.LoadBytesPerSecond == 0 {
+		return 0
+	}
+	return time.Duration(float64(s.Bytes) / float64(service.LoadBytesPerSecond) * float64(time.Second))
+}
+
+// LoadFree is when the next load may be ordered.
+func (c Catalog) LoadFree() time.Time { return c.loadFree }
+
 func (c Catalog) endOrder(actor string, cmd EndOrder) (Catalog, Result) {
 	p, ok := c.Plans.Get(cmd.Plan)
 	if !ok || cmd.Step >= len(p.Steps) {
--- a/core/config/config.go
+++ b/core/config/config.go
@@ -229,6 +229,9 @@
 	if s.Kind == KindEngine && s.Multiple < 1 {
 		return errors.Errorf("service %q: multiple must be 1 or more", s.ID)
 	}
+	if s.LoadBytesPerSecond < 0 {
+		return errors.Errorf("service %q: load_bytes_per_second must not be negative", s.ID)
+	}
 	return named("service", string(s.ID))
 }
 
--- a/core/config/objects.go
+++ b/core/config/objects.go
@@ -60,6 +60,9 @@
 	NotRepeatable bool `json:"not_repeatable,omitempty"`
 	// OnceRoutes lists path prefixes whose calls must not run twice.
 	OnceRoutes []string `json:"once_routes,omitempty"`
+	// LoadBytesPerSecond is the weight store's rate over the whole fleet; 0 is
+	// no bound.
+	LoadBytesPerSecond int64 `json:"load_bytes_per_second,omitempty"`
 	// Timeout bounds one call; 0 takes the daemon's default.
 	Timeout Duration `json:"timeout,omitempty"`
 	Rev     Version  `json:"rev,omitempty"`
--- a/core/host/orders.go
+++ b/core/host/orders.go
@@ -4,6 +4,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"strings"
 	"time"
 
@@ -32,17 +33,36 @@
 		return
 	}
 	t.orderAt = t.now.Add(orderPoll)
-	for _, p := range t.catalog.Plans.All() {
+	plans := t.catalog.Plans.Values()
+	slices.SortStableFunc(plans, repairsFirst)
+	for _, p := range plans {
 		if p.Status != plan.Running {
 			continue
 		}
 		t.resendOrders(p)
-		if i, ok := p.Next(t.now, t.orders.Len(), maxOrders); ok && !t.mustWait(p.Steps[i].Target) {
+		i, ok := p.Next(t.now, t.orders.Len(), maxOrders)
+		if ok && !t.mustWait(p.Steps[i].Target) && !t.storeBusy(p.Steps[i]) {
 			t.issueOrder(p.ID, i)
 		}
 	}
 }
 
+// repairsFirst orders plans so that repairs get the weight store first.
+func repairsFirst(a, b plan.Plan) int {
+	switch {
+	case a.Repair == b.Repair:
+		return 0
+	case a.Repair:
+		return -1
+	}
+	return 1
+}
+
+// storeBusy tells whether the weight store still sends what was ordered.
+func (t *turn) storeBusy(s plan.Step) bool {
+	return s.Action == plan.Load && t.now.Before(t.catalog.LoadFree())
+}
+
 // resendOrders takes up steps that an earlier leader ordered.
 func (t *turn) resendOrders(p plan.Plan) {
 	for i, s := range p.Steps {
--- a/core/host/repair_test.go
+++ b/core/host/repair_test.go
@@ -34,8 +34,8 @@
 		return catalog.Result{}
 	}
 	edit := func(ch config.Change) { write(catalog.Edit{Change: ch}) }
-	edit(config.PutService{Service: config.Service{ID: service, Kind: config.KindEngine, Multiple: 1.5}})
-	edit(config.PutModel{Model: config.Model{ID: model, Service: service}})
+	edit(config.PutService{Service: config.Service{ID: service, Kind: config.KindEngine, Multiple: 1.5, LoadBytesPerSecond: 10}})
+	edit(config.PutModel{Model: config.Model{ID: model, Service: service, WeightBytes: 20}})
 	for i := range 8 {
 		edit(config.PutTarget{Target: config.Target{
 			ID: ident.Target(fmt.Sprintf("e%d", i)), Service: service, Zone: zone(i % 2), Address: "127.0.0.1:1", Slots: 4, ChecksFence: true,
@@ -60,7 +60,9 @@
 			}
 		}
 	}
-	pass(5 * time.Second)
+	pass(1500 * time.Millisecond)
+	require.Len(t, orders, 1, "the weight store sends 20 bytes in 2 s")
+	pass(3500 * time.Millisecond)
 	require.Len(t, orders, 2)
 	first := orders[0].Target.ID
 	pass(10*time.Second, first)
