--- a/core/raft/election.go
+++ b/core/raft/election.go
@@ -4,6 +4,7 @@
 
 import (
 	"slices"
+	"time"
 
 	"github.com/yardhall/yardhall/core/ident"
 )
@@ -109,7 +110,7 @@
 func (w *step) becomeLeader() {
 	w.become(Leader, w.hard.Term)
 	w.leader = w.id
-	w.handOver = timeStamp{}
+	w.handOver = time.Time{}
 	w.syncPeers()
 	w.propose(Entry{Kind: EntryNoop})
 	w.broadcast()
--- a/core/raft/membership.go
+++ b/core/raft/membership.go
@@ -2,13 +2,7 @@
 
 package raft
 
-import (
-	"slices"
-	"time"
-)
-
-// timeStamp shortens signatures in this package.
-type timeStamp = time.Time
+import "slices"
 
 // changeMember writes a new member list that differs in one member. A learner
 // is promoted only once it holds the whole log up to a batch.
--- a/core/raft/replicate.go
+++ b/core/raft/replicate.go
@@ -5,6 +5,7 @@
 import (
 	"cmp"
 	"slices"
+	"time"
 
 	"github.com/yardhall/yardhall/core/ident"
 )
@@ -48,7 +49,7 @@
 }
 
 func (w *step) leaderTick() {
-	if w.now.Sub(w.quorumTime(w.now, func(p progress) timeStamp { return p.heard })) > w.options.Election {
+	if w.now.Sub(w.quorumTime(w.now, func(p progress) time.Time { return p.heard })) > w.options.Election {
 		// Cut off from the quorum: a leader that cannot commit must not go on.
 		w.become(Follower, w.hard.Term)
 		return
@@ -173,12 +174,12 @@
 	}
 	if !m.Success {
 		p.next = max(min(m.Hint+1, w.log.Last()+1), p.match+1)
-		p.sentAt = timeStamp{}
+		p.sentAt = time.Time{}
 		w.setPeer(i, p)
 		w.replicateTo(i, false)
 		return
 	}
-	p.sentAt = timeStamp{}
+	p.sentAt = time.Time{}
 	p.match = max(p.match, m.Match)
 	p.next = max(p.next, p.match+1)
 	w.setPeer(i, p)
