routing: Answer an ask that comes again as before, and ask again while queued

Cause: reading the code for lost and doubled messages. An ask delivered twice counted twice on its engine and was freed once, so the engine looked fuller for ever; a grant lost on its way left its request in the queue phase until the deadline. An owner now repeats its answer, and a queued request asks again each 2 s. Both new tests fail on the code before (1 expected, Mine 2; 4 of 8 requests never ran) and pass after. Conclusion: asks may be lost, doubled or late without a trace.

--- a/core/host/call.go
+++ b/core/host/call.go
@@ -16,6 +16,8 @@
 	// askTimeout is how long an owner may take to answer before the router
 	// picks by its own view.
 	askTimeout = 250 * time.Millisecond
+	// queuedPoll is the pause between two looks at a place in a queue.
+	queuedPoll = 2 * time.Second
 	// claimTimeout bounds the wait for the right to run.
 	claimTimeout = 3 * time.Second
 	// maxTries bounds the attempts of one request.
@@ -64,6 +66,8 @@
 	// asks counts the asks for a place; place names the newest.
 	asks  int
 	place ident.Place
+	// final is set where the ask must not be sent to yet another group.
+	final bool
 	tried []ident.Target
 	// avoid are groups in which a target could not be reached.
 	avoid []routing.GroupID
@@ -277,6 +281,11 @@
 		t.send(c.owner, FreePlace{Place: c.place})
 		t.pickLocally(c)
 		t.suspect(c.owner)
+	case c.phase == phaseQueued:
+		// The word that a place is free may have been lost.
+		c.wake = earlier(c.req.Deadline, t.now.Add(queuedPoll))
+		t.put(c)
+		t.sendAsk(c)
 	case c.phase == phaseWaiting:
 		t.ask(c)
 	}
--- a/core/host/place.go
+++ b/core/host/place.go
@@ -86,12 +86,19 @@
 	c.target = ""
 	c.asks++
 	c.place = ident.PlaceOf(c.req.ID, c.asks)
+	c.final = final || c.hops >= maxHops
 	c.wake = earlier(c.req.Deadline, t.now.Add(askTimeout))
 	t.put(c)
+	t.sendAsk(c)
+}
+
+// sendAsk sends the call's newest ask, perhaps again: its owner repeats the
+// answer to one that it has already.
+func (t *turn) sendAsk(c call) {
 	t.send(c.owner, AskPlace{
-		Group: id, Place: c.place, Account: c.account.ID, Class: c.class.ID, Model: c.req.Model,
+		Group: c.group, Place: c.place, Account: c.account.ID, Class: c.class.ID, Model: c.req.Model,
 		Chat: c.req.Chat, Work: c.req.Work, Within: c.req.Deadline.Sub(t.now),
-		Exclude: c.tried, Final: final || c.hops >= maxHops,
+		Exclude: c.tried, Final: c.final,
 	})
 }
 
@@ -109,7 +116,7 @@
 		t.dispatch(c, a.Target)
 	case routing.Queued:
 		if waiting {
-			c.phase, c.wake = phaseQueued, c.req.Deadline
+			c.phase, c.wake = phaseQueued, earlier(c.req.Deadline, t.now.Add(queuedPoll))
 			t.put(c)
 		}
 	case routing.Elsewhere:
--- a/core/host/policy_test.go
+++ b/core/host/policy_test.go
@@ -214,3 +214,24 @@
 	require.Greater(t, w.cached/w.prompt, 0.4, "half of the second prompt is the first; most chats must find it")
 	require.Zero(t, w.unknown+w.notRun)
 }
+
+// TestLostGrantIsAskedForAgain fills the engines, loses every answer to those
+// that wait, and frees the engines: nobody may wait until the deadline.
+func TestLostGrantIsAskedForAgain(t *testing.T) {
+	w := newWorld(profile{zones: 1, hosts: 2, engines: 1, slots: 4, multiple: 2, perEngine: 1, chats: 1}, 1)
+	w.run(w.now.Add(5 * time.Second))
+	owner := 0
+	if len(w.hosts[1].Dump(w.now).Groups) > 0 {
+		owner = 1
+	}
+	for i := range 8 {
+		w.arrive(1, &job{id: ident.Request(fmt.Sprint("g", i)), chat: hash.Of(fmt.Sprint(i)), tokens: 10, rank: 1, router: 1 - owner, began: w.now})
+	}
+	w.run(w.now.Add(time.Second))
+	w.loseGrants = true
+	w.run(w.now.Add(8 * time.Second))
+	w.loseGrants = false
+	w.run(w.now.Add(30 * time.Second))
+	require.Empty(t, w.calls, "all have run")
+	require.Zero(t, w.notRun+w.unknown)
+}
--- a/core/host/world_test.go
+++ b/core/host/world_test.go
@@ -33,6 +33,8 @@
 	pick    func(w *world, router int, j *job) *engine
 	views   []map[ident.Target]int
 	fin     func(host.Finish)
+	// loseGrants drops answers to asks.
+	loseGrants bool
 
 	cached, prompt  float64
 	skews           []float64
@@ -244,6 +246,9 @@
 	case host.Send:
 		to := slices.IndexFunc(w.hosts, func(s host.State) bool { return s.ID() == e.To })
 		w.count(i, to, e.Message)
+		if _, answer := e.Message.(host.PlaceAnswer); answer && w.loseGrants {
+			return
+		}
 		if to >= 0 {
 			from := hostName(i)
 			w.after(hop, func() {
--- a/core/routing/ask.go
+++ b/core/routing/ask.go
@@ -152,6 +152,9 @@
 
 // Ask places a request, queues it, sends it elsewhere or refuses it.
 func (g Group) Ask(ask Ask, b Bound, now time.Time) (Group, Answer) {
+	if answer, ok := g.answered(ask.Place); ok {
+		return g, answer
+	}
 	if ask.Rank > 0 && g.queue.waitingBefore(ask) {
 		// Nobody overtakes those that wait in the same or a better class.
 		return g.unplaced(ask, b, now)
@@ -168,6 +171,18 @@
 	return g.unplaced(ask, b, now)
 }
 
+// answered repeats the answer to an ask that comes again, doubled or because
+// its answer was lost.
+func (g Group) answered(place ident.Place) (Answer, bool) {
+	if p, ok := g.permits.Get(place); ok {
+		return Granted{Target: p.Target, Known: true}, true
+	}
+	if g.queue.index.Has(place) {
+		return Queued{}, true
+	}
+	return nil, false
+}
+
 // worthGoing tells whether a chat that was sent to another group may go there
 // again: not where that one is the fuller by now.
 func (g Group) worthGoing(b Bound, id GroupID) bool {
--- a/core/routing/routing_test.go
+++ b/core/routing/routing_test.go
@@ -152,6 +152,23 @@
 	require.Equal(t, ident.Place("q0"), grants[0].Ask.Place)
 }
 
+// TestDoubledAskCountsOnce delivers an ask twice, granted and queued: the
+// engine's load and the queue count it once, and the answer is the same.
+func TestDoubledAskCountsOnce(t *testing.T) {
+	var b routing.Bound
+	g := routing.NewGroup(id, begin).WithEngines(engines(1, 1, "m"), begin)
+	g, first := g.Ask(ask("a", "x", 1), b, begin)
+	g, again := g.Ask(ask("a", "x", 1), b, begin)
+	require.Equal(t, first.(routing.Granted).Target, again.(routing.Granted).Target)
+	require.Equal(t, 1, g.Engines()[0].Mine)
+	g, _ = g.Ask(ask("b", "x", 1), b, begin)
+	g, _ = g.Ask(ask("b", "x", 1), b, begin)
+	require.Equal(t, 1, g.Waiting())
+	g, _ = g.Release("a", b, begin)
+	g, _ = g.Release("b", b, begin)
+	require.Zero(t, g.Engines()[0].Mine+g.Permits()+g.Waiting())
+}
+
 func TestFullModelDoesNotHoldUpAnother(t *testing.T) {
 	specs := append(engines(1, 2, "m"), routing.Spec{ID: "x", Slots: 2, Models: []ident.Model{"other"}, Usable: true})
 	g := routing.NewGroup(id, begin).WithEngines(specs, begin)
