host: Let hosts that lost an owner pick different engines

Cause: reading the fallback: with no request of its own in flight each host picked the group's first engine, all at once. Ties go by rendezvous now, and a queued ask that meets a host which no longer owns the group falls back too.

--- a/core/host/place.go
+++ b/core/host/place.go
@@ -156,19 +156,38 @@
 
 func (t *turn) notOwner(m NotOwner) {
 	c, ok := t.calls.Get(m.Place.Request())
-	if ok && c.phase == phaseAsking && c.place == m.Place {
+	if ok && (c.phase == phaseAsking || c.phase == phaseQueued) && c.place == m.Place {
 		t.pickLocally(c)
 	}
 }
 
 // pickLocally chooses by this host's own view, as the owner cannot be asked:
-// the least loaded by own requests, no engine beyond this host's part of what
-// the bound allows it.
+// the least loaded by own requests, no engine beyond this host's part of its
+// slots. Ties go by rendezvous: hosts that pick at once pick different engines,
+// and a chat the same one again.
 func (t *turn) pickLocally(c call) {
 	t.counters.Fallbacks++
 	c.owner = ""
 	var best config.Target
-	lowest := -1
+	lowest, top := -1, uint64(0)
+	for _, target := range t.openTargets(c) {
+		n, _ := t.inFlight.Get(target.ID)
+		score := hash.Mix(c.req.Chat, hash.Of(string(target.ID)))
+		if lowest < 0 || n < lowest || (n == lowest && score > top) {
+			best, lowest, top = target, n, score
+		}
+	}
+	if lowest < 0 {
+		t.finish(c, t.noTarget(c))
+		return
+	}
+	t.dispatch(c, best.ID)
+}
+
+// openTargets are the targets of the call's group that this host may use
+// without the owner's word.
+func (t *turn) openTargets(c call) []config.Target {
+	var out []config.Target
 	for _, p := range t.layout.services[c.service.ID] {
 		if p.id != c.group {
 			continue
@@ -176,17 +195,13 @@
 		for _, target := range p.targets {
 			h, _ := t.health.Get(target.ID)
 			n, _ := t.inFlight.Get(target.ID)
-			open := h.Usable(t.now) && target.HasModel(c.req.Model) && !slices.Contains(c.tried, target.ID)
-			if open && n < t.ownPart(target) && (lowest < 0 || n < lowest) {
-				best, lowest = target, n
+			tried := slices.Contains(c.tried, target.ID)
+			if h.Usable(t.now) && target.HasModel(c.req.Model) && !tried && n < t.ownPart(target) {
+				out = append(out, target)
 			}
 		}
 	}
-	if lowest < 0 {
-		t.finish(c, t.noTarget(c))
-		return
-	}
-	t.dispatch(c, best.ID)
+	return out
 }
 
 // ownPart is what one host may send to a target without its owner's word.
