site: Fill the replicas' disks, one and all

Cause: a full disk was tried on the log alone, not on the fleet. One full disk, the leader's, does no harm; with all three full a write is answered unknown, serving goes on, and with room again the same write under the same key is done.

--- a/site/failure_test.go
+++ b/site/failure_test.go
@@ -10,6 +10,8 @@
 	"net/http"
 	"strings"
 	"sync"
+	"sync/atomic"
+	"syscall"
 	"testing"
 	"time"
 
@@ -20,9 +22,11 @@
 	"github.com/yardhall/yardhall/callers"
 	"github.com/yardhall/yardhall/common/keys"
 	"github.com/yardhall/yardhall/core/config"
+	"github.com/yardhall/yardhall/core/ident"
 	"github.com/yardhall/yardhall/operators"
 	"github.com/yardhall/yardhall/site"
 	"github.com/yardhall/yardhall/standin"
+	"github.com/yardhall/yardhall/storage"
 )
 
 // reply is what a caller saw of one call.
@@ -377,6 +381,56 @@
 	require.NoError(t, s.AwaitReady(context.Background()))
 }
 
+// fullDisk fails every write and sync of the log while it is full.
+type fullDisk struct {
+	storage.File
+	full *atomic.Bool
+}
+
+func (f fullDisk) WriteAt(p []byte, at int64) (int, error) {
+	if f.full.Load() {
+		return 0, syscall.ENOSPC
+	}
+	return f.File.WriteAt(p, at)
+}
+
+// TestFullDisksAcknowledgeNothingUntilThereIsRoom fills one replica's disk,
+// then all of them: one does no harm; with all full no write is acknowledged and
+// serving goes on; with room again everything works by itself.
+func TestFullDisksAcknowledgeNothingUntilThereIsRoom(t *testing.T) {
+	full := map[ident.Host]*atomic.Bool{}
+	for z := range 3 {
+		full[site.HostName(z, 0)] = &atomic.Bool{}
+	}
+	s := start(t, site.Builder{Net: 32, HostsPerZone: 1, WrapFile: func(id ident.Host, f storage.File) storage.File {
+		return fullDisk{File: f, full: full[id]}
+	}})
+	full[s.Leader().Settings.ID()].Store(true)
+	put(t, s, "classes/one-full", config.Class{Rank: 1})
+	for _, f := range full {
+		f.Store(true)
+	}
+	var ce *operators.CallError
+	_, err := s.Operator().Do(context.Background(), operators.Request{
+		Method: http.MethodPut, Path: "/v1/classes/all-full", Body: config.Class{Rank: 2}, Key: "all-full",
+	}, nil)
+	require.ErrorAs(t, err, &ce)
+	require.Equal(t, "unknown", ce.Detail.Code, "neither done nor refused")
+	require.Equal(t, "ran", call(s, 0, "/v1/chat/completions", streamBody("full", 2)).outcome)
+	require.Contains(t, string(s.Hosts[0].Daemon.Counters()), "disk_failures")
+	for _, f := range full {
+		f.Store(false)
+	}
+	await(t, "the same write is done", func() bool {
+		_, err := s.Operator().Do(context.Background(), operators.Request{
+			Method: http.MethodPut, Path: "/v1/classes/all-full", Body: config.Class{Rank: 2}, Key: "all-full",
+		}, nil)
+		return err == nil
+	})
+	require.NoError(t, s.AwaitReady(context.Background()))
+	require.True(t, s.Hosts[1].Daemon.State().Config().Classes.Has("all-full"))
+}
+
 // edit is one operator's guarded write or a read, for the history check.
 type edit struct {
 	write bool
