--- a/core/host/repair_test.go
+++ b/core/host/repair_test.go
@@ -75,3 +75,45 @@
 	pass(5*time.Minute, first, "e1", "e3", "e5", "e7")
 	require.Len(t, orders, 3, "a zone that is cut off causes no storm")
 }
+
+// TestNewLeaderWaitsBeforeItOrdersATargetThatChecksNoTokens confirms a plan
+// over two engines right after an election: the one that checks tokens is
+// ordered at once, the other only when no order of an earlier leader can come.
+func TestNewLeaderWaitsBeforeItOrdersATargetThatChecksNoTokens(t *testing.T) {
+	now := time.Unix(1_000_000, 0)
+	feed := replica(t, &now)
+	id := 0
+	submit := func(cmd catalog.Command) {
+		id++
+		feed(host.Submitted{Deadline: now.Add(time.Minute), Write: catalog.Write{ID: fmt.Sprint("w", id), Command: cmd}})
+	}
+	submit(catalog.Edit{Change: config.PutService{Service: config.Service{ID: service, Kind: config.KindEngine, Multiple: 1.5}}})
+	submit(catalog.Edit{Change: config.PutModel{Model: config.Model{ID: model, Service: service}}})
+	for i, checks := range []bool{true, false} {
+		submit(catalog.Edit{Change: config.PutTarget{Target: config.Target{
+			ID: ident.Target(fmt.Sprintf("e%d", i)), Service: service, Zone: zone(i), Address: "127.0.0.1:1", Slots: 4, ChecksFence: checks,
+		}}})
+	}
+	in := config.Intent{ID: "i", Service: service, Model: model, Replicas: []config.ZoneReplicas{{Zone: zone(0), Count: 1}, {Zone: zone(1), Count: 1}}}
+	submit(catalog.StateIntent{Intent: in})
+	submit(catalog.Decide{Plan: "plan-1", Verb: catalog.Confirm, Rev: 1})
+	pass := func(d time.Duration) (orders []host.SendOrder) {
+		for until := now.Add(d); now.Before(until); {
+			now = now.Add(tickTime)
+			for _, e := range feed(host.Tick{}) {
+				if o, ok := e.(host.SendOrder); ok {
+					orders = append(orders, o)
+					feed(host.OrderEnded{Order: o.Order, OK: true})
+				}
+			}
+		}
+		return orders
+	}
+	first := pass(time.Second)
+	require.Len(t, first, 1)
+	require.Equal(t, ident.Target("e0"), first[0].Order.Target.ID)
+	later := pass(6 * time.Second)
+	require.Len(t, later, 1)
+	require.Equal(t, ident.Target("e1"), later[0].Order.Target.ID)
+	require.True(t, later[0].ReadFirst, "its state is read before")
+}
