--- a/core/catalog/catalog.go
+++ b/core/catalog/catalog.go
@@ -128,6 +128,11 @@
 	if err != nil {
 		return c, Result{Code: Invalid, Reason: err.Error(), Version: c.Config.Version}
 	}
+	if put, ok := cmd.Change.(config.PutGateway); ok && put.Gateway.Number <= c.Config.Gateway.Number {
+		// The highest number prevails: an older document is taken note of and
+		// changes nothing.
+		return c, Result{Code: OK, Version: c.Config.Version}
+	}
 	c = c.withConfig(cfg, cmd.Change)
 	c = c.audit(actor, fmt.Sprintf("%T", cmd.Change)[len("config."):], config.ObjectOf(cmd.Change), "")
 	return c, Result{Code: OK, Version: cfg.Version}
--- a/core/config/change.go
+++ b/core/config/change.go
@@ -50,6 +50,8 @@
 		Target ident.Target
 		Models []ident.Model
 	}
+	// PutGateway replaces the whole route table.
+	PutGateway struct{ Gateway Gateway }
 )
 
 func (PutAccount) change()    {}
@@ -68,6 +70,7 @@
 func (DeleteIntent) change()  {}
 func (PutHandOver) change()   {}
 func (SetModels) change()     {}
+func (PutGateway) change()    {}
 
 // Tags of changes on the wire and on disk; never renumber. Private use from
 // the CBOR tag registry's unassigned range (RFC 8949, 9.2).
@@ -92,6 +95,7 @@
 		DeleteIntent{},
 		PutHandOver{},
 		SetModels{},
+		PutGateway{},
 	}
 }
 
--- a/core/config/config.go
+++ b/core/config/config.go
@@ -35,6 +35,8 @@
 	Hosts     table.Table[ident.Host, Host]
 	Intents   table.Table[ident.Intent, Intent]
 	HandOvers table.Table[string, HandOver]
+	// Gateway is the route table, put in force whole.
+	Gateway Gateway
 	// keys finds an account by the hash of its key.
 	keys table.Table[string, ident.Account]
 }
@@ -113,6 +115,8 @@
 		t.Models = slices.Clone(ch.Models)
 		t.Rev = c.Version
 		c.Targets = c.Targets.With(t.ID, t)
+	case PutGateway:
+		c.Gateway = ch.Gateway
 	}
 	return c, nil
 }
@@ -174,6 +178,8 @@
 		return missing(c.Hosts.Has(ch.ID), "host", string(ch.ID))
 	case DeleteIntent:
 		return missing(c.Intents.Has(ch.ID), "intent", string(ch.ID))
+	case PutGateway:
+		return ch.Gateway.Check()
 	}
 	return errors.Errorf("unknown change %T", ch)
 }
--- a/core/config/document.go
+++ b/core/config/document.go
@@ -18,6 +18,7 @@
 	Hosts     []Host
 	Intents   []Intent
 	HandOvers []HandOver
+	Gateway   Gateway
 }
 
 // Document returns the configuration in its transferable form.
@@ -26,12 +27,13 @@
 		Version: c.Version, Accounts: c.Accounts.Values(), Classes: c.Classes.Values(),
 		Services: c.Services.Values(), Models: c.Models.Values(), Targets: c.Targets.Values(),
 		Hosts: c.Hosts.Values(), Intents: c.Intents.Values(), HandOvers: c.HandOvers.Values(),
+		Gateway: c.Gateway,
 	}
 }
 
 // FromDocument returns the configuration that d describes.
 func FromDocument(d Document) Config {
-	c := Config{Version: d.Version}
+	c := Config{Version: d.Version, Gateway: d.Gateway}
 	for _, a := range d.Accounts {
 		c.Accounts = c.Accounts.With(a.ID, a)
 		c.keys = c.keys.With(a.KeyHash, a.ID)
--- /dev/null
+++ b/core/config/gateway.go
@@ -0,0 +1,239 @@
+// Copyright 2026 The Yardhall Authors. Licensed under the Apache License, Version 2.0.
+
+package config
+
+import (
+	"slices"
+	"strings"
+
+	"github.com/pkg/errors"
+
+	"github.com/yardhall/yardhall/core/ident"
+)
+
+// Gateway is the route table of the fleet: one document that an operator puts
+// in force whole, under a number of its own. The highest number prevails. The
+// zero value routes nothing.
+type Gateway struct {
+	// Number is the operator's number of the document; 0 where none was taken.
+	Number uint64   `json:"number"`
+	Routes []Route  `json:"routes,omitempty"`
+	Pools  []Pool   `json:"pools,omitempty"`
+	Limits Limits   `json:"limits"`
+	Keys   []Holder `json:"keys,omitempty"`
+	// Source is the document as the operator sent it, given back on a read.
+	Source []byte `json:"source,omitempty"`
+}
+
+// RouteKind says what may be repeated on a route.
+type RouteKind string
+
+// Kinds of route.
+const (
+	// RouteSafe calls may run more than once.
+	RouteSafe RouteKind = "safe"
+	// RouteUnsafe calls run at most once.
+	RouteUnsafe RouteKind = "unsafe"
+	// RouteStream calls answer with a stream of events; they run at most once
+	// unless the route is Resumable.
+	RouteStream RouteKind = "stream"
+)
+
+// Route maps requests of a host name and path prefix to worker pools.
+type Route struct {
+	Name   string    `json:"name,omitempty"`
+	Host   string    `json:"host"`
+	Prefix string    `json:"prefix"`
+	Kind   RouteKind `json:"kind"`
+	// Timeout is the longest time that a request is held.
+	Timeout Duration `json:"timeout"`
+	// Objective is the time to the answer, or to the first event of a stream,
+	// within which the answer has its full worth.
+	Objective Duration `json:"objective,omitempty"`
+	// MaxPause is the longest pause between events that keeps a stream in time.
+	MaxPause Duration `json:"max_pause,omitempty"`
+	// Rank is the priority; 0 goes first.
+	Rank int `json:"rank"`
+	// Shares divide the requests over pools.
+	Shares []Share `json:"shares"`
+	// MaxAttempts bounds the workers that one request may be sent to.
+	MaxAttempts int `json:"max_attempts,omitempty"`
+	// Public routes need no key.
+	Public bool `json:"public,omitempty"`
+	// Affine routes carry prompts whose prefixes are worth keeping together.
+	Affine bool `json:"affine,omitempty"`
+	// Resumable streams may go on at another worker after a known event.
+	Resumable bool `json:"resumable,omitempty"`
+}
+
+// Repeatable tells whether a request of the route may run more than once.
+func (r Route) Repeatable() bool {
+	return r.Kind == RouteSafe || r.Kind == RouteStream && r.Resumable
+}
+
+// Share is a pool's part of a route.
+type Share struct {
+	Pool   ident.Service `json:"pool"`
+	Weight int           `json:"weight"`
+}
+
+// Pool is a set of workers that register themselves.
+type Pool struct {
+	ID ident.Service `json:"id"`
+	// MaxConns is how many connections one worker takes from all callers.
+	MaxConns int `json:"max_conns,omitempty"`
+	// Engine is true where workers run batches and keep prompt prefixes.
+	Engine bool `json:"engine,omitempty"`
+	// CacheTokens is the memory of one engine, in tokens.
+	CacheTokens int `json:"cache_tokens,omitempty"`
+}
+
+// Limits bound what a caller may send, and how long it may take.
+type Limits struct {
+	MaxHeaderBytes int      `json:"max_header_bytes,omitempty"`
+	MaxBodyBytes   int64    `json:"max_body_bytes,omitempty"`
+	HeaderTimeout  Duration `json:"header_timeout,omitempty"`
+	IdleTimeout    Duration `json:"idle_timeout,omitempty"`
+}
+
+// Holder is an account with the keys that it holds.
+type Holder struct {
+	Account ident.Account `json:"account"`
+	// KeyHashes are the hex SHA-256 of its keys.
+	KeyHashes []string `json:"key_hashes,omitempty"`
+	// Rank takes precedence over the route's where Ranked is set.
+	Rank   int  `json:"rank,omitempty"`
+	Ranked bool `json:"ranked,omitempty"`
+}
+
+// Check returns what is wrong with the document, or nil.
+func (g Gateway) Check() error {
+	if g.Number == 0 {
+		return errors.New("gateway: number must be 1 or more")
+	}
+	pools := map[ident.Service]bool{}
+	for _, p := range g.Pools {
+		if p.ID == "" {
+			return errors.New("gateway: pool without an id")
+		}
+		pools[p.ID] = true
+	}
+	places := map[string]bool{}
+	for _, r := range g.Routes {
+		if err := r.check(pools); err != nil {
+			return err
+		}
+		if places[r.place()] {
+			return errors.Errorf("route %q: %s%s is taken by another route", r.Name, r.Host, r.Prefix)
+		}
+		places[r.place()] = true
+	}
+	return g.checkKeys()
+}
+
+func (r Route) place() string { return strings.ToLower(r.Host) + "\x00" + r.Prefix }
+
+func (r Route) check(pools map[ident.Service]bool) error {
+	if !slices.Contains([]RouteKind{RouteSafe, RouteUnsafe, RouteStream}, r.Kind) {
+		return errors.Errorf("route %q: kind %q is not safe, unsafe or stream", r.Name, r.Kind)
+	}
+	if r.Host == "" || r.Prefix == "" {
+		return errors.Errorf("route %q: needs a host and a path prefix", r.Name)
+	}
+	if r.Timeout <= 0 {
+		return errors.Errorf("route %q: timeout must be above 0", r.Name)
+	}
+	total := 0
+	for _, s := range r.Shares {
+		if !pools[s.Pool] {
+			return errors.Errorf("route %q: no pool %q", r.Name, s.Pool)
+		}
+		if s.Weight < 0 {
+			return errors.Errorf("route %q: weight of %q must not be negative", r.Name, s.Pool)
+		}
+		total += s.Weight
+	}
+	if total == 0 {
+		return errors.Errorf("route %q: weights sum to 0", r.Name)
+	}
+	return nil
+}
+
+func (g Gateway) checkKeys() error {
+	holders := map[string]ident.Account{}
+	for _, h := range g.Keys {
+		if h.Account == "" {
+			return errors.New("gateway: keys without an account")
+		}
+		for _, key := range h.KeyHashes {
+			if other, ok := holders[key]; ok && other != h.Account {
+				return errors.Errorf("accounts %q and %q share a key", other, h.Account)
+			}
+			holders[key] = h.Account
+		}
+	}
+	return nil
+}
+
+// WithoutSource returns the document as hosts need it that only route.
+func (g Gateway) WithoutSource() Gateway {
+	g.Source = nil
+	return g
+}
+
+// GatewayIndex finds routes and keys of one Gateway. It never changes.
+type GatewayIndex struct {
+	routes map[string][]Route
+	keys   map[string]Holder
+	pools  map[ident.Service]Pool
+}
+
+// Index returns the document prepared for look-ups.
+func (g Gateway) Index() GatewayIndex {
+	x := GatewayIndex{
+		routes: map[string][]Route{}, keys: map[string]Holder{}, pools: map[ident.Service]Pool{},
+	}
+	for _, r := range g.Routes {
+		name := strings.ToLower(r.Host)
+		x.routes[name] = append(x.routes[name], r)
+	}
+	for _, routes := range x.routes {
+		slices.SortFunc(routes, func(a, b Route) int { return len(b.Prefix) - len(a.Prefix) })
+	}
+	for _, h := range g.Keys {
+		for _, key := range h.KeyHashes {
+			x.keys[key] = h
+		}
+	}
+	for _, p := range g.Pools {
+		x.pools[p.ID] = p
+	}
+	return x
+}
+
+// Route returns the route of host and path with the longest prefix. A port in
+// the host name is ignored.
+func (x GatewayIndex) Route(host, path string) (Route, bool) {
+	name, _, _ := strings.Cut(strings.ToLower(host), ":")
+	for _, r := range x.routes[name] {
+		if strings.HasPrefix(path, r.Prefix) {
+			return r, true
+		}
+	}
+	return Route{}, false
+}
+
+// Holder returns the account that holds the key with the given hash.
+func (x GatewayIndex) Holder(keyHash string) (Holder, bool) {
+	h, ok := x.keys[keyHash]
+	return h, ok
+}
+
+// Keyed tells whether any account holds a key.
+func (x GatewayIndex) Keyed() bool { return len(x.keys) > 0 }
+
+// Pool returns a pool by its id.
+func (x GatewayIndex) Pool(id ident.Service) (Pool, bool) {
+	p, ok := x.pools[id]
+	return p, ok
+}
--- a/core/config/revision.go
+++ b/core/config/revision.go
@@ -41,6 +41,8 @@
 	case PutHandOver:
 		v, _ := c.HandOvers.Get(ch.HandOver.Key())
 		return v.Rev
+	case PutGateway:
+		return Version(c.Gateway.Number)
 	}
 	return 0
 }
@@ -80,6 +82,8 @@
 		return "intent/" + string(ch.ID)
 	case PutHandOver:
 		return "handover/" + ch.HandOver.Key()
+	case PutGateway:
+		return "gateway"
 	}
 	return ""
 }
--- /dev/null
+++ b/core/gateway/choose.go
@@ -0,0 +1,121 @@
+// Copyright 2026 The Yardhall Authors. Licensed under the Apache License, Version 2.0.
+
+package gateway
+
+import (
+	"slices"
+
+	"github.com/yardhall/yardhall/core/hash"
+	"github.com/yardhall/yardhall/core/ident"
+)
+
+func requestKey(id ident.Request) hash.Key { return hash.Of(string(id)) }
+
+// choose picks the worker for the call's next try.
+func (t *turn) choose(c call) (worker, bool) {
+	found := t.candidates(c)
+	if len(found) == 0 {
+		return worker{}, false
+	}
+	if c.pool.Engine {
+		return t.chooseEngine(c, found), true
+	}
+	return t.choosePlain(c, found), true
+}
+
+// candidates are the workers that may take the call: those in good health, or
+// where there are none, all that may still live.
+func (t *turn) candidates(c call) []worker {
+	var good, rest []worker
+	for _, id := range t.pools[c.pool.ID] {
+		w, _ := t.workers.Get(id)
+		if slices.Contains(c.tried, id) {
+			continue
+		}
+		if w.usable(t.now) {
+			good = append(good, w)
+		} else if w.possible() {
+			rest = append(rest, w)
+		}
+	}
+	if len(good) > 0 {
+		return good
+	}
+	return rest
+}
+
+// chooseEngine takes the first engine in the order of the prompt's shared parts
+// that has room under the bound. All hosts rank alike, so a prefix is read by
+// few engines without any word between hosts.
+func (t *turn) chooseEngine(c call, found []worker) worker {
+	total := 0
+	for _, w := range found {
+		total += w.load(t.now)
+	}
+	mean := float64(total) / float64(len(found))
+	limit := t.settings.LoadFactor*mean + t.settings.LoadSlack
+	key := prefixKey(c)
+	slices.SortFunc(found, func(a, b worker) int { return byScore(key, a, b) })
+	for i, w := range found {
+		if float64(w.load(t.now)+1) <= limit && w.load(t.now) < w.Slots {
+			if i > 0 {
+				t.counters.Spilled++
+			}
+			return w
+		}
+	}
+	return slices.MinFunc(found, func(a, b worker) int { return a.load(t.now) - b.load(t.now) })
+}
+
+// byScore orders workers by their rendezvous score for key, the highest first.
+func byScore(key hash.Key, a, b worker) int {
+	x, y := hash.Mix(key, hash.Of(string(a.ID))), hash.Mix(key, hash.Of(string(b.ID)))
+	switch {
+	case x > y:
+		return -1
+	case x < y:
+		return 1
+	}
+	return 0
+}
+
+// prefixKey identifies the parts of the prompt that requests share: all but
+// the last one.
+func prefixKey(c call) hash.Key {
+	parts := c.req.Prompt.Parts
+	if len(parts) < 2 {
+		return requestKey(c.req.ID)
+	}
+	ids := make([]string, 0, len(parts))
+	ids = append(ids, string(c.req.Prompt.Model))
+	for _, p := range parts[:len(parts)-1] {
+		ids = append(ids, p.ID)
+	}
+	return hash.Of(ids...)
+}
+
+// farPenalty is how much fuller a worker of another zone counts, in slots.
+const farPenalty = 0.5
+
+// choosePlain takes the worker with the lowest share of its slots in use.
+func (t *turn) choosePlain(c call, found []worker) worker {
+	key := requestKey(c.req.ID)
+	return slices.MinFunc(found, func(a, b worker) int {
+		x, y := t.fullness(a), t.fullness(b)
+		switch {
+		case x < y:
+			return -1
+		case x > y:
+			return 1
+		}
+		return byScore(key, a, b)
+	})
+}
+
+func (t *turn) fullness(w worker) float64 {
+	used := float64(w.load(t.now))
+	if w.Zone != t.settings.Zone {
+		used += farPenalty
+	}
+	return used / float64(max(1, w.Slots))
+}
--- /dev/null
+++ b/core/gateway/event.go
@@ -0,0 +1,153 @@
+// Copyright 2026 The Yardhall Authors. Licensed under the Apache License, Version 2.0.
+
+package gateway
+
+import (
+	"time"
+
+	"github.com/yardhall/yardhall/core/config"
+	"github.com/yardhall/yardhall/core/ident"
+	"github.com/yardhall/yardhall/core/outcome"
+	"github.com/yardhall/yardhall/core/registry"
+)
+
+// Event is what the gateway reacts to. The set is closed.
+type Event interface{ event() }
+
+type (
+	// Arrived is a caller's request.
+	Arrived struct{ Request Request }
+	// HeadReceived reports the load that a worker told with its answer.
+	HeadReceived struct {
+		Worker ident.Target
+		Load   Load
+	}
+	// AttemptEnded reports how a try at a worker ended.
+	AttemptEnded struct {
+		Request ident.Request
+		Attempt int
+		Result  outcome.Attempt
+		// Wanted is false where the caller has the answer or has left.
+		Wanted bool
+	}
+	// Expired reports that a request's time is over.
+	Expired struct{ Request ident.Request }
+	// Registered are registrations heard from a replica.
+	Registered struct {
+		From    ident.Host
+		Workers []registry.Worker
+	}
+	// LoadsTold are the requests that other hosts have at workers.
+	LoadsTold struct{ Loads []WorkerLoad }
+	// Confirmed reports that the configuration held was the newest one at AsOf.
+	Confirmed struct{ AsOf time.Time }
+)
+
+func (Arrived) event()      {}
+func (HeadReceived) event() {}
+func (AttemptEnded) event() {}
+func (Expired) event()      {}
+func (Registered) event()   {}
+func (LoadsTold) event()    {}
+func (Confirmed) event()    {}
+
+// Request is what the caller's side has read of a request.
+type Request struct {
+	ID ident.Request
+	// Host and Path choose the route.
+	Host string
+	Path string
+	// KeyHash is the hex SHA-256 of the caller's key; empty where none came.
+	KeyHash string
+	// Deadline is when the caller stops waiting; zero where it did not say.
+	Deadline time.Time
+	// Prompt describes a request to an engine; zero for plain services.
+	Prompt Prompt
+	// Resumed is set where the caller goes on with a stream that broke off.
+	Resumed bool
+}
+
+// Prompt describes what an engine will read and make.
+type Prompt struct {
+	Model     ident.Model
+	TokensIn  int
+	TokensOut int
+	// Parts are the prompt's parts in order; the last belongs to the request
+	// or to its session.
+	Parts []Part
+}
+
+// Part is one part of a prompt.
+type Part struct {
+	ID     string
+	Tokens int
+}
+
+// Load is a worker's own word on how busy it is.
+type Load struct {
+	Running int
+	Waiting int
+	Slots   int
+}
+
+// WorkerLoad is how many requests a host has at a worker.
+type WorkerLoad struct {
+	Worker   ident.Target
+	InFlight int
+}
+
+// Decision is what becomes of a request next. The set is closed.
+type Decision interface{ decision() }
+
+type (
+	// Dispatch sends the request to a worker.
+	Dispatch struct {
+		Request ident.Request
+		Attempt int
+		Worker  registry.Worker
+		Route   config.Route
+		// Account is the caller's; empty on a public route.
+		Account ident.Account
+		// Rank is the priority to tell the worker; 0 goes first.
+		Rank int
+		// Deadline ends the attempt and the request.
+		Deadline time.Time
+		// Engine is true where the worker runs batches.
+		Engine bool
+	}
+	// Finish ends a request.
+	Finish struct {
+		Request ident.Request
+		Verdict Verdict
+	}
+)
+
+func (Dispatch) decision() {}
+func (Finish) decision()   {}
+
+// Verdict is what the caller is told.
+type Verdict struct {
+	Outcome outcome.Kind
+	Code    Code
+	Reason  string
+	// RetryAfter is when the caller may come back; 0 is no advice.
+	RetryAfter time.Duration
+}
+
+// Code is the machine-readable part of a Verdict.
+type Code string
+
+// Codes of a Verdict.
+const (
+	CodeOK         Code = "ok"
+	CodeNoRoute    Code = "route_not_found"
+	CodeBadKey     Code = "invalid_api_key"
+	CodeNotReady   Code = "not_ready"
+	CodeStale      Code = "configuration_stale"
+	CodeDuplicate  Code = "request_id_in_use"
+	CodeNoWorker   Code = "no_worker"
+	CodeOverloaded Code = "overloaded"
+	CodeBroken     Code = "worker_failed"
+	CodeDeadline   Code = "deadline_exceeded"
+	CodeCallerGone Code = "caller_gone"
+)
--- /dev/null
+++ b/core/gateway/gateway.go
@@ -0,0 +1,352 @@
+// Copyright 2026 The Yardhall Authors. Licensed under the Apache License, Version 2.0.
+
+// Package gateway decides what an entry host does with each request of the
+// route table: whether it may run, at which worker, and what follows when a try
+// fails. It does no I/O and reads no clock.
+//
+// # Usage
+//
+//	s := gateway.New(gateway.Settings{Zone: "hall-a"})
+//	s = s.WithConfig(cfg.Gateway)
+//	s, decisions := gateway.Reduce(s, gateway.Arrived{Request: r}, now)
+//
+// Every event that ends a try or a request yields exactly one decision for it.
+package gateway
+
+import (
+	"time"
+
+	"github.com/yardhall/yardhall/core/config"
+	"github.com/yardhall/yardhall/core/ident"
+	"github.com/yardhall/yardhall/core/outcome"
+	"github.com/yardhall/yardhall/core/table"
+)
+
+// Settings are the bounds that a gateway keeps. Zero fields take defaults.
+type Settings struct {
+	Zone ident.Zone
+	// KeyLease is how long a confirmed configuration may be used for requests
+	// with a key; keys taken away stop working within this time.
+	KeyLease time.Duration
+	// RetryShare is the part of a pool's requests that may be sent once more,
+	// RetryExtra what the whole fleet may send beyond, per RetryWindow.
+	RetryShare float64
+	RetryExtra float64
+	// LoadFactor times the mean load of a pool, plus LoadSlack, bounds an
+	// engine's load.
+	LoadFactor float64
+	LoadSlack  float64
+}
+
+// Defaults of Settings.
+const (
+	DefaultKeyLease   = 4 * time.Second
+	DefaultRetryShare = 0.1
+	DefaultRetryExtra = 20
+	DefaultLoadFactor = 2.0
+	DefaultLoadSlack  = 2.0
+)
+
+func (s Settings) withDefaults() Settings {
+	if s.KeyLease == 0 {
+		s.KeyLease = DefaultKeyLease
+	}
+	if s.RetryShare == 0 {
+		s.RetryShare = DefaultRetryShare
+	}
+	if s.RetryExtra == 0 {
+		s.RetryExtra = DefaultRetryExtra
+	}
+	if s.LoadFactor == 0 {
+		s.LoadFactor = DefaultLoadFactor
+	}
+	if s.LoadSlack == 0 {
+		s.LoadSlack = DefaultLoadSlack
+	}
+	return s
+}
+
+// State is the gateway of one host. It is immutable; Reduce returns the next
+// one. The zero State refuses everything as not ready.
+type State struct {
+	settings Settings
+	number   uint64
+	index    config.GatewayIndex
+	// confirmed is when the configuration held was surely the newest one.
+	confirmed time.Time
+	workers   table.Table[ident.Target, worker]
+	// pools lists the workers of each pool; never changed in place.
+	pools   map[ident.Service][]ident.Target
+	calls   table.Table[ident.Request, call]
+	budgets table.Table[ident.Service, budget]
+	// hosts is how many entry hosts share the fleet's budgets.
+	hosts    int
+	counters Counters
+}
+
+// Counters count what a gateway decided; they only grow.
+type Counters struct {
+	Requests   uint64
+	Dispatched uint64
+	Retried    uint64
+	Refused    uint64
+	Stale      uint64
+	Unknown    uint64
+	// NoBudget counts retries that the budget did not allow.
+	NoBudget uint64
+	// Spilled counts requests kept from their first engine by its load.
+	Spilled uint64
+}
+
+// New returns a gateway without configuration.
+func New(s Settings) State { return State{settings: s.withDefaults(), hosts: assumedHosts} }
+
+// assumedHosts is the number of entry hosts until a replica has told it.
+const assumedHosts = 16
+
+// WithConfig returns the gateway with a route table in force.
+func (s State) WithConfig(g config.Gateway) State {
+	if g.Number <= s.number {
+		return s
+	}
+	s.number = g.Number
+	s.index = g.Index()
+	return s
+}
+
+// WithHosts returns the gateway as one of n entry hosts.
+func (s State) WithHosts(n int) State {
+	s.hosts = max(1, n)
+	return s
+}
+
+// Number is the number of the route table in force; 0 for none.
+func (s State) Number() uint64 { return s.number }
+
+// Fresh tells whether the configuration was confirmed recently enough for
+// requests with a key.
+func (s State) Fresh(now time.Time) bool {
+	return s.number > 0 && !s.confirmed.IsZero() && now.Sub(s.confirmed) < s.settings.KeyLease
+}
+
+// Idle tells whether no request is in progress.
+func (s State) Idle() bool { return s.calls.Len() == 0 }
+
+// Counters returns what was counted so far.
+func (s State) Counters() Counters { return s.counters }
+
+// Loads returns the requests of this host at each worker that has any.
+func (s State) Loads() []WorkerLoad {
+	var out []WorkerLoad
+	for id, w := range s.workers.All() {
+		if w.own > 0 {
+			out = append(out, WorkerLoad{Worker: id, InFlight: w.own})
+		}
+	}
+	return out
+}
+
+// Reduce is the transition of a gateway.
+func Reduce(s State, ev Event, now time.Time) (State, []Decision) {
+	t := turn{State: s, now: now}
+	switch ev := ev.(type) {
+	case Arrived:
+		t.arrive(ev.Request)
+	case HeadReceived:
+		t.headReceived(ev)
+	case AttemptEnded:
+		t.attemptEnded(ev)
+	case Expired:
+		t.expired(ev.Request)
+	case Registered:
+		t.registered(ev)
+	case LoadsTold:
+		t.loadsTold(ev.Loads)
+	case Confirmed:
+		if ev.AsOf.After(t.confirmed) {
+			t.confirmed = ev.AsOf
+		}
+	}
+	return t.State, t.out
+}
+
+// turn is the working copy of one transition.
+type turn struct {
+	State
+	now time.Time
+	out []Decision
+}
+
+// call is one request in progress.
+type call struct {
+	req     Request
+	route   config.Route
+	pool    config.Pool
+	account ident.Account
+	rank    int
+	// attempt counts the tries, sent the workers that the request may have
+	// reached.
+	attempt int
+	sent    int
+	target  ident.Target
+	tried   []ident.Target
+	// worst joins the outcomes of the tries so far.
+	worst outcome.Kind
+}
+
+func (t *turn) finish(id ident.Request, v Verdict) {
+	t.calls = t.calls.Without(id)
+	if v.Code != CodeOK {
+		t.counters.Refused++
+	}
+	if v.Outcome == outcome.Unknown {
+		t.counters.Unknown++
+	}
+	t.out = append(t.out, Finish{Request: id, Verdict: v})
+}
+
+// refuse ends a request before any worker was called.
+func (t *turn) refuse(id ident.Request, code Code, reason string, after time.Duration) {
+	t.finish(id, Verdict{Outcome: outcome.NotRun, Code: code, Reason: reason, RetryAfter: after})
+}
+
+const (
+	// comeBack is the advice to callers where something may be repaired soon.
+	comeBack = 300 * time.Millisecond
+	// maxConnects bounds the workers that a request finds out of reach.
+	maxConnects = 4
+)
+
+// arrive checks a request and sends it to its first worker.
+func (t *turn) arrive(r Request) {
+	t.counters.Requests++
+	if t.number == 0 {
+		t.refuse(r.ID, CodeNotReady, "this host has no route table yet", comeBack)
+		return
+	}
+	if t.calls.Has(r.ID) {
+		t.refuseDuplicate(r.ID)
+		return
+	}
+	c := call{req: r, worst: outcome.NotRun}
+	if !t.admit(&c) {
+		return
+	}
+	t.addRequest(c.pool.ID)
+	t.dispatch(c, Verdict{Code: CodeNoWorker, Reason: "no worker is known"})
+}
+
+// refuseDuplicate ends a second request under an id in use; the first goes on.
+func (t *turn) refuseDuplicate(id ident.Request) {
+	t.counters.Refused++
+	t.out = append(t.out, Finish{Request: id, Verdict: Verdict{
+		Outcome: outcome.Unknown, Code: CodeDuplicate, Reason: "a request with this id is in progress",
+	}})
+}
+
+// admit resolves route, account, pool and deadline.
+func (t *turn) admit(c *call) bool {
+	fresh := t.Fresh(t.now)
+	route, ok := t.index.Route(c.req.Host, c.req.Path)
+	if !ok {
+		t.refuseBy(c.req.ID, fresh, CodeNoRoute, "no route for host and path")
+		return false
+	}
+	c.route, c.rank = route, route.Rank
+	holder, known := t.index.Holder(c.req.KeyHash)
+	if !known && !route.Public && t.index.Keyed() {
+		t.refuseBy(c.req.ID, fresh, CodeBadKey, "the API key is not known")
+		return false
+	}
+	if known && !fresh && !route.Public {
+		t.counters.Stale++
+		t.refuse(c.req.ID, CodeStale, "the configuration was not confirmed in time", comeBack)
+		return false
+	}
+	if known {
+		c.account = holder.Account
+		if holder.Ranked {
+			c.rank = holder.Rank
+		}
+	}
+	c.pool, _ = t.index.Pool(t.share(*c))
+	return t.admitDeadline(c)
+}
+
+// refuseBy refuses for good where the configuration is surely the newest, and
+// for the moment otherwise.
+func (t *turn) refuseBy(id ident.Request, fresh bool, code Code, reason string) {
+	if !fresh {
+		t.counters.Stale++
+		t.refuse(id, CodeStale, "the configuration was not confirmed in time", comeBack)
+		return
+	}
+	t.refuse(id, code, reason, 0)
+}
+
+// admitDeadline bounds the request by the route's timeout.
+func (t *turn) admitDeadline(c *call) bool {
+	limit := t.now.Add(time.Duration(c.route.Timeout))
+	if c.req.Deadline.IsZero() || c.req.Deadline.After(limit) {
+		c.req.Deadline = limit
+	}
+	if !t.now.Before(c.req.Deadline) {
+		t.refuse(c.req.ID, CodeDeadline, "the deadline has passed", 0)
+		return false
+	}
+	return true
+}
+
+// share picks the pool that takes the request, by the route's weights.
+func (t *turn) share(c call) ident.Service {
+	shares := c.route.Shares
+	if len(shares) == 1 {
+		return shares[0].Pool
+	}
+	total := 0
+	for _, s := range shares {
+		total += s.Weight
+	}
+	at := int(uint64(requestKey(c.req.ID)) % uint64(max(1, total))) //nolint:gosec // Below total, which is an int.
+	for _, s := range shares {
+		if at < s.Weight {
+			return s.Pool
+		}
+		at -= s.Weight
+	}
+	return shares[0].Pool
+}
+
+// dispatch sends the call to the best worker, or ends it with v where there is
+// none.
+func (t *turn) dispatch(c call, v Verdict) {
+	w, ok := t.choose(c)
+	if !ok || !t.now.Before(c.req.Deadline) {
+		v.Outcome = c.worst
+		if v.Outcome == outcome.NotRun && v.RetryAfter == 0 {
+			v.RetryAfter = comeBack
+		}
+		t.finish(c.req.ID, v)
+		return
+	}
+	c.attempt++
+	c.target = w.ID
+	c.tried = append(c.tried[:len(c.tried):len(c.tried)], w.ID)
+	t.counters.Dispatched++
+	t.use(w.ID, 1)
+	t.calls = t.calls.With(c.req.ID, c)
+	t.out = append(t.out, Dispatch{
+		Request: c.req.ID, Attempt: c.attempt, Worker: w.Worker, Route: c.route,
+		Account: c.account, Rank: c.rank, Deadline: c.req.Deadline, Engine: c.pool.Engine,
+	})
+}
+
+// expired ends a request whose time is over.
+func (t *turn) expired(id ident.Request) {
+	c, ok := t.calls.Get(id)
+	if !ok {
+		return
+	}
+	t.use(c.target, -1)
+	t.finish(id, Verdict{Outcome: outcome.Worst(c.worst, outcome.Unknown), Code: CodeDeadline, Reason: "the deadline has passed"})
+}
--- /dev/null
+++ b/core/gateway/worker.go
@@ -0,0 +1,114 @@
+// Copyright 2026 The Yardhall Authors. Licensed under the Apache License, Version 2.0.
+
+package gateway
+
+import (
+	"time"
+
+	"github.com/yardhall/yardhall/core/health"
+	"github.com/yardhall/yardhall/core/ident"
+	"github.com/yardhall/yardhall/core/registry"
+)
+
+// worker is what this host knows of one worker.
+type worker struct {
+	registry.Worker
+	health health.Target
+	// own is how many requests this host has there.
+	own int
+	// others is how many the other hosts have, by what was told at othersAt.
+	others   int
+	othersAt time.Time
+	// replaced is set where another worker answers at the address.
+	replaced bool
+	// fullUntil is how long a worker that declined is passed over.
+	fullUntil time.Time
+}
+
+const (
+	// othersLife is how long the word on other hosts' requests counts.
+	othersLife = 3 * time.Second
+)
+
+// load estimates the requests that the worker has from all hosts.
+func (w worker) load(now time.Time) int {
+	if now.Sub(w.othersAt) > othersLife {
+		return w.own
+	}
+	return w.own + w.others
+}
+
+// usable tells whether new work may be sent to the worker.
+func (w worker) usable(now time.Time) bool {
+	return w.State == registry.Ready && !w.replaced && w.health.Usable(now) && !now.Before(w.fullUntil)
+}
+
+// possible tells whether work may be sent there where nothing better is left.
+func (w worker) possible() bool {
+	return !w.replaced && (w.State == registry.Ready || w.State == registry.Silent)
+}
+
+func (t *turn) use(id ident.Target, n int) {
+	w, ok := t.workers.Get(id)
+	if !ok {
+		return
+	}
+	w.own = max(0, w.own+n)
+	t.workers = t.workers.With(id, w)
+}
+
+// headReceived takes a worker's own word on its load: what exceeds this host's
+// requests belongs to others.
+func (t *turn) headReceived(ev HeadReceived) {
+	w, ok := t.workers.Get(ev.Worker)
+	if !ok || ev.Load.Slots == 0 {
+		return
+	}
+	w.others = max(0, ev.Load.Running+ev.Load.Waiting-w.own)
+	w.othersAt = t.now
+	t.workers = t.workers.With(ev.Worker, w)
+}
+
+// loadsTold takes the requests that other hosts have at workers.
+func (t *turn) loadsTold(loads []WorkerLoad) {
+	told := map[ident.Target]int{}
+	for _, l := range loads {
+		told[l.Worker] = l.InFlight
+	}
+	for id, w := range t.workers.All() {
+		w.others, w.othersAt = told[id], t.now
+		t.workers = t.workers.With(id, w)
+	}
+}
+
+// registered takes registrations that are newer than what is known.
+func (t *turn) registered(ev Registered) {
+	moved := false
+	for _, r := range ev.Workers {
+		have, known := t.workers.Get(r.ID)
+		if known && !registry.Newer(r, have.Worker) {
+			continue
+		}
+		if !known && r.State == registry.Gone {
+			// Remembered, so that an older word from another replica does not
+			// bring it in.
+			have = worker{}
+		}
+		moved = moved || !known || have.Pool != r.Pool
+		if r.State == registry.Gone && known {
+			r.Pool, r.Address, r.Zone, r.Slots = have.Pool, have.Address, have.Zone, have.Slots
+		}
+		have.Worker = r
+		t.workers = t.workers.With(r.ID, have)
+	}
+	if moved {
+		t.gatherPools()
+	}
+}
+
+func (t *turn) gatherPools() {
+	t.pools = map[ident.Service][]ident.Target{}
+	for id, w := range t.workers.All() {
+		t.pools[w.Pool] = append(t.pools[w.Pool], id)
+	}
+}
--- a/core/host/event.go
+++ b/core/host/event.go
@@ -7,11 +7,13 @@
 
 	"github.com/yardhall/yardhall/core/catalog"
 	"github.com/yardhall/yardhall/core/config"
+	"github.com/yardhall/yardhall/core/gateway"
 	"github.com/yardhall/yardhall/core/hash"
 	"github.com/yardhall/yardhall/core/health"
 	"github.com/yardhall/yardhall/core/ident"
 	"github.com/yardhall/yardhall/core/outcome"
 	"github.com/yardhall/yardhall/core/raft"
+	"github.com/yardhall/yardhall/core/registry"
 	"github.com/yardhall/yardhall/core/routing"
 )
 
@@ -65,6 +67,19 @@
 		Member raft.Member
 		Remove bool
 	}
+	// Routed is an event of the gateway.
+	Routed struct{ Event gateway.Event }
+	// Beaten is a worker's heartbeat.
+	Beaten struct{ Worker registry.Worker }
+	// Left is a worker's word that it ends.
+	Left struct{ Worker ident.Target }
+	// Read asks whether the configuration held is the newest one.
+	Read struct {
+		ID       string
+		Deadline time.Time
+	}
+	// Reseeded gives the addresses at which replicas can be found.
+	Reseeded struct{ Seeds []ident.Host }
 )
 
 func (Tick) event()          {}
@@ -78,6 +93,11 @@
 func (DiskSynced) event()    {}
 func (Drain) event()         {}
 func (ReplicaChange) event() {}
+func (Routed) event()        {}
+func (Beaten) event()        {}
+func (Left) event()          {}
+func (Read) event()          {}
+func (Reseeded) event()      {}
 
 // ListedTarget is one line of the platform's list.
 type ListedTarget struct {
@@ -123,8 +143,13 @@
 type Message interface{ message() }
 
 type (
-	// Raft carries a message of the replicated log.
-	Raft struct{ Message raft.Message }
+	// Raft carries a message of the replicated log. From and To name replicas
+	// by their disks in a seeded fleet and are empty elsewhere.
+	Raft struct {
+		From    ident.Host
+		To      ident.Host
+		Message raft.Message
+	}
 	// Gossip is a host's heartbeat.
 	Gossip struct{ Beat Beat }
 	// AskPlace asks a group's owner for a place.
@@ -199,9 +224,56 @@
 		ID     string
 		Result catalog.Result
 	}
+	// Sync tells a replica what a host of a seeded fleet has, and asks for the
+	// rest.
+	Sync struct {
+		// Round numbers the question; the answer repeats it.
+		Round   uint64
+		Version config.Version
+		// Lead is set where configuration and loads are asked for too.
+		Lead bool
+		// Epoch and Revision are what the host has of the replica's registry.
+		Epoch    uint64
+		Revision uint64
+		Serves   bool
+		Loads    []gateway.WorkerLoad
+	}
+	// SyncAnswer answers Sync, or tells of a change with Round 0.
+	SyncAnswer struct {
+		Round  uint64
+		Leader ident.Host
+		// Fresh is true where a leader with a lease says that Version is the
+		// newest.
+		Fresh    bool
+		Version  config.Version
+		Document *config.Document
+		Epoch    uint64
+		// Since is the revision that Workers follow.
+		Since    uint64
+		Revision uint64
+		Workers  []registry.Worker
+		Replicas []ident.Host
+		Loads    []gateway.WorkerLoad
+		// Hosts is how many entry hosts sync with the replica.
+		Hosts int
+	}
+	// Join asks the leader to take a replica in.
+	Join struct{ Identity ident.Host }
+	// ReadAsk asks the leader for the newest version.
+	ReadAsk struct{ ID string }
+	// ReadAnswer answers ReadAsk.
+	ReadAnswer struct {
+		ID      string
+		Version config.Version
+	}
 )
 
 func (Raft) message()          {}
+func (Sync) message()          {}
+func (SyncAnswer) message()    {}
+func (Join) message()          {}
+func (ReadAsk) message()       {}
+func (ReadAnswer) message()    {}
 func (Gossip) message()        {}
 func (AskPlace) message()      {}
 func (PlaceAnswer) message()   {}
@@ -291,6 +363,14 @@
 	}
 	// KnowHosts tells the transport where hosts listen.
 	KnowHosts struct{ Hosts []config.Host }
+	// Route carries out a decision of the gateway.
+	Route struct{ Decision gateway.Decision }
+	// AnswerRead ends a Read; OK tells that the configuration held is the
+	// newest one.
+	AnswerRead struct {
+		ID string
+		OK bool
+	}
 )
 
 func (Send) effect()        {}
@@ -303,6 +383,8 @@
 func (Note) effect()        {}
 func (LookUp) effect()      {}
 func (KnowHosts) effect()   {}
+func (Route) effect()       {}
+func (AnswerRead) effect()  {}
 
 // NoteKind names a change of state.
 type NoteKind string
@@ -319,6 +401,9 @@
 	NoteDrain     NoteKind = "draining"
 	NoteFallback  NoteKind = "owner unreachable"
 	NoteStateLoad NoteKind = "state restored"
+	NoteMembers   NoteKind = "replica membership"
+	NoteWorker    NoteKind = "worker registration"
+	NoteReplica   NoteKind = "replica contact"
 )
 
 // Verdict is what a caller is told.
--- a/core/host/follow.go
+++ b/core/host/follow.go
@@ -246,13 +246,16 @@
 	}
 	hostsMoved := t.config.Hosts != cfg.Hosts
 	t.config = cfg
+	t.gateway = t.gateway.WithConfig(cfg.Gateway)
 	t.counters.ConfigApplied++
 	if hostsMoved {
 		t.emit(KnowHosts{Hosts: cfg.Hosts.Values()})
 	}
-	owners := t.layout.owners
-	t.layout = newLayout(cfg)
-	t.layout.owners = owners
-	t.ownersChanged()
+	if !t.settings.Seeded() {
+		owners := t.layout.owners
+		t.layout = newLayout(cfg)
+		t.layout.owners = owners
+		t.ownersChanged()
+	}
 	t.note(NoteConfig, string(t.settings.ID), fmt.Sprintf("version=%d", cfg.Version))
 }
--- a/core/host/host.go
+++ b/core/host/host.go
@@ -18,9 +18,11 @@
 
 	"github.com/yardhall/yardhall/core/catalog"
 	"github.com/yardhall/yardhall/core/config"
+	"github.com/yardhall/yardhall/core/gateway"
 	"github.com/yardhall/yardhall/core/health"
 	"github.com/yardhall/yardhall/core/ident"
 	"github.com/yardhall/yardhall/core/raft"
+	"github.com/yardhall/yardhall/core/registry"
 	"github.com/yardhall/yardhall/core/routing"
 	"github.com/yardhall/yardhall/core/table"
 )
@@ -44,10 +46,35 @@
 	Incarnation uint64
 	// Chats bounds the chats remembered per group; 0 is the default.
 	Chats int
+	// Seeds are peer addresses at which replicas can be found, in a fleet whose
+	// replicas are not listed. There a host's ID is its peer address.
+	Seeds []ident.Host
+	// Identity names the data folder of a replica in a seeded fleet.
+	Identity ident.Host
+	// Voters is how many replicas shall vote in a seeded fleet.
+	Voters int
+	// SilentAfter is how long a registered worker may be silent; 0 is the default.
+	SilentAfter time.Duration
+	// Gateway are the bounds of the route table's requests.
+	Gateway gateway.Settings
+}
+
+// Seeded tells whether replicas are found through seeds.
+func (s Settings) Seeded() bool { return len(s.Seeds) > 0 }
+
+// replicaID is the name of this replica in the replicated log.
+func (s Settings) replicaID() ident.Host {
+	if s.Identity != "" {
+		return s.Identity
+	}
+	return s.ID
 }
 
 // IsReplica tells whether this process keeps the replicated state.
 func (s Settings) IsReplica() bool {
+	if s.Identity != "" {
+		return true
+	}
 	for _, r := range s.Replicas {
 		if r.ID == s.ID {
 			return true
@@ -110,6 +137,13 @@
 	orderAt time.Time
 	// repairAt is when the leader next looks for what to repair.
 	repairAt time.Time
+
+	// Seeded fleets: what this host knows of the replicas, and what a replica
+	// knows of those that sync with it.
+	sync     syncState
+	registry registry.Registry
+	gateway  gateway.State
+	reads    table.Table[string, pendingRead]
 	counters Counters
 }
 
@@ -140,7 +174,10 @@
 
 // New returns the process as it starts at now.
 func New(s Settings, seed uint64, now time.Time) State {
-	return State{settings: s, seed: seed, started: now, budget: maxBudget}
+	return State{
+		settings: s, seed: seed, started: now, budget: maxBudget,
+		gateway: gateway.New(s.Gateway),
+	}
 }
 
 // WithReplica returns the process with the replicated state read from disk.
@@ -158,7 +195,7 @@
 		}
 	}
 	s.applied = b.Snapshot.Index
-	s.raft = raft.New(s.settings.ID, s.settings.Raft, s.seed, b, now)
+	s.raft = raft.New(s.settings.replicaID(), s.settings.Raft, s.seed, b, now)
 	return s, nil
 }
 
@@ -188,6 +225,16 @@
 		t.drain()
 	case ReplicaChange:
 		t.stepRaft(raft.ChangeMember{Member: ev.Member, Remove: ev.Remove})
+	case Routed:
+		t.routed(ev.Event)
+	case Beaten:
+		t.beaten(ev.Worker)
+	case Left:
+		t.left(ev.Worker)
+	case Read:
+		t.read(ev)
+	case Reseeded:
+		t.settings.Seeds = ev.Seeds
 	}
 	return t.State, t.out
 }
@@ -207,6 +254,7 @@
 
 // send transmits m, or delivers it at once where it is for this process.
 func (t *turn) send(to ident.Host, m Message) {
+	to = to.Address()
 	if to == t.settings.ID {
 		t.receive(to, m)
 		return
@@ -216,6 +264,10 @@
 
 func (t *turn) tick() {
 	t.stepRaft(raft.Tick{})
+	if t.settings.Seeded() {
+		t.tickSeeded()
+		return
+	}
 	t.tickPeers()
 	t.tickFollow()
 	t.tickWrites()
@@ -229,7 +281,7 @@
 func (t *turn) receive(from ident.Host, m Message) {
 	switch m := m.(type) {
 	case Raft:
-		t.stepRaft(raft.Receive{From: from, Message: m.Message})
+		t.receiveRaft(from, m)
 	case Gossip:
 		t.gossip(from, m.Beat)
 	case AskPlace:
@@ -258,6 +310,28 @@
 		t.forwardWrite(from, m)
 	case WriteAnswered:
 		t.writeAnswered(m.ID, m.Result)
+	case Sync:
+		t.syncAsked(from, m)
+	case SyncAnswer:
+		t.syncAnswered(from, m)
+	case Join:
+		t.joined(m)
+	case ReadAsk:
+		t.readAsked(from, m)
+	case ReadAnswer:
+		t.readAnswered(m)
+	}
+}
+
+// receiveRaft takes a message of the replicated log, unless it is meant for a
+// replica whose disk this host no longer has.
+func (t *turn) receiveRaft(from ident.Host, m Raft) {
+	if m.To == "" {
+		t.stepRaft(raft.Receive{From: from, Message: m.Message})
+		return
+	}
+	if m.To == t.settings.replicaID() {
+		t.stepRaft(raft.Receive{From: m.From, Message: m.Message})
 	}
 }
 
@@ -267,7 +341,9 @@
 	}
 	t.draining = true
 	t.note(NoteDrain, string(t.settings.ID), "")
-	t.sendBeats()
-	t.ownersChanged()
+	if !t.settings.Seeded() {
+		t.sendBeats()
+		t.ownersChanged()
+	}
 	t.stepRaft(raft.HandOver{})
 }
--- /dev/null
+++ b/core/host/read.go
@@ -0,0 +1,83 @@
+// Copyright 2026 The Yardhall Authors. Licensed under the Apache License, Version 2.0.
+
+package host
+
+import (
+	"time"
+
+	"github.com/yardhall/yardhall/core/config"
+	"github.com/yardhall/yardhall/core/ident"
+)
+
+// pendingRead waits until the leader has confirmed a version and this replica
+// holds it.
+type pendingRead struct {
+	deadline  time.Time
+	resend    time.Time
+	confirmed bool
+	version   config.Version
+}
+
+// readResend is the pause before an unanswered question is sent again.
+const readResend = 200 * time.Millisecond
+
+func (t *turn) read(ev Read) {
+	t.reads = t.reads.With(ev.ID, pendingRead{deadline: ev.Deadline})
+	t.askRead(ev.ID)
+}
+
+// askRead asks the leader for the newest version. The question leaves after the
+// read came, so what the leader says covers all that was accepted before it.
+func (t *turn) askRead(id string) {
+	p, ok := t.reads.Get(id)
+	if !ok {
+		return
+	}
+	p.resend = t.now.Add(readResend)
+	t.reads = t.reads.With(id, p)
+	if t.raft.LeaseHeld(t.now) {
+		t.readAnswered(ReadAnswer{ID: id, Version: t.catalog.Config.Version})
+		return
+	}
+	if leader := t.raft.Leader(); leader != "" && leader != t.settings.replicaID() {
+		t.send(leader, ReadAsk{ID: id})
+	}
+}
+
+func (t *turn) readAsked(from ident.Host, m ReadAsk) {
+	if t.raft.LeaseHeld(t.now) {
+		t.send(from, ReadAnswer{ID: m.ID, Version: t.catalog.Config.Version})
+	}
+}
+
+func (t *turn) readAnswered(m ReadAnswer) {
+	p, ok := t.reads.Get(m.ID)
+	if !ok {
+		return
+	}
+	p.confirmed, p.version = true, m.Version
+	t.reads = t.reads.With(m.ID, p)
+	t.answerReads()
+}
+
+// answerReads ends the reads whose version is held now.
+func (t *turn) answerReads() {
+	for id, p := range t.reads.All() {
+		if p.confirmed && t.catalog.Config.Version >= p.version {
+			t.reads = t.reads.Without(id)
+			t.emit(AnswerRead{ID: id, OK: true})
+		}
+	}
+}
+
+func (t *turn) tickReads() {
+	for id, p := range t.reads.All() {
+		switch {
+		case !t.now.Before(p.deadline):
+			t.reads = t.reads.Without(id)
+			t.emit(AnswerRead{ID: id})
+		case !p.confirmed && !t.now.Before(p.resend):
+			t.askRead(id)
+		}
+	}
+}
--- /dev/null
+++ b/core/host/sync.go
@@ -0,0 +1,335 @@
+// Copyright 2026 The Yardhall Authors. Licensed under the Apache License, Version 2.0.
+
+package host
+
+import (
+	"fmt"
+	"slices"
+	"time"
+
+	"github.com/yardhall/yardhall/core/config"
+	"github.com/yardhall/yardhall/core/gateway"
+	"github.com/yardhall/yardhall/core/ident"
+	"github.com/yardhall/yardhall/core/registry"
+	"github.com/yardhall/yardhall/core/table"
+)
+
+// In a seeded fleet hosts know replicas, not each other: each host asks every
+// replica, a few times a second, for what it lacks. One of them, the leader
+// where it is known, gives configuration and other hosts' loads too.
+const (
+	// syncInterval is the time between two questions to a replica.
+	syncInterval = 300 * time.Millisecond
+	// syncLife is how long a replica keeps what a host told it.
+	syncLife = 3 * time.Second
+	// leadTimeout without an answer makes a host turn to another replica.
+	leadTimeout = 900 * time.Millisecond
+	// contactTimeout without an answer is noted as a lost dependency.
+	contactTimeout = 3 * time.Second
+	// maxRounds bounds the unanswered questions remembered.
+	maxRounds = 32
+	// defaultSilentAfter is how long a worker may be silent.
+	defaultSilentAfter = 6 * time.Second
+)
+
+// syncState is what a host of a seeded fleet knows of replicas and, on a
+// replica, of the hosts that sync with it.
+type syncState struct {
+	at    time.Time
+	round uint64
+	// rounds are the times at which unanswered questions left.
+	rounds table.Table[uint64, time.Time]
+	// replicas are the members last told by a leader with a lease.
+	replicas []ident.Host
+	contacts table.Table[ident.Host, contact]
+	lead     ident.Host
+	leadAt   time.Time
+	turns    int
+	clients  table.Table[ident.Host, client]
+	joiners  table.Table[ident.Host, time.Time]
+	joinAt   time.Time
+	memberAt time.Time
+}
+
+// contact is a replica as a host sees it.
+type contact struct {
+	epoch    uint64
+	revision uint64
+	heard    time.Time
+	lost     bool
+}
+
+// client is a host that syncs with this replica.
+type client struct {
+	version  config.Version
+	revision uint64
+	heard    time.Time
+	lead     bool
+	serves   bool
+	loads    []gateway.WorkerLoad
+}
+
+func (t *turn) tickSeeded() {
+	t.tickWrites()
+	t.tickReads()
+	t.tickSync()
+	if t.settings.IsReplica() {
+		t.tickRegistry()
+		t.tickMembers()
+		t.maybeCompact()
+	}
+	ready := t.gateway.Fresh(t.now)
+	if ready != t.ready {
+		t.note(NoteReady, string(t.settings.ID), fmt.Sprintf("ready=%t version=%d gateway=%d", ready, t.config.Version, t.gateway.Number()))
+	}
+	t.ready = ready
+}
+
+// contactHosts are the addresses of seeds and members.
+func (t *turn) contactHosts() []ident.Host {
+	out := slices.Clone(t.sync.replicas)
+	for _, s := range t.settings.Seeds {
+		if !slices.Contains(out, s) {
+			out = append(out, s)
+		}
+	}
+	return out
+}
+
+func (t *turn) tickSync() {
+	if !t.settings.Serves || t.now.Before(t.sync.at) {
+		return
+	}
+	t.sync.at = t.now.Add(syncInterval)
+	hosts := t.contactHosts()
+	t.pickLead(hosts)
+	t.noteLost()
+	for _, h := range hosts {
+		t.sendSync(h)
+	}
+}
+
+// pickLead turns to the next replica where the present one does not answer.
+func (t *turn) pickLead(hosts []ident.Host) {
+	if len(hosts) == 0 {
+		return
+	}
+	if t.sync.lead != "" && slices.Contains(hosts, t.sync.lead) && t.now.Sub(t.sync.leadAt) < leadTimeout {
+		return
+	}
+	t.sync.turns++
+	t.sync.lead = hosts[t.sync.turns%len(hosts)]
+	t.sync.leadAt = t.now
+}
+
+func (t *turn) noteLost() {
+	for h, c := range t.sync.contacts.All() {
+		if !c.lost && t.now.Sub(c.heard) > contactTimeout {
+			c.lost = true
+			t.sync.contacts = t.sync.contacts.With(h, c)
+			t.note(NoteReplica, string(h), "lost")
+		}
+	}
+}
+
+func (t *turn) sendSync(to ident.Host) {
+	t.sync.round++
+	t.sync.rounds = t.sync.rounds.With(t.sync.round, t.now)
+	for t.sync.rounds.Len() > maxRounds {
+		oldest, _, _ := t.sync.rounds.First()
+		t.sync.rounds = t.sync.rounds.Without(oldest)
+	}
+	c, _ := t.sync.contacts.Get(to)
+	m := Sync{
+		Round: t.sync.round, Version: t.config.Version, Lead: to == t.sync.lead,
+		Epoch: c.epoch, Revision: c.revision, Serves: t.settings.Serves && !t.draining,
+	}
+	if m.Lead {
+		m.Loads = t.gateway.Loads()
+	}
+	t.send(to, m)
+}
+
+// syncAsked answers a host, and remembers it for what changes next.
+func (t *turn) syncAsked(from ident.Host, m Sync) {
+	if !t.settings.IsReplica() {
+		return
+	}
+	c := client{
+		version: m.Version, revision: m.Revision, heard: t.now, lead: m.Lead, serves: m.Serves, loads: m.Loads,
+	}
+	if m.Epoch != t.settings.Incarnation {
+		c.revision = 0
+	}
+	t.answerSync(from, c, m.Round)
+}
+
+// answerSync sends what the client lacks and remembers what it has then.
+func (t *turn) answerSync(to ident.Host, c client, round uint64) {
+	workers, revision := t.registry.After(c.revision)
+	a := SyncAnswer{
+		Round: round, Leader: t.raft.Leader().Address(), Version: t.catalog.Config.Version,
+		Epoch: t.settings.Incarnation, Since: c.revision, Revision: revision, Workers: workers,
+	}
+	if c.lead {
+		a.Fresh = t.raft.LeaseHeld(t.now)
+		a.Replicas = t.memberAddresses()
+		a.Loads, a.Hosts = t.otherLoads(to)
+		if c.version < t.catalog.Config.Version {
+			a.Document = t.routingDocument()
+			c.version = t.catalog.Config.Version
+		}
+	}
+	c.revision = revision
+	t.sync.clients = t.sync.clients.With(to, c)
+	t.send(to, a)
+}
+
+// routingDocument is the configuration without what only operators read.
+func (t *turn) routingDocument() *config.Document {
+	d := t.catalog.Config.Document()
+	d.Gateway = d.Gateway.WithoutSource()
+	return &d
+}
+
+func (t *turn) memberAddresses() []ident.Host {
+	var out []ident.Host
+	for _, m := range t.raft.Members() {
+		if a := m.ID.Address(); !slices.Contains(out, a) {
+			out = append(out, a)
+		}
+	}
+	return out
+}
+
+// otherLoads sums the loads that hosts other than one have told, and counts
+// the entry hosts.
+func (t *turn) otherLoads(but ident.Host) (sums []gateway.WorkerLoad, hosts int) {
+	total := map[ident.Target]int{}
+	for id, c := range t.sync.clients.All() {
+		if t.now.Sub(c.heard) > syncLife {
+			t.sync.clients = t.sync.clients.Without(id)
+			continue
+		}
+		if c.serves {
+			hosts++
+		}
+		if id == but {
+			continue
+		}
+		for _, l := range c.loads {
+			total[l.Worker] += l.InFlight
+		}
+	}
+	for id, n := range total {
+		sums = append(sums, gateway.WorkerLoad{Worker: id, InFlight: n})
+	}
+	slices.SortFunc(sums, func(a, b gateway.WorkerLoad) int {
+		if a.Worker < b.Worker {
+			return -1
+		}
+		return 1
+	})
+	return sums, hosts
+}
+
+// pushSync tells the hosts that sync with this replica of a change at once.
+func (t *turn) pushSync() {
+	if !t.settings.Seeded() {
+		return
+	}
+	for id, c := range t.sync.clients.All() {
+		stale := c.lead && c.version < t.catalog.Config.Version
+		if t.now.Sub(c.heard) <= syncLife && (stale || c.revision < t.registry.Revision()) {
+			t.answerSync(id, c, 0)
+		}
+	}
+}
+
+// syncAnswered takes what a replica told.
+func (t *turn) syncAnswered(from ident.Host, m SyncAnswer) {
+	t.hearContact(from, m)
+	if len(m.Workers) > 0 {
+		t.routed(gateway.Registered{From: from, Workers: m.Workers})
+	}
+	if m.Document != nil && m.Document.Version > t.config.Version {
+		t.useConfig(config.FromDocument(*m.Document))
+	}
+	asked, known := t.sync.rounds.Get(m.Round)
+	t.sync.rounds = t.sync.rounds.Without(m.Round)
+	if from != t.sync.lead {
+		return
+	}
+	t.sync.leadAt = t.now
+	if m.Leader != "" && m.Leader != from {
+		// The leader itself knows best.
+		t.sync.lead = m.Leader
+		t.sendSync(m.Leader)
+		return
+	}
+	if !m.Fresh {
+		return
+	}
+	t.sync.replicas = m.Replicas
+	t.gateway = t.gateway.WithHosts(m.Hosts)
+	t.routed(gateway.LoadsTold{Loads: m.Loads})
+	if known && t.config.Version == m.Version {
+		t.routed(gateway.Confirmed{AsOf: asked})
+	}
+}
+
+// hearContact records how far the registry of a replica is known.
+func (t *turn) hearContact(from ident.Host, m SyncAnswer) {
+	c, known := t.sync.contacts.Get(from)
+	if !known || c.lost {
+		t.note(NoteReplica, string(from), "found")
+	}
+	c.heard, c.lost = t.now, false
+	switch {
+	case c.epoch != m.Epoch && m.Since == 0:
+		c.epoch, c.revision = m.Epoch, m.Revision
+	case c.epoch == m.Epoch && m.Since <= c.revision:
+		c.revision = max(c.revision, m.Revision)
+	}
+	t.sync.contacts = t.sync.contacts.With(from, c)
+}
+
+// routed feeds the gateway and carries out what it decides.
+func (t *turn) routed(ev gateway.Event) {
+	next, decisions := gateway.Reduce(t.gateway, ev, t.now)
+	t.gateway = next
+	for _, d := range decisions {
+		t.emit(Route{Decision: d})
+	}
+}
+
+// beaten takes a worker's heartbeat and tells of it where it says something new.
+func (t *turn) beaten(w registry.Worker) {
+	next, changed := t.registry.WithBeat(w, t.now)
+	t.registry = next
+	if changed {
+		t.note(NoteWorker, string(w.ID), fmt.Sprintf("pool=%s state=%s seq=%d at=%s", w.Pool, w.State, w.Seq, w.Address))
+		t.pushSync()
+	}
+}
+
+func (t *turn) left(id ident.Target) {
+	next, changed := t.registry.WithGone(id, t.now)
+	t.registry = next
+	if changed {
+		t.note(NoteWorker, string(id), "state=gone")
+		t.pushSync()
+	}
+}
+
+func (t *turn) tickRegistry() {
+	silent := t.settings.SilentAfter
+	if silent == 0 {
+		silent = defaultSilentAfter
+	}
+	next, changed := t.registry.Expire(silent, t.now)
+	t.registry = next
+	if changed {
+		t.pushSync()
+	}
+}
--- a/core/host/view.go
+++ b/core/host/view.go
@@ -7,9 +7,11 @@
 
 	"github.com/yardhall/yardhall/core/catalog"
 	"github.com/yardhall/yardhall/core/config"
+	"github.com/yardhall/yardhall/core/gateway"
 	"github.com/yardhall/yardhall/core/health"
 	"github.com/yardhall/yardhall/core/ident"
 	"github.com/yardhall/yardhall/core/raft"
+	"github.com/yardhall/yardhall/core/registry"
 	"github.com/yardhall/yardhall/core/routing"
 )
 
@@ -25,8 +27,17 @@
 // Ready tells whether new requests should come to this host.
 func (s State) Ready() bool { return s.ready && !s.draining }
 
+// Draining tells whether a planned stop has begun.
+func (s State) Draining() bool { return s.draining }
+
 // Idle tells whether no request is in flight here.
-func (s State) Idle() bool { return s.calls.Len() == 0 }
+func (s State) Idle() bool { return s.calls.Len() == 0 && s.gateway.Idle() }
+
+// Gateway returns the route table's part of this host.
+func (s State) Gateway() gateway.State { return s.gateway }
+
+// Registry returns the registrations heard by this replica.
+func (s State) Registry() registry.Registry { return s.registry }
 
 // Counters returns what was counted so far.
 func (s State) Counters() Counters { return s.counters }
--- a/core/host/write.go
+++ b/core/host/write.go
@@ -103,7 +103,7 @@
 	for _, e := range effects {
 		switch e := e.(type) {
 		case raft.Send:
-			t.send(e.To, Raft{Message: e.Message})
+			t.send(e.To, t.envelope(e))
 		case raft.Persist:
 			t.emit(Persist{Persist: e})
 		case raft.RoleChange:
@@ -122,6 +122,17 @@
 	}
 }
 
+// envelope addresses a message of the replicated log.
+func (s State) envelope(e raft.Send) Raft {
+	if !s.settings.Seeded() {
+		return Raft{Message: e.Message}
+	}
+	return Raft{From: s.settings.replicaID(), To: e.To, Message: e.Message}
+}
+
+// Envelope addresses a message that had to wait for the disk.
+func (s State) Envelope(e raft.Send) (ident.Host, Raft) { return e.To.Address(), s.envelope(e) }
+
 func (t *turn) roleChanged(e raft.RoleChange) {
 	if e.Role == raft.Leader {
 		t.counters.Elections++
@@ -151,6 +162,8 @@
 	if t.catalog.Config.Version != before {
 		t.useConfig(t.catalog.Config)
 		t.pushChanges()
+		t.pushSync()
+		t.answerReads()
 	}
 }
 
--- a/core/ident/ident.go
+++ b/core/ident/ident.go
@@ -43,6 +43,18 @@
 	Plan string
 )
 
+// identityMark parts a replica's address from the name of its disk.
+const identityMark = "#"
+
+// Address returns the part of a replica's name at which its host is reached.
+func (h Host) Address() Host {
+	address, _, _ := strings.Cut(string(h), identityMark)
+	return Host(address)
+}
+
+// WithDisk returns the name of the replica at address h on the given disk.
+func (h Host) WithDisk(disk string) Host { return h + identityMark + Host(disk) }
+
 const (
 	placeMark = "."
 	placeBase = 36
--- a/core/raft/replicate.go
+++ b/core/raft/replicate.go
@@ -214,7 +214,7 @@
 		return
 	}
 	w.commitTo(to)
-	if !w.isMember(w.id) && w.membersAt <= w.commit {
+	if !w.IsMember(w.id) && w.membersAt <= w.commit {
 		w.become(Follower, w.hard.Term)
 		return
 	}
@@ -238,10 +238,6 @@
 	})
 }
 
-func (w *step) isMember(id ident.Host) bool {
-	return slices.ContainsFunc(w.members, func(m Member) bool { return m.ID == id })
-}
-
 func (w *step) commitTo(i Index) {
 	i = min(i, w.log.Last())
 	if i <= w.commit {
--- a/core/raft/state.go
+++ b/core/raft/state.go
@@ -40,11 +40,18 @@
 	return 0
 }
 
+// Heard returns, on a leader, when id last answered.
+func (s State) Heard(id ident.Host) time.Time { return s.progressOf(id).heard }
+
+// IsVoter tells whether this replica may vote by the member list in force.
+func (s State) IsVoter() bool { return s.isVoter(s.id) }
+
 // LeaseHeld tells whether this leader may answer reads at now: a quorum has
 // answered a heartbeat sent less than an election time ago, less the drift
 // allowed between clocks, and an entry of its own term is committed.
 func (s State) LeaseHeld(now time.Time) bool {
-	if s.role != Leader || !s.committedOwnTerm() {
+	if s.role != Leader || !s.committedOwnTerm() || now.Sub(s.handOver) < s.options.Election {
+		// A leader that hands over has lifted the promise that its lease rests on.
 		return false
 	}
 	lease := s.options.Election - s.options.Election/leaseDrift
@@ -105,6 +112,11 @@
 	return n
 }
 
+// IsMember tells whether id stands in the member list in force.
+func (s State) IsMember(id ident.Host) bool {
+	return slices.ContainsFunc(s.members, func(m Member) bool { return m.ID == id })
+}
+
 func quorum(n int) int { return n/2 + 1 }
 
 // MembersCommitted tells whether the member list in force is committed.
--- /dev/null
+++ b/core/registry/registry.go
@@ -0,0 +1,176 @@
+// Copyright 2026 The Yardhall Authors. Licensed under the Apache License, Version 2.0.
+
+// Package registry holds what workers say of themselves: their registrations,
+// as one replica heard them. It is soft state, rebuilt from heartbeats.
+//
+// # Usage
+//
+//	r, changed := r.WithBeat(worker, now)
+//	entries, revision := r.After(seen)
+//	r = r.Expire(silentAfter, now)
+//
+// Each change gets a revision, so that hosts which follow the registry are sent
+// only what they have not seen. Entries of several registries are joined with
+// Newer.
+package registry
+
+import (
+	"time"
+
+	"github.com/yardhall/yardhall/core/ident"
+	"github.com/yardhall/yardhall/core/table"
+)
+
+// State is what is known of a worker's life.
+type State uint8
+
+// States, in the order in which they win over one another at equal sequence.
+const (
+	Ready State = iota
+	// Silent workers have not been heard for long.
+	Silent
+	// Draining workers get no new work.
+	Draining
+	// Gone workers said that they end; this is final.
+	Gone
+)
+
+// String returns the state in lower case.
+func (s State) String() string {
+	return [...]string{"ready", "silent", "draining", "gone"}[s]
+}
+
+// Worker is one registration.
+type Worker struct {
+	ID      ident.Target
+	Pool    ident.Service
+	Zone    ident.Zone
+	Address string
+	// Slots is how many requests it serves at once.
+	Slots int
+	State State
+	// Seq grows with each heartbeat of the worker.
+	Seq uint64
+}
+
+// Newer tells whether a says more recent things than b about the same worker.
+func Newer(a, b Worker) bool {
+	if a.State == Gone || b.State == Gone {
+		return a.State == Gone && b.State != Gone
+	}
+	if a.Seq != b.Seq {
+		return a.Seq > b.Seq
+	}
+	return a.State > b.State
+}
+
+// entry is a worker with the time it was last heard.
+type entry struct {
+	worker   Worker
+	heard    time.Time
+	revision uint64
+}
+
+const (
+	// forgetGone is how long a gone worker is remembered, so that a late
+	// heartbeat does not bring it back.
+	forgetGone = 5 * time.Minute
+	// forgetSilent is how long a silent one is.
+	forgetSilent = time.Minute
+)
+
+// Registry is the registrations heard here. It is immutable; the zero value is
+// empty.
+type Registry struct {
+	workers  table.Table[ident.Target, entry]
+	changes  table.Table[uint64, ident.Target]
+	revision uint64
+}
+
+// Revision counts the changes so far.
+func (r Registry) Revision() uint64 { return r.revision }
+
+// Len returns how many workers are known.
+func (r Registry) Len() int { return r.workers.Len() }
+
+// Get returns a worker as last heard.
+func (r Registry) Get(id ident.Target) (Worker, bool) {
+	e, ok := r.workers.Get(id)
+	return e.worker, ok
+}
+
+// WithBeat takes a heartbeat. Late ones are ignored; changed tells whether the
+// worker's state, address or zone is other than before.
+func (r Registry) WithBeat(w Worker, now time.Time) (next Registry, changed bool) {
+	have, known := r.workers.Get(w.ID)
+	if known && !Newer(w, have.worker) && !revives(w, have.worker) {
+		return r, false
+	}
+	old := have.worker
+	old.Seq = w.Seq
+	if known && old == w {
+		have.worker, have.heard = w, now
+		r.workers = r.workers.With(w.ID, have)
+		return r, false
+	}
+	return r.with(w, now), true
+}
+
+// revives tells whether a heartbeat of a silent worker shows that it lives.
+func revives(w, have Worker) bool { return have.State == Silent && w.Seq > have.Seq }
+
+// WithGone records that a worker ends.
+func (r Registry) WithGone(id ident.Target, now time.Time) (next Registry, changed bool) {
+	have, _ := r.workers.Get(id)
+	if have.worker.State == Gone {
+		return r, false
+	}
+	w := have.worker
+	w.ID, w.State = id, Gone
+	return r.with(w, now), true
+}
+
+func (r Registry) with(w Worker, now time.Time) Registry {
+	if have, ok := r.workers.Get(w.ID); ok {
+		r.changes = r.changes.Without(have.revision)
+	}
+	r.revision++
+	r.changes = r.changes.With(r.revision, w.ID)
+	r.workers = r.workers.With(w.ID, entry{worker: w, heard: now, revision: r.revision})
+	return r
+}
+
+// Expire marks workers silent that were not heard for silentAfter and forgets
+// those that are over for long.
+func (r Registry) Expire(silentAfter time.Duration, now time.Time) (next Registry, changed bool) {
+	for id, e := range r.workers.All() {
+		age := now.Sub(e.heard)
+		switch {
+		case e.worker.State == Gone && age > forgetGone, e.worker.State == Silent && age > forgetSilent:
+			r.workers = r.workers.Without(id)
+			r.changes = r.changes.Without(e.revision)
+		case e.worker.State != Gone && e.worker.State != Silent && age > silentAfter:
+			w := e.worker
+			w.State = Silent
+			r = r.with(w, e.heard)
+			changed = true
+		}
+	}
+	return r, changed
+}
+
+// After returns the workers changed after a revision, and the newest revision.
+func (r Registry) After(revision uint64) ([]Worker, uint64) {
+	if revision == r.revision {
+		return nil, r.revision
+	}
+	var out []Worker
+	for at, id := range r.changes.All() {
+		if at <= revision {
+			continue
+		}
+		e, _ := r.workers.Get(id)
+		out = append(out, e.worker)
+	}
+	return out, r.revision
+}
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -29,9 +29,10 @@
 	"github.com/yardhall/yardhall/core/host"
 	"github.com/yardhall/yardhall/core/ident"
 	"github.com/yardhall/yardhall/core/raft"
+	"github.com/yardhall/yardhall/gateway"
+	"github.com/yardhall/yardhall/listing"
 	"github.com/yardhall/yardhall/operators"
 	"github.com/yardhall/yardhall/peers"
-	"github.com/yardhall/yardhall/platform"
 	"github.com/yardhall/yardhall/settings"
 	"github.com/yardhall/yardhall/storage"
 	"github.com/yardhall/yardhall/targets"
@@ -59,6 +60,8 @@
 	targets  *targets.Client
 	counters *peers.Counters
 	metrics  *metrics
+	gateway  *gateway.Server
+	workers  *gateway.Pool
 	peerL    net.Listener
 	callerL  net.Listener
 	operL    net.Listener
@@ -85,15 +88,20 @@
 		DialTimeout: s.Targets.DialTimeout, ProbeTimeout: s.Targets.ProbeTimeout, StreamStall: s.Targets.StreamStall,
 		From: from, Blocked: o.BlockedAddress,
 	})
-	state := host.New(host.Settings{
+	hs := host.Settings{
 		ID: s.ID(), Zone: ident.Zone(s.Host.Zone), Address: s.Peer.Listen, Serves: s.Serves(),
 		Replicas: s.Replicas.Hosts(), Neighbours: s.Neighbors.Hosts(), Raft: o.Raft,
-		Incarnation: incarnation, Chats: s.Host.Chats,
-	}, incarnation, time.Now())
-	var log *storage.Log
-	if s.IsReplica() {
-		if log, state, err = d.openStorage(state); err != nil {
-			return nil, err
+		Incarnation: incarnation, Chats: s.Host.Chats, Seeds: s.SeedHosts(), Voters: 2*s.Replicas.Losses + 1,
+		SilentAfter: silentBeats * s.Gateway.Heartbeat, Gateway: gatewaySettings(s),
+	}
+	log, boot, err := d.openStorage(&hs)
+	if err != nil {
+		return nil, err
+	}
+	state := host.New(hs, incarnation, time.Now())
+	if log != nil {
+		if state, err = state.WithReplica(boot, time.Now()); err != nil {
+			return nil, errors.Wrap(err, "read replicated state")
 		}
 	}
 	d.loop = newLoop(state, o.Log, d.pool, d.targets)
@@ -169,22 +177,30 @@
 	return tls.NewListener(l, config), nil
 }
 
-func (d *Daemon) openStorage(state host.State) (*storage.Log, host.State, error) {
+// openStorage opens the data folder of a replica and names the replica in
+// settings; on other hosts it does nothing.
+func (d *Daemon) openStorage(hs *host.Settings) (*storage.Log, raft.Boot, error) {
+	if !d.settings.IsReplica() {
+		return nil, raft.Boot{}, nil
+	}
 	o := storage.Options{Fleet: d.settings.Host.Fleet, Wrap: d.options.WrapFile}
-	if d.settings.Replicas.Join != "yes" {
+	switch {
+	case hs.Seeded():
+		o.Identity, o.Members = firstIdentity(d.settings)
+	case d.settings.Replicas.Join != "yes":
 		for _, r := range d.settings.Replicas.Hosts() {
 			o.Members = append(o.Members, raft.Member{ID: r.ID, Voter: true})
 		}
 	}
 	log, boot, err := storage.Open(d.settings.Host.Data, o)
 	if err != nil {
-		return nil, state, errors.Wrap(err, "open data folder")
+		return nil, boot, errors.Wrap(err, "open data folder")
 	}
 	if log.Cut > 0 {
 		d.options.Log.Info("cut a torn end off the log", "bytes", log.Cut)
 	}
-	state, err = state.WithReplica(boot, time.Now())
-	return log, state, errors.Wrap(err, "read replicated state")
+	hs.Identity = log.Identity()
+	return log, boot, nil
 }
 
 func (d *Daemon) listen() error {
@@ -192,7 +208,7 @@
 	if d.peerL, err = listenTCP(d.settings.Peer.Listen); err != nil {
 		return err
 	}
-	if d.settings.Serves() {
+	if d.settings.Callers.Listen != "" {
 		if d.callerL, err = listenTCP(d.settings.Callers.Listen); err != nil {
 			return err
 		}
@@ -227,6 +243,9 @@
 		}
 	}
 	d.addPlatform(inner, &g)
+	if err := d.addGateway(&g); err != nil {
+		return err
+	}
 	g.Add(func() error { return d.awaitStop(ctx, inner) }, func(error) { stop() })
 	err := g.Run()
 	d.pool.Close()
@@ -246,6 +265,9 @@
 	}
 	d.options.Log.Info("planned stop", "host", d.settings.Host.ID)
 	d.loop.post(host.Drain{})
+	if d.settings.Seeded() {
+		return d.awaitGateway()
+	}
 	deadline := time.Now().Add(d.settings.Callers.DrainLimit)
 	if d.callerL != nil {
 		// The balancer needs time to notice; meanwhile requests are taken.
@@ -357,7 +379,7 @@
 	if s.URL == "" && s.File == "" {
 		return
 	}
-	reader := platform.NewReader(s.URL, s.File)
+	reader := listing.NewReader(s.URL, s.File)
 	ctx, cancel := context.WithCancel(ctx)
 	g.Add(func() error {
 		reader.Run(ctx, s.Interval, func(list []host.ListedTarget) { d.loop.post(host.Listed{Targets: list}) },
--- /dev/null
+++ b/daemon/gateway.go
@@ -0,0 +1,130 @@
+// Copyright 2026 The Yardhall Authors. Licensed under the Apache License, Version 2.0.
+
+package daemon
+
+import (
+	"context"
+	"crypto/rand"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/oklog/run"
+	"github.com/pkg/errors"
+
+	coregateway "github.com/yardhall/yardhall/core/gateway"
+	"github.com/yardhall/yardhall/core/ident"
+	"github.com/yardhall/yardhall/core/raft"
+	"github.com/yardhall/yardhall/gateway"
+	"github.com/yardhall/yardhall/platform"
+	"github.com/yardhall/yardhall/settings"
+)
+
+const (
+	// silentBeats is how many heartbeats a worker may miss.
+	silentBeats = 5
+	// foundingDisk names the disks of the replicas that form the first group.
+	foundingDisk = "first"
+	// balancerNotice is how long a stopping host goes on taking connections,
+	// until the balancer has noticed that it is not ready.
+	balancerNotice = 3 * time.Second
+	// stopMargin is kept from the time that a planned stop may take.
+	stopMargin = 700 * time.Millisecond
+	// callerIdle is how long a caller's connection may rest.
+	callerIdle = time.Minute
+	// callerHeader is how long a caller may take to send a request's head.
+	callerHeader = 10 * time.Second
+	// retryCaution is the part of the fleet's retry budget that is used.
+	retryCaution = 0.6
+)
+
+func gatewaySettings(s settings.Settings) coregateway.Settings {
+	g := s.Gateway
+	return coregateway.Settings{
+		Zone: ident.Zone(s.Host.Zone), KeyLease: g.KeyLease,
+		RetryShare: retryCaution * settings.Number(g.RetryShare),
+		RetryExtra: retryCaution * settings.Number(g.RetryExtra),
+		LoadFactor: settings.Number(g.LoadFactor),
+	}
+}
+
+// firstIdentity names an empty data folder. Hosts named as seeds at the very
+// first start form the first group without a word between them: all know its
+// members. Any other empty folder gets a name that nobody had before, and so
+// has no vote until the group has taken it in.
+func firstIdentity(s settings.Settings) (ident.Host, []raft.Member) {
+	own := s.ID()
+	var members []raft.Member
+	founder := false
+	for _, seed := range s.SeedHosts() {
+		members = append(members, raft.Member{ID: seed.WithDisk(foundingDisk), Voter: true})
+		founder = founder || seed == own
+	}
+	if s.Replicas.Found == "yes" && founder {
+		return own.WithDisk(foundingDisk), members
+	}
+	return own.WithDisk(rand.Text()), nil
+}
+
+// addGateway opens the ports of the route table.
+func (d *Daemon) addGateway(g *run.Group) error {
+	s := d.settings.Gateway
+	from, err := localAddr(d.settings.Peer.Listen)
+	if err != nil {
+		return err
+	}
+	d.workers = gateway.NewPool(from)
+	d.gateway = gateway.NewServer(gateway.Deps{Core: d.loop, Pool: d.workers, Headers: platform.Headers()})
+	ready := http.NewServeMux()
+	ready.HandleFunc("GET "+platform.ReadyPath, d.readiness)
+	for _, port := range []struct {
+		address string
+		handler http.Handler
+	}{
+		{s.Listen, d.gateway},
+		{s.Ready, ready},
+		{s.Control, platform.NewControl(d.loop).Handler()},
+	} {
+		if port.address == "" {
+			continue
+		}
+		l, err := listenGateway(port.address)
+		if err != nil {
+			return err
+		}
+		d.addHTTP(g, l, &http.Server{Handler: port.handler, ReadHeaderTimeout: callerHeader, IdleTimeout: callerIdle})
+	}
+	return nil
+}
+
+func listenGateway(address string) (net.Listener, error) {
+	l, err := (&net.ListenConfig{Control: gateway.SetUserTimeout}).Listen(context.Background(), "tcp", address)
+	return l, errors.Wrap(err, "listen")
+}
+
+// readiness tells the balancer whether this host takes requests.
+func (d *Daemon) readiness(w http.ResponseWriter, _ *http.Request) {
+	if !d.loop.Ready() {
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
+	w.WriteHeader(http.StatusOK)
+}
+
+// awaitGateway goes on serving until the balancer has noticed the stop and
+// every request in flight has ended.
+func (d *Daemon) awaitGateway() error {
+	begun := time.Now()
+	if d.settings.Gateway.Listen == "" {
+		time.Sleep(handOverTime)
+		return context.Canceled
+	}
+	deadline := begun.Add(d.settings.Gateway.DrainTime - stopMargin)
+	for time.Now().Before(deadline) {
+		if time.Since(begun) > balancerNotice && d.gateway.InFlight.Load() == 0 {
+			break
+		}
+		time.Sleep(idlePoll)
+	}
+	return context.Canceled
+}
--- a/daemon/loop.go
+++ b/daemon/loop.go
@@ -10,10 +10,12 @@
 	"time"
 
 	"github.com/go-logr/logr"
+	"github.com/google/uuid"
 
 	"github.com/yardhall/yardhall/callers"
 	"github.com/yardhall/yardhall/core/catalog"
 	"github.com/yardhall/yardhall/core/config"
+	"github.com/yardhall/yardhall/core/gateway"
 	"github.com/yardhall/yardhall/core/host"
 	"github.com/yardhall/yardhall/core/ident"
 	"github.com/yardhall/yardhall/core/raft"
@@ -44,9 +46,12 @@
 	reduced *expvar.Int
 	answers *callers.Answers
 
-	mu     sync.Mutex
-	calls  map[ident.Request]chan host.Effect
-	writes map[string]chan writeAnswer
+	// reducing is held while an event is reduced and its effects carried out.
+	reducing sync.Mutex
+	mu       sync.Mutex
+	calls    map[ident.Request]chan host.Effect
+	writes   map[string]chan writeAnswer
+	reads    map[string]chan bool
 }
 
 type writeAnswer struct {
@@ -58,6 +63,7 @@
 	l := &loop{
 		log: log, now: time.Now, events: make(chan host.Event, eventQueue), pool: pool, targets: t,
 		done: make(chan struct{}), calls: map[ident.Request]chan host.Effect{}, writes: map[string]chan writeAnswer{},
+		reads:   map[string]chan bool{},
 		reduced: new(expvar.Int), answers: &callers.Answers{},
 	}
 	l.state.Store(&s)
@@ -89,13 +95,67 @@
 	}
 }
 
-func (l *loop) reduce(ctx context.Context, ev host.Event) {
+// reduce feeds one event and carries out what comes of it, but for the
+// gateway's decisions, which it returns.
+func (l *loop) reduce(ctx context.Context, ev host.Event) []gateway.Decision {
+	l.reducing.Lock()
+	defer l.reducing.Unlock()
 	next, effects := host.Reduce(*l.state.Load(), ev, l.now())
 	l.state.Store(&next)
 	l.reduced.Add(1)
+	var decisions []gateway.Decision
 	for _, e := range effects {
+		if r, ok := e.(host.Route); ok {
+			decisions = append(decisions, r.Decision)
+			continue
+		}
 		l.carryOut(ctx, e)
 	}
+	return decisions
+}
+
+// Route implements gateway.Core: it runs on the caller's goroutine, as each
+// decision concerns the request that asked.
+func (l *loop) Route(ev gateway.Event) []gateway.Decision {
+	return l.reduce(context.Background(), host.Routed{Event: ev})
+}
+
+// Limits implements gateway.Core.
+func (l *loop) Limits() config.Limits { return l.state.Load().Config().Gateway.Limits }
+
+// Draining implements gateway.Core.
+func (l *loop) Draining() bool { return l.state.Load().Draining() }
+
+// Confirm tells whether the configuration held is the newest one, as a leader
+// says after the call began.
+func (l *loop) Confirm(ctx context.Context, limit time.Duration) bool {
+	id := uuid.NewString()
+	ch := make(chan bool, 1)
+	l.mu.Lock()
+	l.reads[id] = ch
+	l.mu.Unlock()
+	defer func() {
+		l.mu.Lock()
+		delete(l.reads, id)
+		l.mu.Unlock()
+	}()
+	l.reduce(ctx, host.Read{ID: id, Deadline: l.now().Add(limit)})
+	select {
+	case ok := <-ch:
+		return ok
+	case <-ctx.Done():
+	case <-l.done:
+	}
+	return false
+}
+
+func (l *loop) answerRead(e host.AnswerRead) {
+	l.mu.Lock()
+	ch, ok := l.reads[e.ID]
+	l.mu.Unlock()
+	if ok {
+		ch <- e.OK
+	}
 }
 
 func (l *loop) carryOut(ctx context.Context, e host.Effect) {
@@ -120,6 +180,8 @@
 		l.lookUp(e)
 	case host.KnowHosts:
 		l.pool.Know(e.Hosts)
+	case host.AnswerRead:
+		l.answerRead(e)
 	}
 }
 
@@ -176,7 +238,7 @@
 	l.mu.Lock()
 	l.writes[w.ID] = ch
 	l.mu.Unlock()
-	l.post(host.Submitted{Write: w, Deadline: l.now().Add(limit)})
+	l.reduce(ctx, host.Submitted{Write: w, Deadline: l.now().Add(limit)})
 	select {
 	case a := <-ch:
 		return a.result, a.known
@@ -203,7 +265,7 @@
 func (l *loop) State() host.State { return *l.state.Load() }
 
 // Post hands an event of the operators' port to the core.
-func (l *loop) Post(ev host.Event) { l.post(ev) }
+func (l *loop) Post(ev host.Event) { l.reduce(context.Background(), ev) }
 
 func (l *loop) probe(ctx context.Context, t config.Target) {
 	load, err := l.targets.Load(ctx, t.Address)
@@ -326,7 +388,8 @@
 	d.written.Add(int64(len(batch)))
 	for _, p := range batch {
 		for _, m := range p.Then {
-			d.loop.pool.Send(m.To, host.Raft{Message: m.Message})
+			to, envelope := d.loop.state.Load().Envelope(m)
+			d.loop.pool.Send(to, envelope)
 		}
 	}
 	last := batch[len(batch)-1]
--- /dev/null
+++ b/gateway/exchange.go
@@ -0,0 +1,178 @@
+// Copyright 2026 The Yardhall Authors. Licensed under the Apache License, Version 2.0.
+
+package gateway
+
+import (
+	"bytes"
+	"context"
+	"io"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/yardhall/yardhall/core/gateway"
+	"github.com/yardhall/yardhall/core/outcome"
+)
+
+const (
+	// maxAnswer bounds an answer that is held whole.
+	maxAnswer = 16 << 20
+	// maxSurplus bounds the answers to other requests that are read over.
+	maxSurplus = 3
+)
+
+// answer is a worker's whole answer to a plain request.
+type answer struct {
+	status int
+	header http.Header
+	body   []byte
+}
+
+// exchange is one try of a request at a worker.
+type exchange struct {
+	server   *Server
+	dispatch gateway.Dispatch
+	request  *http.Request
+	body     []byte
+	conn     *workerConn
+}
+
+// send writes the request. The error says whether a byte may have left.
+func (x *exchange) send(ctx context.Context, lastEvent string) outcome.Attempt {
+	now := x.server.now()
+	conn, err := x.server.pool.get(ctx, x.dispatch.Worker, now)
+	if err != nil {
+		return outcome.NeverSent{Reason: err.Error()}
+	}
+	x.conn = conn
+	left := x.dispatch.Deadline.Sub(x.server.now())
+	if left <= 0 {
+		_ = conn.Close()
+		return outcome.NeverSent{Reason: "no time left"}
+	}
+	_ = conn.SetDeadline(x.dispatch.Deadline)
+	head := x.head(x.server.headers.toWorker(x.request.Header, x.dispatch, left, lastEvent))
+	n, err := conn.Write(append(head, x.body...))
+	if err != nil {
+		_ = conn.Close()
+		if n == 0 {
+			return outcome.NeverSent{Reason: err.Error()}
+		}
+		return outcome.Broken{Reason: err.Error()}
+	}
+	return nil
+}
+
+// head writes the request line and headers.
+func (x *exchange) head(h http.Header) []byte {
+	var b bytes.Buffer
+	b.WriteString(x.request.Method + " " + x.request.RequestURI + " HTTP/1.1\r\nHost: " + x.request.Host + "\r\n")
+	if len(x.body) > 0 || x.request.ContentLength != 0 || x.request.Method == http.MethodPost {
+		b.WriteString("Content-Length: " + strconv.Itoa(len(x.body)) + "\r\n")
+	}
+	_ = h.Write(&b)
+	b.WriteString("\r\n")
+	return b.Bytes()
+}
+
+// receive reads the head of the answer to this request, passing over answers
+// to others that arrive late.
+func (x *exchange) receive() (*http.Response, error) {
+	for range maxSurplus {
+		resp, err := http.ReadResponse(x.conn.reader, &http.Request{Method: x.request.Method})
+		if err != nil {
+			return nil, errors.Wrap(err, "read the answer")
+		}
+		if resp.StatusCode < http.StatusOK {
+			continue
+		}
+		names := x.server.headers
+		id := resp.Header.Get(names.RequestID)
+		if id == string(x.dispatch.Request) || id == "" && notRun(resp, names) {
+			return resp, nil
+		}
+		if id == "" {
+			return nil, errors.New("an answer without id")
+		}
+		if _, err := io.Copy(io.Discard, io.LimitReader(resp.Body, maxAnswer)); err != nil {
+			return nil, errors.Wrap(err, "read over a late answer")
+		}
+	}
+	return nil, errors.New("too many answers to other requests")
+}
+
+// notRun tells whether the worker says that it did not run the request.
+func notRun(resp *http.Response, names Headers) bool {
+	return resp.Header.Get(names.NotRun) != "" || resp.StatusCode == http.StatusMisdirectedRequest
+}
+
+// declined returns the outcome of an answer that says not-run.
+func (x *exchange) declined(resp *http.Response) outcome.Attempt {
+	misdirected := resp.StatusCode == http.StatusMisdirectedRequest
+	_, err := readBody(resp)
+	x.end(resp, err == nil && !misdirected)
+	return outcome.Declined{Reason: resp.Status, Leaving: misdirected}
+}
+
+// end keeps the connection for another request, or closes it.
+func (x *exchange) end(resp *http.Response, whole bool) {
+	framed := resp.ContentLength >= 0 || len(resp.TransferEncoding) > 0
+	if !whole || resp.Close || !framed || x.conn.reader.Buffered() > 0 {
+		_ = x.conn.Close()
+		return
+	}
+	x.server.pool.put(x.conn, keepAliveTime(resp.Header), x.server.now())
+}
+
+// keepAliveTime reads how long the worker keeps the connection; 0 where it does
+// not say.
+func keepAliveTime(h http.Header) time.Duration {
+	for part := range strings.SplitSeq(h.Get("Keep-Alive"), ",") {
+		name, value, _ := strings.Cut(strings.TrimSpace(part), "=")
+		if seconds, err := strconv.Atoi(value); err == nil && strings.EqualFold(name, "timeout") {
+			return time.Duration(seconds) * time.Second
+		}
+	}
+	return 0
+}
+
+func readBody(resp *http.Response) ([]byte, error) {
+	body, err := io.ReadAll(io.LimitReader(resp.Body, maxAnswer+1))
+	if err != nil {
+		return nil, errors.Wrap(err, "read the answer's body")
+	}
+	if len(body) > maxAnswer {
+		return nil, errors.New("the answer is too long")
+	}
+	return body, nil
+}
+
+// plain makes one try of a request whose answer is held whole.
+func (x *exchange) plain(ctx context.Context) (*answer, outcome.Attempt) {
+	if failed := x.send(ctx, ""); failed != nil {
+		return nil, failed
+	}
+	stop := context.AfterFunc(ctx, func() { _ = x.conn.Close() })
+	defer stop()
+	resp, err := x.receive()
+	if err != nil {
+		_ = x.conn.Close()
+		return nil, outcome.Broken{Reason: err.Error()}
+	}
+	x.server.told(x.dispatch, resp.Header)
+	if notRun(resp, x.server.headers) {
+		return nil, x.declined(resp)
+	}
+	body, err := readBody(resp)
+	x.end(resp, err == nil)
+	if err != nil {
+		return nil, outcome.Broken{Reason: err.Error()}
+	}
+	if resp.Header.Get(x.server.headers.Signature) == "" || resp.Header.Get("Content-Encoding") != "" {
+		return nil, outcome.Broken{Reason: "the answer is not signed by a worker"}
+	}
+	return &answer{status: resp.StatusCode, header: resp.Header, body: body}, outcome.Answered{Status: resp.StatusCode}
+}
--- /dev/null
+++ b/gateway/headers.go
@@ -0,0 +1,139 @@
+// Copyright 2026 The Yardhall Authors. Licensed under the Apache License, Version 2.0.
+
+package gateway
+
+import (
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/yardhall/yardhall/common/keys"
+	"github.com/yardhall/yardhall/core/gateway"
+	"github.com/yardhall/yardhall/core/ident"
+)
+
+// Headers names the headers by which callers, hosts and workers speak. Each
+// platform may have names of its own; what they carry is the same.
+type Headers struct {
+	// RequestID identifies one try of a caller; workers repeat it.
+	RequestID string
+	// DeadlineMs is how long the caller waits, in whole milliseconds.
+	DeadlineMs string
+	// Model, Tokens (IN,OUT) and Parts (ID:TOKENS, joined by commas) describe a
+	// prompt.
+	Model  string
+	Tokens string
+	Parts  string
+	// LastEvent is the id of the last event of a stream that is gone on with.
+	LastEvent string
+	// Account tells a worker for whom it works.
+	Account string
+	// Expect names the worker that is meant; Instance the one that answers.
+	Expect   string
+	Instance string
+	// Rank is the priority told to engines; 0 goes first.
+	Rank string
+	// Load is a worker's RUNNING,WAITING,SLOTS.
+	Load string
+	// NotRun is set on an answer where the worker did not run the request.
+	NotRun string
+	// Signature is set on every answer that a worker made.
+	Signature string
+}
+
+// DefaultHeaders are yardhall's own names.
+func DefaultHeaders() Headers {
+	return Headers{
+		RequestID: "Yardhall-Request-Id", DeadlineMs: "Yardhall-Deadline-Ms", Model: "Yardhall-Model",
+		Tokens: "Yardhall-Tokens", Parts: "Yardhall-Prompt-Parts", LastEvent: "Last-Event-Id",
+		Account: "Yardhall-Account", Expect: "Yardhall-Expect-Worker", Instance: "Yardhall-Worker",
+		Rank: "Yardhall-Rank", Load: "Yardhall-Load", NotRun: "Yardhall-Not-Run", Signature: "Yardhall-Signature",
+	}
+}
+
+// connectionHeaders pertain to one connection and are never passed on.
+var connectionHeaders = []string{
+	"Connection", "Keep-Alive", "Proxy-Authenticate", "Proxy-Authorization", "Proxy-Connection", "Te", "Trailer",
+	"Transfer-Encoding", "Upgrade", "Content-Length", "Expect",
+}
+
+// passedOn returns the headers that do not pertain to one connection.
+func passedOn(in http.Header) http.Header {
+	out := make(http.Header, len(in))
+	for name, values := range in {
+		out[name] = values
+	}
+	for _, list := range in["Connection"] {
+		for name := range strings.SplitSeq(list, ",") {
+			out.Del(strings.TrimSpace(name))
+		}
+	}
+	for _, name := range connectionHeaders {
+		delete(out, name)
+	}
+	return out
+}
+
+// request reads what the core needs to know of a request.
+func (h Headers) request(r *http.Request, now time.Time) gateway.Request {
+	out := gateway.Request{
+		ID: ident.Request(r.Header.Get(h.RequestID)), Host: r.Host, Path: r.URL.Path,
+		Resumed: r.Header.Get(h.LastEvent) != "",
+	}
+	if key := keys.Bearer(r.Header.Get("Authorization")); key != "" {
+		out.KeyHash = keys.Hash(key)
+	}
+	if ms, err := strconv.ParseInt(r.Header.Get(h.DeadlineMs), 10, 64); err == nil && ms >= 0 {
+		out.Deadline = now.Add(time.Duration(ms) * time.Millisecond)
+	}
+	out.Prompt.Model = ident.Model(r.Header.Get(h.Model))
+	out.Prompt.TokensIn, out.Prompt.TokensOut = pair(r.Header.Get(h.Tokens))
+	for part := range strings.SplitSeq(r.Header.Get(h.Parts), ",") {
+		id, tokens, ok := strings.Cut(strings.TrimSpace(part), ":")
+		if n, err := strconv.Atoi(tokens); ok && err == nil {
+			out.Prompt.Parts = append(out.Prompt.Parts, gateway.Part{ID: id, Tokens: n})
+		}
+	}
+	return out
+}
+
+// pair reads two whole numbers joined by a comma; 0 for what is not there.
+func pair(text string) (first, second int) {
+	a, b, _ := strings.Cut(text, ",")
+	first, _ = strconv.Atoi(strings.TrimSpace(a))
+	second, _ = strconv.Atoi(strings.TrimSpace(b))
+	return first, second
+}
+
+// load reads a worker's word on its load.
+func (h Headers) load(in http.Header) gateway.Load {
+	running, rest, _ := strings.Cut(in.Get(h.Load), ",")
+	var l gateway.Load
+	l.Running, _ = strconv.Atoi(strings.TrimSpace(running))
+	l.Waiting, l.Slots = pair(rest)
+	return l
+}
+
+// toWorker returns the headers of one try at a worker.
+func (h Headers) toWorker(in http.Header, d gateway.Dispatch, left time.Duration, lastEvent string) http.Header {
+	out := passedOn(in)
+	out.Del("Authorization")
+	out.Del(h.Account)
+	if d.Account != "" {
+		out.Set(h.Account, string(d.Account))
+	}
+	out.Set(h.DeadlineMs, strconv.FormatInt(max(1, left.Milliseconds()), 10))
+	out.Set(h.Expect, string(d.Worker.ID))
+	out.Del(h.Rank)
+	if d.Engine {
+		out.Set(h.Rank, strconv.Itoa(min(max(d.Rank, 0), lowestRank)))
+	}
+	if lastEvent != "" {
+		out.Set(h.LastEvent, lastEvent)
+	}
+	return out
+}
+
+// lowestRank is the least urgent priority that engines know.
+const lowestRank = 9
--- /dev/null
+++ b/gateway/server.go
@@ -0,0 +1,260 @@
+// Copyright 2026 The Yardhall Authors. Licensed under the Apache License, Version 2.0.
+
+// Package gateway is the entry for requests of the route table: it takes them
+// over HTTP, sends each to the worker that the core picks, over kept
+// connections that carry one request at a time, and gives the worker's answer
+// back unchanged.
+//
+// # Usage
+//
+//	s := gateway.NewServer(gateway.Deps{Core: core, Pool: pool, Headers: gateway.DefaultHeaders()})
+//	http.Serve(listener, s)
+//
+// Nothing is sent twice below the core: each try is one Dispatch.
+package gateway
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"strconv"
+	"sync/atomic"
+	"time"
+
+	"github.com/yardhall/yardhall/core/config"
+	"github.com/yardhall/yardhall/core/gateway"
+	"github.com/yardhall/yardhall/core/outcome"
+)
+
+// Core is what the server needs of the process's event loop.
+type Core interface {
+	// Route feeds one event and returns what was decided.
+	Route(ev gateway.Event) []gateway.Decision
+	// Limits are the bounds for callers in force.
+	Limits() config.Limits
+	// Draining tells whether the process is being stopped.
+	Draining() bool
+}
+
+// Deps is what a server needs.
+type Deps struct {
+	Core    Core
+	Pool    *Pool
+	Headers Headers
+	// Now is the clock; nil is time.Now.
+	Now func() time.Time
+	// Observe takes each ended request; nil drops it.
+	Observe func(Observation)
+}
+
+// Observation is one ended request.
+type Observation struct {
+	Request gateway.Request
+	Verdict gateway.Verdict
+	// Tries lists the workers called and what came of it.
+	Tries []Try
+	Took  time.Duration
+	// First is the time to the first byte of the answer; 0 for none.
+	First time.Duration
+}
+
+// Try is one try at a worker.
+type Try struct {
+	Dispatch gateway.Dispatch
+	Result   outcome.Attempt
+	Took     time.Duration
+}
+
+// Server is an http.Handler for the requests of callers.
+type Server struct {
+	core    Core
+	pool    *Pool
+	headers Headers
+	now     func() time.Time
+	observe func(Observation)
+	// InFlight counts the requests in progress.
+	InFlight atomic.Int64
+}
+
+// NewServer returns a server.
+func NewServer(d Deps) *Server {
+	s := &Server{core: d.Core, pool: d.Pool, headers: d.Headers, now: d.Now, observe: d.Observe}
+	if s.now == nil {
+		s.now = time.Now
+	}
+	if s.observe == nil {
+		s.observe = func(Observation) {}
+	}
+	return s
+}
+
+// defaultMaxBody bounds a request's body where the configuration does not.
+const defaultMaxBody = 8 << 20
+
+// ServeHTTP implements http.Handler.
+func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	s.InFlight.Add(1)
+	defer s.InFlight.Add(-1)
+	begun := s.now()
+	req := s.headers.request(r, begun)
+	if s.core.Draining() {
+		w.Header().Set("Connection", "close")
+	}
+	if req.ID == "" {
+		http.Error(w, "a request needs an id", http.StatusBadRequest)
+		return
+	}
+	body, status := s.readBody(w, r)
+	if status != 0 {
+		http.Error(w, http.StatusText(status), status)
+		return
+	}
+	c := &serverCall{server: s, writer: w, request: r, body: body, begun: begun, relay: relay{w: w}}
+	c.observed.Request = req
+	c.run(req)
+}
+
+// readBody reads the whole body; status is an error to answer, or 0.
+func (s *Server) readBody(w http.ResponseWriter, r *http.Request) (body []byte, status int) {
+	if r.Body == nil || r.Body == http.NoBody {
+		return nil, 0
+	}
+	limit := s.core.Limits().MaxBodyBytes
+	if limit <= 0 {
+		limit = defaultMaxBody
+	}
+	if r.ContentLength > limit {
+		return nil, http.StatusRequestEntityTooLarge
+	}
+	body, err := io.ReadAll(io.LimitReader(r.Body, limit+1))
+	switch {
+	case err != nil:
+		return nil, http.StatusRequestTimeout
+	case int64(len(body)) > limit:
+		w.Header().Set("Connection", "close")
+		return nil, http.StatusRequestEntityTooLarge
+	}
+	return body, 0
+}
+
+// told hands a worker's word on its load to the core.
+func (s *Server) told(d gateway.Dispatch, h http.Header) {
+	if l := s.headers.load(h); l.Slots > 0 {
+		s.core.Route(gateway.HeadReceived{Worker: d.Worker.ID, Load: l})
+	}
+}
+
+// serverCall is one request in progress.
+type serverCall struct {
+	server   *Server
+	writer   http.ResponseWriter
+	request  *http.Request
+	body     []byte
+	begun    time.Time
+	relay    relay
+	answer   *answer
+	observed Observation
+}
+
+// run follows the core's decisions to the end of the request.
+func (c *serverCall) run(req gateway.Request) {
+	var ev gateway.Event = gateway.Arrived{Request: req}
+	for {
+		decisions := c.server.core.Route(ev)
+		if len(decisions) == 0 {
+			c.finish(gateway.Verdict{Outcome: outcome.Unknown, Code: gateway.CodeBroken})
+			return
+		}
+		switch d := decisions[0].(type) {
+		case gateway.Dispatch:
+			ev = c.try(d)
+		case gateway.Finish:
+			c.finish(d.Verdict)
+			return
+		}
+	}
+}
+
+// try makes one try and reports how it ended.
+func (c *serverCall) try(d gateway.Dispatch) gateway.Event {
+	started := c.server.now()
+	ctx, cancel := context.WithDeadline(c.request.Context(), d.Deadline)
+	defer cancel()
+	x := &exchange{server: c.server, dispatch: d, request: c.request, body: c.body}
+	var result outcome.Attempt
+	if d.Route.Kind == config.RouteStream {
+		c.answer, result = x.stream(ctx, &c.relay)
+	} else {
+		c.answer, result = x.plain(ctx)
+	}
+	c.observed.Tries = append(c.observed.Tries, Try{Dispatch: d, Result: result, Took: c.server.now().Sub(started)})
+	gone := c.request.Context().Err() != nil || c.relay.failed
+	late := !gone && !c.server.now().Before(d.Deadline)
+	if _, answered := result.(outcome.Answered); late && !answered {
+		return gateway.Expired{Request: d.Request}
+	}
+	return gateway.AttemptEnded{Request: d.Request, Attempt: d.Attempt, Result: result, Wanted: !gone}
+}
+
+// finish tells the caller how the request ended.
+func (c *serverCall) finish(v gateway.Verdict) {
+	c.observed.Verdict = v
+	c.observed.Took = c.server.now().Sub(c.begun)
+	c.server.observe(c.observed)
+	switch {
+	case v.Code == gateway.CodeOK && c.answer != nil:
+		c.deliver(c.answer)
+	case v.Code == gateway.CodeOK:
+		// The stream has been passed on whole.
+	case c.relay.begun || v.Code == gateway.CodeCallerGone:
+		// What was sent must not look complete.
+		panic(http.ErrAbortHandler)
+	default:
+		c.refuse(v)
+	}
+}
+
+func (c *serverCall) deliver(a *answer) {
+	copyHeader(c.writer.Header(), a.header)
+	c.writer.Header().Set("Content-Length", strconv.Itoa(len(a.body)))
+	c.writer.WriteHeader(a.status)
+	_, _ = c.writer.Write(a.body)
+}
+
+// copyHeader copies a worker's headers; what it did not send is not added.
+func copyHeader(to, from http.Header) {
+	for name, values := range passedOn(from) {
+		to[name] = values
+	}
+	for _, name := range []string{"Content-Type", "Date"} {
+		if _, ok := to[name]; !ok {
+			to[name] = nil
+		}
+	}
+}
+
+func (c *serverCall) refuse(v gateway.Verdict) {
+	h := c.writer.Header()
+	if v.RetryAfter > 0 {
+		h.Set("Retry-After", strconv.FormatFloat(v.RetryAfter.Seconds(), 'f', -1, 64))
+	}
+	h.Set("Content-Type", "text/plain; charset=utf-8")
+	c.writer.WriteHeader(statusOf(v))
+	_, _ = io.WriteString(c.writer, string(v.Code)+": "+v.Reason+"\n")
+}
+
+// statusOf maps a verdict to HTTP. 503 promises that the request has not run
+// and never will; 502 and 504 promise nothing.
+func statusOf(v gateway.Verdict) int {
+	switch {
+	case v.Code == gateway.CodeNoRoute:
+		return http.StatusNotFound
+	case v.Code == gateway.CodeBadKey:
+		return http.StatusUnauthorized
+	case v.Outcome == outcome.NotRun:
+		return http.StatusServiceUnavailable
+	case v.Code == gateway.CodeDeadline:
+		return http.StatusGatewayTimeout
+	}
+	return http.StatusBadGateway
+}
--- a/platform/platform_test.go
+++ b/listing/listing_test.go
@@ -1,6 +1,6 @@
 // Copyright 2026 The Yardhall Authors. Licensed under the Apache License, Version 2.0.
 
-package platform_test
+package listing_test
 
 import (
 	"testing"
@@ -13,11 +13,11 @@
 )
 
 func TestParse(t *testing.T) {
-	list, err := platform.Parse([]byte(`{"targets":[{"id":"a","state":"live"},{"id":"b","state":"leaving"}]}`))
+	list, err := listing.Parse([]byte(`{"targets":[{"id":"a","state":"live"},{"id":"b","state":"leaving"}]}`))
 	require.NoError(t, err)
 	require.Equal(t, []host.ListedTarget{{ID: "a", Listing: health.Live}, {ID: "b", Listing: health.Leaving}}, list)
 	for _, bad := range []string{"", "{}", `{"targets":[]}`, `{"targets":[{"id":"a","state":"odd"}]}`} {
-		_, err := platform.Parse([]byte(bad))
+		_, err := listing.Parse([]byte(bad))
 		require.Error(t, err, bad)
 	}
 }
@@ -25,7 +25,7 @@
 func FuzzParse(f *testing.F) {
 	f.Add([]byte(`{"targets":[{"id":"a","state":"live"}]}`))
 	f.Fuzz(func(t *testing.T, body []byte) {
-		list, err := platform.Parse(body)
+		list, err := listing.Parse(body)
 		if err == nil && len(list) == 0 {
 			t.Fatal("an empty list was taken")
 		}
--- a/peers/pool.go
+++ b/peers/pool.go
@@ -6,6 +6,7 @@
 	"context"
 	"crypto/tls"
 	"net"
+	"net/netip"
 	"net/rpc"
 	"sync"
 	"time"
@@ -65,7 +66,7 @@
 	defer p.mu.Unlock()
 	s, ok := p.senders[to]
 	if !ok {
-		if p.addrs[to] == "" || p.ctx.Err() != nil {
+		if p.addressOf(to) == "" || p.ctx.Err() != nil {
 			p.options.Counters.Dropped.Add(1)
 			return
 		}
@@ -90,7 +91,19 @@
 func (p *Pool) address(h ident.Host) string {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return p.addrs[h]
+	return p.addressOf(h)
+}
+
+// addressOf returns where h listens. In a seeded fleet a host's name is its
+// address. The caller holds mu.
+func (p *Pool) addressOf(h ident.Host) string {
+	if a := p.addrs[h]; a != "" {
+		return a
+	}
+	if _, err := netip.ParseAddrPort(string(h)); err == nil {
+		return string(h)
+	}
+	return ""
 }
 
 // sender is the connection to one host.
--- a/settings/load.go
+++ b/settings/load.go
@@ -10,6 +10,7 @@
 	"path/filepath"
 	"reflect"
 	"slices"
+	"strconv"
 	"strings"
 	"time"
 
@@ -168,7 +169,11 @@
 	checkAddress("peer", s.Peer.Listen, true, p)
 	checkAddress("callers", s.Callers.Listen, false, p)
 	checkAddress("operators", s.Operators.Listen, false, p)
-	checkMembers(s, p)
+	if s.Seeded() {
+		checkSeeds(s, p)
+	} else {
+		checkMembers(s, p)
+	}
 	checkRoles(s, p)
 	checkTLS(s, p)
 	checkKeys(s, p)
@@ -176,7 +181,11 @@
 	if s.Platform.URL != "" && s.Platform.File != "" {
 		p.add("platform", "file", "url and file exclude each other")
 	}
-	checkChoice("replicas", "join", s.Replicas.Join, []string{"yes", "no"}, p)
+	checkChoice("replicas", "join", s.Replicas.Join, []string{yes, "no"}, p)
+	checkChoice("replicas", "keep", s.Replicas.Keep, []string{yes, "no"}, p)
+	checkChoice("replicas", "found", s.Replicas.Found, []string{yes, "no"}, p)
+	checkChoice("peer", "trusted_network", s.Peer.Trusted, []string{yes, "no"}, p)
+	checkGateway(s.Gateway, p)
 	checkChoice("log", "level", s.Log.Level, []string{"debug", "info", "error"}, p)
 	checkChoice("log", "format", s.Log.Format, []string{"json", "console"}, p)
 }
@@ -245,6 +254,47 @@
 	}
 }
 
+func checkSeeds(s Settings, p *ProblemsError) {
+	if len(s.Replicas.Members) > 0 {
+		p.add("replicas", "seeds", "members and seeds exclude each other")
+	}
+	if s.Callers.Listen != "" {
+		p.add("callers", "listen", "needs a fleet with listed members; use [gateway] listen")
+	}
+	if s.Host.ID != s.Peer.Listen {
+		p.add("host", "id", "must equal [peer] listen in a fleet with seeds")
+	}
+	for _, text := range s.Replicas.Seeds {
+		if _, err := netip.ParseAddrPort(text); err != nil {
+			p.add("replicas", "seeds", "%q is not ip:port", text)
+		}
+	}
+}
+
+func checkGateway(g Gateway, p *ProblemsError) {
+	for key, address := range map[string]string{"listen": g.Listen, "ready": g.Ready, "control": g.Control} {
+		if _, err := netip.ParseAddrPort(address); address != "" && err != nil {
+			p.add("gateway", key, "%q is not ip:port; host names are not taken", address)
+		}
+	}
+	for key, text := range map[string]string{
+		"retry_share": g.RetryShare, "retry_extra": g.RetryExtra, "load_factor": g.LoadFactor,
+	} {
+		if v, err := strconv.ParseFloat(text, 64); err != nil || v < 0 {
+			p.add("gateway", key, "%q is not a number of 0 or more", text)
+		}
+	}
+}
+
+// Number returns a number that Load has checked.
+func Number(text string) float64 {
+	v, err := strconv.ParseFloat(text, 64)
+	if err != nil {
+		return 0
+	}
+	return v
+}
+
 func checkRoles(s Settings, p *ProblemsError) {
 	switch {
 	case s.IsReplica() && s.Host.Data == "":
@@ -280,7 +330,7 @@
 	checkTriple("peer", []string{s.Peer.Cert, s.Peer.KeyFile, s.Peer.CA}, "cert, key_file and ca", p)
 	checkTriple("callers", []string{s.Callers.Cert, s.Callers.KeyFile}, "cert and key_file", p)
 	checkTriple("operators", []string{s.Operators.Cert, s.Operators.KeyFile}, "cert and key_file", p)
-	if s.Peer.Cert == "" && s.Peer.Listen != "" && !isLoopback(s.Peer.Listen) {
+	if s.Peer.Cert == "" && s.Peer.Trusted != yes && s.Peer.Listen != "" && !isLoopback(s.Peer.Listen) {
 		p.add("peer", "cert", "is needed, as listen is not on loopback")
 	}
 	if s.Operators.Cert == "" && s.Operators.Listen != "" && !isLoopback(s.Operators.Listen) {
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -30,6 +30,7 @@
 	Neighbors Members   `ini:"neighbours"`
 	Platform  Platform  `ini:"platform"`
 	Targets   Targets   `ini:"targets"`
+	Gateway   Gateway   `ini:"gateway"`
 	Log       Log       `ini:"log"`
 }
 
@@ -50,6 +51,7 @@
 	KeyFile string `ini:"key_file" doc:"TLS private key file."`
 	CA      string `ini:"ca" doc:"File with the authorities that sign hosts' certificates."`
 	MaxSize string `ini:"max_message" default:"8MiB" doc:"Largest message taken from another host."`
+	Trusted string `ini:"trusted_network" default:"no" doc:"yes where everyone on the network may read and change what hosts tell each other; lifts the need for cert off loopback."`
 }
 
 // Callers is the port for callers; without listen the host takes none.
@@ -79,6 +81,41 @@
 type Replicas struct {
 	Members []string `ini:"members" doc:"Hosts as id@zone@ip:port, separated by commas; 1, 3 or 5 of them."`
 	Join    string   `ini:"join" default:"no" doc:"yes on a replica with an empty data folder that joins a running fleet."`
+	Seeds   []string `ini:"seeds" doc:"ip:port of some replicas, separated by commas, instead of members: the others are found through them. Only the IP counts; the port is that of [peer] listen."`
+	Keep    string   `ini:"keep" default:"no" doc:"yes where this host keeps the replicated state; only with seeds."`
+	Found   string   `ini:"found" default:"no" doc:"yes at the very first start of the whole fleet: hosts named in seeds then form the first group; only with seeds."`
+	Losses  int      `ini:"losses" default:"1" doc:"Replicas that may be lost at once; twice as many and one more vote. Only with seeds."`
+}
+
+// SeedHosts returns the peer addresses of the seeds.
+func (s Settings) SeedHosts() []ident.Host {
+	own, err := netip.ParseAddrPort(s.Peer.Listen)
+	if err != nil {
+		return nil
+	}
+	out := make([]ident.Host, 0, len(s.Replicas.Seeds))
+	for _, text := range s.Replicas.Seeds {
+		if a, err := netip.ParseAddrPort(text); err == nil {
+			out = append(out, ident.Host(netip.AddrPortFrom(a.Addr(), own.Port()).String()))
+		}
+	}
+	return out
+}
+
+// Seeded tells whether replicas are found through seeds.
+func (s Settings) Seeded() bool { return len(s.Replicas.Seeds) > 0 }
+
+// Gateway is the entry for requests of the route table, in a seeded fleet.
+type Gateway struct {
+	Listen     string        `ini:"listen" doc:"ip:port for requests; empty on a host that takes none."`
+	Ready      string        `ini:"ready" doc:"ip:port at which the balancer asks whether this host takes requests."`
+	Control    string        `ini:"control" doc:"ip:port for workers' registrations and for operators of the route table."`
+	KeyLease   time.Duration `ini:"key_lease" default:"4s" doc:"Time for which a confirmed configuration may be used for requests with a key."`
+	Heartbeat  time.Duration `ini:"heartbeat" default:"1200ms" doc:"Time between two heartbeats of a worker."`
+	RetryShare string        `ini:"retry_share" default:"0.2" doc:"Part of a pool's requests that may be sent once more."`
+	RetryExtra string        `ini:"retry_extra" default:"20" doc:"Requests that the whole fleet may send once more beyond that."`
+	LoadFactor string        `ini:"load_factor" default:"2" doc:"Multiple of the mean load that no engine may go beyond."`
+	DrainTime  time.Duration `ini:"drain_time" default:"8s" doc:"Time that a planned stop may take."`
 }
 
 // Hosts returns the list in typed form; Load has checked it.
@@ -124,10 +161,13 @@
 func (s Settings) ID() ident.Host { return ident.Host(s.Host.ID) }
 
 // Serves tells whether the host takes callers' requests.
-func (s Settings) Serves() bool { return s.Callers.Listen != "" }
+func (s Settings) Serves() bool { return s.Callers.Listen != "" || s.Gateway.Listen != "" }
 
 // IsReplica tells whether the host keeps the replicated state.
 func (s Settings) IsReplica() bool {
+	if s.Seeded() {
+		return s.Replicas.Keep == yes
+	}
 	for _, r := range s.Replicas.Hosts() {
 		if string(r.ID) == s.Host.ID {
 			return true
@@ -136,6 +176,8 @@
 	return false
 }
 
+const yes = "yes"
+
 // isLoopback tells whether an ip:port is on this machine only.
 func isLoopback(address string) bool {
 	a, err := netip.ParseAddrPort(address)
--- a/storage/frame.go
+++ b/storage/frame.go
@@ -47,6 +47,7 @@
 	if h.Fleet != l.options.Fleet {
 		return nil, 0, errors.Errorf("%s belongs to fleet %q, not %q", filepath.Base(name), h.Fleet, l.options.Fleet)
 	}
+	l.options.Identity = h.Identity
 	return frames[1:], int64(len(rest)), nil
 }
 
--- a/storage/generation.go
+++ b/storage/generation.go
@@ -78,7 +78,7 @@
 func (l *Log) startGeneration(snap raft.Snapshot, old *Log) error {
 	l.generation++
 	var log, snapshot bytes.Buffer
-	h := header{Format: formatVersion, Fleet: l.options.Fleet}
+	h := header{Format: formatVersion, Fleet: l.options.Fleet, Identity: l.options.Identity}
 	for _, part := range []struct {
 		buf *bytes.Buffer
 		v   any
--- a/storage/storage.go
+++ b/storage/storage.go
@@ -26,6 +26,7 @@
 	"github.com/fxamacker/cbor/v2"
 	"github.com/pkg/errors"
 
+	"github.com/yardhall/yardhall/core/ident"
 	"github.com/yardhall/yardhall/core/raft"
 )
 
@@ -55,14 +56,18 @@
 	Fleet string
 	// Members is the first member list, used when the folder is empty.
 	Members []raft.Member
+	// Identity names an empty folder for good; a folder that has a name keeps
+	// it.
+	Identity ident.Host
 	// Wrap, where set, stands between the log and its files.
 	Wrap func(File) File
 }
 
 // header is the first frame of every file.
 type header struct {
-	Format int
-	Fleet  string
+	Format   int
+	Fleet    string
+	Identity ident.Host
 }
 
 // batch is the content of a log frame.
@@ -102,6 +107,9 @@
 	return l.load()
 }
 
+// Identity is the name that the folder was made with; empty where it has none.
+func (l *Log) Identity() ident.Host { return l.options.Identity }
+
 func (l *Log) load() (*Log, raft.Boot, error) {
 	var boot raft.Boot
 	frames, torn, err := l.readFrames(l.path(l.generation, "snap"))
