host: Send packed route tables, and answer hangups and planned stops

Cause: a table of 110 routes took 70 kB in the log and once more for each entry host; at three changes a second a replica's 6 Mbit/s was full, appends were repeated each heartbeat, and nothing was committed any more. SIGHUP ended the process. Kept connections brought requests until the end of a planned stop.

Ruled out: disk and processor (0.6% of a core on replicas); elections (the leader stood all the while).

Conclusion: records are packed (core/pack), a table travels packed and once per version, entries under way are not repeated within two heartbeats.

--- a/commands/yardhalld/serve.go
+++ b/commands/yardhalld/serve.go
@@ -9,6 +9,7 @@
 	"os"
 	"os/signal"
 	"syscall"
+	"time"
 
 	"github.com/go-logr/logr"
 	"github.com/go-logr/zapr"
@@ -63,9 +64,63 @@
 	if err != nil {
 		return errors.Wrap(err, "start")
 	}
+	stopReload := reloadOnHangup(c.file, d, log)
+	defer stopReload()
 	return errors.Wrap(d.Run(ctx), "serve")
 }
 
+// reloadOnHangup reads the settings file anew at SIGHUP, and when it has
+// changed. A file with mistakes changes nothing.
+func reloadOnHangup(file string, d *daemon.Daemon, log logr.Logger) (stop func()) {
+	hangup := make(chan os.Signal, 1)
+	signal.Notify(hangup, syscall.SIGHUP)
+	done := make(chan struct{})
+	go func() {
+		ticker := time.NewTicker(settingsPoll)
+		defer ticker.Stop()
+		seen := modified(file)
+		for {
+			select {
+			case <-done:
+				return
+			case <-hangup:
+				reload(file, d, log)
+				seen = modified(file)
+			case <-ticker.C:
+				if at := modified(file); !at.Equal(seen) {
+					seen = at
+					reload(file, d, log)
+				}
+			}
+		}
+	}()
+	return func() {
+		signal.Stop(hangup)
+		close(done)
+	}
+}
+
+// settingsPoll is the time between two looks at the settings file.
+const settingsPoll = 2 * time.Second
+
+func modified(file string) time.Time {
+	info, err := os.Stat(file)
+	if err != nil {
+		return time.Time{}
+	}
+	return info.ModTime()
+}
+
+func reload(file string, d *daemon.Daemon, log logr.Logger) {
+	s, err := settings.Load(file)
+	if err != nil {
+		log.Error(err, "the settings file has mistakes; the old settings stay in force")
+		return
+	}
+	d.Reload(s)
+	log.Info("settings read anew", "file", file)
+}
+
 // newLogger returns a logr.Logger over zap, as the settings ask.
 func newLogger(s settings.Log) (logr.Logger, error) {
 	config := zap.NewProductionConfig()
--- a/core/catalog/catalog.go
+++ b/core/catalog/catalog.go
@@ -22,6 +22,7 @@
 
 	"github.com/yardhall/yardhall/core/config"
 	"github.com/yardhall/yardhall/core/ident"
+	"github.com/yardhall/yardhall/core/pack"
 	"github.com/yardhall/yardhall/core/plan"
 	"github.com/yardhall/yardhall/core/table"
 )
@@ -244,13 +245,17 @@
 	if err != nil {
 		panic(errors.Wrap(err, "catalog: encode a snapshot"))
 	}
-	return b
+	return pack.Bytes(b)
 }
 
 // Decode reads snapshot data back.
 func Decode(b []byte) (Catalog, error) {
 	var d Document
-	if err := modes.dec.Unmarshal(b, &d); err != nil {
+	data, err := pack.Unpack(b)
+	if err != nil {
+		return Catalog{}, errors.Wrap(err, "decode snapshot")
+	}
+	if err := modes.dec.Unmarshal(data, &d); err != nil {
 		return Catalog{}, errors.Wrap(err, "decode snapshot")
 	}
 	if d.Format != documentFormat {
--- a/core/catalog/command.go
+++ b/core/catalog/command.go
@@ -12,6 +12,7 @@
 	"github.com/yardhall/yardhall/core/config"
 	"github.com/yardhall/yardhall/core/ident"
 	"github.com/yardhall/yardhall/core/outcome"
+	"github.com/yardhall/yardhall/core/pack"
 )
 
 // Write is one entry of the replicated log.
@@ -180,13 +181,17 @@
 	if err != nil {
 		panic(errors.Wrap(err, "catalog: encode a write"))
 	}
-	return b
+	return pack.Bytes(b)
 }
 
 // DecodeWrite reads log data back.
 func DecodeWrite(b []byte) (Write, error) {
 	var w Write
-	if err := modes.dec.Unmarshal(b, &w); err != nil {
+	data, err := pack.Unpack(b)
+	if err != nil {
+		return Write{}, errors.Wrap(err, "decode write")
+	}
+	if err := modes.dec.Unmarshal(data, &w); err != nil {
 		return Write{}, errors.Wrap(err, "decode write")
 	}
 	if w.Command == nil {
--- a/core/config/gateway.go
+++ b/core/config/gateway.go
@@ -6,9 +6,11 @@
 	"slices"
 	"strings"
 
+	"github.com/fxamacker/cbor/v2"
 	"github.com/pkg/errors"
 
 	"github.com/yardhall/yardhall/core/ident"
+	"github.com/yardhall/yardhall/core/pack"
 )
 
 // Gateway is the route table of the fleet: one document that an operator puts
@@ -181,6 +183,25 @@
 	return g
 }
 
+// Packed returns the document as it travels to hosts that only route.
+func (g Gateway) Packed() []byte {
+	b, err := cbor.Marshal(g.WithoutSource())
+	if err != nil {
+		panic(errors.Wrap(err, "config: encode a route table"))
+	}
+	return pack.Bytes(b)
+}
+
+// UnpackGateway reads what Packed returned.
+func UnpackGateway(record []byte) (Gateway, error) {
+	var g Gateway
+	b, err := pack.Unpack(record)
+	if err != nil {
+		return g, errors.Wrap(err, "route table")
+	}
+	return g, errors.Wrap(cbor.Unmarshal(b, &g), "route table")
+}
+
 // GatewayIndex finds routes and keys of one Gateway. It never changes.
 type GatewayIndex struct {
 	routes map[string][]Route
--- a/core/gateway/event.go
+++ b/core/gateway/event.go
@@ -41,6 +41,8 @@
 	LoadsTold struct{ Loads []WorkerLoad }
 	// Confirmed reports that the configuration held was the newest one at AsOf.
 	Confirmed struct{ AsOf time.Time }
+	// Closing makes the gateway take no new requests, late in a planned stop.
+	Closing struct{}
 )
 
 func (Arrived) event()      {}
@@ -50,6 +52,7 @@
 func (Registered) event()   {}
 func (LoadsTold) event()    {}
 func (Confirmed) event()    {}
+func (Closing) event()      {}
 
 // Request is what the caller's side has read of a request.
 type Request struct {
@@ -143,6 +146,7 @@
 	CodeNoRoute    Code = "route_not_found"
 	CodeBadKey     Code = "invalid_api_key"
 	CodeNotReady   Code = "not_ready"
+	CodeDraining   Code = "draining"
 	CodeStale      Code = "configuration_stale"
 	CodeDuplicate  Code = "request_id_in_use"
 	CodeNoWorker   Code = "no_worker"
--- a/core/gateway/gateway.go
+++ b/core/gateway/gateway.go
@@ -80,7 +80,9 @@
 	calls   table.Table[ident.Request, call]
 	budgets table.Table[ident.Service, budget]
 	// hosts is how many entry hosts share the fleet's budgets.
-	hosts    int
+	hosts int
+	// closing is set late in a planned stop.
+	closing  bool
 	counters Counters
 }
 
@@ -166,6 +168,8 @@
 		if ev.AsOf.After(t.confirmed) {
 			t.confirmed = ev.AsOf
 		}
+	case Closing:
+		t.closing = true
 	}
 	return t.State, t.out
 }
@@ -213,6 +217,8 @@
 const (
 	// comeBack is the advice to callers where something may be repaired soon.
 	comeBack = 300 * time.Millisecond
+	// comeBackElsewhere is the same where another host can take the request now.
+	comeBackElsewhere = 20 * time.Millisecond
 	// maxConnects bounds the workers that a request finds out of reach.
 	maxConnects = 4
 )
@@ -224,6 +230,10 @@
 		t.refuse(r.ID, CodeNotReady, "this host has no route table yet", comeBack)
 		return
 	}
+	if t.closing {
+		t.refuse(r.ID, CodeDraining, "this host is being stopped", comeBackElsewhere)
+		return
+	}
 	if t.calls.Has(r.ID) {
 		t.refuseDuplicate(r.ID)
 		return
--- a/core/host/event.go
+++ b/core/host/event.go
@@ -244,10 +244,11 @@
 		Leader ident.Host
 		// Fresh is true where a leader with a lease says that Version is the
 		// newest.
-		Fresh    bool
-		Version  config.Version
-		Document *config.Document
-		Epoch    uint64
+		Fresh   bool
+		Version config.Version
+		// Gateway is the packed route table of Version, where it is sent.
+		Gateway []byte
+		Epoch   uint64
 		// Since is the revision that Workers follow.
 		Since    uint64
 		Revision uint64
--- a/core/host/sync.go
+++ b/core/host/sync.go
@@ -49,6 +49,8 @@
 	joiners  table.Table[ident.Host, time.Time]
 	joinAt   time.Time
 	memberAt time.Time
+	packed   []byte
+	packedAt config.Version
 }
 
 // contact is a replica as a host sees it.
@@ -176,7 +178,7 @@
 		a.Replicas = t.memberAddresses()
 		a.Loads, a.Hosts = t.otherLoads(to)
 		if c.version < t.catalog.Config.Version {
-			a.Document = t.routingDocument()
+			a.Gateway = t.packedGateway()
 			c.version = t.catalog.Config.Version
 		}
 	}
@@ -185,11 +187,13 @@
 	t.send(to, a)
 }
 
-// routingDocument is the configuration without what only operators read.
-func (t *turn) routingDocument() *config.Document {
-	d := t.catalog.Config.Document()
-	d.Gateway = d.Gateway.WithoutSource()
-	return &d
+// packedGateway is the route table for hosts that only route, packed once a
+// version.
+func (t *turn) packedGateway() []byte {
+	if t.sync.packedAt != t.catalog.Config.Version {
+		t.sync.packed, t.sync.packedAt = t.catalog.Config.Gateway.Packed(), t.catalog.Config.Version
+	}
+	return t.sync.packed
 }
 
 func (t *turn) memberAddresses() []ident.Host {
@@ -252,8 +256,8 @@
 	if len(m.Workers) > 0 {
 		t.routed(gateway.Registered{From: from, Workers: m.Workers})
 	}
-	if m.Document != nil && m.Document.Version > t.config.Version {
-		t.useConfig(config.FromDocument(*m.Document))
+	if len(m.Gateway) > 0 && m.Version > t.config.Version {
+		t.takeGateway(m)
 	}
 	asked, known := t.sync.rounds.Get(m.Round)
 	t.sync.rounds = t.sync.rounds.Without(m.Round)
@@ -278,6 +282,18 @@
 	}
 }
 
+// takeGateway puts a newer route table in force.
+func (t *turn) takeGateway(m SyncAnswer) {
+	g, err := config.UnpackGateway(m.Gateway)
+	if err != nil {
+		t.counters.StaleConfig++
+		return
+	}
+	next := t.config
+	next.Version, next.Gateway = m.Version, g
+	t.useConfig(next)
+}
+
 // hearContact records how far the registry of a replica is known.
 func (t *turn) hearContact(from ident.Host, m SyncAnswer) {
 	c, known := t.sync.contacts.Get(from)
--- a/core/raft/replicate.go
+++ b/core/raft/replicate.go
@@ -84,7 +84,10 @@
 		}
 		return
 	}
-	if !heartbeat && !p.sentAt.IsZero() && w.now.Sub(p.sentAt) < w.options.Heartbeat {
+	if waiting := w.now.Sub(p.sentAt); !p.sentAt.IsZero() && waiting < resendAfter*w.options.Heartbeat {
+		if heartbeat {
+			w.sendEmpty(i)
+		}
 		return
 	}
 	entries := w.log.Slice(p.next, w.log.Last(), w.options.MaxBatch)
@@ -99,6 +102,24 @@
 	w.setPeer(i, p)
 }
 
+// resendAfter is how many heartbeats an answer to entries may take: sending
+// them again sooner would choke a slow link.
+const resendAfter = 2
+
+// sendEmpty sends a heartbeat without the entries that are under way.
+func (w *step) sendEmpty(i int) {
+	p := w.peers[i]
+	prevTerm, ok := w.log.TermAt(p.match)
+	if !ok {
+		return
+	}
+	p.told = max(p.told, min(w.commit, p.match))
+	w.setPeer(i, p)
+	w.send(p.id, Append{
+		Term: w.hard.Term, Prev: p.match, PrevTerm: prevTerm, Commit: min(w.commit, p.match), Round: w.round,
+	})
+}
+
 func (w *step) setPeer(i int, p progress) {
 	w.peers = slices.Clone(w.peers)
 	w.peers[i] = p
@@ -179,7 +200,9 @@
 		w.replicateTo(i, false)
 		return
 	}
-	p.sentAt = time.Time{}
+	if m.Match > p.match || p.match == w.log.Last() {
+		p.sentAt = time.Time{}
+	}
 	p.match = max(p.match, m.Match)
 	p.next = max(p.next, p.match+1)
 	w.setPeer(i, p)
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -62,6 +62,7 @@
 	metrics  *metrics
 	gateway  *gateway.Server
 	workers  *gateway.Pool
+	callers  *http.Server
 	peerL    net.Listener
 	callerL  net.Listener
 	operL    net.Listener
--- a/daemon/gateway.go
+++ b/daemon/gateway.go
@@ -13,6 +13,7 @@
 	"github.com/pkg/errors"
 
 	coregateway "github.com/yardhall/yardhall/core/gateway"
+	"github.com/yardhall/yardhall/core/host"
 	"github.com/yardhall/yardhall/core/ident"
 	"github.com/yardhall/yardhall/core/raft"
 	"github.com/yardhall/yardhall/gateway"
@@ -54,9 +55,10 @@
 // has no vote until the group has taken it in.
 func firstIdentity(s settings.Settings) (ident.Host, []raft.Member) {
 	own := s.ID()
-	var members []raft.Member
+	seeds := s.SeedHosts()
+	members := make([]raft.Member, 0, len(seeds))
 	founder := false
-	for _, seed := range s.SeedHosts() {
+	for _, seed := range seeds {
 		members = append(members, raft.Member{ID: seed.WithDisk(foundingDisk), Voter: true})
 		founder = founder || seed == own
 	}
@@ -92,7 +94,11 @@
 		if err != nil {
 			return err
 		}
-		d.addHTTP(g, l, &http.Server{Handler: port.handler, ReadHeaderTimeout: callerHeader, IdleTimeout: callerIdle})
+		server := &http.Server{Handler: port.handler, ReadHeaderTimeout: callerHeader, IdleTimeout: callerIdle}
+		if port.address == s.Listen {
+			d.callers = server
+		}
+		d.addHTTP(g, l, server)
 	}
 	return nil
 }
@@ -111,6 +117,14 @@
 	w.WriteHeader(http.StatusOK)
 }
 
+// Reload takes what may change while the process runs: where replicas can be
+// found.
+func (d *Daemon) Reload(s settings.Settings) {
+	if s.Seeded() {
+		d.loop.Post(host.Reseeded{Seeds: s.SeedHosts()})
+	}
+}
+
 // awaitGateway goes on serving until the balancer has noticed the stop and
 // every request in flight has ended.
 func (d *Daemon) awaitGateway() error {
@@ -120,8 +134,12 @@
 		return context.Canceled
 	}
 	deadline := begun.Add(d.settings.Gateway.DrainTime - stopMargin)
+	time.Sleep(balancerNotice)
+	// Callers' kept connections must not bring requests until the end.
+	d.callers.SetKeepAlivesEnabled(false)
+	d.loop.Route(coregateway.Closing{})
 	for time.Now().Before(deadline) {
-		if time.Since(begun) > balancerNotice && d.gateway.InFlight.Load() == 0 {
+		if d.gateway.InFlight.Load() == 0 {
 			break
 		}
 		time.Sleep(idlePoll)
--- a/listing/listing_test.go
+++ b/listing/listing_test.go
@@ -9,7 +9,7 @@
 
 	"github.com/yardhall/yardhall/core/health"
 	"github.com/yardhall/yardhall/core/host"
-	"github.com/yardhall/yardhall/platform"
+	"github.com/yardhall/yardhall/listing"
 )
 
 func TestParse(t *testing.T) {
