host: Follow only a leader with a lease

It went on asking a replica that was cut off from the other replicas: any answer counted as a sign of life, also one without a leader's word.

Ruled out: the push of changes (edges beside it had version 12 within 20 ms).

TestEntryLeavesAReplicaThatKnowsNoLeader failed first; a small seeded fleet in memory now drives formation, wiped and replaced replicas, reads, keys and leaving workers.

Conclusion: only a fresh word keeps a host with its leader; after 600 ms without one it asks all replicas.

--- /dev/null
+++ b/core/host/seeded_test.go
@@ -0,0 +1,441 @@
+// Copyright 2026 The Yardhall Authors. Licensed under the Apache License, Version 2.0.
+
+package host_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/yardhall/yardhall/core/catalog"
+	"github.com/yardhall/yardhall/core/config"
+	"github.com/yardhall/yardhall/core/gateway"
+	"github.com/yardhall/yardhall/core/host"
+	"github.com/yardhall/yardhall/core/ident"
+	"github.com/yardhall/yardhall/core/raft"
+	"github.com/yardhall/yardhall/core/registry"
+)
+
+// seededDisk is what survives a stop of a replica.
+type seededDisk struct {
+	identity ident.Host
+	boot     raft.Boot
+}
+
+func (d *seededDisk) write(p raft.Persist) {
+	d.boot.Hard = p.Hard
+	for _, e := range p.Entries {
+		for n := len(d.boot.Entries); n > 0 && d.boot.Entries[n-1].Index >= e.Index; n = len(d.boot.Entries) {
+			d.boot.Entries = d.boot.Entries[:n-1]
+		}
+		d.boot.Entries = append(d.boot.Entries, e)
+	}
+	if p.Snapshot != nil {
+		d.boot.Snapshot = *p.Snapshot
+		for len(d.boot.Entries) > 0 && d.boot.Entries[0].Index <= p.Snapshot.Index {
+			d.boot.Entries = d.boot.Entries[1:]
+		}
+	}
+}
+
+type seededPacket struct {
+	from, to ident.Host
+	message  host.Message
+}
+
+// seededFleet is a small fleet found through seeds, under one clock, with
+// memory for disks and a network that can be cut.
+type seededFleet struct {
+	t       *testing.T
+	now     time.Time
+	states  map[ident.Host]host.State
+	disks   map[ident.Host]*seededDisk
+	order   []ident.Host
+	seeds   []ident.Host
+	down    map[ident.Host]bool
+	cut     map[[2]ident.Host]bool
+	wire    []seededPacket
+	writes  map[string]host.AnswerWrite
+	reads   map[string]bool
+	decided []gateway.Decision
+	starts  uint64
+}
+
+func replicaName(i int) ident.Host { return ident.Host(fmt.Sprintf("10.0.0.%d:7000", i+1)) }
+func entryName(i int) ident.Host   { return ident.Host(fmt.Sprintf("10.0.1.%d:7000", i+1)) }
+
+// newSeededFleet starts n replicas, the first three of which are the seeds, and
+// m entry hosts.
+func newSeededFleet(t *testing.T, n, m int) *seededFleet {
+	f := &seededFleet{
+		t: t, now: time.Unix(5000, 0), states: map[ident.Host]host.State{}, disks: map[ident.Host]*seededDisk{},
+		down: map[ident.Host]bool{}, cut: map[[2]ident.Host]bool{}, writes: map[string]host.AnswerWrite{},
+		reads: map[string]bool{},
+	}
+	for i := range min(3, n) {
+		f.seeds = append(f.seeds, replicaName(i))
+	}
+	for i := range n {
+		f.addReplica(replicaName(i), i < len(f.seeds))
+	}
+	for i := range m {
+		f.order = append(f.order, entryName(i))
+		f.start(entryName(i))
+	}
+	return f
+}
+
+// addReplica starts a replica with an empty disk.
+func (f *seededFleet) addReplica(id ident.Host, founder bool) {
+	f.starts++
+	d := &seededDisk{identity: id.WithDisk(fmt.Sprintf("disk-%d", f.starts))}
+	if founder {
+		d.identity = id.WithDisk("first")
+		for _, s := range f.seeds {
+			d.boot.Snapshot.Members = append(d.boot.Snapshot.Members, raft.Member{ID: s.WithDisk("first"), Voter: true})
+		}
+	}
+	if _, known := f.disks[id]; !known {
+		f.order = append(f.order, id)
+	}
+	f.disks[id] = d
+	f.start(id)
+}
+
+func (f *seededFleet) start(id ident.Host) {
+	f.starts++
+	s := host.Settings{
+		ID: id, Zone: "z", Seeds: f.seeds, Incarnation: f.starts, Voters: 3, Serves: f.disks[id] == nil,
+		Gateway: gateway.Settings{Zone: "z"},
+	}
+	d := f.disks[id]
+	if d != nil {
+		s.Identity = d.identity
+	}
+	state := host.New(s, 7, f.now)
+	if d != nil {
+		var err error
+		state, err = state.WithReplica(d.boot, f.now)
+		require.NoError(f.t, err)
+	}
+	f.states[id], f.down[id] = state, false
+}
+
+func (f *seededFleet) stop(id ident.Host) { f.down[id] = true }
+
+func (f *seededFleet) cutOff(id ident.Host, off bool) {
+	for _, other := range f.order {
+		f.cut[[2]ident.Host{id, other}] = off
+		f.cut[[2]ident.Host{other, id}] = off
+	}
+}
+
+func (f *seededFleet) reduce(id ident.Host, ev host.Event) {
+	if f.down[id] {
+		return
+	}
+	next, effects := host.Reduce(f.states[id], ev, f.now)
+	f.states[id] = next
+	for _, e := range effects {
+		switch e := e.(type) {
+		case host.Send:
+			f.wire = append(f.wire, seededPacket{id, e.To, e.Message})
+		case host.Persist:
+			f.disks[id].write(e.Persist)
+			for _, s := range e.Persist.Then {
+				to, m := f.states[id].Envelope(s)
+				f.wire = append(f.wire, seededPacket{id, to, m})
+			}
+			f.reduce(id, host.DiskSynced{Persisted: raft.Persisted{Index: e.Persist.Index, Term: e.Persist.Term}})
+		case host.AnswerWrite:
+			f.writes[e.ID] = e
+		case host.AnswerRead:
+			f.reads[e.ID] = e.OK
+		case host.Route:
+			f.decided = append(f.decided, e.Decision)
+		}
+	}
+}
+
+const seededStep = 50 * time.Millisecond
+
+func (f *seededFleet) run(d time.Duration) {
+	for range int(d / seededStep) {
+		f.now = f.now.Add(seededStep)
+		for _, id := range f.order {
+			f.reduce(id, host.Tick{})
+		}
+		for range 6 {
+			batch := f.wire
+			f.wire = nil
+			for _, p := range batch {
+				if !f.cut[[2]ident.Host{p.from, p.to}] && !f.down[p.from] {
+					f.reduce(p.to, host.Received{From: p.from, Message: p.message})
+				}
+			}
+		}
+	}
+}
+
+func (f *seededFleet) leader() ident.Host {
+	for _, id := range f.order {
+		if s := f.states[id]; !f.down[id] && s.Raft().Active() && s.Raft().LeaseHeld(f.now) {
+			return id
+		}
+	}
+	return ""
+}
+
+func (f *seededFleet) table(number uint64, keys ...string) config.Gateway {
+	g := config.Gateway{
+		Number: number, Source: []byte(fmt.Sprintf("document %d", number)),
+		Pools: []config.Pool{{ID: "pool"}},
+		Routes: []config.Route{
+			{Host: "a.example", Prefix: "/x/", Kind: config.RouteSafe, Timeout: config.Duration(time.Second), MaxAttempts: 2, Shares: []config.Share{{Pool: "pool", Weight: 1}}},
+			{Host: "a.example", Prefix: fmt.Sprintf("/only-%d/", number), Kind: config.RouteUnsafe, Timeout: config.Duration(time.Second), Shares: []config.Share{{Pool: "pool", Weight: 1}}},
+		},
+	}
+	for _, k := range keys {
+		g.Keys = append(g.Keys, config.Holder{Account: ident.Account("holder-" + k), KeyHashes: []string{k}})
+	}
+	return g
+}
+
+// put submits a route table at a replica and tells whether it was acknowledged
+// within the limit.
+func (f *seededFleet) put(at ident.Host, g config.Gateway, limit time.Duration) bool {
+	f.starts++
+	id := fmt.Sprintf("write-%d", f.starts)
+	f.reduce(at, host.Submitted{
+		Write:    catalog.Write{ID: id, Command: catalog.Edit{Change: config.PutGateway{Gateway: g}}},
+		Deadline: f.now.Add(limit),
+	})
+	f.run(limit)
+	return f.writes[id].Known && f.writes[id].Result.Code == catalog.OK
+}
+
+// ask sends a request to an entry host and returns what was decided.
+func (f *seededFleet) ask(at ident.Host, path, key string) gateway.Decision {
+	f.starts++
+	f.decided = nil
+	f.reduce(at, host.Routed{Event: gateway.Arrived{Request: gateway.Request{
+		ID: ident.Request(fmt.Sprintf("r%d", f.starts)), Host: "a.example", Path: path, KeyHash: key,
+	}}})
+	require.Len(f.t, f.decided, 1)
+	return f.decided[0]
+}
+
+func (f *seededFleet) beat(at ident.Host, id string, state registry.State, seq uint64) {
+	f.reduce(at, host.Beaten{Worker: registry.Worker{
+		ID: ident.Target(id), Pool: "pool", Zone: "z", Address: "10.9.9.9:80", Slots: 4, State: state, Seq: seq,
+	}})
+}
+
+func codeOf(t *testing.T, d gateway.Decision) gateway.Code {
+	t.Helper()
+	f, ok := d.(gateway.Finish)
+	require.True(t, ok, "%#v", d)
+	return f.Verdict.Code
+}
+
+func TestSeededFleetPutsATableInForceEverywhere(t *testing.T) {
+	f := newSeededFleet(t, 3, 4)
+	f.run(5 * time.Second)
+	require.NotEmpty(t, f.leader())
+	require.Equal(t, gateway.CodeNotReady, codeOf(t, f.ask(entryName(0), "/x/1", "k")))
+	require.True(t, f.put(replicaName(2), f.table(3, "k"), time.Second))
+	f.beat(replicaName(1), "w1", registry.Ready, 1)
+	f.run(time.Second)
+	for i := range 4 {
+		require.True(t, f.states[entryName(i)].Ready())
+		require.IsType(t, gateway.Dispatch{}, f.ask(entryName(i), "/x/1", "k"))
+		require.Equal(t, gateway.CodeBadKey, codeOf(t, f.ask(entryName(i), "/x/1", "other")))
+		require.Equal(t, gateway.CodeNoRoute, codeOf(t, f.ask(entryName(i), "/y/1", "k")))
+	}
+}
+
+// TestHighestNumberPrevails sends an older table and other content under the
+// number held: both are taken note of and change nothing.
+func TestHighestNumberPrevails(t *testing.T) {
+	f := newSeededFleet(t, 3, 1)
+	f.run(5 * time.Second)
+	require.True(t, f.put(replicaName(0), f.table(9, "k"), time.Second))
+	other := f.table(9, "k")
+	other.Source = []byte("other content")
+	require.True(t, f.put(replicaName(1), other, time.Second))
+	require.True(t, f.put(replicaName(2), f.table(4, "k"), time.Second))
+	for i := range 3 {
+		require.Equal(t, "document 9", string(f.states[replicaName(i)].Config().Gateway.Source))
+	}
+	require.False(t, f.put(replicaName(0), config.Gateway{Number: 12, Routes: []config.Route{{Host: "h"}}}, time.Second))
+	require.EqualValues(t, 9, f.states[entryName(0)].Gateway().Number())
+}
+
+// TestEntryLeavesAReplicaThatKnowsNoLeader cuts the replica that an entry host
+// asks off from the other replicas only: it answers, but knows nothing new.
+func TestEntryLeavesAReplicaThatKnowsNoLeader(t *testing.T) {
+	f := newSeededFleet(t, 3, 4)
+	f.run(5 * time.Second)
+	require.True(t, f.put(f.leader(), f.table(1, "k"), time.Second))
+	old := f.leader()
+	for i := range 3 {
+		f.cut[[2]ident.Host{old, replicaName(i)}] = true
+		f.cut[[2]ident.Host{replicaName(i), old}] = true
+	}
+	f.run(4 * time.Second)
+	leader := f.leader()
+	require.NotEmpty(t, leader)
+	require.NotEqual(t, old, leader)
+	require.True(t, f.put(leader, f.table(2, "k"), 500*time.Millisecond))
+	f.run(time.Second)
+	for i := range 4 {
+		require.EqualValues(t, 2, f.states[entryName(i)].Gateway().Number(), "entry %d", i)
+		require.True(t, f.states[entryName(i)].Ready(), "entry %d", i)
+	}
+}
+
+// TestKeysStopWorkingWhereNothingIsConfirmed cuts an entry host off from all
+// replicas: within the lease it serves no key any more.
+func TestKeysStopWorkingWhereNothingIsConfirmed(t *testing.T) {
+	f := newSeededFleet(t, 3, 2)
+	f.run(5 * time.Second)
+	require.True(t, f.put(f.leader(), f.table(1, "k", "l"), time.Second))
+	f.beat(replicaName(0), "w1", registry.Ready, 1)
+	f.run(time.Second)
+	f.cutOff(entryName(0), true)
+	f.run(seededStep)
+	require.IsType(t, gateway.Dispatch{}, f.ask(entryName(0), "/x/1", "k"))
+	require.True(t, f.put(f.leader(), f.table(2, "l"), 500*time.Millisecond))
+	f.run(gateway.DefaultKeyLease)
+	require.Equal(t, gateway.CodeStale, codeOf(t, f.ask(entryName(0), "/x/1", "k")))
+	require.Equal(t, gateway.CodeBadKey, codeOf(t, f.ask(entryName(1), "/x/1", "k")))
+	f.cutOff(entryName(0), false)
+	f.run(time.Second)
+	require.Equal(t, gateway.CodeBadKey, codeOf(t, f.ask(entryName(0), "/x/1", "k")))
+}
+
+// TestWipedReplicaHasNoVote acknowledges by A and B, wipes A while B is dark
+// and C is behind: A and C together must not elect, or what was acknowledged
+// would be lost.
+func TestWipedReplicaHasNoVote(t *testing.T) {
+	f := newSeededFleet(t, 3, 0)
+	f.run(5 * time.Second)
+	a := f.leader()
+	var b, c ident.Host
+	for i := range 3 {
+		switch {
+		case replicaName(i) == a:
+		case b == "":
+			b = replicaName(i)
+		default:
+			c = replicaName(i)
+		}
+	}
+	f.cutOff(c, true)
+	require.True(t, f.put(a, f.table(5, "k"), time.Second))
+	f.stop(b)
+	f.addReplica(a, false)
+	f.cutOff(c, false)
+	f.run(20 * time.Second)
+	require.Empty(t, f.leader(), "a wiped replica helped to elect one that is behind")
+	f.start(b)
+	f.run(10 * time.Second)
+	require.NotEmpty(t, f.leader())
+	for i := range 3 {
+		require.EqualValues(t, 5, f.states[replicaName(i)].Config().Gateway.Number)
+	}
+	voters := 0
+	for _, m := range f.states[f.leader()].Raft().Members() {
+		if m.Voter {
+			voters++
+		}
+	}
+	require.Equal(t, 3, voters, "the wiped replica votes again once it has caught up")
+}
+
+// TestReplicaIsReplacedAtAnotherAddress loses a replica for good and starts an
+// empty one elsewhere; then another one may be lost.
+func TestReplicaIsReplacedAtAnotherAddress(t *testing.T) {
+	f := newSeededFleet(t, 3, 1)
+	f.run(5 * time.Second)
+	require.True(t, f.put(f.leader(), f.table(5, "k"), time.Second))
+	gone := f.leader()
+	f.stop(gone)
+	f.run(time.Second)
+	f.addReplica(replicaName(7), false)
+	f.run(4 * time.Second)
+	leader := f.leader()
+	require.NotEmpty(t, leader)
+	var second ident.Host
+	for _, id := range []ident.Host{replicaName(0), replicaName(1), replicaName(2)} {
+		if id != gone && id != leader {
+			second = id
+		}
+	}
+	f.stop(second)
+	f.run(5 * time.Second)
+	require.NotEmpty(t, f.leader(), "the newcomer does not vote")
+	require.True(t, f.put(replicaName(7), f.table(6, "k"), 2*time.Second))
+	f.run(time.Second)
+	require.EqualValues(t, 6, f.states[entryName(0)].Gateway().Number())
+}
+
+// TestReadIsConfirmedByTheNewestLeader cuts the leader off from the others: it
+// must not answer reads once another may have accepted a newer table.
+func TestReadIsConfirmedByTheNewestLeader(t *testing.T) {
+	f := newSeededFleet(t, 3, 0)
+	f.run(5 * time.Second)
+	old := f.leader()
+	require.True(t, f.put(old, f.table(1, "k"), time.Second))
+	f.reduce(replicaName(0), host.Read{ID: "first", Deadline: f.now.Add(time.Second)})
+	f.run(300 * time.Millisecond)
+	require.True(t, f.reads["first"])
+	f.cutOff(old, true)
+	f.run(4 * time.Second)
+	leader := f.leader()
+	require.True(t, f.put(leader, f.table(2, "k"), time.Second))
+	f.reduce(old, host.Read{ID: "stale", Deadline: f.now.Add(time.Second)})
+	f.reduce(leader, host.Read{ID: "new", Deadline: f.now.Add(time.Second)})
+	f.run(1500 * time.Millisecond)
+	require.False(t, f.reads["stale"])
+	require.True(t, f.reads["new"])
+}
+
+// TestLeavingWorkerIsKnownEverywhereAtOnce lets one replica hear that a worker
+// drains, and another one an older heartbeat after that.
+func TestLeavingWorkerIsKnownEverywhereAtOnce(t *testing.T) {
+	f := newSeededFleet(t, 3, 3)
+	f.run(5 * time.Second)
+	require.True(t, f.put(f.leader(), f.table(1, "k"), time.Second))
+	f.beat(replicaName(0), "w1", registry.Ready, 1)
+	f.beat(replicaName(1), "w2", registry.Ready, 1)
+	f.run(time.Second)
+	f.beat(replicaName(1), "w1", registry.Draining, 3)
+	f.beat(replicaName(2), "w1", registry.Ready, 2)
+	f.run(2 * seededStep)
+	for i := range 3 {
+		for range 8 {
+			d, ok := f.ask(entryName(i), "/x/1", "k").(gateway.Dispatch)
+			require.True(t, ok)
+			require.EqualValues(t, "w2", d.Worker.ID)
+		}
+	}
+}
+
+// TestRestartedReplicaDoesNotEmptyThePools restarts all replicas: that they
+// know no worker is no sign that workers are gone.
+func TestRestartedReplicaDoesNotEmptyThePools(t *testing.T) {
+	f := newSeededFleet(t, 3, 1)
+	f.run(5 * time.Second)
+	require.True(t, f.put(f.leader(), f.table(1, "k"), time.Second))
+	f.beat(replicaName(0), "w1", registry.Ready, 1)
+	f.run(time.Second)
+	for i := range 3 {
+		f.start(replicaName(i))
+	}
+	f.run(8 * time.Second)
+	require.True(t, f.states[entryName(0)].Ready())
+	require.IsType(t, gateway.Dispatch{}, f.ask(entryName(0), "/x/1", "k"))
+}
--- a/core/host/sync.go
+++ b/core/host/sync.go
@@ -24,6 +24,8 @@
 	syncLife = 3 * time.Second
 	// leadTimeout without an answer makes a host turn to another replica.
 	leadTimeout = 900 * time.Millisecond
+	// askAllAfter without a leader's word makes a host ask all replicas for it.
+	askAllAfter = 600 * time.Millisecond
 	// contactTimeout without an answer is noted as a lost dependency.
 	contactTimeout = 3 * time.Second
 	// maxRounds bounds the unanswered questions remembered.
@@ -116,12 +118,11 @@
 	if len(hosts) == 0 {
 		return
 	}
-	if t.sync.lead != "" && slices.Contains(hosts, t.sync.lead) && t.now.Sub(t.sync.leadAt) < leadTimeout {
+	if slices.Contains(hosts, t.sync.lead) && t.now.Sub(t.sync.leadAt) < leadTimeout {
 		return
 	}
 	t.sync.turns++
 	t.sync.lead = hosts[t.sync.turns%len(hosts)]
-	t.sync.leadAt = t.now
 }
 
 func (t *turn) noteLost() {
@@ -143,7 +144,8 @@
 	}
 	c, _ := t.sync.contacts.Get(to)
 	m := Sync{
-		Round: t.sync.round, Version: t.config.Version, Lead: to == t.sync.lead,
+		Round: t.sync.round, Version: t.config.Version,
+		Lead:  to == t.sync.lead || t.now.Sub(t.sync.leadAt) > askAllAfter,
 		Epoch: c.epoch, Revision: c.revision, Serves: t.settings.Serves && !t.draining,
 	}
 	if m.Lead {
@@ -261,19 +263,11 @@
 	}
 	asked, known := t.sync.rounds.Get(m.Round)
 	t.sync.rounds = t.sync.rounds.Without(m.Round)
-	if from != t.sync.lead {
-		return
-	}
-	t.sync.leadAt = t.now
-	if m.Leader != "" && m.Leader != from {
-		// The leader itself knows best.
-		t.sync.lead = m.Leader
-		t.sendSync(m.Leader)
-		return
-	}
 	if !m.Fresh {
+		t.followLeader(from, m.Leader)
 		return
 	}
+	t.sync.lead, t.sync.leadAt = from, t.now
 	t.sync.replicas = m.Replicas
 	t.gateway = t.gateway.WithHosts(m.Hosts)
 	t.routed(gateway.LoadsTold{Loads: m.Loads})
@@ -282,6 +276,16 @@
 	}
 }
 
+// followLeader turns to the leader that the replica asked last knows of. One
+// that knows none, or is cut off itself, is left after leadTimeout.
+func (t *turn) followLeader(from, leader ident.Host) {
+	if from != t.sync.lead || leader == "" || leader == from {
+		return
+	}
+	t.sync.lead = leader
+	t.sendSync(leader)
+}
+
 // takeGateway puts a newer route table in force.
 func (t *turn) takeGateway(m SyncAnswer) {
 	g, err := config.UnpackGateway(m.Gateway)
