gateway: Take prefixes over, leave what is out of reach, move stalled tries

A dead or cut-off worker was tried three times before it was left. Elections took 1.5 s and more, an outage for all keys.

Conclusion: an engine is told who ranks next for the prefix; NeverSent ejects at once; repeatable tries are given up on after twice the objective.

--- a/core/config/gateway.go
+++ b/core/config/gateway.go
@@ -88,6 +88,8 @@
 	Engine bool `json:"engine,omitempty"`
 	// CacheTokens is the memory of one engine, in tokens.
 	CacheTokens int `json:"cache_tokens,omitempty"`
+	// Moves is true where engines take prefixes over from each other.
+	Moves bool `json:"moves,omitempty"`
 }
 
 // Limits bound what a caller may send, and how long it may take.
--- a/core/gateway/attempt.go
+++ b/core/gateway/attempt.go
@@ -105,6 +105,31 @@
 	t.dispatch(c, v)
 }
 
+const (
+	// headObjectives times the route's objective is how long a worker may keep
+	// a request that can still go elsewhere without beginning to answer.
+	headObjectives = 2
+	minHeadWait    = 250 * time.Millisecond
+	// stallPauses times the longest pause between events is how long a stream
+	// may rest that can go on elsewhere.
+	stallPauses = 4
+	minStall    = time.Second
+)
+
+// patience is how long the next try may wait for the head of the answer and
+// between events; 0 is up to the deadline. Only what may run again and has
+// workers left to go to is given up early.
+func (c call) patience() (head, stall time.Duration) {
+	if !c.route.Repeatable() || c.sent+1 >= c.route.MaxAttempts {
+		return 0, 0
+	}
+	head = max(headObjectives*time.Duration(c.route.Objective), minHeadWait)
+	if c.route.MaxPause > 0 {
+		stall = max(stallPauses*time.Duration(c.route.MaxPause), minStall)
+	}
+	return head, stall
+}
+
 // budget bounds what may be sent more than once to a pool.
 type budget struct {
 	tokens float64
@@ -140,7 +165,9 @@
 	case outcome.Declined:
 		w.replaced = w.replaced || a.Leaving
 		w.fullUntil = t.now.Add(fullPause)
-	case outcome.NeverSent, outcome.Broken:
+	case outcome.NeverSent:
+		w.health = w.health.WithUnreachable(t.now)
+	case outcome.Broken:
 		w.health = w.health.WithResult(false, t.now)
 	case outcome.Abandoned:
 	}
--- a/core/gateway/choose.go
+++ b/core/gateway/choose.go
@@ -11,16 +11,24 @@
 
 func requestKey(id ident.Request) hash.Key { return hash.Of(string(id)) }
 
+// choice is where a try goes.
+type choice struct {
+	worker worker
+	// cacheFrom is the engine that most likely keeps the prompt's shared parts,
+	// where it is another one.
+	cacheFrom string
+}
+
 // choose picks the worker for the call's next try.
-func (t *turn) choose(c call) (worker, bool) {
+func (t *turn) choose(c call) (choice, bool) {
 	found := t.candidates(c)
 	if len(found) == 0 {
-		return worker{}, false
+		return choice{}, false
 	}
 	if c.pool.Engine {
 		return t.chooseEngine(c, found), true
 	}
-	return t.choosePlain(c, found), true
+	return choice{worker: t.choosePlain(c, found)}, true
 }
 
 // candidates are the workers that may take the call: those in good health, or
@@ -46,8 +54,10 @@
 
 // chooseEngine takes the first engine in the order of the prompt's shared parts
 // that has room under the bound. All hosts rank alike, so a prefix is read by
-// few engines without any word between hosts.
-func (t *turn) chooseEngine(c call, found []worker) worker {
+// few engines without any word between hosts. An engine that lacks it is told
+// who ranks next to it and so has it most likely: after a spill the first, for
+// the first itself, which may be new, the second.
+func (t *turn) chooseEngine(c call, found []worker) choice {
 	total := 0
 	for _, w := range found {
 		total += w.load(t.now)
@@ -56,15 +66,29 @@
 	limit := t.settings.LoadFactor*mean + t.settings.LoadSlack
 	key := prefixKey(c)
 	slices.SortFunc(found, func(a, b worker) int { return byScore(key, a, b) })
-	for i, w := range found {
-		if float64(w.load(t.now)+1) <= limit && w.load(t.now) < w.Slots {
-			if i > 0 {
-				t.counters.Spilled++
+	at := slices.IndexFunc(found, func(w worker) bool {
+		return float64(w.load(t.now)+1) <= limit && w.load(t.now) < w.Slots
+	})
+	if at < 0 {
+		at = 0
+		for i, w := range found {
+			if w.load(t.now) < found[at].load(t.now) {
+				at = i
 			}
-			return w
 		}
 	}
-	return slices.MinFunc(found, func(a, b worker) int { return a.load(t.now) - b.load(t.now) })
+	if at > 0 {
+		t.counters.Spilled++
+	}
+	picked := choice{worker: found[at]}
+	if c.pool.Moves && len(c.req.Prompt.Parts) > 1 && len(found) > 1 {
+		source := 0
+		if at == 0 {
+			source = 1
+		}
+		picked.cacheFrom = found[source].Address
+	}
+	return picked
 }
 
 // byScore orders workers by their rendezvous score for key, the highest first.
--- a/core/gateway/event.go
+++ b/core/gateway/event.go
@@ -117,6 +117,13 @@
 		Deadline time.Time
 		// Engine is true where the worker runs batches.
 		Engine bool
+		// CacheFrom is the address of an engine that may keep the prompt's shared
+		// parts where Worker lacks them; empty for none.
+		CacheFrom string
+		// HeadWait bounds the wait for the answer's head, Stall the pause between
+		// events; 0 is up to the deadline.
+		HeadWait time.Duration
+		Stall    time.Duration
 	}
 	// Finish ends a request.
 	Finish struct {
--- a/core/gateway/gateway.go
+++ b/core/gateway/gateway.go
@@ -44,7 +44,7 @@
 	DefaultRetryShare = 0.1
 	DefaultRetryExtra = 20
 	DefaultLoadFactor = 2.0
-	DefaultLoadSlack  = 2.0
+	DefaultLoadSlack  = 2.5
 )
 
 func (s Settings) withDefaults() Settings {
@@ -330,7 +330,8 @@
 // dispatch sends the call to the best worker, or ends it with v where there is
 // none.
 func (t *turn) dispatch(c call, v Verdict) {
-	w, ok := t.choose(c)
+	picked, ok := t.choose(c)
+	w := picked.worker
 	if !ok || !t.now.Before(c.req.Deadline) {
 		v.Outcome = c.worst
 		if v.Outcome == outcome.NotRun && v.RetryAfter == 0 {
@@ -345,9 +346,11 @@
 	t.counters.Dispatched++
 	t.use(w.ID, 1)
 	t.calls = t.calls.With(c.req.ID, c)
+	head, stall := c.patience()
 	t.out = append(t.out, Dispatch{
 		Request: c.req.ID, Attempt: c.attempt, Worker: w.Worker, Route: c.route,
 		Account: c.account, Rank: c.rank, Deadline: c.req.Deadline, Engine: c.pool.Engine,
+		CacheFrom: picked.cacheFrom, HeadWait: head, Stall: stall,
 	})
 }
 
--- a/core/health/health.go
+++ b/core/health/health.go
@@ -32,6 +32,10 @@
 	// ejectBase doubles with each further failure up to ejectMax.
 	ejectBase = time.Second
 	ejectMax  = 30 * time.Second
+	// unreachableBase and unreachableMax are the same for a target that cannot be
+	// connected to.
+	unreachableBase = 500 * time.Millisecond
+	unreachableMax  = 4 * time.Second
 	// evidence is how long a good answer outweighs an absence from the list.
 	evidence = 10 * time.Second
 	// lostAfter is how long a target fails before it counts as gone for good.
@@ -112,6 +116,17 @@
 	return t
 }
 
+// WithUnreachable records that the target could not be connected to: a sign
+// strong enough to eject it at once, for a short time that doubles.
+func (t Target) WithUnreachable(now time.Time) Target {
+	if t.Failures == 0 {
+		t.FailingSince = now
+	}
+	t.Failures++
+	t.EjectedUntil = now.Add(min(unreachableBase<<min(t.Failures-1, maxShift), unreachableMax))
+	return t
+}
+
 // maxShift keeps the doubling within range.
 const maxShift = 10
 
--- a/daemon/gateway.go
+++ b/daemon/gateway.go
@@ -49,6 +49,20 @@
 	}
 }
 
+// Times of the replicated log in a seeded fleet, whose entry hosts wait for a
+// leader's word: shorter than elsewhere, as an election is an outage there.
+const (
+	seededElection  = 900 * time.Millisecond
+	seededHeartbeat = 200 * time.Millisecond
+)
+
+func raftOptions(s settings.Settings, o raft.Options) raft.Options {
+	if s.Seeded() && o.Election == 0 {
+		o.Election, o.Heartbeat = seededElection, seededHeartbeat
+	}
+	return o
+}
+
 // firstIdentity names an empty data folder. Hosts named as seeds at the very
 // first start form the first group without a word between them: all know its
 // members. Any other empty folder gets a name that nobody had before, and so
--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -63,9 +63,19 @@
 		}
 		return outcome.Broken{Reason: err.Error()}
 	}
+	x.waitFor(x.dispatch.HeadWait)
 	return nil
 }
 
+// waitFor bounds the next reads by d, and in any case by the deadline.
+func (x *exchange) waitFor(d time.Duration) {
+	by := x.dispatch.Deadline
+	if limit := x.server.now().Add(d); d > 0 && limit.Before(by) {
+		by = limit
+	}
+	_ = x.conn.SetReadDeadline(by)
+}
+
 // head writes the request line and headers.
 func (x *exchange) head(h http.Header) []byte {
 	var b bytes.Buffer
@@ -163,6 +173,7 @@
 		return nil, outcome.Broken{Reason: err.Error()}
 	}
 	x.server.told(x.dispatch, resp.Header)
+	x.waitFor(0)
 	if notRun(resp, x.server.headers) {
 		return nil, x.declined(resp)
 	}
--- a/gateway/headers.go
+++ b/gateway/headers.go
@@ -32,6 +32,8 @@
 	// Expect names the worker that is meant; Instance the one that answers.
 	Expect   string
 	Instance string
+	// CacheFrom tells an engine the address of another that may keep the prefix.
+	CacheFrom string
 	// Rank is the priority told to engines; 0 goes first.
 	Rank string
 	// Load is a worker's RUNNING,WAITING,SLOTS.
@@ -48,7 +50,7 @@
 		RequestID: "Yardhall-Request-Id", DeadlineMs: "Yardhall-Deadline-Ms", Model: "Yardhall-Model",
 		Tokens: "Yardhall-Tokens", Parts: "Yardhall-Prompt-Parts", LastEvent: "Last-Event-Id",
 		Account: "Yardhall-Account", Expect: "Yardhall-Expect-Worker", Instance: "Yardhall-Worker",
-		Rank: "Yardhall-Rank", Load: "Yardhall-Load", NotRun: "Yardhall-Not-Run", Signature: "Yardhall-Signature",
+		CacheFrom: "Yardhall-Cache-From", Rank: "Yardhall-Rank", Load: "Yardhall-Load", NotRun: "Yardhall-Not-Run", Signature: "Yardhall-Signature",
 	}
 }
 
@@ -125,6 +127,10 @@
 	}
 	out.Set(h.DeadlineMs, strconv.FormatInt(max(1, left.Milliseconds()), 10))
 	out.Set(h.Expect, string(d.Worker.ID))
+	out.Del(h.CacheFrom)
+	if d.CacheFrom != "" {
+		out.Set(h.CacheFrom, d.CacheFrom)
+	}
 	out.Del(h.Rank)
 	if d.Engine {
 		out.Set(h.Rank, strconv.Itoa(min(max(d.Rank, 0), lowestRank)))
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -53,7 +53,7 @@
 	if resp.StatusCode != http.StatusOK || !signed {
 		return x.failure(resp, signed, r)
 	}
-	err = r.copyEvents(resp)
+	err = r.copyEvents(resp, func() { x.waitFor(x.dispatch.Stall) })
 	x.end(resp, err == nil)
 	if err != nil {
 		return nil, outcome.Broken{Reason: err.Error(), Begun: r.begun}
@@ -81,11 +81,13 @@
 	r.w.WriteHeader(resp.StatusCode)
 }
 
-// copyEvents passes whole events on until the answer ends.
-func (r *relay) copyEvents(resp *http.Response) error {
+// copyEvents passes whole events on until the answer ends; wait is called
+// before each read.
+func (r *relay) copyEvents(resp *http.Response, wait func()) error {
 	var held []byte
 	chunk := make([]byte, streamRead)
 	for {
+		wait()
 		n, err := resp.Body.Read(chunk)
 		held = append(held, chunk[:n]...)
 		if end := lastEventEnd(held); end > 0 {
