daemon: Log each decision on a request, bounded and without blocking

A request ends in one line (one more for each try before) with table number and age, worker, its registration's sequence, estimated load and its age, place in the order; entry hosts log each worker in or out with the cause. A writer that drops and counts replaces direct writes; odd requests have a budget of their own.

--- a/commands/yardhalld/serve.go
+++ b/commands/yardhalld/serve.go
@@ -16,7 +16,9 @@
 	"github.com/google/subcommands"
 	"github.com/pkg/errors"
 	"go.uber.org/zap"
+	"go.uber.org/zap/zapcore"
 
+	"github.com/yardhall/yardhall/common/logs"
 	"github.com/yardhall/yardhall/daemon"
 	"github.com/yardhall/yardhall/settings"
 )
@@ -54,10 +56,11 @@
 	if err != nil {
 		return errors.Wrap(err, "settings")
 	}
-	log, err := newLogger(s.Log)
+	log, closeLog, err := newLogger(s.Log)
 	if err != nil {
 		return err
 	}
+	defer closeLog()
 	ctx, stop := signal.NotifyContext(ctx, syscall.SIGTERM, os.Interrupt)
 	defer stop()
 	d, err := daemon.New(s, daemon.Options{Log: log.WithValues("host", s.Host.ID)})
@@ -66,6 +69,8 @@
 	}
 	stopReload := reloadOnHangup(c.file, d, log)
 	defer stopReload()
+	log.Info("started", "host", s.Host.ID, "zone", s.Host.Zone, "replica", s.IsReplica(), "serves", s.Serves(), "trusted_network", s.Peer.Trusted)
+	defer log.Info("stopped", "host", s.Host.ID)
 	return errors.Wrap(d.Run(ctx), "serve")
 }
 
@@ -121,23 +126,17 @@
 	log.Info("settings read anew", "file", file)
 }
 
-// newLogger returns a logr.Logger over zap, as the settings ask.
-func newLogger(s settings.Log) (logr.Logger, error) {
-	config := zap.NewProductionConfig()
-	if s.Format == "console" {
-		config = zap.NewDevelopmentConfig()
-	}
+// newLogger returns a logr.Logger over zap that never blocks, and what writes
+// its last lines.
+func newLogger(s settings.Log) (logr.Logger, func(), error) {
 	level, err := zap.ParseAtomicLevel(s.Level)
 	if err != nil {
-		return logr.Logger{}, errors.Wrap(err, "log level")
+		return logr.Logger{}, nil, errors.Wrap(err, "log level")
 	}
-	config.Level = level
-	config.Sampling = nil
-	config.DisableCaller = true
-	config.DisableStacktrace = true
-	z, err := config.Build()
-	if err != nil {
-		return logr.Logger{}, errors.Wrap(err, "logger")
+	encoder := zapcore.NewJSONEncoder(zap.NewProductionEncoderConfig())
+	if s.Format == "console" {
+		encoder = zapcore.NewConsoleEncoder(zap.NewDevelopmentEncoderConfig())
 	}
-	return zapr.NewLogger(z), nil
+	w := logs.NewWriter(os.Stdout)
+	return zapr.NewLogger(zap.New(zapcore.NewCore(encoder, w, level))), w.Close, nil
 }
--- a/core/gateway/attempt.go
+++ b/core/gateway/attempt.go
@@ -159,6 +159,7 @@
 	if !ok {
 		return
 	}
+	before := w.sound(t.now)
 	switch a := a.(type) {
 	case outcome.Answered:
 		w.health = w.health.WithResult(a.Status < serverError, t.now)
@@ -172,6 +173,22 @@
 	case outcome.Abandoned:
 	}
 	t.workers = t.workers.With(c.target, w)
+	if after := w.sound(t.now); after != before {
+		t.out = append(t.out, Believed{Worker: w.Worker, Usable: after, Failures: w.health.Failures, Why: why(a)})
+	}
+}
+
+// why names what was seen of a worker.
+func why(a outcome.Attempt) string {
+	switch a := a.(type) {
+	case outcome.NeverSent:
+		return a.Reason
+	case outcome.Declined:
+		return a.Reason
+	case outcome.Broken:
+		return a.Reason
+	}
+	return "an answer"
 }
 
 // fullPause is how long a worker that declined is passed over.
--- a/core/gateway/choose.go
+++ b/core/gateway/choose.go
@@ -17,6 +17,11 @@
 	// cacheFrom is the engine that most likely keeps the prompt's shared parts,
 	// where it is another one.
 	cacheFrom string
+	// mean is the pool's mean load, place the worker's in the order of
+	// preference, of is how many there were.
+	mean  float64
+	place int
+	of    int
 }
 
 // choose picks the worker for the call's next try.
@@ -28,7 +33,7 @@
 	if c.pool.Engine {
 		return t.chooseEngine(c, found), true
 	}
-	return choice{worker: t.choosePlain(c, found)}, true
+	return choice{worker: t.choosePlain(c, found), of: len(found)}, true
 }
 
 // candidates are the workers that may take the call: those in good health, or
@@ -80,7 +85,7 @@
 	if at > 0 {
 		t.counters.Spilled++
 	}
-	picked := choice{worker: found[at]}
+	picked := choice{worker: found[at], mean: mean, place: at, of: len(found)}
 	if c.pool.Moves && len(c.req.Prompt.Parts) > 1 && len(found) > 1 {
 		source := 0
 		if at == 0 {
--- a/core/gateway/event.go
+++ b/core/gateway/event.go
@@ -124,14 +124,43 @@
 		// events; 0 is up to the deadline.
 		HeadWait time.Duration
 		Stall    time.Duration
+		// Inputs are what decided.
+		Inputs Inputs
 	}
 	// Finish ends a request.
 	Finish struct {
 		Request ident.Request
 		Verdict Verdict
+		Inputs  Inputs
 	}
 )
 
+// Believed tells of a change in what this host holds of a worker, for the log.
+type Believed struct {
+	Worker registry.Worker
+	Usable bool
+	// Failures is the row of failures that led to it; Why says what was seen.
+	Failures int
+	Why      string
+}
+
+func (Believed) decision() {}
+
+// Inputs are what a decision was made from, for the log.
+type Inputs struct {
+	// Number is the route table's, ConfigAge the time since it was confirmed.
+	Number    uint64
+	ConfigAge time.Duration
+	// Load is the worker's, as estimated; LoadAge the age of the part that other
+	// hosts told. Mean is the pool's, Choice the worker's place in the order of
+	// preference, Candidates how many there were.
+	Load       int
+	LoadAge    time.Duration
+	Mean       float64
+	Choice     int
+	Candidates int
+}
+
 func (Dispatch) decision() {}
 func (Finish) decision()   {}
 
--- a/core/gateway/gateway.go
+++ b/core/gateway/gateway.go
@@ -206,7 +206,22 @@
 	if v.Outcome == outcome.Unknown {
 		t.counters.Unknown++
 	}
-	t.out = append(t.out, Finish{Request: id, Verdict: v})
+	t.out = append(t.out, Finish{Request: id, Verdict: v, Inputs: t.inputs(choice{})})
+}
+
+// inputs gathers what a decision is made from.
+func (t *turn) inputs(picked choice) Inputs {
+	in := Inputs{
+		Number: t.number, Mean: picked.mean, Choice: picked.place, Candidates: picked.of,
+		Load: picked.worker.load(t.now),
+	}
+	if !t.confirmed.IsZero() {
+		in.ConfigAge = t.now.Sub(t.confirmed)
+	}
+	if !picked.worker.othersAt.IsZero() {
+		in.LoadAge = t.now.Sub(picked.worker.othersAt)
+	}
+	return in
 }
 
 // refuse ends a request before any worker was called.
@@ -350,7 +365,7 @@
 	t.out = append(t.out, Dispatch{
 		Request: c.req.ID, Attempt: c.attempt, Worker: w.Worker, Route: c.route,
 		Account: c.account, Rank: c.rank, Deadline: c.req.Deadline, Engine: c.pool.Engine,
-		CacheFrom: picked.cacheFrom, HeadWait: head, Stall: stall,
+		CacheFrom: picked.cacheFrom, HeadWait: head, Stall: stall, Inputs: t.inputs(picked),
 	})
 }
 
--- a/core/gateway/worker.go
+++ b/core/gateway/worker.go
@@ -39,8 +39,11 @@
 }
 
 // usable tells whether new work may be sent to the worker.
-func (w worker) usable(now time.Time) bool {
-	return w.State == registry.Ready && !w.replaced && w.health.Usable(now) && !now.Before(w.fullUntil)
+func (w worker) usable(now time.Time) bool { return w.sound(now) && !now.Before(w.fullUntil) }
+
+// sound tells whether the worker is ready and in good health.
+func (w worker) sound(now time.Time) bool {
+	return w.State == registry.Ready && !w.replaced && w.health.Usable(now)
 }
 
 // possible tells whether work may be sent there where nothing better is left.
@@ -98,6 +101,9 @@
 		if r.State == registry.Gone && known {
 			r.Pool, r.Address, r.Zone, r.Slots = have.Pool, have.Address, have.Zone, have.Slots
 		}
+		if !known || have.State != r.State {
+			t.out = append(t.out, Believed{Worker: r, Usable: r.State == registry.Ready, Why: "registration, by " + string(ev.From)})
+		}
 		have.Worker = r
 		t.workers = t.workers.With(r.ID, have)
 	}
--- a/core/host/sync.go
+++ b/core/host/sync.go
@@ -319,6 +319,11 @@
 	next, decisions := gateway.Reduce(t.gateway, ev, t.now)
 	t.gateway = next
 	for _, d := range decisions {
+		if b, ok := d.(gateway.Believed); ok {
+			t.note(NoteWorker, string(b.Worker.ID), fmt.Sprintf("usable=%t state=%s seq=%d at=%s failures=%d why=%q",
+				b.Usable, b.Worker.State, b.Worker.Seq, b.Worker.Address, b.Failures, b.Why))
+			continue
+		}
 		t.emit(Route{Decision: d})
 	}
 }
--- a/daemon/gateway.go
+++ b/daemon/gateway.go
@@ -90,7 +90,7 @@
 		return err
 	}
 	d.workers = gateway.NewPool(from)
-	d.gateway = gateway.NewServer(gateway.Deps{Core: d.loop, Pool: d.workers, Headers: platform.Headers()})
+	d.gateway = gateway.NewServer(gateway.Deps{Core: d.loop, Pool: d.workers, Headers: platform.Headers(), Observe: d.observeRequest()})
 	ready := http.NewServeMux()
 	ready.HandleFunc("GET "+platform.ReadyPath, d.readiness)
 	for _, port := range []struct {
@@ -113,6 +113,15 @@
 	return nil
 }
 
+// observeRequest counts and logs each ended request.
+func (d *Daemon) observeRequest() func(gateway.Observation) {
+	requests := newRequestLog(d.options.Log)
+	return func(o gateway.Observation) {
+		d.metrics.observeRequest(o)
+		requests.observe(o)
+	}
+}
+
 func listenGateway(address string) (net.Listener, error) {
 	l, err := (&net.ListenConfig{Control: gateway.SetUserTimeout}).Listen(context.Background(), "tcp", address)
 	return l, errors.Wrap(err, "listen")
--- a/daemon/metrics.go
+++ b/daemon/metrics.go
@@ -13,6 +13,7 @@
 	"github.com/HdrHistogram/hdrhistogram-go"
 
 	"github.com/yardhall/yardhall/callers"
+	"github.com/yardhall/yardhall/gateway"
 )
 
 // metrics are the process's counters, published by expvar. A process may hold
@@ -24,6 +25,8 @@
 	first  *hdrhistogram.Histogram
 	cached expvar.Int
 	prompt expvar.Int
+	// verdicts counts requests of the route table by outcome and code.
+	verdicts *expvar.Map
 }
 
 // Times are measured in microseconds from 1 to an hour.
@@ -34,11 +37,15 @@
 
 func newMetrics(d *Daemon) *metrics {
 	m := &metrics{
-		vars:  new(expvar.Map).Init(),
-		took:  hdrhistogram.New(1, histogramMax, histogramDigits),
-		first: hdrhistogram.New(1, histogramMax, histogramDigits),
+		vars:     new(expvar.Map).Init(),
+		took:     hdrhistogram.New(1, histogramMax, histogramDigits),
+		first:    hdrhistogram.New(1, histogramMax, histogramDigits),
+		verdicts: new(expvar.Map).Init(),
 	}
 	m.vars.Set("core", expvar.Func(func() any { return d.loop.State().Counters() }))
+	m.vars.Set("gateway", expvar.Func(func() any { return d.loop.State().Gateway().Counters() }))
+	m.vars.Set("gateway_requests", m.verdicts)
+	m.vars.Set("worker_connections", expvar.Func(func() any { return d.workerConnections() }))
 	m.vars.Set("reduced_events", d.loop.reduced)
 	m.vars.Set("peers", expvar.Func(func() any { return peerCounters(d) }))
 	m.vars.Set("probe_bytes", expvar.Func(func() any { return d.targets.ProbeBytes.Load() }))
@@ -69,6 +76,16 @@
 	}
 }
 
+// connectionCounts tells how connections to workers came about.
+type connectionCounts struct{ Dialed, Reused int64 }
+
+func (d *Daemon) workerConnections() connectionCounts {
+	if d.workers == nil {
+		return connectionCounts{}
+	}
+	return connectionCounts{Dialed: d.workers.Dialed.Load(), Reused: d.workers.Reused.Load()}
+}
+
 type memoryUse struct {
 	HeapBytes  uint64
 	Goroutines int
@@ -104,6 +121,17 @@
 	}
 }
 
+// observeRequest counts a request of the route table.
+func (m *metrics) observeRequest(o gateway.Observation) {
+	m.verdicts.Add(string(o.Verdict.Outcome)+"/"+string(o.Verdict.Code), 1)
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	_ = m.took.RecordValue(clampMicros(o.Took))
+	if o.First > 0 {
+		_ = m.first.RecordValue(clampMicros(o.First))
+	}
+}
+
 func clampMicros(d time.Duration) int64 {
 	return min(max(d.Microseconds(), 1), histogramMax)
 }
--- /dev/null
+++ b/daemon/requests.go
@@ -0,0 +1,111 @@
+// Copyright 2026 The Yardhall Authors. Licensed under the Apache License, Version 2.0.
+
+package daemon
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/go-logr/logr"
+
+	"github.com/yardhall/yardhall/common/logs"
+	coregateway "github.com/yardhall/yardhall/core/gateway"
+	"github.com/yardhall/yardhall/core/outcome"
+	"github.com/yardhall/yardhall/gateway"
+)
+
+// Lines a second for requests that went well at once, and for all others.
+const (
+	plainLines = 60
+	oddLines   = 240
+)
+
+// requestLog writes a line for each decision on a request: one for each try
+// that did not end it, and one at its end. Odd requests have a budget of their
+// own, so that ordinary ones never crowd them out.
+type requestLog struct {
+	log   logr.Logger
+	now   func() time.Time
+	plain logs.Budget
+	odd   logs.Budget
+}
+
+func newRequestLog(log logr.Logger) *requestLog {
+	return &requestLog{
+		log: log, now: time.Now,
+		plain: logs.Budget{PerSecond: plainLines}, odd: logs.Budget{PerSecond: oddLines},
+	}
+}
+
+func (l *requestLog) observe(o gateway.Observation) {
+	budget := &l.odd
+	if len(o.Tries) == 1 && o.Verdict.Code == coregateway.CodeOK {
+		budget = &l.plain
+	}
+	ok, skipped := budget.Allow(l.now())
+	if skipped > 0 {
+		l.log.Info("request lines skipped", "lines", skipped, "odd", budget == &l.odd)
+	}
+	if !ok {
+		return
+	}
+	last := len(o.Tries) - 1
+	for i, try := range o.Tries {
+		if i < last {
+			l.log.Info("try", tryFields(o, try)...)
+		}
+	}
+	fields := []any{"outcome", string(o.Verdict.Outcome), "code", string(o.Verdict.Code), "took_ms", millis(o.Took)}
+	if o.Verdict.Reason != "" {
+		fields = append(fields, "reason", o.Verdict.Reason)
+	}
+	if o.Verdict.RetryAfter > 0 {
+		fields = append(fields, "retry_after_ms", millis(o.Verdict.RetryAfter))
+	}
+	if o.First > 0 {
+		fields = append(fields, "first_ms", millis(o.First))
+	}
+	if last >= 0 {
+		fields = append(fields, tryFields(o, o.Tries[last])...)
+	} else {
+		fields = append(fields, "request", string(o.Request.ID), "route", o.Request.Host+o.Request.Path,
+			"table", o.Inputs.Number, "table_age_ms", millis(o.Inputs.ConfigAge))
+	}
+	l.log.Info("request", fields...)
+}
+
+// tryFields are the decision for a worker, what it was made from, and what came
+// of it.
+func tryFields(o gateway.Observation, try gateway.Try) []any {
+	d, in := try.Dispatch, try.Dispatch.Inputs
+	fields := []any{
+		"request", string(o.Request.ID), "route", d.Route.Name, "account", string(d.Account), "try", d.Attempt,
+		"worker", string(d.Worker.ID), "at", d.Worker.Address, "worker_seq", d.Worker.Seq,
+		"load", in.Load, "load_age_ms", millis(in.LoadAge), "mean", fmt.Sprintf("%.1f", in.Mean),
+		"choice", in.Choice, "of", in.Candidates, "table", in.Number, "table_age_ms", millis(in.ConfigAge),
+		"result", resultText(try.Result), "try_ms", millis(try.Took),
+	}
+	if d.CacheFrom != "" && in.Choice > 0 {
+		fields = append(fields, "cache_from", d.CacheFrom)
+	}
+	return fields
+}
+
+func millis(d time.Duration) int64 { return d.Milliseconds() }
+
+// resultText says how a try ended.
+func resultText(a outcome.Attempt) string {
+	switch a := a.(type) {
+	case outcome.Answered:
+		return fmt.Sprintf("answered %d", a.Status)
+	case outcome.NeverSent:
+		return "never sent: " + a.Reason
+	case outcome.Declined:
+		return "declined: " + a.Reason
+	case outcome.Broken:
+		return "broken: " + a.Reason
+	case outcome.Abandoned:
+		return "abandoned"
+	}
+	return "unknown"
+}
--- a/gateway/server.go
+++ b/gateway/server.go
@@ -51,6 +51,7 @@
 type Observation struct {
 	Request gateway.Request
 	Verdict gateway.Verdict
+	Inputs  gateway.Inputs
 	// Tries lists the workers called and what came of it.
 	Tries []Try
 	Took  time.Duration
@@ -109,7 +110,7 @@
 		http.Error(w, http.StatusText(status), status)
 		return
 	}
-	c := &serverCall{server: s, writer: w, request: r, body: body, begun: begun, relay: relay{w: w}}
+	c := &serverCall{server: s, writer: w, request: r, body: body, begun: begun, relay: relay{w: w, now: s.now, lastID: r.Header.Get(s.headers.LastEvent)}}
 	c.observed.Request = req
 	c.run(req)
 }
@@ -169,6 +170,7 @@
 		case gateway.Dispatch:
 			ev = c.try(d)
 		case gateway.Finish:
+			c.observed.Inputs = d.Inputs
 			c.finish(d.Verdict)
 			return
 		}
@@ -200,6 +202,9 @@
 func (c *serverCall) finish(v gateway.Verdict) {
 	c.observed.Verdict = v
 	c.observed.Took = c.server.now().Sub(c.begun)
+	if !c.relay.first.IsZero() {
+		c.observed.First = c.relay.first.Sub(c.begun)
+	}
 	c.server.observe(c.observed)
 	switch {
 	case v.Code == gateway.CodeOK && c.answer != nil:
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"strconv"
 	"strings"
+	"time"
 
 	"github.com/pkg/errors"
 
@@ -23,9 +24,11 @@
 
 // relay passes events of one or more workers on to one caller.
 type relay struct {
-	w http.ResponseWriter
-	// begun is set once the caller has seen the head.
+	w   http.ResponseWriter
+	now func() time.Time
+	// begun is set once the caller has seen the head, at first.
 	begun bool
+	first time.Time
 	// lastID is the id of the last event passed on, as the caller knows it.
 	lastID string
 	// failed is set where the caller takes nothing more.
@@ -76,7 +79,7 @@
 
 // begin sends the head.
 func (r *relay) begin(resp *http.Response) {
-	r.begun = true
+	r.begun, r.first = true, r.now()
 	copyHeader(r.w.Header(), resp.Header)
 	r.w.WriteHeader(resp.StatusCode)
 }
