platform: Drive the adapter over real sockets, and try the request path's promises

Ruled out by these tests: answers that cross, runs that double, keys that reach workers. A wrong id alone ends at the deadline (504), as the right answer may still come.

--- a/core/host/seeded_test.go
+++ b/core/host/seeded_test.go
@@ -61,6 +61,7 @@
 	reads   map[string]bool
 	decided []gateway.Decision
 	starts  uint64
+	voters  int
 }
 
 func replicaName(i int) ident.Host { return ident.Host(fmt.Sprintf("10.0.0.%d:7000", i+1)) }
@@ -72,7 +73,7 @@
 	f := &seededFleet{
 		t: t, now: time.Unix(5000, 0), states: map[ident.Host]host.State{}, disks: map[ident.Host]*seededDisk{},
 		down: map[ident.Host]bool{}, cut: map[[2]ident.Host]bool{}, writes: map[string]host.AnswerWrite{},
-		reads: map[string]bool{},
+		reads: map[string]bool{}, voters: min(5, n-1+n%2),
 	}
 	for i := range min(3, n) {
 		f.seeds = append(f.seeds, replicaName(i))
@@ -107,7 +108,7 @@
 func (f *seededFleet) start(id ident.Host) {
 	f.starts++
 	s := host.Settings{
-		ID: id, Zone: "z", Seeds: f.seeds, Incarnation: f.starts, Voters: 3, Serves: f.disks[id] == nil,
+		ID: id, Zone: "z", Seeds: f.seeds, Incarnation: f.starts, Voters: f.voters, Serves: f.disks[id] == nil,
 		Gateway: gateway.Settings{Zone: "z"},
 	}
 	d := f.disks[id]
@@ -439,3 +440,26 @@
 	require.True(t, f.states[entryName(0)].Ready())
 	require.IsType(t, gateway.Dispatch{}, f.ask(entryName(0), "/x/1", "k"))
 }
+
+// TestVotersGrowFromTheSeeds starts six replicas that shall bear the loss of
+// two: the three seeds form the group and take the others in.
+func TestVotersGrowFromTheSeeds(t *testing.T) {
+	f := newSeededFleet(t, 6, 2)
+	f.run(8 * time.Second)
+	require.True(t, f.put(f.leader(), f.table(1, "k"), time.Second))
+	voters := 0
+	for _, m := range f.states[f.leader()].Raft().Members() {
+		if m.Voter {
+			voters++
+		}
+	}
+	require.Equal(t, 5, voters)
+	for range 2 {
+		f.stop(f.leader())
+		f.run(6 * time.Second)
+		require.NotEmpty(t, f.leader())
+	}
+	require.True(t, f.put(f.leader(), f.table(2, "k"), time.Second))
+	f.run(time.Second)
+	require.EqualValues(t, 2, f.states[entryName(0)].Gateway().Number())
+}
--- /dev/null
+++ b/core/registry/registry_test.go
@@ -0,0 +1,88 @@
+// Copyright 2026 The Yardhall Authors. Licensed under the Apache License, Version 2.0.
+
+package registry_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"github.com/yardhall/yardhall/core/registry"
+)
+
+var start = time.Unix(100, 0)
+
+func worker(seq uint64, state registry.State) registry.Worker {
+	return registry.Worker{ID: "w", Pool: "p", Address: "10.0.0.1:80", Slots: 4, State: state, Seq: seq}
+}
+
+// TestOrderOfWordsDoesNotMatter joins the same words in two orders: the newest
+// wins both times, and gone is final.
+func TestOrderOfWordsDoesNotMatter(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		words := rapid.SliceOfN(rapid.Custom(func(t *rapid.T) registry.Worker {
+			return worker(uint64(rapid.IntRange(1, 5).Draw(t, "seq")), registry.State(rapid.IntRange(0, 3).Draw(t, "state")))
+		}), 1, 8).Draw(t, "words")
+		join := func(words []registry.Worker) registry.Worker {
+			best := words[0]
+			for _, w := range words[1:] {
+				if registry.Newer(w, best) {
+					best = w
+				}
+			}
+			return best
+		}
+		shuffled := rapid.Permutation(words).Draw(t, "shuffled")
+		a, b := join(words), join(shuffled)
+		require.Equal(t, a.State, b.State)
+		if a.State != registry.Gone {
+			require.Equal(t, a, b)
+		}
+	})
+}
+
+func TestFollowersAreSentOnlyWhatChanged(t *testing.T) {
+	var r registry.Registry
+	r, changed := r.WithBeat(worker(1, registry.Ready), start)
+	require.True(t, changed)
+	_, seen := r.After(0)
+	r, changed = r.WithBeat(worker(2, registry.Ready), start.Add(time.Second))
+	require.False(t, changed, "a heartbeat that says nothing new is no change")
+	none, _ := r.After(seen)
+	require.Empty(t, none)
+	r, changed = r.WithBeat(worker(3, registry.Draining), start.Add(2*time.Second))
+	require.True(t, changed)
+	news, _ := r.After(seen)
+	require.Len(t, news, 1)
+	require.Equal(t, registry.Draining, news[0].State)
+}
+
+func TestLateHeartbeatsChangeNothing(t *testing.T) {
+	var r registry.Registry
+	r, _ = r.WithBeat(worker(5, registry.Draining), start)
+	r, changed := r.WithBeat(worker(4, registry.Ready), start)
+	require.False(t, changed)
+	r, _ = r.WithGone("w", start)
+	r, changed = r.WithBeat(worker(9, registry.Ready), start)
+	require.False(t, changed, "a late heartbeat brings nobody back")
+	w, _ := r.Get("w")
+	require.Equal(t, registry.Gone, w.State)
+}
+
+func TestSilentWorkerIsToldAndRevived(t *testing.T) {
+	var r registry.Registry
+	r, _ = r.WithBeat(worker(1, registry.Ready), start)
+	r, changed := r.Expire(6*time.Second, start.Add(7*time.Second))
+	require.True(t, changed)
+	w, _ := r.Get("w")
+	require.Equal(t, registry.Silent, w.State)
+	r, changed = r.WithBeat(worker(2, registry.Ready), start.Add(8*time.Second))
+	require.True(t, changed)
+	w, _ = r.Get("w")
+	require.Equal(t, registry.Ready, w.State)
+	r, _ = r.Expire(6*time.Second, start.Add(10*time.Minute))
+	r, _ = r.Expire(6*time.Second, start.Add(20*time.Minute))
+	require.Zero(t, r.Len())
+}
--- /dev/null
+++ b/gateway/server_test.go
@@ -0,0 +1,377 @@
+// Copyright 2026 The Yardhall Authors. Licensed under the Apache License, Version 2.0.
+
+package gateway_test
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/yardhall/yardhall/common/keys"
+	"github.com/yardhall/yardhall/core/config"
+	core "github.com/yardhall/yardhall/core/gateway"
+	"github.com/yardhall/yardhall/core/ident"
+	"github.com/yardhall/yardhall/core/registry"
+	"github.com/yardhall/yardhall/gateway"
+	"github.com/yardhall/yardhall/standin"
+)
+
+// names are yardhall's own headers.
+var names = gateway.DefaultHeaders()
+
+func workerNames() standin.WorkerHeaders {
+	return standin.WorkerHeaders{
+		RequestID: names.RequestID, Expect: names.Expect, Instance: names.Instance, NotRun: names.NotRun,
+		Signature: names.Signature, Load: names.Load, LastEvent: names.LastEvent,
+	}
+}
+
+// fakeCore runs the real decisions without the rest of a process.
+type fakeCore struct {
+	mu    sync.Mutex
+	state core.State
+}
+
+func (c *fakeCore) Route(ev core.Event) []core.Decision {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	next, decisions := core.Reduce(c.state, ev, time.Now())
+	c.state = next
+	var out []core.Decision
+	for _, d := range decisions {
+		if _, note := d.(core.Believed); !note {
+			out = append(out, d)
+		}
+	}
+	return out
+}
+
+func (c *fakeCore) Limits() config.Limits { return config.Limits{MaxBodyBytes: 1 << 16} }
+func (c *fakeCore) Draining() bool        { return false }
+
+const callerKey = "a caller's key"
+
+// bench is an entry host with workers behind it.
+type bench struct {
+	t       *testing.T
+	url     string
+	core    *fakeCore
+	pool    *gateway.Pool
+	workers []*standin.Worker
+	number  int
+}
+
+func newBench(t *testing.T, workers int) *bench {
+	second := config.Duration(2 * time.Second)
+	shares := []config.Share{{Pool: "pool", Weight: 1}}
+	table := config.Gateway{
+		Number: 1, Pools: []config.Pool{{ID: "pool"}},
+		Routes: []config.Route{
+			{Host: "a.example", Prefix: "/safe/", Kind: config.RouteSafe, Timeout: second, MaxAttempts: 2, Shares: shares},
+			{Host: "a.example", Prefix: "/unsafe/", Kind: config.RouteUnsafe, Timeout: second, MaxAttempts: 2, Shares: shares},
+			{Host: "a.example", Prefix: "/short/", Kind: config.RouteUnsafe, Timeout: second / 8, MaxAttempts: 1, Shares: shares},
+			{Host: "a.example", Prefix: "/stream/once/", Kind: config.RouteStream, Timeout: second, MaxAttempts: 2, Shares: shares},
+			{Host: "a.example", Prefix: "/stream/again/", Kind: config.RouteStream, Resumable: true, Timeout: second, MaxAttempts: 2, Shares: shares},
+		},
+		Keys: []config.Holder{{Account: "halls", KeyHashes: []string{keys.Hash(callerKey)}}},
+	}
+	b := &bench{t: t, core: &fakeCore{}, pool: gateway.NewPool(nil)}
+	b.core.state = core.New(core.Settings{KeyLease: time.Hour}).WithConfig(table).WithHosts(1)
+	registered := make([]registry.Worker, 0, workers)
+	for i := range workers {
+		w, err := standin.StartWorker("127.0.0.1:0", fmt.Sprintf("w%d", i), workerNames())
+		require.NoError(t, err)
+		t.Cleanup(w.Stop)
+		b.workers = append(b.workers, w)
+		registered = append(registered, registry.Worker{ID: ident.Target(w.ID), Pool: "pool", Address: w.Address(), Slots: 4, Seq: 1})
+	}
+	b.core.Route(core.Registered{Workers: registered})
+	b.core.Route(core.Confirmed{AsOf: time.Now()})
+	server := httptest.NewServer(gateway.NewServer(gateway.Deps{Core: b.core, Pool: b.pool, Headers: names}))
+	t.Cleanup(server.Close)
+	t.Cleanup(b.pool.Close)
+	b.url = server.URL
+	return b
+}
+
+// runs counts the requests that workers ran.
+func (b *bench) runs() int {
+	n := 0
+	for _, w := range b.workers {
+		n += len(w.Runs())
+	}
+	return n
+}
+
+func (b *bench) next(faults ...standin.WorkerFault) {
+	for _, w := range b.workers {
+		w.Next(faults...)
+	}
+}
+
+func (b *bench) request(ctx context.Context, path, body string) *http.Request {
+	b.number++
+	method := http.MethodGet
+	if body != "" {
+		method = http.MethodPost
+	}
+	r, err := http.NewRequestWithContext(ctx, method, b.url+path, strings.NewReader(body))
+	require.NoError(b.t, err)
+	r.Host = "a.example"
+	r.Header.Set(names.RequestID, fmt.Sprintf("request-%d", b.number))
+	r.Header.Set("Authorization", "Bearer "+callerKey)
+	return r
+}
+
+// call sends a request and reads the answer; err is set where it is not whole.
+func (b *bench) call(path, body string) (status int, text string, head http.Header, err error) {
+	resp, err := http.DefaultTransport.RoundTrip(b.request(b.t.Context(), path, body))
+	if err != nil {
+		return 0, "", nil, err
+	}
+	defer func() { _ = resp.Body.Close() }()
+	got, err := io.ReadAll(resp.Body)
+	return resp.StatusCode, string(got), resp.Header, err
+}
+
+func wholeStream() string {
+	var s strings.Builder
+	for n := 1; n <= standin.WorkerEvents; n++ {
+		s.WriteString(standin.WorkerEvent(n))
+	}
+	return s.String()
+}
+
+func TestRequestReachesTheWorkerUnchanged(t *testing.T) {
+	b := newBench(t, 1)
+	r := b.request(t.Context(), "/unsafe/a%2Fb/?q=1&q=2", "the body")
+	r.Header.Set("X-Own", "kept")
+	r.Header.Set(names.Account, "forged")
+	resp, err := http.DefaultTransport.RoundTrip(r)
+	require.NoError(t, err)
+	_ = resp.Body.Close()
+	run := b.workers[0].Runs()[0]
+	require.Equal(t, "/unsafe/a%2Fb/?q=1&q=2", run.Path)
+	require.Equal(t, "the body", run.Body)
+	require.Equal(t, http.MethodPost, run.Method)
+	require.Equal(t, "kept", run.Header.Get("X-Own"))
+	require.Equal(t, "halls", run.Header.Get(names.Account))
+	require.Equal(t, "w0", run.Header.Get(names.Expect))
+	require.Empty(t, run.Header.Get("Authorization"), "the key stays here")
+	require.Equal(t, "stamp-of-w0", resp.Header.Get(names.Signature))
+}
+
+// TestAnswersBelongToTheirRequest brings about every way in which a worker
+// spoils an answer: the caller gets the whole answer to its own request or a
+// failure, never anything else.
+func TestAnswersBelongToTheirRequest(t *testing.T) {
+	faults := map[string]standin.WorkerFault{
+		"full": standin.Full, "cut before the head": standin.CutHead, "cut in the body": standin.CutBody,
+		"reset without length": standin.ResetUnframed, "closed without length": standin.Unframed,
+		"surplus answer": standin.Extra, "late answer first": standin.LateFirst, "wrong id": standin.WrongID,
+		"unsigned": standin.Unsigned, "failing": standin.Failing,
+	}
+	for name, fault := range faults {
+		t.Run(name, func(t *testing.T) {
+			b := newBench(t, 1)
+			for range 3 {
+				b.next(fault)
+				status, text, _, err := b.call("/unsafe/x", "body")
+				require.NoError(t, err)
+				switch status {
+				case http.StatusOK:
+					require.Equal(t, standin.WorkerBody, text)
+				case http.StatusInternalServerError:
+					require.Equal(t, "failed", text)
+				default:
+					require.Contains(t, []int{http.StatusBadGateway, http.StatusGatewayTimeout, http.StatusServiceUnavailable}, status)
+				}
+				status, text, _, err = b.call("/safe/x", "")
+				require.NoError(t, err)
+				if status == http.StatusOK {
+					require.Equal(t, standin.WorkerBody, text)
+				}
+			}
+		})
+	}
+}
+
+// TestUnsafeRequestRunsAtMostOnce lets the worker run a request and lose the
+// answer, on new and on kept connections.
+func TestUnsafeRequestRunsAtMostOnce(t *testing.T) {
+	for _, fault := range []standin.WorkerFault{standin.CutHead, standin.CutBody, standin.WrongID, standin.Unsigned} {
+		b := newBench(t, 3)
+		_, _, _, err := b.call("/unsafe/x", "warm")
+		require.NoError(t, err)
+		before := b.runs()
+		b.next(fault)
+		status, _, _, err := b.call("/unsafe/x", "body")
+		require.NoError(t, err)
+		require.Contains(t, []int{http.StatusBadGateway, http.StatusGatewayTimeout}, status,
+			"a run whose answer was lost promises nothing")
+		require.Equal(t, before+1, b.runs())
+	}
+}
+
+func TestDeclinedRequestGoesElsewhereOrIsPromisedNotRun(t *testing.T) {
+	b := newBench(t, 2)
+	b.workers[0].Next(standin.Full)
+	b.workers[1].Next(standin.Full)
+	status, _, head, err := b.call("/unsafe/x", "body")
+	require.NoError(t, err)
+	require.Equal(t, http.StatusServiceUnavailable, status)
+	require.NotEmpty(t, head.Get("Retry-After"))
+	require.Zero(t, b.runs())
+	status, _, _, err = b.call("/unsafe/x", "body")
+	require.NoError(t, err)
+	require.Equal(t, http.StatusOK, status)
+}
+
+func TestFailedSafeRequestIsTriedOnceMore(t *testing.T) {
+	b := newBench(t, 2)
+	for _, w := range b.workers {
+		w.Next(standin.Failing, standin.Sound)
+	}
+	status, _, _, err := b.call("/safe/x", "")
+	require.NoError(t, err)
+	// Both workers fail their first request, so the second try fails as well
+	// and the worker's own answer comes back.
+	require.Equal(t, http.StatusInternalServerError, status)
+	require.Equal(t, 2, b.runs())
+}
+
+// TestAddressOfAnotherWorkerIsNotTaken registers a worker whose address now
+// belongs to another.
+func TestAddressOfAnotherWorkerIsNotTaken(t *testing.T) {
+	b := newBench(t, 1)
+	b.workers[0].ID = "somebody-else"
+	status, _, head, err := b.call("/unsafe/x", "body")
+	require.NoError(t, err)
+	require.Equal(t, http.StatusServiceUnavailable, status)
+	require.NotEmpty(t, head.Get("Retry-After"))
+	require.Zero(t, b.runs())
+}
+
+func TestConnectionsAreKept(t *testing.T) {
+	b := newBench(t, 1)
+	for range 20 {
+		status, _, _, err := b.call("/unsafe/x", "body")
+		require.NoError(t, err)
+		require.Equal(t, http.StatusOK, status)
+	}
+	require.Equal(t, 1, b.workers[0].Opened())
+}
+
+func TestStreamArrivesWhole(t *testing.T) {
+	for _, path := range []string{"/stream/once/x", "/stream/again/x"} {
+		b := newBench(t, 1)
+		status, text, _, err := b.call(path, "body")
+		require.NoError(t, err)
+		require.Equal(t, http.StatusOK, status)
+		require.Equal(t, wholeStream(), text)
+	}
+}
+
+// TestBrokenStreamGoesOnElsewhereOnlyWhereAllowed cuts a stream within an event.
+func TestBrokenStreamGoesOnElsewhereOnlyWhereAllowed(t *testing.T) {
+	b := newBench(t, 2)
+	b.workers[0].Next(standin.CutEvent)
+	b.workers[1].Next(standin.CutEvent, standin.Sound)
+	status, text, _, err := b.call("/stream/once/x", "body")
+	require.Equal(t, http.StatusOK, status)
+	require.Error(t, err, "what broke off must not look whole")
+	require.Equal(t, standin.WorkerEvent(1)+standin.WorkerEvent(2), text)
+	require.Equal(t, 1, b.runs())
+
+	b = newBench(t, 2)
+	b.workers[0].Next(standin.CutEvent, standin.Sound)
+	b.workers[1].Next(standin.Sound)
+	for range 2 {
+		status, text, _, err = b.call("/stream/again/x", "body")
+		require.NoError(t, err)
+		require.Equal(t, http.StatusOK, status)
+		require.Equal(t, wholeStream(), text, "no event twice, none missing")
+	}
+}
+
+func TestGivenUpRequestIsAnsweredAtItsTimeout(t *testing.T) {
+	b := newBench(t, 1)
+	b.next(standin.Hang)
+	status, _, _, err := b.call("/short/x", "body")
+	require.NoError(t, err)
+	require.Equal(t, http.StatusGatewayTimeout, status)
+	require.Equal(t, 1, b.runs())
+}
+
+func TestLongBodyIsRefused(t *testing.T) {
+	b := newBench(t, 1)
+	status, _, _, err := b.call("/unsafe/x", strings.Repeat("x", 1<<17))
+	require.NoError(t, err)
+	require.Equal(t, http.StatusRequestEntityTooLarge, status)
+	require.Zero(t, b.runs())
+}
+
+// TestCallerThatLeavesEndsTheWork closes the caller's connection while the
+// worker is at work: the connection to the worker is closed, too.
+func TestCallerThatLeavesEndsTheWork(t *testing.T) {
+	closed := make(chan struct{})
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	t.Cleanup(func() { _ = l.Close() })
+	got := make(chan struct{})
+	go func() {
+		conn, err := l.Accept()
+		if err != nil {
+			return
+		}
+		r := bufio.NewReader(conn)
+		if _, err := http.ReadRequest(r); err == nil {
+			close(got)
+		}
+		_, _ = io.Copy(io.Discard, r)
+		close(closed)
+	}()
+	b := newBench(t, 0)
+	b.core.Route(core.Registered{Workers: []registry.Worker{{ID: "slow", Pool: "pool", Address: l.Addr().String(), Slots: 1, Seq: 1}}})
+	ctx, cancel := context.WithCancel(t.Context())
+	go func() {
+		<-got
+		cancel()
+	}()
+	_, err = http.DefaultTransport.RoundTrip(b.request(ctx, "/unsafe/x", "body"))
+	require.Error(t, err)
+	select {
+	case <-closed:
+	case <-time.After(30 * time.Second):
+		t.Fatal("the worker goes on for a caller that has left")
+	}
+	require.Eventually(t, func() bool {
+		b.core.mu.Lock()
+		defer b.core.mu.Unlock()
+		return b.core.state.Idle()
+	}, 30*time.Second, time.Millisecond)
+}
+
+// TestSilentlyClosedConnectionIsNotUsed closes idle connections at the worker.
+func TestSilentlyClosedConnectionIsNotUsed(t *testing.T) {
+	b := newBench(t, 1)
+	for range 5 {
+		status, _, _, err := b.call("/unsafe/x", "body")
+		require.NoError(t, err)
+		require.Equal(t, http.StatusOK, status)
+		b.next(standin.Unframed)
+		_, _, _, err = b.call("/unsafe/x", "body")
+		require.NoError(t, err)
+	}
+	require.Equal(t, 10, b.runs())
+}
