peers: Leave silent connections, and let engines fill little by little

LIMIT broke as 84 hosts with loads 0.6 s old filled the same engine at once.

TestSilentHostIsCalledAnew failed first. A request leaves a drawn part of the bound free, the more the more hosts there are.

--- a/core/gateway/choose.go
+++ b/core/gateway/choose.go
@@ -71,6 +71,7 @@
 	limit := t.settings.LoadFactor*mean + t.settings.LoadSlack
 	key := prefixKey(c)
 	slices.SortFunc(found, func(a, b worker) int { return byScore(key, a, b) })
+	limit -= t.caution(c) * limit
 	at := slices.IndexFunc(found, func(w worker) bool {
 		return float64(w.load(t.now)+1) <= limit && w.load(t.now) < w.Slots
 	})
@@ -96,6 +97,24 @@
 	return picked
 }
 
+// Loads that other hosts told are a moment old; the more hosts, the more of them
+// may take the same room at once.
+const (
+	minCaution  = 0.1
+	maxCaution  = 0.5
+	hostCaution = 0.006
+)
+
+// caution is the part of the bound that this request leaves free. It is drawn
+// from its id, so that hosts turn away from a filling engine little by little
+// and not all together.
+func (t *turn) caution(c call) float64 {
+	most := min(max(minCaution, hostCaution*float64(t.hosts)), maxCaution)
+	return most * float64(uint64(requestKey(c.req.ID))%percent) / percent
+}
+
+const percent = 100
+
 // byScore orders workers by their rendezvous score for key, the highest first.
 func byScore(key hash.Key, a, b worker) int {
 	x, y := hash.Mix(key, hash.Of(string(a.ID))), hash.Mix(key, hash.Of(string(b.ID)))
--- a/core/host/capacity_test.go
+++ b/core/host/capacity_test.go
@@ -18,10 +18,12 @@
 
 	"github.com/yardhall/yardhall/core/catalog"
 	"github.com/yardhall/yardhall/core/config"
+	"github.com/yardhall/yardhall/core/gateway"
 	"github.com/yardhall/yardhall/core/hash"
 	"github.com/yardhall/yardhall/core/host"
 	"github.com/yardhall/yardhall/core/ident"
 	"github.com/yardhall/yardhall/core/outcome"
+	"github.com/yardhall/yardhall/core/registry"
 	"github.com/yardhall/yardhall/core/routing"
 )
 
@@ -178,6 +180,31 @@
 			}
 			return encodedSize(host.Gossip{Beat: beat})
 		}),
+		measureSlope("worker with load, in a question to a replica and its answer", "bytes", []int{0, 60, 240}, func(n int) float64 {
+			q := host.Sync{Round: 1 << 20, Version: 1000, Lead: true, Epoch: 1 << 41, Revision: 1000, Serves: true, Loads: loads(n / 10)}
+			a := host.SyncAnswer{
+				Round: 1 << 20, Leader: "10.1.0.43:7340", Fresh: true, Version: 1000, Epoch: 1 << 41, Since: 1000, Revision: 1000,
+				Replicas: []ident.Host{"10.1.0.43:7340", "10.2.0.31:7340", "10.3.0.21:7340"}, Hosts: 390, Loads: loads(n),
+			}
+			return encodedSize(q) + encodedSize(a)
+		}),
+		measureSlope("engine of a pool, per request of the route table", "ns", []int{9, 63, 144}, func(n int) float64 {
+			s := gatewayWith(n, now)
+			return nanos(func(b *testing.B) {
+				for i := 0; b.Loop(); i++ {
+					id := ident.Request(fmt.Sprintf("r%d", i))
+					s, _ = gateway.Reduce(s, gateway.Arrived{Request: gateway.Request{
+						ID: id, Host: "a.example", Path: "/x/y", KeyHash: "k", Prompt: gateway.Prompt{Model: "m", Parts: []gateway.Part{
+							{ID: "system", Tokens: 500}, {ID: fmt.Sprint(i % 30), Tokens: 9000}, {ID: "own", Tokens: 900},
+						}},
+					}}, now)
+					s, _ = gateway.Reduce(s, gateway.AttemptEnded{Request: id, Attempt: 1, Result: outcome.Answered{Status: 200}, Wanted: true}, now)
+				}
+			})
+		}),
+		measureSlope("route in a whole route table on the wire", "bytes", []int{100, 200, 400}, func(n int) float64 {
+			return float64(len(routeTable(n).Packed()))
+		}),
 		measureSlope("change sent to a host", "bytes", []int{1, 4, 16}, func(n int) float64 {
 			m := host.Changes{Leader: "host-a1", Fresh: true, Version: 1000}
 			for i := range n {
@@ -211,6 +238,44 @@
 	}
 }
 
+func loads(n int) []gateway.WorkerLoad {
+	out := make([]gateway.WorkerLoad, 0, n)
+	for i := range n {
+		out = append(out, gateway.WorkerLoad{Worker: ident.Target(fmt.Sprintf("i-%010x", i*7919)), InFlight: 7})
+	}
+	return out
+}
+
+func routeTable(n int) config.Gateway {
+	g := config.Gateway{Number: 1, Pools: []config.Pool{{ID: "pool", Engine: true, Moves: true}}}
+	for i := range n {
+		name := hash.Of(fmt.Sprint(i))
+		g.Routes = append(g.Routes, config.Route{
+			Name: fmt.Sprintf("r-%x", name%(1<<28)), Host: fmt.Sprintf("h%x.example", name%(1<<20)), Prefix: fmt.Sprintf("/p%x/", name%(1<<24)),
+			Kind: config.RouteSafe, Timeout: config.Duration(time.Second), Shares: []config.Share{{Pool: "pool", Weight: 1}}, MaxAttempts: 2,
+		})
+	}
+	return g
+}
+
+// gatewayWith is an entry host before a pool of n engines.
+func gatewayWith(n int, now time.Time) gateway.State {
+	g := routeTable(100)
+	g.Routes = append(g.Routes, config.Route{
+		Host: "a.example", Prefix: "/x/", Kind: config.RouteStream, Timeout: config.Duration(time.Minute),
+		Shares: []config.Share{{Pool: "pool", Weight: 1}}, MaxAttempts: 2,
+	})
+	g.Keys = []config.Holder{{Account: "a", KeyHashes: []string{"k"}}}
+	s := gateway.New(gateway.Settings{Zone: "z"}).WithConfig(g)
+	workers := make([]registry.Worker, 0, n)
+	for i := range n {
+		workers = append(workers, registry.Worker{ID: ident.Target(fmt.Sprintf("i-%010x", i*7919)), Pool: "pool", Zone: "z", Address: "10.0.0.1:80", Slots: 64, Seq: 1})
+	}
+	s, _ = gateway.Reduce(s, gateway.Registered{From: "r", Workers: workers}, now)
+	s, _ = gateway.Reduce(s, gateway.Confirmed{AsOf: now}, now)
+	return s
+}
+
 func bootWith(doc config.Document, now time.Time) host.State {
 	s := host.New(host.Settings{ID: hostName(0), Zone: zone(0), Serves: true}, 1, now)
 	s, _ = host.Reduce(s, host.Received{From: "state", Message: host.WholeConfig{Leader: "state", Fresh: true, Document: doc}}, now)
--- a/daemon/gateway.go
+++ b/daemon/gateway.go
@@ -12,6 +12,7 @@
 	"github.com/oklog/run"
 	"github.com/pkg/errors"
 
+	"github.com/yardhall/yardhall/common/sockets"
 	coregateway "github.com/yardhall/yardhall/core/gateway"
 	"github.com/yardhall/yardhall/core/host"
 	"github.com/yardhall/yardhall/core/ident"
@@ -123,7 +124,7 @@
 }
 
 func listenGateway(address string) (net.Listener, error) {
-	l, err := (&net.ListenConfig{Control: gateway.SetUserTimeout}).Listen(context.Background(), "tcp", address)
+	l, err := (&net.ListenConfig{Control: sockets.Control(gateway.UserTimeout)}).Listen(context.Background(), "tcp", address)
 	return l, errors.Wrap(err, "listen")
 }
 
--- a/gateway/pool.go
+++ b/gateway/pool.go
@@ -8,12 +8,12 @@
 	"net"
 	"sync"
 	"sync/atomic"
-	"syscall"
 	"time"
 
 	"github.com/pkg/errors"
 	"golang.org/x/sys/unix"
 
+	"github.com/yardhall/yardhall/common/sockets"
 	"github.com/yardhall/yardhall/core/ident"
 	"github.com/yardhall/yardhall/core/registry"
 )
@@ -21,8 +21,8 @@
 const (
 	// connectTimeout bounds a new connection to a worker.
 	connectTimeout = 400 * time.Millisecond
-	// userTimeout ends a connection whose bytes are not acknowledged.
-	userTimeout = 2 * time.Second
+	// UserTimeout ends a connection whose bytes are not acknowledged.
+	UserTimeout = 2 * time.Second
 	// assumedIdle is how long a worker keeps an idle connection where it does
 	// not say.
 	assumedIdle = 2 * time.Second
@@ -30,12 +30,9 @@
 	// a request.
 	idleMargin = 800 * time.Millisecond
 	// maxIdle bounds the idle connections kept to one worker.
-	maxIdle      = 32
-	probePeriod  = time.Second
-	probeCount   = 3
-	readBuffer   = 4 << 10
-	sweepEvery   = time.Second
-	millisPerSec = 1000
+	maxIdle    = 32
+	readBuffer = 4 << 10
+	sweepEvery = time.Second
 )
 
 // workerConn is a connection to a worker that carries one request at a time.
@@ -153,7 +150,7 @@
 }
 
 func (p *Pool) dial(ctx context.Context, w registry.Worker) (*workerConn, error) {
-	d := &net.Dialer{Timeout: connectTimeout, Control: SetUserTimeout, KeepAliveConfig: keepAlive()}
+	d := &net.Dialer{Timeout: connectTimeout, Control: sockets.Control(UserTimeout), KeepAliveConfig: sockets.KeepAlive()}
 	if p.from != nil {
 		d.LocalAddr = p.from
 	}
@@ -165,23 +162,6 @@
 	return &workerConn{Conn: conn, reader: bufio.NewReaderSize(conn, readBuffer), worker: w.ID, fresh: true}, nil
 }
 
-func keepAlive() net.KeepAliveConfig {
-	return net.KeepAliveConfig{Enable: true, Idle: probePeriod, Interval: probePeriod, Count: probeCount}
-}
-
-// SetUserTimeout makes a socket give up on bytes that are not acknowledged; it
-// fits net.Dialer and net.ListenConfig.
-func SetUserTimeout(_, _ string, raw syscall.RawConn) error {
-	var failed error
-	err := raw.Control(func(fd uintptr) {
-		failed = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(userTimeout.Milliseconds()))
-	})
-	if err != nil {
-		return errors.Wrap(err, "socket")
-	}
-	return errors.Wrap(failed, "set user timeout")
-}
-
 // sound tells whether an idle connection is open and silent: bytes that came
 // unasked belong to no request.
 func (c *workerConn) sound() bool {
--- a/peers/peers_test.go
+++ b/peers/peers_test.go
@@ -159,3 +159,42 @@
 	require.NoError(t, gob.NewDecoder(&b).Decode(&fresh))
 	require.EqualValues(t, 8, fresh.Counter)
 }
+
+// TestSilentHostIsCalledAnew lets the first connection take messages and answer
+// none of them, as a host that lost its power without a word: the next message
+// must go over a new connection, long before all calls of the old one are used.
+func TestSilentHostIsCalledAnew(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	silent, stop := make(chan struct{}, 1), make(chan struct{})
+	silent <- struct{}{}
+	arrived := make(chan struct{}, 100)
+	s := peers.NewServer(options("b"), func(ident.Host, host.Message) {
+		select {
+		case <-silent:
+			<-stop
+		default:
+			arrived <- struct{}{}
+		}
+	})
+	go func() { _ = s.Serve(l) }()
+	t.Cleanup(func() {
+		close(stop)
+		_ = l.Close()
+		s.Close()
+	})
+	o := options("a")
+	p := peers.NewPool(o)
+	defer p.Close()
+	p.Know([]config.Host{{ID: "b", Address: l.Addr().String()}})
+	p.Send("b", beat)
+	require.Eventually(t, func() bool { return len(silent) == 0 }, 30*time.Second, time.Millisecond)
+	time.Sleep(1500 * time.Millisecond)
+	p.Send("b", beat)
+	select {
+	case <-arrived:
+	case <-time.After(30 * time.Second):
+		t.Fatal("the silent connection is still used")
+	}
+	require.EqualValues(t, 1, o.Counters.Failed.Load())
+}
--- a/peers/pool.go
+++ b/peers/pool.go
@@ -13,6 +13,7 @@
 
 	"github.com/pkg/errors"
 
+	"github.com/yardhall/yardhall/common/sockets"
 	"github.com/yardhall/yardhall/core/config"
 	"github.com/yardhall/yardhall/core/host"
 	"github.com/yardhall/yardhall/core/ident"
@@ -115,6 +116,8 @@
 	addr   string
 	calls  chan *rpc.Call
 	open   int
+	// asked is when the oldest open call was made, or the last one answered.
+	asked time.Time
 }
 
 func (s *sender) run() {
@@ -139,6 +142,7 @@
 	for len(batch.Messages) < maxBatch && len(s.queue) > 0 {
 		batch.Messages = append(batch.Messages, <-s.queue)
 	}
+	s.leaveSilent()
 	if err := s.connect(); err != nil {
 		s.pool.options.Counters.Failed.Add(1)
 		s.pool.options.Counters.Dropped.Add(int64(len(batch.Messages)))
@@ -150,11 +154,26 @@
 		s.hangUp()
 		return
 	}
+	if s.open == 0 {
+		s.asked = time.Now()
+	}
 	s.open++
 	s.pool.options.Counters.Sent.Add(int64(len(batch.Messages)))
 	s.client.Go(serviceName+".D", batch, &Ack{}, s.calls)
 }
 
+// leaveSilent hangs up on a host that has left calls unanswered: it may be gone
+// without a word, and back without knowing this connection.
+func (s *sender) leaveSilent() {
+	for len(s.calls) > 0 {
+		s.callDone(<-s.calls)
+	}
+	if s.client != nil && s.open > 0 && time.Since(s.asked) > answerTimeout {
+		s.pool.options.Counters.Failed.Add(1)
+		s.hangUp()
+	}
+}
+
 // drop empties the queue after a failed dial and pauses: what waited is stale.
 func (s *sender) drop() {
 	pause := time.NewTimer(redialPause)
@@ -188,6 +207,7 @@
 
 func (s *sender) callDone(call *rpc.Call) {
 	s.open = max(0, s.open-1)
+	s.asked = time.Now()
 	if call.Error != nil && s.client != nil {
 		s.pool.options.Counters.Failed.Add(1)
 		s.hangUp()
@@ -229,7 +249,7 @@
 }
 
 func (s *sender) dial(addr string) (net.Conn, error) {
-	d := &net.Dialer{Timeout: dialTimeout}
+	d := &net.Dialer{Timeout: dialTimeout, Control: sockets.Control(answerTimeout), KeepAliveConfig: sockets.KeepAlive()}
 	if from := s.pool.options.From; from != nil {
 		d.LocalAddr = from
 	}
--- a/peers/server.go
+++ b/peers/server.go
@@ -62,10 +62,12 @@
 }
 
 const (
-	callTimeout  = 2 * time.Second
-	dialTimeout  = time.Second
-	idleTimeout  = time.Minute
-	helloTimeout = 5 * time.Second
+	callTimeout = 2 * time.Second
+	dialTimeout = 600 * time.Millisecond
+	// answerTimeout is how long a host may leave calls unanswered.
+	answerTimeout = 1200 * time.Millisecond
+	idleTimeout   = time.Minute
+	helloTimeout  = 5 * time.Second
 )
 
 func (o Options) withDefaults() Options {
