host: Let replicas that were put out come back, and sum loads once

Each change of a registration cost a replica 84 answers at once, each summing 84 hosts' loads.

Ruled out: lost pushes (the replica held the drain 0.1 s after it was told).

TestReplicaThatWasPutOutComesBack failed first.

Conclusion: membership mends itself for learners too; pushes go once a tick.

--- a/core/host/seeded_test.go
+++ b/core/host/seeded_test.go
@@ -463,3 +463,29 @@
 	f.run(time.Second)
 	require.EqualValues(t, 2, f.states[entryName(0)].Gateway().Number())
 }
+
+// TestReplicaThatWasPutOutComesBack cuts a replica without a vote off until the
+// leader has removed it: once it is back it asks to be taken in, and what a
+// worker tells it reaches the entry hosts.
+func TestReplicaThatWasPutOutComesBack(t *testing.T) {
+	f := newSeededFleet(t, 6, 2)
+	f.run(8 * time.Second)
+	require.True(t, f.put(f.leader(), f.table(1, "k"), time.Second))
+	var learner ident.Host
+	for _, m := range f.states[f.leader()].Raft().Members() {
+		if !m.Voter {
+			learner = m.ID
+		}
+	}
+	require.NotEmpty(t, learner)
+	at := learner.Address()
+	f.cutOff(at, true)
+	f.run(6 * time.Second)
+	require.False(t, f.states[f.leader()].Raft().IsMember(learner))
+	f.cutOff(at, false)
+	f.run(4 * time.Second)
+	require.True(t, f.states[f.leader()].Raft().IsMember(learner))
+	f.beat(at, "w1", registry.Ready, 1)
+	f.run(time.Second)
+	require.IsType(t, gateway.Dispatch{}, f.ask(entryName(0), "/x/1", "k"))
+}
--- a/core/host/sync.go
+++ b/core/host/sync.go
@@ -3,6 +3,7 @@
 package host
 
 import (
+	"cmp"
 	"fmt"
 	"slices"
 	"time"
@@ -58,6 +59,11 @@
 	joiners  table.Table[ident.Host, time.Time]
 	joinAt   time.Time
 	memberAt time.Time
+	// sums are the loads of all hosts as added up at summed; never changed in
+	// place. serving is the number of entry hosts.
+	sums    []gateway.WorkerLoad
+	summed  time.Time
+	serving int
 	// tables are the newest route tables, packed what leads from each of them
 	// to the newest one.
 	tables table.Table[config.Version, config.Gateway]
@@ -88,6 +94,7 @@
 	t.tickSync()
 	if t.settings.IsReplica() {
 		t.tickRegistry()
+		t.pushSync()
 		t.tickMembers()
 		t.maybeCompact()
 	}
@@ -193,7 +200,9 @@
 	if c.lead {
 		a.Fresh = t.raft.LeaseHeld(t.now)
 		a.Replicas = t.memberAddresses()
-		a.Loads, a.Hosts = t.otherLoads(to)
+		if round != 0 {
+			a.Loads, a.Hosts = t.otherLoads(c.loads)
+		}
 		if c.version < t.catalog.Config.Version {
 			a.Gateway, a.Base = t.packedGateway(c.version)
 			c.version = t.catalog.Config.Version
@@ -251,9 +260,32 @@
 	return out
 }
 
-// otherLoads sums the loads that hosts other than one have told, and counts
-// the entry hosts.
-func (t *turn) otherLoads(but ident.Host) (sums []gateway.WorkerLoad, hosts int) {
+// sumInterval is how long sums of loads are used before they are made anew.
+const sumInterval = 200 * time.Millisecond
+
+// otherLoads are the loads that hosts other than one have told, and the number
+// of entry hosts.
+func (t *turn) otherLoads(own []gateway.WorkerLoad) (sums []gateway.WorkerLoad, hosts int) {
+	t.sumLoads()
+	mine := make(map[ident.Target]int, len(own))
+	for _, l := range own {
+		mine[l.Worker] = l.InFlight
+	}
+	sums = make([]gateway.WorkerLoad, 0, len(t.sync.sums))
+	for _, l := range t.sync.sums {
+		if l.InFlight -= mine[l.Worker]; l.InFlight > 0 {
+			sums = append(sums, l)
+		}
+	}
+	return sums, t.sync.serving
+}
+
+// sumLoads adds up what all hosts told, once an interval.
+func (t *turn) sumLoads() {
+	if t.now.Sub(t.sync.summed) < sumInterval {
+		return
+	}
+	t.sync.summed, t.sync.serving = t.now, 0
 	total := map[ident.Target]int{}
 	for id, c := range t.sync.clients.All() {
 		if t.now.Sub(c.heard) > syncLife {
@@ -261,32 +293,22 @@
 			continue
 		}
 		if c.serves {
-			hosts++
-		}
-		if id == but {
-			continue
+			t.sync.serving++
 		}
 		for _, l := range c.loads {
 			total[l.Worker] += l.InFlight
 		}
 	}
+	t.sync.sums = make([]gateway.WorkerLoad, 0, len(total))
 	for id, n := range total {
-		sums = append(sums, gateway.WorkerLoad{Worker: id, InFlight: n})
+		t.sync.sums = append(t.sync.sums, gateway.WorkerLoad{Worker: id, InFlight: n})
 	}
-	slices.SortFunc(sums, func(a, b gateway.WorkerLoad) int {
-		if a.Worker < b.Worker {
-			return -1
-		}
-		return 1
-	})
-	return sums, hosts
+	slices.SortFunc(t.sync.sums, func(a, b gateway.WorkerLoad) int { return cmp.Compare(a.Worker, b.Worker) })
 }
 
-// pushSync tells the hosts that sync with this replica of a change at once.
+// pushSync tells the hosts that sync with this replica of what has changed
+// since the last tick.
 func (t *turn) pushSync() {
-	if !t.settings.Seeded() {
-		return
-	}
 	for id, c := range t.sync.clients.All() {
 		stale := c.lead && c.version < t.catalog.Config.Version
 		if t.now.Sub(c.heard) <= syncLife && (stale || c.revision < t.registry.Revision()) {
@@ -312,9 +334,11 @@
 	}
 	t.sync.lead, t.sync.leadAt = from, t.now
 	t.sync.replicas = m.Replicas
-	t.sync.hosts = m.Hosts
-	t.gateway = t.gateway.WithHosts(m.Hosts)
-	t.routed(gateway.LoadsTold{Loads: m.Loads})
+	if m.Round != 0 {
+		t.sync.hosts = m.Hosts
+		t.gateway = t.gateway.WithHosts(m.Hosts)
+		t.routed(gateway.LoadsTold{Loads: m.Loads})
+	}
 	if known && t.config.Version == m.Version {
 		t.routed(gateway.Confirmed{AsOf: asked})
 	}
@@ -393,7 +417,6 @@
 	t.registry = next
 	if changed {
 		t.note(NoteWorker, string(w.ID), fmt.Sprintf("pool=%s state=%s seq=%d at=%s", w.Pool, w.State, w.Seq, w.Address))
-		t.pushSync()
 	}
 }
 
@@ -402,7 +425,6 @@
 	t.registry = next
 	if changed {
 		t.note(NoteWorker, string(id), "state=gone")
-		t.pushSync()
 	}
 }
 
@@ -411,9 +433,5 @@
 	if silent == 0 {
 		silent = defaultSilentAfter
 	}
-	next, changed := t.registry.Expire(silent, t.now)
-	t.registry = next
-	if changed {
-		t.pushSync()
-	}
+	t.registry, _ = t.registry.Expire(silent, t.now)
 }
--- a/core/host/write.go
+++ b/core/host/write.go
@@ -162,7 +162,6 @@
 	if t.catalog.Config.Version != before {
 		t.useConfig(t.catalog.Config)
 		t.pushChanges()
-		t.pushSync()
 		t.answerReads()
 	}
 }
--- a/core/raft/raft.go
+++ b/core/raft/raft.go
@@ -259,7 +259,14 @@
 		w.leaderTick()
 		return
 	}
-	if w.now.Before(w.due) || !w.isVoter(w.id) {
+	if w.now.Before(w.due) {
+		return
+	}
+	if !w.isVoter(w.id) {
+		// Without a vote it can but wait, and no longer names a leader that it
+		// does not hear: perhaps it is no member any more.
+		w.leader = ""
+		w.resetElection()
 		return
 	}
 	w.startElection(true, false)
