host: Keep large changes from choking replicas

Each host has its tables from another replica, replicas send 16 kB of tables a tick, a write stands once in the log of a term, travels packed, and the log is compacted by bytes too (4 MiB).

Ruled out: lost elections as the cause (they followed the congestion).

TestSlowWriteStandsOnceInTheLog failed first (tried by taking the check out).

Conclusion: a change costs the leader a few kB, whatever the fleet's size.

--- a/core/host/claim_test.go
+++ b/core/host/claim_test.go
@@ -75,8 +75,10 @@
 func (r *router) ended() outcome.Kind {
 	for _, e := range r.out {
 		if s, ok := e.(host.Send); ok {
-			if w, ok := s.Message.(host.ForwardWrite); ok && strings.HasPrefix(w.Write.ID, "end/") {
-				return w.Write.Command.(catalog.EndClaim).Outcome
+			if w, ok := s.Message.(host.ForwardWrite); ok && strings.HasPrefix(w.ID, "end/") {
+				write, err := catalog.DecodeWrite(w.Packed)
+				require.NoError(r.t, err)
+				return write.Command.(catalog.EndClaim).Outcome
 			}
 		}
 	}
--- a/core/host/event.go
+++ b/core/host/event.go
@@ -217,8 +217,11 @@
 		Fresh    bool
 		Document config.Document
 	}
-	// ForwardWrite hands a write to the leader.
-	ForwardWrite struct{ Write catalog.Write }
+	// ForwardWrite hands a write to the leader; Packed is its log data.
+	ForwardWrite struct {
+		ID     string
+		Packed []byte
+	}
 	// WriteAnswered returns what became of a forwarded write.
 	WriteAnswered struct {
 		ID     string
@@ -230,8 +233,10 @@
 		// Round numbers the question; the answer repeats it.
 		Round   uint64
 		Version config.Version
-		// Lead is set where configuration and loads are asked for too.
-		Lead bool
+		// Lead is set where a leader's word and loads are asked for too, Table
+		// where the route table is.
+		Lead  bool
+		Table bool
 		// Epoch and Revision are what the host has of the replica's registry.
 		Epoch    uint64
 		Revision uint64
--- a/core/host/host.go
+++ b/core/host/host.go
@@ -96,6 +96,8 @@
 	raft    raft.State
 	catalog catalog.Catalog
 	applied raft.Index
+	// appliedBytes counts the bytes of entries applied since the last snapshot.
+	appliedBytes int
 	// leaderSince is when this replica last became leader.
 	leaderSince time.Time
 	orders      table.Table[uint64, Order]
--- a/core/host/seeded_test.go
+++ b/core/host/seeded_test.go
@@ -489,3 +489,44 @@
 	f.run(time.Second)
 	require.IsType(t, gateway.Dispatch{}, f.ask(entryName(0), "/x/1", "k"))
 }
+
+// TestSlowWriteStandsOnceInTheLog lets no follower answer for a while: a write
+// that waits must not be written to the log again and again, or what holds it
+// up would only grow.
+func TestSlowWriteStandsOnceInTheLog(t *testing.T) {
+	f := newSeededFleet(t, 3, 0)
+	f.run(5 * time.Second)
+	leader := f.leader()
+	var other ident.Host
+	for i := range 3 {
+		if replicaName(i) != leader {
+			other = replicaName(i)
+			// Heartbeats pass, entries do not: only the way back is cut at first.
+			f.cut[[2]ident.Host{replicaName(i), leader}] = true
+		}
+	}
+	before := f.states[leader].Raft().Log().Last()
+	f.reduce(leader, host.Submitted{
+		Write:    catalog.Write{ID: "own", Command: catalog.Edit{Change: config.PutGateway{Gateway: f.table(1, "k")}}},
+		Deadline: f.now.Add(5 * time.Second),
+	})
+	f.run(800 * time.Millisecond)
+	require.EqualValues(t, before+1, f.states[leader].Raft().Log().Last())
+	for i := range 3 {
+		f.cut[[2]ident.Host{replicaName(i), leader}] = false
+	}
+	f.run(3 * time.Second)
+	require.True(t, f.writes["own"].Known)
+
+	// The same for a write that another replica hands over.
+	leader = f.leader()
+	if other == leader {
+		other = replicaName(0)
+		if other == leader {
+			other = replicaName(1)
+		}
+	}
+	before = f.states[leader].Raft().Log().Last()
+	require.True(t, f.put(other, f.table(2, "k"), 2*time.Second))
+	require.EqualValues(t, before+1, f.states[leader].Raft().Log().Last())
+}
--- a/core/host/sync.go
+++ b/core/host/sync.go
@@ -12,6 +12,7 @@
 
 	"github.com/yardhall/yardhall/core/config"
 	"github.com/yardhall/yardhall/core/gateway"
+	"github.com/yardhall/yardhall/core/hash"
 	"github.com/yardhall/yardhall/core/ident"
 	"github.com/yardhall/yardhall/core/registry"
 	"github.com/yardhall/yardhall/core/table"
@@ -54,11 +55,15 @@
 	leadAt   time.Time
 	turns    int
 	// hosts is how many entry hosts there are, by a leader's word.
-	hosts    int
-	clients  table.Table[ident.Host, client]
-	joiners  table.Table[ident.Host, time.Time]
-	joinAt   time.Time
-	memberAt time.Time
+	hosts int
+	// behindAt is since when the leader names a newer table than is held.
+	behindAt time.Time
+	// tableBytes counts the bytes of tables sent since the last tick.
+	tableBytes int
+	clients    table.Table[ident.Host, client]
+	joiners    table.Table[ident.Host, time.Time]
+	joinAt     time.Time
+	memberAt   time.Time
 	// sums are the loads of all hosts as added up at summed; never changed in
 	// place. serving is the number of entry hosts.
 	sums    []gateway.WorkerLoad
@@ -83,9 +88,10 @@
 	version  config.Version
 	revision uint64
 	heard    time.Time
-	lead     bool
-	serves   bool
-	loads    []gateway.WorkerLoad
+	// table is set where the host has the route table from this replica.
+	table  bool
+	serves bool
+	loads  []gateway.WorkerLoad
 }
 
 func (t *turn) tickSeeded() {
@@ -168,6 +174,7 @@
 	m := Sync{
 		Round: t.sync.round, Version: t.config.Version,
 		Lead:  to == t.sync.lead || t.now.Sub(t.sync.leadAt) > askAllAfter*t.syncInterval(),
+		Table: to == t.tableSource() || to == t.sync.lead && t.behind(),
 		Epoch: c.epoch, Revision: c.revision, Serves: t.settings.Serves && !t.draining,
 	}
 	if m.Lead {
@@ -182,31 +189,30 @@
 		return
 	}
 	c := client{
-		version: m.Version, revision: m.Revision, heard: t.now, lead: m.Lead, serves: m.Serves, loads: m.Loads,
+		version: m.Version, revision: m.Revision, heard: t.now, table: m.Table, serves: m.Serves, loads: m.Loads,
 	}
 	if m.Epoch != t.settings.Incarnation {
 		c.revision = 0
 	}
-	t.answerSync(from, c, m.Round)
+	t.answerSync(from, c, m)
 }
 
 // answerSync sends what the client lacks and remembers what it has then.
-func (t *turn) answerSync(to ident.Host, c client, round uint64) {
+func (t *turn) answerSync(to ident.Host, c client, asked Sync) {
 	workers, revision := t.registry.After(c.revision)
 	a := SyncAnswer{
-		Round: round, Leader: t.raft.Leader().Address(), Version: t.catalog.Config.Version,
+		Round: asked.Round, Leader: t.raft.Leader().Address(), Version: t.catalog.Config.Version,
 		Epoch: t.settings.Incarnation, Since: c.revision, Revision: revision, Workers: workers,
 	}
-	if c.lead {
+	if asked.Lead {
 		a.Fresh = t.raft.LeaseHeld(t.now)
 		a.Replicas = t.memberAddresses()
-		if round != 0 {
-			a.Loads, a.Hosts = t.otherLoads(c.loads)
-		}
-		if c.version < t.catalog.Config.Version {
-			a.Gateway, a.Base = t.packedGateway(c.version)
-			c.version = t.catalog.Config.Version
-		}
+		a.Loads, a.Hosts = t.otherLoads(c.loads)
+	}
+	if c.table && c.version < t.catalog.Config.Version && t.sync.tableBytes < tableBytesPerTick {
+		a.Gateway, a.Base = t.packedGateway(c.version)
+		c.version = t.catalog.Config.Version
+		t.sync.tableBytes += len(a.Gateway)
 	}
 	c.revision = revision
 	t.sync.clients = t.sync.clients.With(to, c)
@@ -307,16 +313,21 @@
 }
 
 // pushSync tells the hosts that sync with this replica of what has changed
-// since the last tick.
+// since the last tick. Tables go out at a bounded rate, or heartbeats of the
+// replicated log would wait behind them.
 func (t *turn) pushSync() {
+	t.sync.tableBytes = 0
 	for id, c := range t.sync.clients.All() {
-		stale := c.lead && c.version < t.catalog.Config.Version
+		stale := c.table && c.version < t.catalog.Config.Version && t.sync.tableBytes < tableBytesPerTick
 		if t.now.Sub(c.heard) <= syncLife && (stale || c.revision < t.registry.Revision()) {
-			t.answerSync(id, c, 0)
+			t.answerSync(id, c, Sync{})
 		}
 	}
 }
 
+// tableBytesPerTick bounds the bytes of tables that a replica sends in a tick.
+const tableBytesPerTick = 16 << 10
+
 // syncAnswered takes what a replica told.
 func (t *turn) syncAnswered(from ident.Host, m SyncAnswer) {
 	t.hearContact(from, m)
@@ -334,7 +345,12 @@
 	}
 	t.sync.lead, t.sync.leadAt = from, t.now
 	t.sync.replicas = m.Replicas
-	if m.Round != 0 {
+	if t.config.Version >= m.Version {
+		t.sync.behindAt = time.Time{}
+	} else if t.sync.behindAt.IsZero() {
+		t.sync.behindAt = t.now
+	}
+	if len(m.Loads) > 0 || m.Hosts > 0 {
 		t.sync.hosts = m.Hosts
 		t.gateway = t.gateway.WithHosts(m.Hosts)
 		t.routed(gateway.LoadsTold{Loads: m.Loads})
@@ -344,6 +360,28 @@
 	}
 }
 
+// tableSource is the replica that sends this host route tables: another one
+// for each host, so that no replica sends them all.
+func (t *turn) tableSource() ident.Host {
+	var heard []ident.Host
+	for _, h := range t.contactHosts() {
+		if c, ok := t.sync.contacts.Get(h); ok && !c.lost {
+			heard = append(heard, h)
+		}
+	}
+	source, ok := hash.Best(hash.Of(string(t.settings.ID)), heard, func(h ident.Host) string { return string(h) })
+	if !ok {
+		return t.sync.lead
+	}
+	return source
+}
+
+// behind tells whether the leader has named a newer table for so long that it
+// is asked for it itself.
+func (t *turn) behind() bool {
+	return t.config.Version == 0 || !t.sync.behindAt.IsZero() && t.now.Sub(t.sync.behindAt) > t.syncInterval()
+}
+
 // followLeader turns to the leader that the replica asked last knows of. One
 // that knows none, or is cut off itself, is left after leadTimeout.
 func (t *turn) followLeader(from, leader ident.Host) {
--- a/core/host/write.go
+++ b/core/host/write.go
@@ -10,6 +10,7 @@
 	"github.com/yardhall/yardhall/core/catalog"
 	"github.com/yardhall/yardhall/core/ident"
 	"github.com/yardhall/yardhall/core/raft"
+	"github.com/yardhall/yardhall/core/table"
 )
 
 const (
@@ -17,11 +18,17 @@
 	resendInterval = 500 * time.Millisecond
 	// compactEvery is how many entries the log grows between snapshots.
 	compactEvery = 4096
+	// compactBytes is how many bytes of entries are applied between snapshots.
+	compactBytes = 4 << 20
 )
 
 // pendingWrite is a write that this process waits for.
 type pendingWrite struct {
-	write    catalog.Write
+	write catalog.Write
+	// packed is the write as it is handed to the leader.
+	packed []byte
+	// proposed is the term in which this replica, as leader, wrote it to the log.
+	proposed raft.Term
 	deadline time.Time
 	resend   time.Time
 }
@@ -29,19 +36,25 @@
 // submit sends a write to the leader until it is answered or its time is over.
 func (t *turn) submit(w catalog.Write, deadline time.Time) {
 	t.counters.Writes++
-	p := pendingWrite{write: w, deadline: deadline}
+	p := pendingWrite{write: w, packed: w.Encode(), deadline: deadline}
 	t.sendWrite(p)
 }
 
 func (t *turn) sendWrite(p pendingWrite) {
 	p.resend = t.now.Add(resendInterval)
-	t.writes = t.writes.With(p.write.ID, p)
 	if t.raft.Role() == raft.Leader {
-		t.propose(p.write)
+		// Once in the log of a term it stays there as long as the term lasts; a
+		// second copy would only add to what holds the first one up.
+		again := p.proposed == t.raft.Term()
+		t.writes = t.writes.With(p.write.ID, p)
+		if !again && t.propose(p.write) {
+			t.markProposed(p.write.ID)
+		}
 		return
 	}
+	t.writes = t.writes.With(p.write.ID, p)
 	if leader := t.leaderHint(); leader != "" && leader != t.settings.ID {
-		t.send(leader, ForwardWrite{Write: p.write})
+		t.send(leader, ForwardWrite{ID: p.write.ID, Packed: p.packed})
 	}
 }
 
@@ -57,9 +70,20 @@
 	}
 }
 
-func (t *turn) propose(w catalog.Write) {
+// markProposed notes that a write that still waits stands in the log.
+func (t *turn) markProposed(id string) {
+	if p, ok := t.writes.Get(id); ok {
+		p.proposed = t.raft.Term()
+		t.writes = t.writes.With(id, p)
+	}
+}
+
+// propose tells whether the write now stands in this leader's log.
+func (t *turn) propose(w catalog.Write) bool {
 	w.At = t.now
+	before := t.raft.Log().Last()
 	t.stepRaft(raft.Propose{Data: w.Encode()})
+	return t.raft.Log().Last() > before
 }
 
 // forwardWrite takes a write from another host; only a leader acts on it, and
@@ -68,8 +92,18 @@
 	if t.raft.Role() != raft.Leader {
 		return
 	}
-	t.origins = t.origins.With(m.Write.ID, from)
-	t.propose(m.Write)
+	if have, ok := t.origins.Get(m.ID); ok && have == from {
+		return
+	}
+	w, err := catalog.DecodeWrite(m.Packed)
+	if err != nil {
+		t.note(NoteStateLoad, m.ID, "a forwarded write cannot be read: "+err.Error())
+		return
+	}
+	t.origins = t.origins.With(w.ID, from)
+	if !t.propose(w) {
+		t.origins = t.origins.Without(w.ID)
+	}
 }
 
 func (t *turn) writeAnswered(id string, r catalog.Result) {
@@ -139,6 +173,8 @@
 		t.leaderSince = t.now
 	}
 	t.leader = e.Leader
+	// Writes handed over in an older term may be lost; who waits sends again.
+	t.origins = table.Table[string, ident.Host]{}
 	t.note(NoteRole, string(t.settings.ID), fmt.Sprintf("%s term=%d leader=%s", e.Role, e.Term, e.Leader))
 }
 
@@ -146,6 +182,7 @@
 	before := t.catalog.Config.Version
 	for _, e := range entries {
 		t.applied = e.Index
+		t.appliedBytes += len(e.Data)
 		if e.Kind != raft.EntryNormal {
 			continue
 		}
@@ -187,8 +224,10 @@
 
 // maybeCompact takes a snapshot when the log has grown by compactEvery.
 func (t *turn) maybeCompact() {
-	if !t.raft.Active() || t.applied < t.raft.SnapshotIndex()+compactEvery {
+	grown := t.applied >= t.raft.SnapshotIndex()+compactEvery || t.appliedBytes >= compactBytes
+	if !t.raft.Active() || !grown || t.applied <= t.raft.SnapshotIndex() {
 		return
 	}
+	t.appliedBytes = 0
 	t.stepRaft(raft.Compact{Index: t.applied, Data: t.catalog.Encode()})
 }
