--- a/core/config/revision.go
+++ b/core/config/revision.go
@@ -2,45 +2,48 @@
 
 package config
 
-import "github.com/yardhall/yardhall/core/ident"
+import (
+	"cmp"
+
+	"github.com/yardhall/yardhall/core/table"
+)
 
 // RevOf returns the revision of the object that ch touches; 0 where there is
 // none.
 func (c Config) RevOf(ch Change) Version {
 	switch ch := ch.(type) {
 	case PutAccount:
-		return c.revOfAccount(ch.Account.ID)
+		return revOf(c.Accounts, ch.Account.ID)
 	case DeleteAccount:
-		return c.revOfAccount(ch.ID)
+		return revOf(c.Accounts, ch.ID)
 	case PutClass:
-		return c.revOfClass(ch.Class.ID)
+		return revOf(c.Classes, ch.Class.ID)
 	case DeleteClass:
-		return c.revOfClass(ch.ID)
+		return revOf(c.Classes, ch.ID)
 	case PutService:
-		return c.revOfService(ch.Service.ID)
+		return revOf(c.Services, ch.Service.ID)
 	case DeleteService:
-		return c.revOfService(ch.ID)
+		return revOf(c.Services, ch.ID)
 	case PutModel:
-		return c.revOfModel(ch.Model.ID)
+		return revOf(c.Models, ch.Model.ID)
 	case DeleteModel:
-		return c.revOfModel(ch.ID)
+		return revOf(c.Models, ch.ID)
 	case PutTarget:
-		return c.revOfTarget(ch.Target.ID)
+		return revOf(c.Targets, ch.Target.ID)
 	case SetModels:
-		return c.revOfTarget(ch.Target)
+		return revOf(c.Targets, ch.Target)
 	case DeleteTarget:
-		return c.revOfTarget(ch.ID)
+		return revOf(c.Targets, ch.ID)
 	case PutHost:
-		return c.revOfHost(ch.Host.ID)
+		return revOf(c.Hosts, ch.Host.ID)
 	case DeleteHost:
-		return c.revOfHost(ch.ID)
+		return revOf(c.Hosts, ch.ID)
 	case PutIntent:
-		return c.revOfIntent(ch.Intent.ID)
+		return revOf(c.Intents, ch.Intent.ID)
 	case DeleteIntent:
-		return c.revOfIntent(ch.ID)
+		return revOf(c.Intents, ch.ID)
 	case PutHandOver:
-		v, _ := c.HandOvers.Get(ch.HandOver.Key())
-		return v.Rev
+		return revOf(c.HandOvers, ch.HandOver.Key())
 	case PutGateway:
 		return Version(c.Gateway.Number)
 	}
@@ -88,37 +91,21 @@
 	return ""
 }
 
-func (c Config) revOfAccount(id ident.Account) Version {
-	v, _ := c.Accounts.Get(id)
-	return v.Rev
-}
-
-func (c Config) revOfClass(id ident.Class) Version {
-	v, _ := c.Classes.Get(id)
-	return v.Rev
-}
-
-func (c Config) revOfService(id ident.Service) Version {
-	v, _ := c.Services.Get(id)
-	return v.Rev
-}
-
-func (c Config) revOfModel(id ident.Model) Version {
-	v, _ := c.Models.Get(id)
-	return v.Rev
-}
-
-func (c Config) revOfTarget(id ident.Target) Version {
-	v, _ := c.Targets.Get(id)
-	return v.Rev
-}
+// revised is an object that knows the version of its last change.
+type revised interface{ revision() Version }
 
-func (c Config) revOfHost(id ident.Host) Version {
-	v, _ := c.Hosts.Get(id)
-	return v.Rev
+// revOf returns the revision of the object with that key; 0 where there is
+// none.
+func revOf[K cmp.Ordered, V revised](objects table.Table[K, V], key K) Version {
+	v, _ := objects.Get(key)
+	return v.revision()
 }
 
-func (c Config) revOfIntent(id ident.Intent) Version {
-	v, _ := c.Intents.Get(id)
-	return v.Rev
-}
+func (a Account) revision() Version  { return a.Rev }
+func (c Class) revision() Version    { return c.Rev }
+func (s Service) revision() Version  { return s.Rev }
+func (m Model) revision() Version    { return m.Rev }
+func (t Target) revision() Version   { return t.Rev }
+func (h Host) revision() Version     { return h.Rev }
+func (i Intent) revision() Version   { return i.Rev }
+func (h HandOver) revision() Version { return h.Rev }
--- /dev/null
+++ b/core/host/message.go
@@ -0,0 +1,192 @@
+// Copyright 2026 The Yardhall Authors. Licensed under the Apache License, Version 2.0.
+
+package host
+
+import (
+	"time"
+
+	"github.com/yardhall/yardhall/core/catalog"
+	"github.com/yardhall/yardhall/core/config"
+	"github.com/yardhall/yardhall/core/gateway"
+	"github.com/yardhall/yardhall/core/hash"
+	"github.com/yardhall/yardhall/core/ident"
+	"github.com/yardhall/yardhall/core/raft"
+	"github.com/yardhall/yardhall/core/registry"
+	"github.com/yardhall/yardhall/core/routing"
+)
+
+// Message is what hosts send each other. The set is closed.
+type Message interface{ message() }
+
+type (
+	// Raft carries a message of the replicated log. From and To name replicas
+	// by their disks in a seeded fleet and are empty elsewhere.
+	Raft struct {
+		From    ident.Host
+		To      ident.Host
+		Message raft.Message
+	}
+	// Gossip is a host's heartbeat.
+	Gossip struct{ Beat Beat }
+	// AskPlace asks a group's owner for a place.
+	AskPlace struct {
+		Group   routing.GroupID
+		Place   ident.Place
+		Account ident.Account
+		Class   ident.Class
+		Model   ident.Model
+		Chat    hash.Key
+		Work    int64
+		// Within is the time left; hosts' clocks may differ.
+		Within  time.Duration
+		Exclude []ident.Target
+		// Final is set where another group has sent the ask on.
+		Final bool
+	}
+	// PlaceAnswer answers AskPlace, perhaps twice: Queued, then the end.
+	PlaceAnswer struct {
+		Place  ident.Place
+		Answer routing.Answer
+	}
+	// NotOwner says that the receiver of AskPlace does not own the group.
+	NotOwner struct{ Place ident.Place }
+	// FreePlace gives a place back, or takes an ask out of the queue.
+	FreePlace struct{ Place ident.Place }
+	// AdoptPlaces tells a new owner of the places its router holds.
+	AdoptPlaces struct {
+		Group   routing.GroupID
+		Permits []routing.Permit
+	}
+	// AdoptChats hands over what an owner remembers of chats.
+	AdoptChats struct {
+		Group routing.GroupID
+		Chats []routing.Chat
+	}
+	// FetchAnswer asks the host that ran a request for its answer, for a resend
+	// that another host has taken.
+	FetchAnswer struct {
+		Request ident.Request
+		For     ident.Request
+	}
+	// AnswerOf answers FetchAnswer; Answer is nil where it is not kept.
+	AnswerOf struct {
+		For    ident.Request
+		Answer *Answer
+	}
+	// Follow asks for configuration after Version.
+	Follow struct {
+		Host    config.Host
+		Version config.Version
+	}
+	// Changes answers Follow with what came after Version.
+	Changes struct {
+		// Leader is the leader known to the sender, or "".
+		Leader ident.Host
+		// Fresh is true where a leader with a lease answers.
+		Fresh   bool
+		Version config.Version
+		Deltas  []catalog.Delta
+	}
+	// WholeConfig answers a Follow from too far behind.
+	WholeConfig struct {
+		Leader   ident.Host
+		Fresh    bool
+		Document config.Document
+	}
+	// ForwardWrite hands a write to the leader; Packed is its log data.
+	ForwardWrite struct {
+		ID     string
+		Packed []byte
+	}
+	// WriteAnswered returns what became of a forwarded write.
+	WriteAnswered struct {
+		ID     string
+		Result catalog.Result
+	}
+	// Sync tells a replica what a host of a seeded fleet has, and asks for the
+	// rest.
+	Sync struct {
+		// Round numbers the question; the answer repeats it.
+		Round   uint64
+		Version config.Version
+		// Lead is set where a leader's word and loads are asked for too, Table
+		// where the route table is.
+		Lead  bool
+		Table bool
+		// Epoch and Revision are what the host has of the replica's registry.
+		Epoch    uint64
+		Revision uint64
+		Serves   bool
+		Loads    []gateway.WorkerLoad
+	}
+	// SyncAnswer answers Sync, or tells of a change with Round 0.
+	SyncAnswer struct {
+		Round  uint64
+		Leader ident.Host
+		// Fresh is true where a leader with a lease says that Version is the
+		// newest.
+		Fresh   bool
+		Version config.Version
+		// Gateway is the packed route table of Version, where it is sent; where
+		// Base is set, the packed delta from the table of that version.
+		Gateway []byte
+		Base    config.Version
+		Epoch   uint64
+		// Since is the revision that Workers follow.
+		Since    uint64
+		Revision uint64
+		Workers  []registry.Worker
+		Replicas []ident.Host
+		Loads    []gateway.WorkerLoad
+		// Hosts is how many entry hosts sync with the replica.
+		Hosts int
+	}
+	// Join asks the leader to take a replica in.
+	Join struct{ Identity ident.Host }
+	// ReadAsk asks the leader for the newest version.
+	ReadAsk struct{ ID string }
+	// ReadAnswer answers ReadAsk.
+	ReadAnswer struct {
+		ID      string
+		Version config.Version
+	}
+)
+
+func (Raft) message()          {}
+func (Sync) message()          {}
+func (SyncAnswer) message()    {}
+func (Join) message()          {}
+func (ReadAsk) message()       {}
+func (ReadAnswer) message()    {}
+func (Gossip) message()        {}
+func (AskPlace) message()      {}
+func (PlaceAnswer) message()   {}
+func (NotOwner) message()      {}
+func (FreePlace) message()     {}
+func (AdoptPlaces) message()   {}
+func (AdoptChats) message()    {}
+func (FetchAnswer) message()   {}
+func (AnswerOf) message()      {}
+func (Follow) message()        {}
+func (Changes) message()       {}
+func (WholeConfig) message()   {}
+func (ForwardWrite) message()  {}
+func (WriteAnswered) message() {}
+
+// Beat is what a host says of itself once per interval.
+type Beat struct {
+	Host        ident.Host
+	Incarnation uint64
+	Counter     uint64
+	Version     config.Version
+	// Draining is true in a planned stop; a draining host owns no group.
+	Draining bool
+	// Serves is true where it takes callers' requests.
+	Serves bool
+	Zone   ident.Zone
+	Loads  []routing.GroupLoad
+	// Leaving are targets that said so to this host.
+	Leaving []ident.Target
+	// Lost are targets of its own groups that have not answered for long.
+	Lost []ident.Target
+}
--- /dev/null
+++ b/core/host/syncreplica.go
@@ -0,0 +1,159 @@
+// Copyright 2026 The Yardhall Authors. Licensed under the Apache License, Version 2.0.
+
+package host
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"github.com/yardhall/yardhall/core/config"
+	"github.com/yardhall/yardhall/core/gateway"
+	"github.com/yardhall/yardhall/core/ident"
+	"github.com/yardhall/yardhall/core/table"
+)
+
+// syncAsked answers a host, and remembers it for what changes next.
+func (t *turn) syncAsked(from ident.Host, m Sync) {
+	if !t.settings.IsReplica() {
+		return
+	}
+	c := client{
+		version: m.Version, revision: m.Revision, heard: t.now, table: m.Table, serves: m.Serves, loads: m.Loads,
+	}
+	if m.Epoch != t.settings.Incarnation {
+		c.revision = 0
+	}
+	t.answerSync(from, c, m)
+}
+
+// answerSync sends what the client lacks and remembers what it has then.
+func (t *turn) answerSync(to ident.Host, c client, asked Sync) {
+	workers, revision := t.registry.After(c.revision)
+	a := SyncAnswer{
+		Round: asked.Round, Leader: t.raft.Leader().Address(), Version: t.catalog.Config.Version,
+		Epoch: t.settings.Incarnation, Since: c.revision, Revision: revision, Workers: workers,
+	}
+	if asked.Lead {
+		a.Fresh = t.raft.LeaseHeld(t.now)
+		a.Replicas = t.memberAddresses()
+		a.Loads, a.Hosts = t.otherLoads(c.loads)
+	}
+	if c.table && c.version < t.catalog.Config.Version && t.sync.tableBytes < tableBytesPerTick {
+		a.Gateway, a.Base = t.packedGateway(c.version)
+		c.version = t.catalog.Config.Version
+		t.sync.tableBytes += len(a.Gateway)
+	}
+	c.revision = revision
+	t.sync.clients = t.sync.clients.With(to, c)
+	t.send(to, a)
+}
+
+// tableHistory is how many route tables back a host may be and still be sent
+// only what changed.
+const tableHistory = 32
+
+// rememberTable keeps the tables from which hosts may follow. Each is packed
+// once a version.
+func (t *turn) rememberTable(cfg config.Config) {
+	if !t.settings.IsReplica() {
+		return
+	}
+	t.sync.tables = t.sync.tables.With(cfg.Version, cfg.Gateway.WithoutSource())
+	for t.sync.tables.Len() > tableHistory {
+		oldest, _, _ := t.sync.tables.First()
+		t.sync.tables = t.sync.tables.Without(oldest)
+	}
+	t.sync.packed = table.Table[config.Version, []byte]{}
+}
+
+// packedGateway is what leads from the table of a version to the newest one:
+// a delta, or with base 0 the whole table.
+func (t *turn) packedGateway(from config.Version) (record []byte, base config.Version) {
+	newest := t.catalog.Config.Gateway
+	old, ok := t.sync.tables.Get(from)
+	if !ok || old.Number == 0 {
+		from = 0
+	}
+	record, ok = t.sync.packed.Get(from)
+	if !ok {
+		record = newest.Packed()
+		if from != 0 {
+			record = old.DeltaTo(newest).Packed()
+		}
+		t.sync.packed = t.sync.packed.With(from, record)
+	}
+	return record, from
+}
+
+func (t *turn) memberAddresses() []ident.Host {
+	var out []ident.Host
+	for _, m := range t.raft.Members() {
+		if a := m.ID.Address(); !slices.Contains(out, a) {
+			out = append(out, a)
+		}
+	}
+	return out
+}
+
+// sumInterval is how long sums of loads are used before they are made anew.
+const sumInterval = 200 * time.Millisecond
+
+// otherLoads are the loads that hosts other than one have told, and the number
+// of entry hosts.
+func (t *turn) otherLoads(own []gateway.WorkerLoad) (sums []gateway.WorkerLoad, hosts int) {
+	t.sumLoads()
+	mine := make(map[ident.Target]int, len(own))
+	for _, l := range own {
+		mine[l.Worker] = l.InFlight
+	}
+	sums = make([]gateway.WorkerLoad, 0, len(t.sync.sums))
+	for _, l := range t.sync.sums {
+		if l.InFlight -= mine[l.Worker]; l.InFlight > 0 {
+			sums = append(sums, l)
+		}
+	}
+	return sums, t.sync.serving
+}
+
+// sumLoads adds up what all hosts told, once an interval.
+func (t *turn) sumLoads() {
+	if t.now.Sub(t.sync.summed) < sumInterval {
+		return
+	}
+	t.sync.summed, t.sync.serving = t.now, 0
+	total := map[ident.Target]int{}
+	for id, c := range t.sync.clients.All() {
+		if t.now.Sub(c.heard) > syncLife {
+			t.sync.clients = t.sync.clients.Without(id)
+			continue
+		}
+		if c.serves {
+			t.sync.serving++
+		}
+		for _, l := range c.loads {
+			total[l.Worker] += l.InFlight
+		}
+	}
+	t.sync.sums = make([]gateway.WorkerLoad, 0, len(total))
+	for id, n := range total {
+		t.sync.sums = append(t.sync.sums, gateway.WorkerLoad{Worker: id, InFlight: n})
+	}
+	slices.SortFunc(t.sync.sums, func(a, b gateway.WorkerLoad) int { return cmp.Compare(a.Worker, b.Worker) })
+}
+
+// pushSync tells the hosts that sync with this replica of what has changed
+// since the last tick. Tables go out at a bounded rate, or heartbeats of the
+// replicated log would wait behind them.
+func (t *turn) pushSync() {
+	t.sync.tableBytes = 0
+	for id, c := range t.sync.clients.All() {
+		stale := c.table && c.version < t.catalog.Config.Version && t.sync.tableBytes < tableBytesPerTick
+		if t.now.Sub(c.heard) <= syncLife && (stale || c.revision < t.registry.Revision()) {
+			t.answerSync(id, c, Sync{})
+		}
+	}
+}
+
+// tableBytesPerTick bounds the bytes of tables that a replica sends in a tick.
+const tableBytesPerTick = 16 << 10
--- /dev/null
+++ b/core/host/verdict.go
@@ -0,0 +1,57 @@
+// Copyright 2026 The Yardhall Authors. Licensed under the Apache License, Version 2.0.
+
+package host
+
+import (
+	"time"
+
+	"github.com/yardhall/yardhall/core/catalog"
+	"github.com/yardhall/yardhall/core/outcome"
+)
+
+// Verdict is what a caller is told.
+type Verdict struct {
+	Outcome outcome.Kind
+	Code    Code
+	Reason  string
+	// RetryAfter is when the caller may come back; 0 is no advice.
+	RetryAfter time.Duration
+	// Claim is set where an earlier request under the same key stands.
+	Claim *catalog.Claim
+	// Answer is that request's answer, where it is kept.
+	Answer *Answer
+}
+
+// Answer is a target's whole answer, kept for resends.
+type Answer struct {
+	Status      int
+	ContentType string
+	Body        []byte
+}
+
+// Code is the machine-readable part of a Verdict.
+type Code string
+
+// Codes of a Verdict.
+const (
+	CodeOK            Code = "ok"
+	CodeBadKey        Code = "invalid_api_key"
+	CodeNoModel       Code = "model_not_found"
+	CodeNoService     Code = "service_not_found"
+	CodeBadClass      Code = "class_not_allowed"
+	CodeLimit         Code = "rate_limit_exceeded"
+	CodeOverloaded    Code = "overloaded"
+	CodeNoTarget      Code = "no_target"
+	CodeDeadline      Code = "deadline_exceeded"
+	CodeBroken        Code = "target_failed"
+	CodeNoQuorum      Code = "claim_unavailable"
+	CodeAlreadyRan    Code = "already_ran"
+	CodeRunning       Code = "already_running"
+	CodeKeyReused     Code = "idempotency_key_reused"
+	CodeKeyExpired    Code = "idempotency_key_expired"
+	CodeKeyInvalid    Code = "idempotency_key_invalid"
+	CodeNotHandedOver Code = "not_handed_over"
+	CodeNotReady      Code = "not_ready"
+	CodeDraining      Code = "draining"
+	CodeCallerGone    Code = "caller_gone"
+)
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -13,12 +13,9 @@
 
 import (
 	"context"
-	"crypto/tls"
-	"crypto/x509"
 	"net"
 	"net/http"
 	"net/netip"
-	"os"
 	"time"
 
 	"github.com/go-logr/logr"
@@ -137,72 +134,6 @@
 	return o, err
 }
 
-// mutualTLS is a configuration for both ends: each shows a certificate of the
-// given authorities.
-func mutualTLS(certFile, keyFile, caFile string) (*tls.Config, error) {
-	config, err := serverTLS(certFile, keyFile)
-	if err != nil {
-		return nil, err
-	}
-	pem, err := os.ReadFile(caFile)
-	if err != nil {
-		return nil, errors.Wrap(err, "read authorities")
-	}
-	config.RootCAs = x509.NewCertPool()
-	if !config.RootCAs.AppendCertsFromPEM(pem) {
-		return nil, errors.New("the file of authorities holds no certificate")
-	}
-	config.ClientCAs = config.RootCAs
-	config.ClientAuth = tls.RequireAndVerifyClientCert
-	return config, nil
-}
-
-func serverTLS(certFile, keyFile string) (*tls.Config, error) {
-	cert, err := tls.LoadX509KeyPair(certFile, keyFile)
-	if err != nil {
-		return nil, errors.Wrap(err, "load certificate")
-	}
-	return &tls.Config{Certificates: []tls.Certificate{cert}, MinVersion: tls.VersionTLS13}, nil
-}
-
-// withTLS encrypts a listener where a certificate is set.
-func withTLS(l net.Listener, certFile, keyFile string) (net.Listener, error) {
-	if certFile == "" {
-		return l, nil
-	}
-	config, err := serverTLS(certFile, keyFile)
-	if err != nil {
-		return nil, err
-	}
-	return tls.NewListener(l, config), nil
-}
-
-// openStorage opens the data folder of a replica and names the replica in
-// settings; on other hosts it does nothing.
-func (d *Daemon) openStorage(hs *host.Settings) (*storage.Log, raft.Boot, error) {
-	if !d.settings.IsReplica() {
-		return nil, raft.Boot{}, nil
-	}
-	o := storage.Options{Fleet: d.settings.Host.Fleet, Wrap: d.options.WrapFile}
-	switch {
-	case hs.Seeded():
-		o.Identity, o.Members = firstIdentity(d.settings)
-	case d.settings.Replicas.Join != "yes":
-		for _, r := range d.settings.Replicas.Hosts() {
-			o.Members = append(o.Members, raft.Member{ID: r.ID, Voter: true})
-		}
-	}
-	log, boot, err := storage.Open(d.settings.Host.Data, o)
-	if err != nil {
-		return nil, boot, errors.Wrap(err, "open data folder")
-	}
-	if log.Cut > 0 {
-		d.options.Log.Info("cut a torn end off the log", "bytes", log.Cut)
-	}
-	hs.Identity = log.Identity()
-	return log, boot, nil
-}
-
 func (d *Daemon) listen() error {
 	var err error
 	if d.peerL, err = listenTCP(d.settings.Peer.Listen); err != nil {
--- a/daemon/gateway.go
+++ b/daemon/gateway.go
@@ -4,7 +4,6 @@
 
 import (
 	"context"
-	"crypto/rand"
 	"net"
 	"net/http"
 	"time"
@@ -25,8 +24,6 @@
 const (
 	// silentBeats is how many heartbeats a worker may miss.
 	silentBeats = 5
-	// foundingDisk names the disks of the replicas that form the first group.
-	foundingDisk = "first"
 	// balancerNotice is how long a stopping host goes on taking connections,
 	// until the balancer has noticed that it is not ready.
 	balancerNotice = 3 * time.Second
@@ -64,25 +61,6 @@
 	return o
 }
 
-// firstIdentity names an empty data folder. Hosts named as seeds at the very
-// first start form the first group without a word between them: all know its
-// members. Any other empty folder gets a name that nobody had before, and so
-// has no vote until the group has taken it in.
-func firstIdentity(s settings.Settings) (ident.Host, []raft.Member) {
-	own := s.ID()
-	seeds := s.SeedHosts()
-	members := make([]raft.Member, 0, len(seeds))
-	founder := false
-	for _, seed := range seeds {
-		members = append(members, raft.Member{ID: seed.WithDisk(foundingDisk), Voter: true})
-		founder = founder || seed == own
-	}
-	if s.Replicas.Found == "yes" && founder {
-		return own.WithDisk(foundingDisk), members
-	}
-	return own.WithDisk(rand.Text()), nil
-}
-
 // addGateway opens the ports of the route table.
 func (d *Daemon) addGateway(g *run.Group) error {
 	s := d.settings.Gateway
