--- a/core/catalog/catalog.go
+++ b/core/catalog/catalog.go
@@ -142,6 +142,12 @@
 // withConfig takes a new configuration and keeps the change for followers.
 func (c Catalog) withConfig(cfg config.Config, ch config.Change) Catalog {
 	c.Config = cfg
+	if _, whole := ch.(config.PutGateway); whole {
+		// A route table is a document, not a small change: kept a thousand times
+		// it would fill memory and snapshots. Who is behind it asks for it whole.
+		c.deltas = table.Table[uint64, Delta]{}
+		return c
+	}
 	c.deltas = c.deltas.With(uint64(cfg.Version), Delta{Version: cfg.Version, Change: ch})
 	for c.deltas.Len() > MaxDeltas {
 		oldest, _, _ := c.deltas.First()
--- a/core/catalog/catalog_test.go
+++ b/core/catalog/catalog_test.go
@@ -239,3 +239,28 @@
 		}
 	})
 }
+
+// TestRouteTablesAreKeptOnce puts many large tables in force: the snapshot
+// holds the newest one only.
+func TestRouteTablesAreKeptOnce(t *testing.T) {
+	var c catalog.Catalog
+	source := make([]byte, 50_000)
+	for i := range source {
+		source[i] = byte(i * i >> 3)
+	}
+	size := 0
+	for number := range uint64(200) {
+		var r catalog.Result
+		c, r = c.Apply(catalog.Write{ID: fmt.Sprint(number), Command: catalog.Edit{Change: config.PutGateway{
+			Gateway: config.Gateway{Number: number + 1, Source: source},
+		}}})
+		require.Equal(t, catalog.OK, r.Code)
+		if number == 0 {
+			size = len(c.Encode())
+		}
+	}
+	require.EqualValues(t, 200, c.Config.Gateway.Number)
+	require.Less(t, len(c.Encode()), 2*size)
+	_, kept := c.DeltasAfter(100, 10)
+	require.False(t, kept, "a follower that is behind asks for the whole document")
+}
--- a/core/config/delta.go
+++ b/core/config/delta.go
@@ -3,7 +3,7 @@
 package config
 
 import (
-	"reflect"
+	"slices"
 
 	"github.com/fxamacker/cbor/v2"
 	"github.com/pkg/errors"
@@ -39,21 +39,40 @@
 // DeltaTo returns what leads from g to next.
 func (g Gateway) DeltaTo(next Gateway) GatewayDelta {
 	d := GatewayDelta{From: g.Number, To: next.Number, Pools: next.Pools, Limits: next.Limits}
-	d.Put, d.Drop = changed(g.Routes, next.Routes, placeOf)
-	d.Keys, d.DropKeys = changed(g.Keys, next.Keys, func(h Holder) ident.Account { return h.Account })
+	d.Put, d.Drop = changed(g.Routes, next.Routes, placeOf, Route.equal)
+	d.Keys, d.DropKeys = changed(g.Keys, next.Keys, accountOf, Holder.equal)
 	return d
 }
 
+func accountOf(h Holder) ident.Account { return h.Account }
+
+// equal compares two routes field by field.
+func (r Route) equal(other Route) bool {
+	if !slices.Equal(r.Shares, other.Shares) {
+		return false
+	}
+	return r.Name == other.Name && placeOf(r) == placeOf(other) && r.Kind == other.Kind &&
+		r.Timeout == other.Timeout && r.Objective == other.Objective && r.MaxPause == other.MaxPause &&
+		r.Rank == other.Rank && r.MaxAttempts == other.MaxAttempts &&
+		r.Public == other.Public && r.Affine == other.Affine && r.Resumable == other.Resumable
+}
+
+// equal compares two holders field by field.
+func (h Holder) equal(other Holder) bool {
+	return h.Account == other.Account && h.Rank == other.Rank && h.Ranked == other.Ranked &&
+		slices.Equal(h.KeyHashes, other.KeyHashes)
+}
+
 // changed returns the items of next that differ from those of before, and the
 // keys that next no longer has.
-func changed[T any, K comparable](before, next []T, key func(T) K) (put []T, drop []K) {
+func changed[T any, K comparable](before, next []T, key func(T) K, equal func(a, b T) bool) (put []T, drop []K) {
 	old := make(map[K]T, len(before))
 	for _, item := range before {
 		old[key(item)] = item
 	}
 	for _, item := range next {
 		k := key(item)
-		if had, ok := old[k]; !ok || !reflect.DeepEqual(had, item) {
+		if had, ok := old[k]; !ok || !equal(had, item) {
 			put = append(put, item)
 		}
 		delete(old, k)
@@ -74,7 +93,7 @@
 	}
 	next := Gateway{Number: d.To, Pools: d.Pools, Limits: d.Limits}
 	next.Routes = applied(g.Routes, d.Put, d.Drop, placeOf)
-	next.Keys = applied(g.Keys, d.Keys, d.DropKeys, func(h Holder) ident.Account { return h.Account })
+	next.Keys = applied(g.Keys, d.Keys, d.DropKeys, accountOf)
 	return next, nil
 }
 
--- a/core/config/gateway_test.go
+++ b/core/config/gateway_test.go
@@ -4,6 +4,7 @@
 
 import (
 	"fmt"
+	"reflect"
 	"testing"
 	"time"
 
@@ -95,3 +96,27 @@
 		require.Error(t, g.Check(), name)
 	}
 }
+
+// TestEveryFieldOfARouteCounts changes each field in turn: a delta must carry it.
+func TestEveryFieldOfARouteCounts(t *testing.T) {
+	base := config.Route{Name: "r", Host: "a", Prefix: "/x/", Kind: config.RouteSafe, Shares: []config.Share{{Pool: "p", Weight: 1}}}
+	value := reflect.ValueOf(&base).Elem()
+	for i := range value.NumField() {
+		changed := base
+		field := reflect.ValueOf(&changed).Elem().Field(i)
+		switch field.Kind() {
+		case reflect.String:
+			field.SetString(field.String() + "2")
+		case reflect.Int, reflect.Int64:
+			field.SetInt(field.Int() + 1)
+		case reflect.Bool:
+			field.SetBool(!field.Bool())
+		case reflect.Slice:
+			changed.Shares = []config.Share{{Pool: "p", Weight: 2}}
+		default:
+			t.Fatalf("field %s of an unknown kind", value.Type().Field(i).Name)
+		}
+		d := config.Gateway{Routes: []config.Route{base}}.DeltaTo(config.Gateway{Routes: []config.Route{changed}})
+		require.Len(t, d.Put, 1, value.Type().Field(i).Name)
+	}
+}
--- a/core/host/write.go
+++ b/core/host/write.go
@@ -36,7 +36,7 @@
 // submit sends a write to the leader until it is answered or its time is over.
 func (t *turn) submit(w catalog.Write, deadline time.Time) {
 	t.counters.Writes++
-	p := pendingWrite{write: w, packed: w.Encode(), deadline: deadline}
+	p := pendingWrite{write: w, deadline: deadline}
 	t.sendWrite(p)
 }
 
@@ -52,6 +52,9 @@
 		}
 		return
 	}
+	if p.packed == nil {
+		p.packed = p.write.Encode()
+	}
 	t.writes = t.writes.With(p.write.ID, p)
 	if leader := t.leaderHint(); leader != "" && leader != t.settings.ID {
 		t.send(leader, ForwardWrite{ID: p.write.ID, Packed: p.packed})
