raft: Give large entries the time that their bytes need

TestLargeEntriesAreNotSentAgainWhileUnderWay failed first.

Conclusion: the resend waits two heartbeats and the time at 400 kB/s.

--- a/core/raft/raft.go
+++ b/core/raft/raft.go
@@ -123,6 +123,8 @@
 	told Index
 	// sentAt is when entries were last sent without an answer yet.
 	sentAt time.Time
+	// sentBytes is the size of those entries.
+	sentBytes int
 	// offset is the progress of a snapshot transfer of snapIndex.
 	snapIndex Index
 	offset    int
--- a/core/raft/replicate.go
+++ b/core/raft/replicate.go
@@ -84,7 +84,7 @@
 		}
 		return
 	}
-	if waiting := w.now.Sub(p.sentAt); !p.sentAt.IsZero() && waiting < resendAfter*w.options.Heartbeat {
+	if !p.sentAt.IsZero() && w.now.Sub(p.sentAt) < w.patience(p) {
 		if heartbeat {
 			w.sendEmpty(i)
 		}
@@ -97,14 +97,34 @@
 	})
 	p.told = max(p.told, min(w.commit, p.next-1+Index(len(entries))))
 	if len(entries) > 0 {
-		p.sentAt = w.now
+		p.sentAt, p.sentBytes = w.now, sizeOf(entries)
 	}
 	w.setPeer(i, p)
 }
 
-// resendAfter is how many heartbeats an answer to entries may take: sending
-// them again sooner would choke a slow link.
-const resendAfter = 2
+const (
+	// resendAfter is how many heartbeats an answer to entries may take, beside
+	// the time that their bytes need.
+	resendAfter = 2
+	// assumedRate is the bytes a second that a leader's link is sure to carry.
+	assumedRate = 400 << 10
+)
+
+// patience is how long entries may be under way before they are sent again:
+// sending large ones sooner would choke a slow link, as all members get them at
+// once.
+func (w *step) patience(p progress) time.Duration {
+	needed := time.Duration(p.sentBytes*len(w.peers)) * time.Second / assumedRate
+	return resendAfter*w.options.Heartbeat + needed
+}
+
+func sizeOf(entries []Entry) int {
+	total := 0
+	for _, e := range entries {
+		total += e.size()
+	}
+	return total
+}
 
 // sendEmpty sends a heartbeat without the entries that are under way.
 func (w *step) sendEmpty(i int) {
