--- a/core/gateway/choose.go
+++ b/core/gateway/choose.go
@@ -33,22 +33,23 @@
 	if c.pool.Engine {
 		return t.chooseEngine(c, found), true
 	}
-	return choice{worker: t.choosePlain(c, found), of: len(found)}, true
+	return choice{worker: *t.choosePlain(c, found), of: len(found)}, true
 }
 
 // candidates are the workers that may take the call: those in good health, or
 // where there are none, all that may still live.
-func (t *turn) candidates(c call) []worker {
-	var good, rest []worker
-	for _, id := range t.pools[c.pool.ID] {
+func (t *turn) candidates(c call) []*worker {
+	ids := t.pools[c.pool.ID]
+	good, rest := make([]*worker, 0, len(ids)), []*worker(nil)
+	for _, id := range ids {
 		w, _ := t.workers.Get(id)
 		if slices.Contains(c.tried, id) {
 			continue
 		}
 		if w.usable(t.now) {
-			good = append(good, w)
+			good = append(good, &w)
 		} else if w.possible() {
-			rest = append(rest, w)
+			rest = append(rest, &w)
 		}
 	}
 	if len(good) > 0 {
@@ -62,7 +63,7 @@
 // few engines without any word between hosts. An engine that lacks it is told
 // who ranks next to it and so has it most likely: after a spill the first, for
 // the first itself, which may be new, the second.
-func (t *turn) chooseEngine(c call, found []worker) choice {
+func (t *turn) chooseEngine(c call, found []*worker) choice {
 	total := 0
 	for _, w := range found {
 		total += w.load(t.now)
@@ -70,9 +71,9 @@
 	mean := float64(total) / float64(len(found))
 	limit := t.settings.LoadFactor*mean + t.settings.LoadSlack
 	key := prefixKey(c)
-	slices.SortFunc(found, func(a, b worker) int { return byScore(key, a, b) })
+	slices.SortFunc(found, func(a, b *worker) int { return byScore(key, a, b) })
 	limit -= t.caution(c) * limit
-	at := slices.IndexFunc(found, func(w worker) bool {
+	at := slices.IndexFunc(found, func(w *worker) bool {
 		return float64(w.load(t.now)+1) <= limit && w.load(t.now) < w.Slots
 	})
 	if at < 0 {
@@ -86,7 +87,7 @@
 	if at > 0 {
 		t.counters.Spilled++
 	}
-	picked := choice{worker: found[at], mean: mean, place: at, of: len(found)}
+	picked := choice{worker: *found[at], mean: mean, place: at, of: len(found)}
 	if c.pool.Moves && len(c.req.Prompt.Parts) > 1 && len(found) > 1 {
 		source := 0
 		if at == 0 {
@@ -116,8 +117,8 @@
 const percent = 100
 
 // byScore orders workers by their rendezvous score for key, the highest first.
-func byScore(key hash.Key, a, b worker) int {
-	x, y := hash.Mix(key, hash.Of(string(a.ID))), hash.Mix(key, hash.Of(string(b.ID)))
+func byScore(key hash.Key, a, b *worker) int {
+	x, y := hash.Mix(key, a.key), hash.Mix(key, b.key)
 	switch {
 	case x > y:
 		return -1
@@ -146,9 +147,9 @@
 const farPenalty = 0.5
 
 // choosePlain takes the worker with the lowest share of its slots in use.
-func (t *turn) choosePlain(c call, found []worker) worker {
+func (t *turn) choosePlain(c call, found []*worker) *worker {
 	key := requestKey(c.req.ID)
-	return slices.MinFunc(found, func(a, b worker) int {
+	return slices.MinFunc(found, func(a, b *worker) int {
 		x, y := t.fullness(a), t.fullness(b)
 		switch {
 		case x < y:
@@ -160,7 +161,7 @@
 	})
 }
 
-func (t *turn) fullness(w worker) float64 {
+func (t *turn) fullness(w *worker) float64 {
 	used := float64(w.load(t.now))
 	if w.Zone != t.settings.Zone {
 		used += farPenalty
--- a/core/gateway/worker.go
+++ b/core/gateway/worker.go
@@ -5,6 +5,7 @@
 import (
 	"time"
 
+	"github.com/yardhall/yardhall/core/hash"
 	"github.com/yardhall/yardhall/core/health"
 	"github.com/yardhall/yardhall/core/ident"
 	"github.com/yardhall/yardhall/core/registry"
@@ -13,6 +14,8 @@
 // worker is what this host knows of one worker.
 type worker struct {
 	registry.Worker
+	// key is the hash of its id, for the order of preference.
+	key    hash.Key
 	health health.Target
 	// own is how many requests this host has there.
 	own int
@@ -104,7 +107,7 @@
 		if !known || have.State != r.State {
 			t.out = append(t.out, Believed{Worker: r, Usable: r.State == registry.Ready, Why: "registration, by " + string(ev.From)})
 		}
-		have.Worker = r
+		have.Worker, have.key = r, hash.Of(string(r.ID))
 		t.workers = t.workers.With(r.ID, have)
 	}
 	if moved {
