daemon: Answer every connection that was made before a planned stop closes its port

Ruled out: kept connections (the caller had none left, as each answer of a stopping host closes its own), the core's refusals (they are answers), load (it fails alone, on an idle machine).

Conclusion: a planned stop refuses before a connection or answers it.

--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -23,6 +23,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/yardhall/yardhall/callers"
+	"github.com/yardhall/yardhall/common/sockets"
 	"github.com/yardhall/yardhall/core/host"
 	"github.com/yardhall/yardhall/core/ident"
 	"github.com/yardhall/yardhall/core/raft"
@@ -275,16 +276,30 @@
 		<-ended
 		return nil
 	}, func(error) {
-		ctx, cancel := context.WithTimeout(context.Background(), shutdownTime)
-		defer cancel()
 		if d.killed.Err() == nil {
-			_ = server.Shutdown(ctx)
+			stopHTTP(l, server)
 		}
 		_ = server.Close()
 		close(ended)
 	})
 }
 
+// stopHTTP ends a server as planned: whoever has connected is answered, and
+// whoever has not is refused.
+func stopHTTP(l net.Listener, server *http.Server) {
+	if sockets.RefuseNew(l) == nil {
+		// Those that have connected until now are accepted meanwhile.
+		time.Sleep(acceptTime)
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), shutdownTime)
+	defer cancel()
+	_ = server.Shutdown(ctx)
+}
+
+// acceptTime is how long connections that are being opened get to be accepted
+// before a listener closes.
+const acceptTime = 100 * time.Millisecond
+
 const (
 	operatorReadTimeout = 10 * time.Second
 	operatorHeader      = 16 << 10
