host: Log a change of the route table as a patch of the one in force

Now a replica that is handed a table tells it by what differs from the one it holds: routes and holders by place and account, the source by the pieces that it shares with the other one. A patch whose base is no longer in force changes nothing and is sent again whole.

Ruled out: compressing with the old source as dictionary (DEFLATE sees 32 KiB); deriving the routes from the source on each replica (the core does not know the platform's form).

--- a/core/catalog/catalog.go
+++ b/core/catalog/catalog.go
@@ -125,11 +125,14 @@
 			}
 		}
 	}
+	if patch, ok := cmd.Change.(config.PatchGateway); ok && patch.Patch.Delta.From != c.Config.Gateway.Number {
+		return c, Result{Code: BaseMoved, Reason: "another route table came into force meanwhile", Version: c.Config.Version}
+	}
 	cfg, err := c.Config.With(cmd.Change)
 	if err != nil {
 		return c, Result{Code: Invalid, Reason: err.Error(), Version: c.Config.Version}
 	}
-	if put, ok := cmd.Change.(config.PutGateway); ok && put.Gateway.Number <= c.Config.Gateway.Number {
+	if whole(cmd.Change) && cfg.Gateway.Number <= c.Config.Gateway.Number {
 		// The highest number prevails: an older document is taken note of and
 		// changes nothing.
 		return c, Result{Code: OK, Version: c.Config.Version}
@@ -139,10 +142,19 @@
 	return c, Result{Code: OK, Version: cfg.Version}
 }
 
+// whole tells whether a change replaces the whole route table.
+func whole(ch config.Change) bool {
+	switch ch.(type) {
+	case config.PutGateway, config.PatchGateway:
+		return true
+	}
+	return false
+}
+
 // withConfig takes a new configuration and keeps the change for followers.
 func (c Catalog) withConfig(cfg config.Config, ch config.Change) Catalog {
 	c.Config = cfg
-	if _, whole := ch.(config.PutGateway); whole {
+	if whole(ch) {
 		// A route table is a document, not a small change: kept a thousand times
 		// it would fill memory and snapshots. Who is behind it asks for it whole.
 		c.deltas = table.Table[uint64, Delta]{}
--- a/core/catalog/command.go
+++ b/core/catalog/command.go
@@ -134,6 +134,9 @@
 	ClaimTaken  Code = "claim_taken"
 	KeyExpired  Code = "key_expired"
 	KeyReused   Code = "key_reused"
+	// BaseMoved says that a patch does not begin at what is in force; nothing
+	// has changed, and the whole object may be sent.
+	BaseMoved Code = "base_moved"
 )
 
 // Tags of commands; never renumber.
--- a/core/config/change.go
+++ b/core/config/change.go
@@ -52,6 +52,9 @@
 	}
 	// PutGateway replaces the whole route table.
 	PutGateway struct{ Gateway Gateway }
+	// PatchGateway replaces the whole route table too, told by what differs from
+	// the one in force.
+	PatchGateway struct{ Patch GatewayPatch }
 )
 
 func (PutAccount) change()    {}
@@ -71,6 +74,7 @@
 func (PutHandOver) change()   {}
 func (SetModels) change()     {}
 func (PutGateway) change()    {}
+func (PatchGateway) change()  {}
 
 // Tags of changes on the wire and on disk; never renumber. Private use from
 // the CBOR tag registry's unassigned range (RFC 8949, 9.2).
@@ -96,6 +100,7 @@
 		PutHandOver{},
 		SetModels{},
 		PutGateway{},
+		PatchGateway{},
 	}
 }
 
--- a/core/config/config.go
+++ b/core/config/config.go
@@ -65,7 +65,10 @@
 // With returns the configuration after ch, one version higher, or an error
 // that says what is wrong with ch.
 func (c Config) With(ch Change) (Config, error) {
-	ch = c.completed(ch)
+	ch, err := c.completed(ch)
+	if err != nil {
+		return c, err
+	}
 	if err := c.check(ch); err != nil {
 		return c, err
 	}
@@ -122,15 +125,21 @@
 }
 
 // completed fills in what a change may leave out: the key of an account that
-// exists, which is never shown and so cannot be sent back.
-func (c Config) completed(ch Change) Change {
-	put, ok := ch.(PutAccount)
-	if !ok || put.Account.KeyHash != "" {
-		return ch
-	}
-	old, _ := c.Accounts.Get(put.Account.ID)
-	put.Account.KeyHash = old.KeyHash
-	return put
+// exists, which is never shown and so cannot be sent back, and what a patch takes
+// from the route table in force.
+func (c Config) completed(ch Change) (Change, error) {
+	switch ch := ch.(type) {
+	case PutAccount:
+		if ch.Account.KeyHash == "" {
+			old, _ := c.Accounts.Get(ch.Account.ID)
+			ch.Account.KeyHash = old.KeyHash
+		}
+		return ch, nil
+	case PatchGateway:
+		next, err := c.Gateway.WithPatch(ch.Patch)
+		return PutGateway{Gateway: next}, err
+	}
+	return ch, nil
 }
 
 func (c Config) withAccount(a Account) Config {
--- a/core/config/revision.go
+++ b/core/config/revision.go
@@ -44,7 +44,7 @@
 		return revOf(c.Intents, ch.ID)
 	case PutHandOver:
 		return revOf(c.HandOvers, ch.HandOver.Key())
-	case PutGateway:
+	case PutGateway, PatchGateway:
 		return Version(c.Gateway.Number)
 	}
 	return 0
@@ -85,7 +85,7 @@
 		return "intent/" + string(ch.ID)
 	case PutHandOver:
 		return "handover/" + ch.HandOver.Key()
-	case PutGateway:
+	case PutGateway, PatchGateway:
 		return "gateway"
 	}
 	return ""
--- /dev/null
+++ b/core/host/table_test.go
@@ -0,0 +1,125 @@
+// Copyright 2026 The Yardhall Authors. Licensed under the Apache License, Version 2.0.
+
+package host_test
+
+import (
+	"encoding/json"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/yardhall/yardhall/core/catalog"
+	"github.com/yardhall/yardhall/core/config"
+	"github.com/yardhall/yardhall/core/host"
+	"github.com/yardhall/yardhall/core/ident"
+)
+
+// largeTable is a route table of many routes with its source.
+func largeTable(t *testing.T, number uint64, routes int) config.Gateway {
+	g := routeTable(routes)
+	g.Number = number
+	return withSource(t, g)
+}
+
+func withSource(t *testing.T, g config.Gateway) config.Gateway {
+	var err error
+	g.Source, err = json.Marshal(g.WithoutSource())
+	require.NoError(t, err)
+	return g
+}
+
+// TestSmallChangeOfALargeTableIsASmallEntry changes one of 1,600 routes, once
+// by the leader and once by another replica.
+func TestSmallChangeOfALargeTableIsASmallEntry(t *testing.T) {
+	f := newSeededFleet(t, 3, 1)
+	f.run(5 * time.Second)
+	leader := f.leader()
+	require.True(t, f.put(leader, largeTable(t, 1, 1600), 5*time.Second))
+	number := uint64(1)
+	for _, at := range []ident.Host{leader, f.follower()} {
+		number++
+		next := largeTable(t, number, 1600)
+		next.Routes[800].MaxAttempts = int(number) + 5
+		next = withSource(t, next)
+		require.True(t, f.put(at, next, 5*time.Second))
+		log := f.states[leader].Raft().Log()
+		require.Less(t, len(log.At(log.Last()).Data), 2000)
+		f.run(2 * time.Second)
+		for i := range 3 {
+			held := f.states[replicaName(i)].Config().Gateway
+			require.Equal(t, string(next.Source), string(held.Source))
+			require.ElementsMatch(t, next.Routes, held.Routes)
+		}
+		require.EqualValues(t, number, f.states[entryName(0)].Config().Gateway.Number)
+	}
+}
+
+// TestRacingChangesAreAllTaken sends two changes at once to two replicas: the
+// later one in the log was made from a table that is no longer in force.
+func TestRacingChangesAreAllTaken(t *testing.T) {
+	f := newSeededFleet(t, 3, 0)
+	f.run(5 * time.Second)
+	leader := f.leader()
+	require.True(t, f.put(leader, largeTable(t, 1, 40), 5*time.Second))
+	for id, race := range map[string]struct {
+		at     ident.Host
+		number uint64
+	}{"lower": {leader, 5}, "higher": {f.follower(), 6}} {
+		g := largeTable(t, race.number, 40+int(race.number))
+		f.reduce(race.at, host.Submitted{
+			Write:    catalog.Write{ID: id, Command: catalog.Edit{Change: config.PutGateway{Gateway: g}}},
+			Deadline: f.now.Add(5 * time.Second),
+		})
+	}
+	f.run(3 * time.Second)
+	for _, id := range []string{"lower", "higher"} {
+		require.True(t, f.writes[id].Known, id)
+		require.Equal(t, catalog.OK, f.writes[id].Result.Code, id)
+	}
+	for i := range 3 {
+		held := f.states[replicaName(i)].Config().Gateway
+		require.EqualValues(t, 6, held.Number)
+		require.Equal(t, string(largeTable(t, 6, 46).Source), string(held.Source))
+	}
+}
+
+// follower is a replica that does not lead.
+func (f *seededFleet) follower() ident.Host {
+	for _, id := range f.order {
+		if f.disks[id] != nil && id != f.leader() {
+			return id
+		}
+	}
+	return ""
+}
+
+// BenchmarkChangeOfALargeTable is one change of one route of 1,600 on a fleet of
+// one replica: what each replica spends to take, log, apply and hand on a change.
+func BenchmarkChangeOfALargeTable(b *testing.B) {
+	f := newSeededFleet(&testing.T{}, 1, 1)
+	f.run(5 * time.Second)
+	id := replicaName(0)
+	g := routeTable(1600)
+	tables := make([]config.Gateway, 2)
+	for i := range tables {
+		next := g
+		next.Routes = append([]config.Route(nil), g.Routes...)
+		next.Routes[800].MaxAttempts = i + 5
+		next.Source, _ = json.Marshal(next.WithoutSource()) //nolint:errchkjson // Only its size counts.
+		tables[i] = next
+	}
+	number := uint64(0)
+	for b.Loop() {
+		number++
+		next := tables[number%2]
+		next.Number = number
+		f.reduce(id, host.Submitted{
+			Write:    catalog.Write{ID: "w", Command: catalog.Edit{Change: config.PutGateway{Gateway: next}}},
+			Deadline: f.now.Add(time.Minute),
+		})
+	}
+	if f.states[id].Config().Gateway.Number != number {
+		b.Fatal("a change is missing")
+	}
+}
--- a/core/host/write.go
+++ b/core/host/write.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/yardhall/yardhall/core/catalog"
+	"github.com/yardhall/yardhall/core/config"
 	"github.com/yardhall/yardhall/core/ident"
 	"github.com/yardhall/yardhall/core/raft"
 	"github.com/yardhall/yardhall/core/table"
@@ -25,7 +26,9 @@
 // pendingWrite is a write that this process waits for.
 type pendingWrite struct {
 	write catalog.Write
-	// packed is the write as it is handed to the leader.
+	// logged is the write as it goes into the log, packed the same as it is
+	// handed to the leader.
+	logged catalog.Write
 	packed []byte
 	// proposed is the term in which this replica, as leader, wrote it to the log.
 	proposed raft.Term
@@ -36,8 +39,22 @@
 // submit sends a write to the leader until it is answered or its time is over.
 func (t *turn) submit(w catalog.Write, deadline time.Time) {
 	t.counters.Writes++
-	p := pendingWrite{write: w, deadline: deadline}
-	t.sendWrite(p)
+	t.sendWrite(pendingWrite{write: w, logged: t.patched(w), deadline: deadline})
+}
+
+// patched tells a route table by what differs from the one held, where that is
+// the one in force in all likelihood. The log, the disks and the links between
+// replicas then carry a small change of a large table as a small entry.
+func (t *turn) patched(w catalog.Write) catalog.Write {
+	edit, _ := w.Command.(catalog.Edit)
+	put, ok := edit.Change.(config.PutGateway)
+	held := t.catalog.Config.Gateway
+	if !ok || held.Number == 0 || put.Gateway.Number <= held.Number {
+		return w
+	}
+	edit.Change = config.PatchGateway{Patch: held.PatchTo(put.Gateway)}
+	w.Command = edit
+	return w
 }
 
 func (t *turn) sendWrite(p pendingWrite) {
@@ -47,13 +64,13 @@
 		// second copy would only add to what holds the first one up.
 		again := p.proposed == t.raft.Term()
 		t.writes = t.writes.With(p.write.ID, p)
-		if !again && t.propose(p.write) {
+		if !again && t.propose(p.logged) {
 			t.markProposed(p.write.ID)
 		}
 		return
 	}
 	if p.packed == nil {
-		p.packed = p.write.Encode()
+		p.packed = p.logged.Encode()
 	}
 	t.writes = t.writes.With(p.write.ID, p)
 	if leader := t.leaderHint(); leader != "" && leader != t.settings.ID {
@@ -110,7 +127,14 @@
 }
 
 func (t *turn) writeAnswered(id string, r catalog.Result) {
-	if _, ok := t.writes.Get(id); !ok {
+	p, ok := t.writes.Get(id)
+	if !ok {
+		return
+	}
+	if r.Code == catalog.BaseMoved {
+		// The whole object fits whatever is in force.
+		p.logged, p.packed, p.proposed = p.write, nil, 0
+		t.sendWrite(p)
 		return
 	}
 	t.writes = t.writes.Without(id)
