loads: Tell loads as digests, by all replicas; answer overtaken tables at once

Per half second: loads in answers 110 to 300 kB; and whole route tables of 44 kB an entry to each of 7 replicas, again and again, although changes are patches: an older table that is sent again took a place in the log whole, and a patch whose base had moved was sent again whole.

Ruled out: reconnecting hosts (0.4 ms of our processor for both ends), the event loop (no event waited), processor time (0.026 of 0.096).

Now: a table whose number is not above a committed one is answered without the log; a patch that lost a race is made anew from the table that won, once that one is held. Loads are 3 bytes of tag and 1 or 2 of count a worker instead of 17 of text; every host tells its own to all replicas and asks one of them, another one for each host, for the sum; a replica that has just started tells none. What a worker says itself is used where it is younger.

--- a/core/gateway/choose.go
+++ b/core/gateway/choose.go
@@ -66,7 +66,7 @@
 func (t *turn) chooseEngine(c call, found []*worker) choice {
 	total := 0
 	for _, w := range found {
-		total += w.load(t.now)
+		total += t.load(*w, t.now)
 	}
 	mean := float64(total) / float64(len(found))
 	limit := t.settings.LoadFactor*mean + t.settings.LoadSlack
@@ -74,12 +74,12 @@
 	slices.SortFunc(found, func(a, b *worker) int { return byScore(key, a, b) })
 	limit -= t.caution(c) * limit
 	at := slices.IndexFunc(found, func(w *worker) bool {
-		return float64(w.load(t.now)+1) <= limit && w.load(t.now) < w.Slots
+		return float64(t.load(*w, t.now)+1) <= limit && t.load(*w, t.now) < w.Slots
 	})
 	if at < 0 {
 		at = 0
 		for i, w := range found {
-			if w.load(t.now) < found[at].load(t.now) {
+			if t.load(*w, t.now) < t.load(*found[at], t.now) {
 				at = i
 			}
 		}
@@ -162,7 +162,7 @@
 }
 
 func (t *turn) fullness(w *worker) float64 {
-	used := float64(w.load(t.now))
+	used := float64(t.load(*w, t.now))
 	if w.Zone != t.settings.Zone {
 		used += farPenalty
 	}
--- a/core/gateway/event.go
+++ b/core/gateway/event.go
@@ -7,6 +7,7 @@
 
 	"github.com/yardhall/yardhall/core/config"
 	"github.com/yardhall/yardhall/core/ident"
+	"github.com/yardhall/yardhall/core/loads"
 	"github.com/yardhall/yardhall/core/outcome"
 	"github.com/yardhall/yardhall/core/registry"
 )
@@ -37,8 +38,12 @@
 		From    ident.Host
 		Workers []registry.Worker
 	}
-	// LoadsTold are the requests that other hosts have at workers.
-	LoadsTold struct{ Loads []WorkerLoad }
+	// LoadsTold are the requests that other hosts have at workers, as of about a
+	// time.
+	LoadsTold struct {
+		Loads loads.Digest
+		AsOf  time.Time
+	}
 	// Confirmed reports that the configuration held was the newest one at AsOf.
 	Confirmed struct{ AsOf time.Time }
 	// Closing makes the gateway take no new requests, late in a planned stop.
@@ -93,12 +98,6 @@
 	Slots   int
 }
 
-// WorkerLoad is how many requests a host has at a worker.
-type WorkerLoad struct {
-	Worker   ident.Target
-	InFlight int
-}
-
 // Decision is what becomes of a request next. The set is closed.
 type Decision interface{ decision() }
 
--- a/core/gateway/gateway.go
+++ b/core/gateway/gateway.go
@@ -18,6 +18,7 @@
 
 	"github.com/yardhall/yardhall/core/config"
 	"github.com/yardhall/yardhall/core/ident"
+	"github.com/yardhall/yardhall/core/loads"
 	"github.com/yardhall/yardhall/core/outcome"
 	"github.com/yardhall/yardhall/core/table"
 )
@@ -79,6 +80,11 @@
 	pools   map[ident.Service][]ident.Target
 	calls   table.Table[ident.Request, call]
 	budgets table.Table[ident.Service, budget]
+	// told are the requests of other hosts, by what was told at toldAt and held
+	// about at toldAsOf; never changed in place.
+	told     loads.Counts
+	toldAt   time.Time
+	toldAsOf time.Time
 	// hosts is how many entry hosts share the fleet's budgets.
 	hosts int
 	// closing is set late in a planned stop.
@@ -138,14 +144,14 @@
 func (s State) Counters() Counters { return s.counters }
 
 // Loads returns the requests of this host at each worker that has any.
-func (s State) Loads() []WorkerLoad {
-	var out []WorkerLoad
-	for id, w := range s.workers.All() {
+func (s State) Loads() loads.Digest {
+	own := loads.Counts{}
+	for _, w := range s.workers.All() {
 		if w.own > 0 {
-			out = append(out, WorkerLoad{Worker: id, InFlight: w.own})
+			own[w.tag] += w.own
 		}
 	}
-	return out
+	return loads.Pack(own)
 }
 
 // Reduce is the transition of a gateway.
@@ -163,7 +169,7 @@
 	case Registered:
 		t.registered(ev)
 	case LoadsTold:
-		t.loadsTold(ev.Loads)
+		t.told, t.toldAt, t.toldAsOf = ev.Loads.Counts(), t.now, ev.AsOf
 	case Confirmed:
 		if ev.AsOf.After(t.confirmed) {
 			t.confirmed = ev.AsOf
@@ -213,13 +219,13 @@
 func (t *turn) inputs(picked choice) Inputs {
 	in := Inputs{
 		Number: t.number, Mean: picked.mean, Choice: picked.place, Candidates: picked.of,
-		Load: picked.worker.load(t.now), ConfigAge: -time.Millisecond,
+		Load: t.load(picked.worker, t.now), ConfigAge: -time.Millisecond,
 	}
 	if !t.confirmed.IsZero() {
 		in.ConfigAge = t.now.Sub(t.confirmed)
 	}
-	if !picked.worker.othersAt.IsZero() {
-		in.LoadAge = t.now.Sub(picked.worker.othersAt)
+	if _, asOf := t.others(picked.worker); !asOf.IsZero() {
+		in.LoadAge = t.now.Sub(asOf)
 	}
 	return in
 }
--- a/core/gateway/worker.go
+++ b/core/gateway/worker.go
@@ -8,6 +8,7 @@
 	"github.com/yardhall/yardhall/core/hash"
 	"github.com/yardhall/yardhall/core/health"
 	"github.com/yardhall/yardhall/core/ident"
+	"github.com/yardhall/yardhall/core/loads"
 	"github.com/yardhall/yardhall/core/registry"
 )
 
@@ -16,12 +17,14 @@
 	registry.Worker
 	// key is the hash of its id, for the order of preference.
 	key    hash.Key
+	tag    loads.Tag
 	health health.Target
 	// own is how many requests this host has there.
 	own int
-	// others is how many the other hosts have, by what was told at othersAt.
-	others   int
-	othersAt time.Time
+	// saidOthers is how many the other hosts have, by the worker's own word at
+	// saidAt.
+	saidOthers int
+	saidAt     time.Time
 	// replaced is set where another worker answers at the address.
 	replaced bool
 	// fullUntil is how long a worker that declined is passed over.
@@ -33,12 +36,23 @@
 	othersLife = 3 * time.Second
 )
 
-// load estimates the requests that the worker has from all hosts.
-func (w worker) load(now time.Time) int {
-	if now.Sub(w.othersAt) > othersLife {
+// load estimates the requests that a worker has from all hosts.
+func (s State) load(w worker, now time.Time) int {
+	others, asOf := s.others(w)
+	if now.Sub(asOf) > othersLife {
 		return w.own
 	}
-	return w.own + w.others
+	return w.own + others
+}
+
+// others is how many requests other hosts have at a worker, and the time at
+// which that held: the worker's own word or the sum of what hosts told,
+// whichever is younger.
+func (s State) others(w worker) (n int, asOf time.Time) {
+	if w.saidAt.After(s.toldAsOf) {
+		return w.saidOthers, w.saidAt
+	}
+	return s.told[w.tag], s.toldAsOf
 }
 
 // usable tells whether new work may be sent to the worker.
@@ -70,23 +84,11 @@
 	if !ok || ev.Load.Slots == 0 {
 		return
 	}
-	w.others = max(0, ev.Load.Running+ev.Load.Waiting-w.own)
-	w.othersAt = t.now
+	w.saidOthers = max(0, ev.Load.Running+ev.Load.Waiting-w.own)
+	w.saidAt = t.now
 	t.workers = t.workers.With(ev.Worker, w)
 }
 
-// loadsTold takes the requests that other hosts have at workers.
-func (t *turn) loadsTold(loads []WorkerLoad) {
-	told := map[ident.Target]int{}
-	for _, l := range loads {
-		told[l.Worker] = l.InFlight
-	}
-	for id, w := range t.workers.All() {
-		w.others, w.othersAt = told[id], t.now
-		t.workers = t.workers.With(id, w)
-	}
-}
-
 // registered takes registrations that are newer than what is known.
 func (t *turn) registered(ev Registered) {
 	moved := false
@@ -107,7 +109,7 @@
 		if !known || have.State != r.State {
 			t.out = append(t.out, Believed{Worker: r, Usable: r.State == registry.Ready, Why: "registration, by " + string(ev.From)})
 		}
-		have.Worker, have.key = r, hash.Of(string(r.ID))
+		have.Worker, have.key, have.tag = r, hash.Of(string(r.ID)), loads.TagOf(r.ID)
 		t.workers = t.workers.With(r.ID, have)
 	}
 	if moved {
--- a/core/host/capacity_test.go
+++ b/core/host/capacity_test.go
@@ -22,6 +22,7 @@
 	"github.com/yardhall/yardhall/core/hash"
 	"github.com/yardhall/yardhall/core/host"
 	"github.com/yardhall/yardhall/core/ident"
+	"github.com/yardhall/yardhall/core/loads"
 	"github.com/yardhall/yardhall/core/outcome"
 	"github.com/yardhall/yardhall/core/registry"
 	"github.com/yardhall/yardhall/core/routing"
@@ -181,10 +182,10 @@
 			return encodedSize(host.Gossip{Beat: beat})
 		}),
 		measureSlope("worker with load, in a question to a replica and its answer", "bytes", []int{0, 60, 240}, func(n int) float64 {
-			q := host.Sync{Round: 1 << 20, Version: 1000, Lead: true, Epoch: 1 << 41, Revision: 1000, Serves: true, Loads: loads(n / 10)}
+			q := host.Sync{Round: 1 << 20, Version: 1000, Lead: true, Epoch: 1 << 41, Revision: 1000, Serves: true, Loads: digest(n / 10), Sums: true}
 			a := host.SyncAnswer{
 				Round: 1 << 20, Leader: "10.1.0.43:7340", Fresh: true, Version: 1000, Epoch: 1 << 41, Since: 1000, Revision: 1000,
-				Replicas: []ident.Host{"10.1.0.43:7340", "10.2.0.31:7340", "10.3.0.21:7340"}, Hosts: 390, Loads: loads(n),
+				Replicas: []ident.Host{"10.1.0.43:7340", "10.2.0.31:7340", "10.3.0.21:7340"}, Hosts: 390, Summed: true, Loads: digest(n),
 			}
 			return encodedSize(q) + encodedSize(a)
 		}),
@@ -238,12 +239,12 @@
 	}
 }
 
-func loads(n int) []gateway.WorkerLoad {
-	out := make([]gateway.WorkerLoad, 0, n)
+func digest(n int) loads.Digest {
+	counts := loads.Counts{}
 	for i := range n {
-		out = append(out, gateway.WorkerLoad{Worker: ident.Target(fmt.Sprintf("i-%010x", i*7919)), InFlight: 7})
+		counts[loads.TagOf(ident.Target(fmt.Sprintf("i-%010x", i*7919)))] = 7
 	}
-	return out
+	return loads.Pack(counts)
 }
 
 func routeTable(n int) config.Gateway {
--- a/core/host/message.go
+++ b/core/host/message.go
@@ -7,9 +7,9 @@
 
 	"github.com/yardhall/yardhall/core/catalog"
 	"github.com/yardhall/yardhall/core/config"
-	"github.com/yardhall/yardhall/core/gateway"
 	"github.com/yardhall/yardhall/core/hash"
 	"github.com/yardhall/yardhall/core/ident"
+	"github.com/yardhall/yardhall/core/loads"
 	"github.com/yardhall/yardhall/core/raft"
 	"github.com/yardhall/yardhall/core/registry"
 	"github.com/yardhall/yardhall/core/routing"
@@ -109,15 +109,17 @@
 		// Round numbers the question; the answer repeats it.
 		Round   uint64
 		Version config.Version
-		// Lead is set where a leader's word and loads are asked for too, Table
-		// where the route table is.
+		// Lead is set where a leader's word is asked for too, Table where the
+		// route table is, Sums where the loads of all hosts are.
 		Lead  bool
 		Table bool
+		Sums  bool
 		// Epoch and Revision are what the host has of the replica's registry.
 		Epoch    uint64
 		Revision uint64
 		Serves   bool
-		Loads    []gateway.WorkerLoad
+		// Loads are the requests of this host.
+		Loads loads.Digest
 	}
 	// SyncAnswer answers Sync, or tells of a change with Round 0.
 	SyncAnswer struct {
@@ -137,7 +139,9 @@
 		Revision uint64
 		Workers  []registry.Worker
 		Replicas []ident.Host
-		Loads    []gateway.WorkerLoad
+		// Summed is set where Loads are the requests of all other hosts.
+		Summed bool
+		Loads  loads.Digest
 		// Hosts is how many entry hosts sync with the replica.
 		Hosts int
 	}
--- a/core/host/seeded_test.go
+++ b/core/host/seeded_test.go
@@ -62,6 +62,8 @@
 	decided []gateway.Decision
 	starts  uint64
 	voters  int
+	// seen, where set, is shown each message that arrives.
+	seen func(seededPacket)
 }
 
 func replicaName(i int) ident.Host { return ident.Host(fmt.Sprintf("10.0.0.%d:7000", i+1)) }
@@ -173,6 +175,9 @@
 			f.wire = nil
 			for _, p := range batch {
 				if !f.cut[[2]ident.Host{p.from, p.to}] && !f.down[p.from] {
+					if f.seen != nil {
+						f.seen(p)
+					}
 					f.reduce(p.to, host.Received{From: p.from, Message: p.message})
 				}
 			}
--- a/core/host/sync.go
+++ b/core/host/sync.go
@@ -13,17 +13,19 @@
 	"github.com/yardhall/yardhall/core/gateway"
 	"github.com/yardhall/yardhall/core/hash"
 	"github.com/yardhall/yardhall/core/ident"
+	"github.com/yardhall/yardhall/core/loads"
 	"github.com/yardhall/yardhall/core/table"
 )
 
 // In a seeded fleet hosts know replicas, not each other: each host asks every
-// replica, a few times a second, for what it lacks. One of them, the leader
-// where it is known, gives configuration and other hosts' loads too.
+// replica, a few times a second, for what it lacks. The leader says which
+// configuration is the newest; one replica, another one for each host, gives the
+// table, and one the loads of all hosts, so that no replica's link carries all.
 const (
 	// minSyncInterval and maxSyncInterval bound the time between two questions
 	// to a replica; it grows by syncShare for each entry host.
 	minSyncInterval = 300 * time.Millisecond
-	maxSyncInterval = 600 * time.Millisecond
+	maxSyncInterval = 800 * time.Millisecond
 	syncShare       = 7 * time.Millisecond
 	// syncLife is how long a replica keeps what a host told it.
 	syncLife = 3 * time.Second
@@ -62,11 +64,7 @@
 	joiners    table.Table[ident.Host, time.Time]
 	joinAt     time.Time
 	memberAt   time.Time
-	// sums are the loads of all hosts as added up at summed; never changed in
-	// place. serving is the number of entry hosts.
-	sums    []gateway.WorkerLoad
-	summed  time.Time
-	serving int
+	sums       loadSums
 	// tables are the newest route tables, packed what leads from each of them
 	// to the newest one.
 	tables table.Table[config.Version, config.Gateway]
@@ -89,7 +87,7 @@
 	// table is set where the host has the route table from this replica.
 	table  bool
 	serves bool
-	loads  []gateway.WorkerLoad
+	loads  loads.Digest
 }
 
 func (t *turn) tickSeeded() {
@@ -128,8 +126,9 @@
 	hosts := t.contactHosts()
 	t.pickLead(hosts)
 	t.noteLost()
+	own := t.gateway.Loads()
 	for _, h := range hosts {
-		t.sendSync(h)
+		t.sendSync(h, own)
 	}
 }
 
@@ -161,7 +160,7 @@
 	}
 }
 
-func (t *turn) sendSync(to ident.Host) {
+func (t *turn) sendSync(to ident.Host, own loads.Digest) {
 	t.sync.round++
 	t.sync.rounds = t.sync.rounds.With(t.sync.round, t.now)
 	for t.sync.rounds.Len() > maxRounds {
@@ -173,10 +172,8 @@
 		Round: t.sync.round, Version: t.config.Version,
 		Lead:  to == t.sync.lead || t.now.Sub(t.sync.leadAt) > askAllAfter*t.syncInterval(),
 		Table: to == t.tableSource() || to == t.sync.lead && t.behind(),
-		Epoch: c.epoch, Revision: c.revision, Serves: t.settings.Serves && !t.draining,
-	}
-	if m.Lead {
-		m.Loads = t.gateway.Loads()
+		Sums:  to == t.loadSource(),
+		Epoch: c.epoch, Revision: c.revision, Serves: t.settings.Serves && !t.draining, Loads: own,
 	}
 	t.send(to, m)
 }
@@ -192,6 +189,9 @@
 	}
 	asked, known := t.sync.rounds.Get(m.Round)
 	t.sync.rounds = t.sync.rounds.Without(m.Round)
+	if m.Summed && known {
+		t.routed(gateway.LoadsTold{Loads: m.Loads, AsOf: asked.Add(-t.syncInterval() / 2)})
+	}
 	if !m.Fresh {
 		t.followLeader(from, m.Leader)
 		return
@@ -203,26 +203,32 @@
 	} else if t.sync.behindAt.IsZero() {
 		t.sync.behindAt = t.now
 	}
-	if len(m.Loads) > 0 || m.Hosts > 0 {
+	if m.Hosts > 0 {
 		t.sync.hosts = m.Hosts
 		t.gateway = t.gateway.WithHosts(m.Hosts)
-		t.routed(gateway.LoadsTold{Loads: m.Loads})
 	}
 	if known && t.config.Version == m.Version {
 		t.routed(gateway.Confirmed{AsOf: asked})
 	}
 }
 
-// tableSource is the replica that sends this host route tables: another one
-// for each host, so that no replica sends them all.
-func (t *turn) tableSource() ident.Host {
+// tableSource is the replica that sends this host route tables.
+func (t *turn) tableSource() ident.Host { return t.sourceOf("table", contactTimeout) }
+
+// loadSource is the replica that tells this host the loads of all hosts. It is
+// left soon where it is silent, as loads age fast.
+func (t *turn) loadSource() ident.Host { return t.sourceOf("loads", leadTimeout*t.syncInterval()) }
+
+// sourceOf picks one of the replicas heard within a time: another one for each
+// host, so that no replica serves all of them.
+func (t *turn) sourceOf(what string, within time.Duration) ident.Host {
 	var heard []ident.Host
 	for _, h := range t.contactHosts() {
-		if c, ok := t.sync.contacts.Get(h); ok && !c.lost {
+		if c, ok := t.sync.contacts.Get(h); ok && t.now.Sub(c.heard) <= within {
 			heard = append(heard, h)
 		}
 	}
-	source, ok := hash.Best(hash.Of(string(t.settings.ID)), heard, func(h ident.Host) string { return string(h) })
+	source, ok := hash.Best(hash.Of(what, string(t.settings.ID)), heard, func(h ident.Host) string { return string(h) })
 	if !ok {
 		return t.sync.lead
 	}
@@ -242,7 +248,7 @@
 		return
 	}
 	t.sync.lead = leader
-	t.sendSync(leader)
+	t.sendSync(leader, t.gateway.Loads())
 }
 
 // takeGateway puts a newer route table in force. A delta from another table
--- a/core/host/syncreplica.go
+++ b/core/host/syncreplica.go
@@ -3,13 +3,13 @@
 package host
 
 import (
-	"cmp"
+	"maps"
 	"slices"
 	"time"
 
 	"github.com/yardhall/yardhall/core/config"
-	"github.com/yardhall/yardhall/core/gateway"
 	"github.com/yardhall/yardhall/core/ident"
+	"github.com/yardhall/yardhall/core/loads"
 	"github.com/yardhall/yardhall/core/table"
 )
 
@@ -37,7 +37,10 @@
 	if asked.Lead {
 		a.Fresh = t.raft.LeaseHeld(t.now)
 		a.Replicas = t.memberAddresses()
-		a.Loads, a.Hosts = t.otherLoads(c.loads)
+		a.Hosts = t.sumLoads().serving
+	}
+	if asked.Sums && t.now.Sub(t.started) >= sumWarmUp {
+		a.Summed, a.Loads = true, t.sumLoads().others(to)
 	}
 	if c.table && c.version < t.catalog.Config.Version && t.sync.tableBytes < tableBytesPerTick {
 		a.Gateway, a.Base = t.packedGateway(c.version)
@@ -96,50 +99,49 @@
 	return out
 }
 
-// sumInterval is how long sums of loads are used before they are made anew.
-const sumInterval = 200 * time.Millisecond
-
-// otherLoads are the loads that hosts other than one have told, and the number
-// of entry hosts.
-func (t *turn) otherLoads(own []gateway.WorkerLoad) (sums []gateway.WorkerLoad, hosts int) {
-	t.sumLoads()
-	mine := make(map[ident.Target]int, len(own))
-	for _, l := range own {
-		mine[l.Worker] = l.InFlight
-	}
-	sums = make([]gateway.WorkerLoad, 0, len(t.sync.sums))
-	for _, l := range t.sync.sums {
-		if l.InFlight -= mine[l.Worker]; l.InFlight > 0 {
-			sums = append(sums, l)
-		}
-	}
-	return sums, t.sync.serving
+// loadSums are the loads of all hosts that sync with a replica. They are added
+// up anew after a while, not for each question.
+type loadSums struct {
+	at    time.Time
+	total loads.Digest
+	// parts are what each host told when it was added up; never changed in place.
+	parts map[ident.Host]loads.Digest
+	// serving is the number of entry hosts.
+	serving int
 }
 
-// sumLoads adds up what all hosts told, once an interval.
-func (t *turn) sumLoads() {
-	if t.now.Sub(t.sync.summed) < sumInterval {
-		return
+// others are the loads of all hosts but one.
+func (s loadSums) others(but ident.Host) loads.Digest { return s.total.Without(s.parts[but]) }
+
+const (
+	// minSumInterval and sumShare for each host bound how long sums are used.
+	minSumInterval = 50 * time.Millisecond
+	sumShare       = 500 * time.Microsecond
+	// sumWarmUp is how long a replica that starts hears hosts before it tells
+	// sums, which would lack those not heard yet.
+	sumWarmUp = 2 * maxSyncInterval
+)
+
+// sumLoads returns the sums, added up anew where they are too old.
+func (t *turn) sumLoads() loadSums {
+	interval := max(minSumInterval, time.Duration(t.sync.clients.Len())*sumShare)
+	if t.now.Sub(t.sync.sums.at) < interval {
+		return t.sync.sums
 	}
-	t.sync.summed, t.sync.serving = t.now, 0
-	total := map[ident.Target]int{}
+	next := loadSums{at: t.now, parts: map[ident.Host]loads.Digest{}}
 	for id, c := range t.sync.clients.All() {
 		if t.now.Sub(c.heard) > syncLife {
 			t.sync.clients = t.sync.clients.Without(id)
 			continue
 		}
 		if c.serves {
-			t.sync.serving++
+			next.serving++
 		}
-		for _, l := range c.loads {
-			total[l.Worker] += l.InFlight
-		}
-	}
-	t.sync.sums = make([]gateway.WorkerLoad, 0, len(total))
-	for id, n := range total {
-		t.sync.sums = append(t.sync.sums, gateway.WorkerLoad{Worker: id, InFlight: n})
+		next.parts[id] = c.loads
 	}
-	slices.SortFunc(t.sync.sums, func(a, b gateway.WorkerLoad) int { return cmp.Compare(a.Worker, b.Worker) })
+	next.total = loads.Sum(maps.Values(next.parts))
+	t.sync.sums = next
+	return next
 }
 
 // pushSync tells the hosts that sync with this replica of what has changed
--- a/core/host/table_test.go
+++ b/core/host/table_test.go
@@ -4,6 +4,7 @@
 
 import (
 	"encoding/json"
+	"fmt"
 	"testing"
 	"time"
 
@@ -84,6 +85,57 @@
 	}
 }
 
+// TestOlderTableNeedsNoPlaceInTheLog resends tables that have been overtaken, to
+// the leader and to another replica.
+func TestOlderTableNeedsNoPlaceInTheLog(t *testing.T) {
+	f := newSeededFleet(t, 3, 0)
+	f.run(5 * time.Second)
+	require.True(t, f.put(f.leader(), largeTable(t, 7, 400), 3*time.Second))
+	f.run(time.Second)
+	before := f.states[f.leader()].Raft().Log().Last()
+	for _, at := range []ident.Host{f.leader(), f.follower()} {
+		for _, number := range []uint64{3, 7} {
+			require.True(t, f.put(at, largeTable(t, number, 300), 0))
+		}
+		invalid := largeTable(t, 3, 300)
+		invalid.Routes[0].Timeout = 0
+		require.False(t, f.put(at, invalid, 2*time.Second), "what is invalid is refused, whatever its number")
+	}
+	require.Equal(t, string(largeTable(t, 7, 400).Source), string(f.states[f.leader()].Config().Gateway.Source))
+	log := f.states[f.leader()].Raft().Log()
+	for i := before + 1; i <= log.Last(); i++ {
+		require.Less(t, len(log.At(i).Data), 2000)
+	}
+}
+
+// TestStormOfChangesStaysSmall sends twenty changes at once, over all replicas:
+// all but one are made from a table that is no longer in force.
+func TestStormOfChangesStaysSmall(t *testing.T) {
+	f := newSeededFleet(t, 3, 1)
+	f.run(5 * time.Second)
+	require.True(t, f.put(f.leader(), largeTable(t, 1, 800), 3*time.Second))
+	before := f.states[f.leader()].Raft().Log().Last()
+	const changes = 20
+	for i := range changes {
+		g := largeTable(t, uint64(2+i), 800)
+		g.Routes[i].MaxAttempts = 9
+		f.reduce(replicaName(i%3), host.Submitted{
+			Write:    catalog.Write{ID: fmt.Sprint("storm-", i), Command: catalog.Edit{Change: config.PutGateway{Gateway: withSource(t, g)}}},
+			Deadline: f.now.Add(5 * time.Second),
+		})
+	}
+	f.run(3 * time.Second)
+	for i := range changes {
+		require.Equal(t, catalog.OK, f.writes[fmt.Sprint("storm-", i)].Result.Code, i)
+	}
+	require.EqualValues(t, 1+changes, f.states[entryName(0)].Config().Gateway.Number)
+	bytes, log := 0, f.states[f.leader()].Raft().Log()
+	for i := before + 1; i <= log.Last(); i++ {
+		bytes += len(log.At(i).Data)
+	}
+	require.Less(t, bytes, 200_000, "a whole table has 20,000")
+}
+
 // follower is a replica that does not lead.
 func (f *seededFleet) follower() ident.Host {
 	for _, id := range f.order {
--- a/core/host/write.go
+++ b/core/host/write.go
@@ -26,12 +26,15 @@
 // pendingWrite is a write that this process waits for.
 type pendingWrite struct {
 	write catalog.Write
-	// logged is the write as it goes into the log, packed the same as it is
-	// handed to the leader.
+	// logged is the write as it goes into the log, made from the configuration of
+	// version base; packed is the same as it is handed to the leader.
 	logged catalog.Write
+	base   config.Version
 	packed []byte
 	// proposed is the term in which this replica, as leader, wrote it to the log.
 	proposed raft.Term
+	// after is the version that must be held before the write is sent again.
+	after    config.Version
 	deadline time.Time
 	resend   time.Time
 }
@@ -39,17 +42,30 @@
 // submit sends a write to the leader until it is answered or its time is over.
 func (t *turn) submit(w catalog.Write, deadline time.Time) {
 	t.counters.Writes++
-	t.sendWrite(pendingWrite{write: w, logged: t.patched(w), deadline: deadline})
+	if t.overtaken(w) {
+		t.writeDone(w.ID, catalog.Result{Code: catalog.OK, Version: t.catalog.Config.Version}, true)
+		return
+	}
+	t.sendWrite(pendingWrite{write: w, deadline: deadline})
+}
+
+// overtaken tells whether a write is a route table whose number does not exceed
+// that of a committed one: it is taken note of and changes nothing, whatever
+// comes later, so it needs no place in the log.
+func (t *turn) overtaken(w catalog.Write) bool {
+	edit, _ := w.Command.(catalog.Edit)
+	put, ok := edit.Change.(config.PutGateway)
+	return ok && !edit.Guarded && put.Gateway.Number <= t.catalog.Config.Gateway.Number && put.Gateway.Check() == nil
 }
 
-// patched tells a route table by what differs from the one held, where that is
-// the one in force in all likelihood. The log, the disks and the links between
+// patched tells a route table by what differs from the one held, which is the
+// one in force in all likelihood. The log, the disks and the links between
 // replicas then carry a small change of a large table as a small entry.
 func (t *turn) patched(w catalog.Write) catalog.Write {
 	edit, _ := w.Command.(catalog.Edit)
 	put, ok := edit.Change.(config.PutGateway)
 	held := t.catalog.Config.Gateway
-	if !ok || held.Number == 0 || put.Gateway.Number <= held.Number {
+	if !ok || held.Number == 0 {
 		return w
 	}
 	edit.Change = config.PatchGateway{Patch: held.PatchTo(put.Gateway)}
@@ -59,6 +75,9 @@
 
 func (t *turn) sendWrite(p pendingWrite) {
 	p.resend = t.now.Add(resendInterval)
+	if p.logged.Command == nil || p.base != t.catalog.Config.Version {
+		p.logged, p.packed, p.base = t.patched(p.write), nil, t.catalog.Config.Version
+	}
 	if t.raft.Role() == raft.Leader {
 		// Once in the log of a term it stays there as long as the term lasts; a
 		// second copy would only add to what holds the first one up.
@@ -78,6 +97,30 @@
 	}
 }
 
+// baseMoved sends a patch again that was made from a table no longer in force,
+// once the one that is has come to this replica.
+func (t *turn) baseMoved(p pendingWrite, inForce config.Version) {
+	p.proposed, p.after = 0, inForce
+	t.writes = t.writes.With(p.write.ID, p)
+	t.sendMoved()
+}
+
+// sendMoved sends the writes again whose base has come.
+func (t *turn) sendMoved() {
+	for id, p := range t.writes.All() {
+		if p.after == 0 || t.catalog.Config.Version < p.after {
+			continue
+		}
+		p.after = 0
+		if t.overtaken(p.write) {
+			t.writes = t.writes.Without(id)
+			t.writeDone(id, catalog.Result{Code: catalog.OK, Version: t.catalog.Config.Version}, true)
+			continue
+		}
+		t.sendWrite(p)
+	}
+}
+
 func (t *turn) tickWrites() {
 	for id, p := range t.writes.All() {
 		switch {
@@ -132,9 +175,7 @@
 		return
 	}
 	if r.Code == catalog.BaseMoved {
-		// The whole object fits whatever is in force.
-		p.logged, p.packed, p.proposed = p.write, nil, 0
-		t.sendWrite(p)
+		t.baseMoved(p, r.Version)
 		return
 	}
 	t.writes = t.writes.Without(id)
@@ -227,6 +268,7 @@
 		t.useConfig(t.catalog.Config)
 		t.pushChanges()
 		t.answerReads()
+		t.sendMoved()
 	}
 }
 
--- /dev/null
+++ b/core/loads/loads_test.go
@@ -0,0 +1,53 @@
+// Copyright 2026 The Yardhall Authors. Licensed under the Apache License, Version 2.0.
+
+package loads_test
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"github.com/yardhall/yardhall/core/ident"
+	"github.com/yardhall/yardhall/core/loads"
+)
+
+func drawCounts(t *rapid.T, what string) loads.Counts {
+	c := loads.Counts{}
+	for i := range 12 {
+		if n := rapid.IntRange(0, 300).Draw(t, what); n > 0 {
+			c[loads.TagOf(ident.Target(fmt.Sprint("i-", i)))] = n
+		}
+	}
+	return c
+}
+
+// TestSumWithoutAPartIsTheRest draws what three hosts tell.
+func TestSumWithoutAPartIsTheRest(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		a, b, c := drawCounts(t, "a"), drawCounts(t, "b"), drawCounts(t, "c")
+		sum := loads.Sum(slices.Values([]loads.Digest{loads.Pack(a), loads.Pack(b), loads.Pack(c)}))
+		rest := sum.Without(loads.Pack(b)).Counts()
+		require.Equal(t, loads.Sum(slices.Values([]loads.Digest{loads.Pack(a), loads.Pack(c)})).Counts(), rest)
+		require.Equal(t, a, loads.Pack(a).Counts())
+	})
+}
+
+func TestDamagedDigestEnds(t *testing.T) {
+	d := loads.Pack(loads.Counts{1: 5, 2: 300})
+	for i := range d {
+		require.LessOrEqual(t, len(d[:i].Counts()), 2)
+	}
+	require.Empty(t, loads.Digest{0, 0, 1, 255, 255, 255, 255, 255, 255, 255, 255, 255, 1}.Counts())
+}
+
+// TestDigestOfAFleetIsSmall holds the bytes that docs/CAPACITY.md counts with.
+func TestDigestOfAFleetIsSmall(t *testing.T) {
+	c := loads.Counts{}
+	for i := range 910 {
+		c[loads.TagOf(ident.Target(fmt.Sprintf("i-%010x", i*7919)))] = 80
+	}
+	require.LessOrEqual(t, len(loads.Pack(c)), 910*4)
+}
--- /dev/null
+++ b/peers/bench_test.go
@@ -0,0 +1,77 @@
+// Copyright 2026 The Yardhall Authors. Licensed under the Apache License, Version 2.0.
+
+package peers_test
+
+import (
+	"fmt"
+	"net"
+	"testing"
+	"time"
+
+	"github.com/yardhall/yardhall/core/host"
+	"github.com/yardhall/yardhall/core/ident"
+	"github.com/yardhall/yardhall/core/loads"
+	"github.com/yardhall/yardhall/core/registry"
+	"github.com/yardhall/yardhall/peers"
+)
+
+// BenchmarkConnect is what both ends spend on a new connection and its first
+// answer, with the loads and registrations of 144 workers.
+func BenchmarkConnect(b *testing.B) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		b.Fatal(err)
+	}
+	got := make(chan struct{}, 1)
+	server := peers.NewServer(peers.Options{Self: "s", Fleet: "f", Key: "k", MaxMessage: 1 << 20}, func(ident.Host, host.Message) {
+		got <- struct{}{}
+	})
+	go func() { _ = server.Serve(l) }()
+	defer server.Close()
+	m, counts := host.SyncAnswer{Round: 1, Fresh: true, Summed: true}, loads.Counts{}
+	for i := range 144 {
+		id := ident.Target(fmt.Sprintf("i-%010x", i*7919))
+		m.Workers = append(m.Workers, registry.Worker{ID: id, Pool: "pool", Zone: "z", Address: "10.0.0.1:8080", Slots: 24, Seq: 9})
+		counts[loads.TagOf(id)] = i
+	}
+	m.Loads = loads.Pack(counts)
+	for b.Loop() {
+		pool := peers.NewPool(peers.Options{Self: "c", Fleet: "f", Key: "k", MaxMessage: 1 << 20})
+		pool.Send(ident.Host(l.Addr().String()), m)
+		select {
+		case <-got:
+		case <-time.After(5 * time.Second):
+			b.Fatal("no message")
+		}
+		pool.Close()
+	}
+}
+
+// BenchmarkMessage is the same message on a connection that stands.
+func BenchmarkMessage(b *testing.B) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		b.Fatal(err)
+	}
+	got := make(chan struct{}, 1)
+	server := peers.NewServer(peers.Options{Self: "s", Fleet: "f", Key: "k", MaxMessage: 1 << 20}, func(ident.Host, host.Message) {
+		got <- struct{}{}
+	})
+	go func() { _ = server.Serve(l) }()
+	defer server.Close()
+	m, counts := host.SyncAnswer{Round: 1, Fresh: true, Summed: true}, loads.Counts{}
+	for i := range 144 {
+		id := ident.Target(fmt.Sprintf("i-%010x", i*7919))
+		m.Workers = append(m.Workers, registry.Worker{ID: id, Pool: "pool", Zone: "z", Address: "10.0.0.1:8080", Slots: 24, Seq: 9})
+		counts[loads.TagOf(id)] = i
+	}
+	m.Loads = loads.Pack(counts)
+	counters := &peers.Counters{}
+	pool := peers.NewPool(peers.Options{Self: "c", Fleet: "f", Key: "k", MaxMessage: 1 << 20, Counters: counters})
+	defer pool.Close()
+	for b.Loop() {
+		pool.Send(ident.Host(l.Addr().String()), m)
+		<-got
+	}
+	b.ReportMetric(float64(counters.BytesOut.Load())/float64(b.N), "B/message")
+}
