operators: Show and replace the route table over the API and the command

Cause: the table could be sent only in the platform's form; operators of the product had neither call nor command for it (listed as missing).

/v1/gateway and /v1/gateway/table show it without its source; PUT replaces it whole, the highest number prevails; yardhall apply reads [gateway N], [pool], [route host/prefix/] and [holder] from INI, checks them whole, and sends one call. Found on the way: a patch that lost a race would have been remembered under its write's id, and a remembered write (which the platform's are not) answered so for good; it is not remembered now.

Conclusion: the table is edited like the rest.

--- a/commands/yardhall/apply.go
+++ b/commands/yardhall/apply.go
@@ -32,12 +32,24 @@
 
 Sections are [kind id]: class, service, model, target, account, handover, intent.
 An intent changes nothing yet: it gives a plan to read and confirm.
+[gateway NUMBER] with all [pool id], [route host/prefix/] and [holder account]
+replaces the route table whole; the highest number prevails.
 
 Example:
   [account halls]
   key_hash = ...
   classes = urgent, normal
 
+  [gateway 12]
+  [pool text]
+  engine = true
+  [route chats.example/v1/]
+  kind = stream
+  timeout = 30s
+  pools = text:100
+  [holder halls]
+  key_hashes = ...
+
   [intent second-model]
   service = text
   model = text-2
--- a/commands/yardhall/get.go
+++ b/commands/yardhall/get.go
@@ -23,7 +23,7 @@
 
 // Usage implements subcommands.Command.
 func (*getCommand) Usage() string {
-	return "yardhall get KIND[/ID]\n\nKinds: accounts classes services models targets hosts intents handovers\n\nExample:\n  yardhall get targets/engine-1\n\n"
+	return "yardhall get KIND[/ID]\n\nKinds: accounts classes services models targets hosts intents handovers gateway\n\nExample:\n  yardhall get targets/engine-1\n\n"
 }
 
 // SetFlags implements subcommands.Command.
--- a/commands/yardhall/objects.go
+++ b/commands/yardhall/objects.go
@@ -110,16 +110,29 @@
 		return nil, errors.Wrap(err, "read file")
 	}
 	var out []objectWrite
+	var tables tableReader
 	for _, sec := range f.Sections() {
 		if sec.Name() == ini.DefaultSection {
 			continue
 		}
+		taken, err := tables.read(sec)
+		if err != nil {
+			return nil, err
+		}
+		if taken {
+			continue
+		}
 		o, err := readObject(sec)
 		if err != nil {
 			return nil, err
 		}
 		out = append(out, o)
 	}
+	table, err := tables.writes()
+	if err != nil {
+		return nil, err
+	}
+	out = append(out, table...)
 	if len(out) == 0 {
 		return nil, errors.New("the file holds no object")
 	}
--- a/core/catalog/catalog.go
+++ b/core/catalog/catalog.go
@@ -90,7 +90,7 @@
 		return c, first.Result
 	}
 	next, result := c.run(w)
-	if w.Remember {
+	if w.Remember && result.Code != BaseMoved {
 		next = next.remember(w.ID, result)
 	}
 	return next, result
--- a/core/catalog/catalog_test.go
+++ b/core/catalog/catalog_test.go
@@ -264,3 +264,23 @@
 	_, kept := c.DeltasAfter(100, 10)
 	require.False(t, kept, "a follower that is behind asks for the whole document")
 }
+
+// TestPatchThatLostARaceIsNotRemembered sends a remembered write as a patch of a
+// table that is no longer in force, and then whole: the second one counts.
+func TestPatchThatLostARaceIsNotRemembered(t *testing.T) {
+	table := func(number uint64) config.Gateway {
+		return config.Gateway{Number: number, Pools: []config.Pool{{ID: "p"}}}
+	}
+	write := func(id string, change config.Change) catalog.Write {
+		return catalog.Write{ID: id, Remember: true, Command: catalog.Edit{Change: change}}
+	}
+	c, _ := catalog.Catalog{}.Apply(write("one", config.PutGateway{Gateway: table(1)}))
+	patch := config.PatchGateway{Patch: table(1).PatchTo(table(3))}
+	c, _ = c.Apply(write("two", config.PutGateway{Gateway: table(2)}))
+	c, r := c.Apply(write("three", patch))
+	require.Equal(t, catalog.BaseMoved, r.Code)
+	require.EqualValues(t, 2, c.Config.Gateway.Number)
+	c, r = c.Apply(write("three", config.PutGateway{Gateway: table(3)}))
+	require.Equal(t, catalog.OK, r.Code)
+	require.EqualValues(t, 3, c.Config.Gateway.Number)
+}
--- a/operators/kinds.go
+++ b/operators/kinds.go
@@ -90,6 +90,7 @@
 			func(id ident.Host, v config.Host) config.Change { v.ID = id; return config.PutHost{Host: v} },
 			func(id ident.Host) config.Change { return config.DeleteHost{ID: id} },
 		),
+		"gateway": gatewayKind(),
 		"intents": intentKind(),
 		"handovers": kindOf(
 			func(c config.Config) table.Table[string, config.HandOver] { return c.HandOvers },
@@ -140,6 +141,34 @@
 	return k
 }
 
+// gatewayTable is the name of the one route table.
+const gatewayTable = "table"
+
+// gatewayKind is the route table, which is replaced whole: the highest number
+// prevails, and one that does not exceed it changes nothing.
+func gatewayKind() kind {
+	held := func(c config.Config) config.Gateway { return c.Gateway.WithoutSource() }
+	return kind{
+		list: func(c config.Config) any { return held(c) },
+		get: func(c config.Config, id string) (object, bool) {
+			return object{held(c), config.Version(c.Gateway.Number)}, id == gatewayTable && c.Gateway.Number > 0
+		},
+		put: func(id string, body []byte) (config.Change, error) {
+			var g config.Gateway
+			if id != gatewayTable {
+				return nil, errors.Errorf("the route table is /gateway/%s", gatewayTable)
+			}
+			if err := decode(body, &g); err != nil {
+				return nil, err
+			}
+			if len(g.Source) > 0 {
+				return nil, errors.New("source is not taken here")
+			}
+			return config.PutGateway{Gateway: g}, g.Check()
+		},
+	}
+}
+
 func decode(body []byte, v any) error {
 	d := json.NewDecoder(bytes.NewReader(body))
 	d.DisallowUnknownFields()
--- a/site/site_test.go
+++ b/site/site_test.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"fmt"
 	"io"
 	"net/http"
 	"strings"
@@ -16,6 +17,7 @@
 
 	"github.com/yardhall/yardhall/callers"
 	"github.com/yardhall/yardhall/core/config"
+	"github.com/yardhall/yardhall/operators"
 	"github.com/yardhall/yardhall/site"
 )
 
@@ -124,3 +126,28 @@
 	s.AccountKey = key
 	require.Equal(t, "invalid_request", codeOf(call(s, 0, "/services/floor/slots", "x", callers.HeaderDeadline, "soon")))
 }
+
+// TestRouteTableIsShownAndReplaced replaces the route table over the operators'
+// port, at two hosts, and resends a write whose answer was lost.
+func TestRouteTableIsShownAndReplaced(t *testing.T) {
+	s := start(t, site.Builder{Net: 13})
+	c := s.Operator()
+	put := func(number uint64, pools ...config.Pool) error {
+		_, err := c.Do(t.Context(), operators.Request{
+			Method: http.MethodPut, Path: "/v1/gateway/table", Body: config.Gateway{Number: number, Pools: pools},
+			Key: fmt.Sprint("table-", number),
+		}, nil)
+		return err
+	}
+	require.NoError(t, put(5, config.Pool{ID: "text"}))
+	require.NoError(t, put(7, config.Pool{ID: "text"}, config.Pool{ID: "plain"}))
+	require.NoError(t, put(7, config.Pool{ID: "text"}, config.Pool{ID: "plain"}), "the same write again")
+	require.NoError(t, put(6, config.Pool{ID: "other"}), "an older one is taken note of")
+	require.Error(t, put(9, config.Pool{}), "a pool without an id")
+	var got config.Gateway
+	require.NoError(t, site.Await(t.Context(), time.Minute, "the table at the host asked", func() bool {
+		_, err := c.Do(t.Context(), operators.Request{Method: http.MethodGet, Path: "/v1/gateway/table"}, &got)
+		return err == nil && got.Number == 7
+	}))
+	require.Equal(t, []config.Pool{{ID: "text"}, {ID: "plain"}}, got.Pools)
+}
