storage: Set a damaged log aside; let the soak lose one disk at a time

Cause: a replica of a seeded fleet whose log is damaged did not start again, and nobody lists such a fleet by hand. Its files are now set aside in its data folder and it joins as one whose disk was lost. A file of another format is still refused: a step back of versions must not throw a log away.

Traced by their logs: the soak took a second disk before the group had promoted the first one's replacement (no leader had lasted long enough), so two of three votes were gone; the fleet is made for one. The soak now waits until the replicas were left alone for 4 s.

Ruled out: starting under the old name (its vote may have been given already).

Conclusion: damage is a lost disk.

--- a/daemon/data.go
+++ b/daemon/data.go
@@ -30,6 +30,10 @@
 		}
 	}
 	log, boot, err := storage.Open(d.settings.Host.Data, o)
+	if errors.Is(err, storage.ErrDamaged) && hs.Seeded() {
+		d.options.Log.Error(err, "the data folder is set aside; this replica joins as one whose disk was lost")
+		log, boot, err = d.openAnew(o)
+	}
 	if err != nil {
 		return nil, boot, errors.Wrap(err, "open data folder")
 	}
@@ -40,6 +44,17 @@
 	return log, boot, nil
 }
 
+// openAnew sets a damaged data folder aside. What stood there counts as lost, so
+// the replica gets a name that has no vote, even at the very first start.
+func (d *Daemon) openAnew(o storage.Options) (*storage.Log, raft.Boot, error) {
+	if err := storage.SetAside(d.settings.Host.Data); err != nil {
+		return nil, raft.Boot{}, err
+	}
+	o.Identity, o.Members = d.settings.ID().WithDisk(rand.Text()), nil
+	log, boot, err := storage.Open(d.settings.Host.Data, o)
+	return log, boot, errors.Wrap(err, "open a new data folder")
+}
+
 // foundingDisk names the disks of the replicas that form the first group.
 const foundingDisk = "first"
 
--- a/soak/faults_test.go
+++ b/soak/faults_test.go
@@ -36,6 +36,16 @@
 	return false
 }
 
+// touchesAny is touches for any of several nodes.
+func (f fault) touchesAny(nodes []node, from, to time.Time) bool {
+	for _, n := range nodes {
+		if f.touches(n, from, to) {
+			return true
+		}
+	}
+	return false
+}
+
 const (
 	kindStop = "planned stop"
 	kindWipe = "lost disk"
@@ -108,10 +118,12 @@
 	maxGap  = 900 * time.Millisecond
 	minLast = 200 * time.Millisecond
 	maxLast = 3500 * time.Millisecond
-	// betweenWipes lets a replica that lost its disk catch up.
-	betweenWipes = 8 * time.Second
-	maxDelay     = 150 * time.Millisecond
-	maxFaulty    = 0.4
+	// catchUp is how long replicas must have been left alone since a disk was
+	// lost before another one may be: the fleet is made for one lost disk at a
+	// time, and a replica counts as lost until it has caught up.
+	catchUp   = 4 * time.Second
+	maxDelay  = 150 * time.Millisecond
+	maxFaulty = 0.4
 )
 
 // run disturbs the fleet for a time and waits until the last fault has ended.
@@ -132,7 +144,7 @@
 func (x *faults) draw() func() {
 	last, host, replica := x.between(minLast, maxLast), x.anyHost(), x.anyReplica()
 	other, worker, part := x.anyHost(), x.anyWorker(), x.random.Float64()
-	switch x.random.IntN(13) {
+	switch x.random.IntN(15) {
 	case 0:
 		return func() { x.pause(host, last) }
 	case 1:
@@ -205,27 +217,56 @@
 // wipe takes the disk of one replica; never of a second one before the first
 // has had time to be replaced.
 func (x *faults) wipe(n node, d time.Duration) {
-	x.mu.Lock()
-	recent := time.Since(x.wiped) < betweenWipes
-	x.mu.Unlock()
-	if recent || !x.claim(n) {
+	if !x.claim(n) {
 		return
 	}
 	defer x.release(n)
-	x.mu.Lock()
-	x.wiped = time.Now()
-	x.mu.Unlock()
+	if !x.mayWipe() {
+		return
+	}
 	defer x.begin(kindWipe, n)()
 	x.fleet.signal(n, syscall.SIGKILL)
 	x.fleet.await(n)
 	x.fleet.wipe(n)
 	time.Sleep(d)
-	x.mu.Lock()
-	x.wiped = time.Now()
-	x.mu.Unlock()
 	x.fleet.start(n)
 }
 
+// mayWipe tells whether no disk was lost before, or the replicas were left alone
+// for long enough some time after. It notes the loss that follows.
+func (x *faults) mayWipe() bool {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	now := time.Now()
+	since := x.wiped
+	for _, f := range x.list {
+		if f.kind == kindWipe && f.to.IsZero() {
+			return false
+		}
+		if f.to.IsZero() || f.to.After(since) {
+			if f.touchesAny(x.fleet.replicas(), x.wiped, now) {
+				since = later(since, f.to, now)
+			}
+		}
+	}
+	if !x.wiped.IsZero() && now.Sub(since) < catchUp {
+		return false
+	}
+	x.wiped = now
+	return true
+}
+
+// later is the later one of two times, where an open end is now.
+func later(a, end, now time.Time) time.Time {
+	if end.IsZero() {
+		return now
+	}
+	if end.After(a) {
+		return end
+	}
+	return a
+}
+
 // killReplicas kills all replicas that are not disturbed otherwise at once.
 func (x *faults) killReplicas(d time.Duration) {
 	var mine []node
--- a/storage/frame.go
+++ b/storage/frame.go
@@ -41,8 +41,11 @@
 		return nil, 0, errors.Wrapf(ErrDamaged, "%s: no header", filepath.Base(name))
 	}
 	var h header
-	if err := cbor.Unmarshal(frames[0], &h); err != nil || h.Format != formatVersion {
-		return nil, 0, errors.Wrapf(ErrDamaged, "%s: format %d, want %d", filepath.Base(name), h.Format, formatVersion)
+	if err := cbor.Unmarshal(frames[0], &h); err != nil {
+		return nil, 0, errors.Wrapf(ErrDamaged, "%s: header: %v", filepath.Base(name), err)
+	}
+	if h.Format != formatVersion {
+		return nil, 0, errors.Errorf("%s: format %d, want %d", filepath.Base(name), h.Format, formatVersion)
 	}
 	if h.Fleet != l.options.Fleet {
 		return nil, 0, errors.Errorf("%s belongs to fleet %q, not %q", filepath.Base(name), h.Fleet, l.options.Fleet)
