host: Let relays hear workers, send registrations in bounded pieces, ask less often

Now registrations travel packed, 128 at most at once, at a bounded rate, and are not sent again for 2 s to the same life of a host; every answer tells the number of hosts, and the interval grows to 1.4 s (as before below 114 hosts); above 150 ready workers a replica names entry hosts as relays, which acknowledge only that a worker is ready.

--- a/core/gateway/bench_test.go
+++ b/core/gateway/bench_test.go
@@ -27,7 +27,7 @@
 					Shares: []config.Share{{Pool: "pool", Weight: 1}}, MaxAttempts: 2, Public: true,
 				}},
 			})
-			var workers []registry.Worker
+			workers := make([]registry.Worker, 0, size)
 			for i := range size {
 				workers = append(workers, registry.Worker{
 					ID: ident.Target(fmt.Sprintf("i-%010x", i*7919)), Pool: "pool", Zone: "z", Address: "10.0.0.1:80", Slots: 64, Seq: 1,
--- a/core/gateway/gateway.go
+++ b/core/gateway/gateway.go
@@ -20,6 +20,7 @@
 	"github.com/yardhall/yardhall/core/ident"
 	"github.com/yardhall/yardhall/core/loads"
 	"github.com/yardhall/yardhall/core/outcome"
+	"github.com/yardhall/yardhall/core/registry"
 	"github.com/yardhall/yardhall/core/table"
 )
 
@@ -141,6 +142,18 @@
 // Counters returns what was counted so far.
 func (s State) Counters() Counters { return s.counters }
 
+// Worker returns a worker as this host knows it.
+func (s State) Worker(id ident.Target) (registry.Worker, bool) {
+	w, ok := s.workers.Get(id)
+	return w.Worker, ok
+}
+
+// ToldBy is the replica that told of a worker last.
+func (s State) ToldBy(id ident.Target) ident.Host {
+	w, _ := s.workers.Get(id)
+	return w.toldBy
+}
+
 // Loads returns the requests of this host at each worker that has any.
 func (s State) Loads() loads.Digest {
 	own := loads.Counts{}
--- a/core/gateway/worker.go
+++ b/core/gateway/worker.go
@@ -16,8 +16,10 @@
 type worker struct {
 	registry.Worker
 	// key is the hash of its id, for the order of preference.
-	key    hash.Key
-	tag    loads.Tag
+	key hash.Key
+	tag loads.Tag
+	// toldBy is the replica that told of it last.
+	toldBy ident.Host
 	health health.Target
 	// own is how many requests this host has there.
 	own int
@@ -107,6 +109,7 @@
 		if !known || have.State != r.State {
 			t.out = append(t.out, Believed{Worker: r, Usable: r.State == registry.Ready, Why: "registration, by " + string(ev.From)})
 		}
+		have.toldBy = ev.From
 		have.Worker, have.key, have.tag = r, hash.Of(string(r.ID)), loads.TagOf(r.ID)
 		t.workers = t.workers.With(r.ID, have)
 	}
--- a/core/host/effect.go
+++ b/core/host/effect.go
@@ -76,6 +76,12 @@
 		ID string
 		OK bool
 	}
+	// BeatAnswer answers a worker: whether its word was taken, and the ip:port
+	// for its next heartbeats, empty for no change.
+	BeatAnswer struct {
+		Taken bool
+		Relay string
+	}
 )
 
 func (Send) effect()        {}
@@ -90,6 +96,7 @@
 func (KnowHosts) effect()   {}
 func (Route) effect()       {}
 func (AnswerRead) effect()  {}
+func (BeatAnswer) effect()  {}
 
 // NoteKind names a change of state.
 type NoteKind string
--- a/core/host/event.go
+++ b/core/host/event.go
@@ -68,9 +68,9 @@
 	}
 	// Routed is an event of the gateway.
 	Routed struct{ Event gateway.Event }
-	// Beaten is a worker's heartbeat.
+	// Beaten is a worker's heartbeat. A BeatAnswer follows at once.
 	Beaten struct{ Worker registry.Worker }
-	// Left is a worker's word that it ends.
+	// Left is a worker's word that it ends. A BeatAnswer follows at once.
 	Left struct{ Worker ident.Target }
 	// Read asks whether the configuration held is the newest one.
 	Read struct {
--- a/core/host/host.go
+++ b/core/host/host.go
@@ -55,6 +55,9 @@
 	Voters int
 	// SilentAfter is how long a registered worker may be silent; 0 is the default.
 	SilentAfter time.Duration
+	// Relay is the ip:port at which this host takes workers' heartbeats for the
+	// replicas; empty for none.
+	Relay string
 	// Gateway are the bounds of the route table's requests.
 	Gateway gateway.Settings
 }
@@ -230,9 +233,9 @@
 	case Routed:
 		t.routed(ev.Event)
 	case Beaten:
-		t.beaten(ev.Worker)
+		t.beatHeard(ev.Worker)
 	case Left:
-		t.left(ev.Worker)
+		t.leaveHeard(ev.Worker)
 	case Read:
 		t.read(ev)
 	case Reseeded:
--- a/core/host/message.go
+++ b/core/host/message.go
@@ -11,7 +11,6 @@
 	"github.com/yardhall/yardhall/core/ident"
 	"github.com/yardhall/yardhall/core/loads"
 	"github.com/yardhall/yardhall/core/raft"
-	"github.com/yardhall/yardhall/core/registry"
 	"github.com/yardhall/yardhall/core/routing"
 )
 
@@ -114,12 +113,18 @@
 		Lead  bool
 		Table bool
 		Sums  bool
+		// Boot is the incarnation of the host.
+		Boot uint64
 		// Epoch and Revision are what the host has of the replica's registry.
 		Epoch    uint64
 		Revision uint64
 		Serves   bool
 		// Loads are the requests of this host.
 		Loads loads.Digest
+		// Relay is where this host takes workers' heartbeats; Beats are workers
+		// that it has heard there.
+		Relay string
+		Beats []byte
 	}
 	// SyncAnswer answers Sync, or tells of a change with Round 0.
 	SyncAnswer struct {
@@ -134,10 +139,11 @@
 		Gateway []byte
 		Base    config.Version
 		Epoch   uint64
-		// Since is the revision that Workers follow.
+		// Since is the revision that Workers, which are packed, follow; they lead
+		// to Revision.
 		Since    uint64
 		Revision uint64
-		Workers  []registry.Worker
+		Workers  []byte
 		Replicas []ident.Host
 		// Summed is set where Loads are the requests of all other hosts.
 		Summed bool
--- a/core/host/registrations.go
+++ b/core/host/registrations.go
@@ -25,11 +25,3 @@
 		t.note(NoteWorker, string(id), "state=gone")
 	}
 }
-
-func (t *turn) tickRegistry() {
-	silent := t.settings.SilentAfter
-	if silent == 0 {
-		silent = defaultSilentAfter
-	}
-	t.registry, _ = t.registry.Expire(silent, t.now)
-}
--- /dev/null
+++ b/core/host/relay.go
@@ -0,0 +1,150 @@
+// Copyright 2026 The Yardhall Authors. Licensed under the Apache License, Version 2.0.
+
+package host
+
+import (
+	"slices"
+	"time"
+
+	"github.com/yardhall/yardhall/core/hash"
+	"github.com/yardhall/yardhall/core/ident"
+	"github.com/yardhall/yardhall/core/registry"
+)
+
+// Where a fleet has so many workers that their heartbeats would fill the
+// replicas' processors, replicas name entry hosts, other ones for each worker,
+// that take further heartbeats. Such a relay acknowledges only that a worker is
+// ready, and only where it does not know otherwise. It tells replicas now and then
+// whom it has heard: each one of the workers that it told of itself, so that no
+// worker is told of by several. Whatever else a worker says it must say to a
+// replica, so that a worker that leaves is known everywhere as soon as without
+// relays.
+const (
+	// relayAbove is the number of ready workers that a replica knows above which it
+	// names relays. Without relays each replica knows those that speak to it.
+	relayAbove = 150
+	// relayInterval is the time between two words of a relay on whom it has
+	// heard; several fit into the time that a worker may be silent.
+	relayInterval = 1500 * time.Millisecond
+	// relayContact is how recently a relay must have heard a replica: one that is
+	// cut off must not acknowledge what no replica will hear of. It is longer than
+	// a host of a large fleet leaves between two questions, and with relayInterval
+	// and one heartbeat shorter than a worker may be silent.
+	relayContact = 3 * time.Second
+	// registryInterval is the time between two looks over all registrations.
+	registryInterval = 500 * time.Millisecond
+)
+
+// relayState is what relays and replicas keep for this.
+type relayState struct {
+	// heard are the workers heard since the last word, on a relay.
+	heard map[ident.Target]registry.Worker
+	at    time.Time
+	// hosts are the addresses of relays, on a replica; empty where none are
+	// needed. Neither is changed in place.
+	hosts []string
+	looks time.Time
+}
+
+// beatHeard takes a worker's heartbeat and says whether it is acknowledged, and
+// where the next ones shall go.
+func (t *turn) beatHeard(w registry.Worker) {
+	if t.settings.IsReplica() {
+		t.beaten(w)
+		t.emit(BeatAnswer{Taken: true, Relay: t.relayFor(w)})
+		return
+	}
+	taken := t.mayRelay(w)
+	if taken {
+		heard := make(map[ident.Target]registry.Worker, len(t.sync.relay.heard)+1)
+		for id, other := range t.sync.relay.heard {
+			heard[id] = other
+		}
+		heard[w.ID] = w
+		t.sync.relay.heard = heard
+	}
+	t.emit(BeatAnswer{Taken: taken})
+}
+
+// leaveHeard takes a worker's word that it ends; only replicas do.
+func (t *turn) leaveHeard(id ident.Target) {
+	taken := t.settings.IsReplica()
+	if taken {
+		t.left(id)
+	}
+	t.emit(BeatAnswer{Taken: taken})
+}
+
+// relayFor names the relay for a worker; empty is none.
+func (t *turn) relayFor(w registry.Worker) string {
+	if w.State != registry.Ready {
+		return ""
+	}
+	relay, _ := hash.Best(hash.Of(string(w.ID)), t.sync.relay.hosts, func(h string) string { return h })
+	return relay
+}
+
+// mayRelay tells whether a heartbeat says nothing that is at odds with what is
+// known, and replicas will hear of it. A worker not known yet has just spoken to a
+// replica, whose word is under way.
+func (t *turn) mayRelay(w registry.Worker) bool {
+	known, ok := t.gateway.Worker(w.ID)
+	same := known.Pool == w.Pool && known.Address == w.Address && known.Zone == w.Zone && known.Slots == w.Slots
+	settled := known.State == registry.Ready || known.State == registry.Silent
+	return (!ok || same && settled) && w.State == registry.Ready && !t.draining && t.replicaHeard(relayContact)
+}
+
+// replicaHeard tells whether any replica has answered within a time.
+func (t *turn) replicaHeard(within time.Duration) bool {
+	for _, c := range t.sync.contacts.All() {
+		if t.now.Sub(c.heard) <= within {
+			return true
+		}
+	}
+	return false
+}
+
+// relayed returns the workers that replicas are to be told of now: each replica of
+// those that it told of itself, and another one where that one is silent.
+func (t *turn) relayed() map[ident.Host][]registry.Worker {
+	if len(t.sync.relay.heard) == 0 || t.now.Sub(t.sync.relay.at) < relayInterval {
+		return nil
+	}
+	t.sync.relay.at = t.now
+	out := map[ident.Host][]registry.Worker{}
+	for id, w := range t.sync.relay.heard {
+		to := t.gateway.ToldBy(id)
+		if c, ok := t.sync.contacts.Get(to); !ok || c.lost {
+			to = t.sourceOf("beats", contactTimeout)
+		}
+		out[to] = append(out[to], w)
+	}
+	for _, workers := range out {
+		slices.SortFunc(workers, registry.ByID)
+	}
+	t.sync.relay.heard = nil
+	return out
+}
+
+// tickRegistry looks over all registrations now and then: who is silent, and
+// whether relays are needed.
+func (t *turn) tickRegistry() {
+	if t.now.Sub(t.sync.relay.looks) < registryInterval {
+		return
+	}
+	t.sync.relay.looks = t.now
+	silent := t.settings.SilentAfter
+	if silent == 0 {
+		silent = defaultSilentAfter
+	}
+	t.registry, _ = t.registry.Expire(silent, t.now)
+	t.sync.relay.hosts = nil
+	if t.registry.Ready() <= relayAbove {
+		return
+	}
+	for _, c := range t.sync.clients.All() {
+		if c.relay != "" && t.now.Sub(c.heard) <= syncLife {
+			t.sync.relay.hosts = append(t.sync.relay.hosts, c.relay)
+		}
+	}
+}
--- a/core/host/seeded_test.go
+++ b/core/host/seeded_test.go
@@ -62,6 +62,8 @@
 	decided []gateway.Decision
 	starts  uint64
 	voters  int
+	// beats are the answers to workers.
+	beats []host.BeatAnswer
 	// seen, where set, is shown each message that arrives.
 	seen func(seededPacket)
 }
@@ -116,6 +118,8 @@
 	d := f.disks[id]
 	if d != nil {
 		s.Identity = d.identity
+	} else {
+		s.Relay = "relay at " + string(id)
 	}
 	state := host.New(s, 7, f.now)
 	if d != nil {
@@ -158,6 +162,8 @@
 			f.reads[e.ID] = e.OK
 		case host.Route:
 			f.decided = append(f.decided, e.Decision)
+		case host.BeatAnswer:
+			f.beats = append(f.beats, e)
 		}
 	}
 }
--- a/core/host/sync.go
+++ b/core/host/sync.go
@@ -14,6 +14,7 @@
 	"github.com/yardhall/yardhall/core/hash"
 	"github.com/yardhall/yardhall/core/ident"
 	"github.com/yardhall/yardhall/core/loads"
+	"github.com/yardhall/yardhall/core/registry"
 	"github.com/yardhall/yardhall/core/table"
 )
 
@@ -25,14 +26,17 @@
 	// minSyncInterval and maxSyncInterval bound the time between two questions
 	// to a replica; it grows by syncShare for each entry host.
 	minSyncInterval = 300 * time.Millisecond
-	maxSyncInterval = 800 * time.Millisecond
+	maxSyncInterval = 1400 * time.Millisecond
 	syncShare       = 7 * time.Millisecond
 	// syncLife is how long a replica keeps what a host told it.
-	syncLife = 3 * time.Second
+	syncLife = 4 * time.Second
 	// leadTimeout intervals without a leader's word make a host turn to another
 	// replica, askAllAfter to all of them.
 	leadTimeout = 3
 	askAllAfter = 2
+	// maxLeadWait bounds both where intervals are long: a host without a leader's
+	// word may use its configuration for a few seconds only.
+	maxLeadWait = 2 * time.Second
 	// contactTimeout without an answer is noted as a lost dependency.
 	contactTimeout = 3 * time.Second
 	// maxRounds bounds the unanswered questions remembered.
@@ -58,13 +62,16 @@
 	hosts int
 	// behindAt is since when the leader names a newer table than is held.
 	behindAt time.Time
-	// tableBytes counts the bytes of tables sent since the last tick.
-	tableBytes int
-	clients    table.Table[ident.Host, client]
-	joiners    table.Table[ident.Host, time.Time]
-	joinAt     time.Time
-	memberAt   time.Time
-	sums       loadSums
+	// bulkBytes counts the bytes of tables and of many registrations sent since
+	// the last tick.
+	bulkBytes int
+	batches   workerBatches
+	clients   table.Table[ident.Host, client]
+	joiners   table.Table[ident.Host, time.Time]
+	joinAt    time.Time
+	memberAt  time.Time
+	sums      loadSums
+	relay     relayState
 	// tables are the newest route tables, packed what leads from each of them
 	// to the newest one.
 	tables table.Table[config.Version, config.Gateway]
@@ -84,10 +91,16 @@
 	version  config.Version
 	revision uint64
 	heard    time.Time
+	boot     uint64
+	// sent is the revision to which registrations were sent at sentAt.
+	sent   uint64
+	sentAt time.Time
 	// table is set where the host has the route table from this replica.
 	table  bool
 	serves bool
 	loads  loads.Digest
+	// relay is where the host takes workers' heartbeats; empty for nowhere.
+	relay string
 }
 
 func (t *turn) tickSeeded() {
@@ -126,9 +139,9 @@
 	hosts := t.contactHosts()
 	t.pickLead(hosts)
 	t.noteLost()
-	own := t.gateway.Loads()
+	own, beats := t.gateway.Loads(), t.relayed()
 	for _, h := range hosts {
-		t.sendSync(h, own)
+		t.sendSync(h, own, registry.Pack(beats[h]))
 	}
 }
 
@@ -143,7 +156,7 @@
 	if len(hosts) == 0 {
 		return
 	}
-	if slices.Contains(hosts, t.sync.lead) && t.now.Sub(t.sync.leadAt) < leadTimeout*t.syncInterval() {
+	if slices.Contains(hosts, t.sync.lead) && t.now.Sub(t.sync.leadAt) < min(leadTimeout*t.syncInterval(), maxLeadWait) {
 		return
 	}
 	t.sync.turns++
@@ -160,7 +173,7 @@
 	}
 }
 
-func (t *turn) sendSync(to ident.Host, own loads.Digest) {
+func (t *turn) sendSync(to ident.Host, own loads.Digest, beats []byte) {
 	t.sync.round++
 	t.sync.rounds = t.sync.rounds.With(t.sync.round, t.now)
 	for t.sync.rounds.Len() > maxRounds {
@@ -170,10 +183,14 @@
 	c, _ := t.sync.contacts.Get(to)
 	m := Sync{
 		Round: t.sync.round, Version: t.config.Version,
-		Lead:  to == t.sync.lead || t.now.Sub(t.sync.leadAt) > askAllAfter*t.syncInterval(),
+		Lead:  to == t.sync.lead || t.now.Sub(t.sync.leadAt) > min(askAllAfter*t.syncInterval(), maxLeadWait),
 		Table: to == t.tableSource() || to == t.sync.lead && t.behind(),
 		Sums:  to == t.loadSource(),
 		Epoch: c.epoch, Revision: c.revision, Serves: t.settings.Serves && !t.draining, Loads: own,
+		Beats: beats, Boot: t.settings.Incarnation,
+	}
+	if m.Serves {
+		m.Relay = t.settings.Relay
 	}
 	t.send(to, m)
 }
@@ -181,8 +198,8 @@
 // syncAnswered takes what a replica told.
 func (t *turn) syncAnswered(from ident.Host, m SyncAnswer) {
 	t.hearContact(from, m)
-	if len(m.Workers) > 0 {
-		t.routed(gateway.Registered{From: from, Workers: m.Workers})
+	if workers, err := registry.Unpack(m.Workers); err == nil && len(workers) > 0 {
+		t.routed(gateway.Registered{From: from, Workers: workers})
 	}
 	if len(m.Gateway) > 0 && m.Version > t.config.Version {
 		t.takeGateway(m)
@@ -193,6 +210,9 @@
 		t.routed(gateway.LoadsTold{Loads: m.Loads, AsOf: asked.Add(-t.syncInterval() / 2)})
 	}
 	if !m.Fresh {
+		// A fleet that starts has no leader yet, and must not ask its replicas as
+		// often as a small one may.
+		t.sync.hosts = max(t.sync.hosts, m.Hosts)
 		t.followLeader(from, m.Leader)
 		return
 	}
@@ -248,7 +268,7 @@
 		return
 	}
 	t.sync.lead = leader
-	t.sendSync(leader, t.gateway.Loads())
+	t.sendSync(leader, t.gateway.Loads(), nil)
 }
 
 // takeGateway puts a newer route table in force. A delta from another table
--- a/core/host/syncreplica.go
+++ b/core/host/syncreplica.go
@@ -10,6 +10,7 @@
 	"github.com/yardhall/yardhall/core/config"
 	"github.com/yardhall/yardhall/core/ident"
 	"github.com/yardhall/yardhall/core/loads"
+	"github.com/yardhall/yardhall/core/registry"
 	"github.com/yardhall/yardhall/core/table"
 )
 
@@ -20,34 +21,49 @@
 	}
 	c := client{
 		version: m.Version, revision: m.Revision, heard: t.now, table: m.Table, serves: m.Serves, loads: m.Loads,
+		relay: m.Relay, boot: m.Boot,
+	}
+	beats, _ := registry.Unpack(m.Beats)
+	for _, w := range beats {
+		t.beaten(w)
 	}
 	if m.Epoch != t.settings.Incarnation {
 		c.revision = 0
 	}
+	if before, ok := t.sync.clients.Get(from); ok && before.boot == c.boot && before.sent > c.revision && t.now.Sub(before.sentAt) < underWay {
+		// What was sent is likely still under way: sent again it would only add
+		// to what holds it up.
+		c.revision, c.sent, c.sentAt = before.sent, before.sent, before.sentAt
+	}
 	t.answerSync(from, c, m)
 }
 
+// underWay is how long registrations that were sent may take to arrive.
+const underWay = 2 * time.Second
+
 // answerSync sends what the client lacks and remembers what it has then.
 func (t *turn) answerSync(to ident.Host, c client, asked Sync) {
-	workers, revision := t.registry.After(c.revision)
+	workers, revision := t.nextWorkers(c.revision)
 	a := SyncAnswer{
 		Round: asked.Round, Leader: t.raft.Leader().Address(), Version: t.catalog.Config.Version,
 		Epoch: t.settings.Incarnation, Since: c.revision, Revision: revision, Workers: workers,
+		Hosts: t.sumLoads().serving,
 	}
 	if asked.Lead {
 		a.Fresh = t.raft.LeaseHeld(t.now)
 		a.Replicas = t.memberAddresses()
-		a.Hosts = t.sumLoads().serving
 	}
 	if asked.Sums && t.now.Sub(t.started) >= sumWarmUp {
 		a.Summed, a.Loads = true, t.sumLoads().others(to)
 	}
-	if c.table && c.version < t.catalog.Config.Version && t.sync.tableBytes < tableBytesPerTick {
+	if c.table && c.version < t.catalog.Config.Version && t.sync.bulkBytes < bulkBytesPerTick {
 		a.Gateway, a.Base = t.packedGateway(c.version)
 		c.version = t.catalog.Config.Version
-		t.sync.tableBytes += len(a.Gateway)
+		t.sync.bulkBytes += len(a.Gateway)
+	}
+	if revision > c.revision {
+		c.revision, c.sent, c.sentAt = revision, revision, t.now
 	}
-	c.revision = revision
 	t.sync.clients = t.sync.clients.With(to, c)
 	t.send(to, a)
 }
@@ -145,17 +161,65 @@
 }
 
 // pushSync tells the hosts that sync with this replica of what has changed
-// since the last tick. Tables go out at a bounded rate, or heartbeats of the
-// replicated log would wait behind them.
+// since the last tick. What is large goes out at a bounded rate, or heartbeats of
+// the replicated log would wait behind it.
 func (t *turn) pushSync() {
-	t.sync.tableBytes = 0
+	t.sync.bulkBytes = 0
 	for id, c := range t.sync.clients.All() {
-		stale := c.table && c.version < t.catalog.Config.Version && t.sync.tableBytes < tableBytesPerTick
+		stale := c.table && c.version < t.catalog.Config.Version && t.sync.bulkBytes < bulkBytesPerTick
 		if t.now.Sub(c.heard) <= syncLife && (stale || c.revision < t.registry.Revision()) {
 			t.answerSync(id, c, Sync{})
 		}
 	}
 }
 
-// tableBytesPerTick bounds the bytes of tables that a replica sends in a tick.
-const tableBytesPerTick = 16 << 10
+// bulkBytesPerTick bounds the bytes of tables and of many registrations that a
+// replica sends in a tick.
+const bulkBytesPerTick = 20 << 10
+
+// batchSize is how many registrations travel together at most.
+const batchSize = 128
+
+// workerBatches are full batches of registrations, which many hosts are sent, by
+// the revision that they follow. They are made anew after a while, as they go on
+// showing what has been forgotten since.
+type workerBatches struct {
+	since time.Time
+	bySeq table.Table[uint64, workerBatch]
+}
+
+// workerBatch is one of them, packed, and the revision that it leads to.
+type workerBatch struct {
+	record   []byte
+	revision uint64
+}
+
+// batchLife is how long batches are used.
+const batchLife = 2 * time.Second
+
+// nextWorkers returns the registrations after a revision that may be sent now,
+// and the revision that they lead to. A few go out at once; a full batch waits
+// where much has been sent in this tick.
+func (t *turn) nextWorkers(after uint64) (record []byte, revision uint64) {
+	if t.now.Sub(t.sync.batches.since) > batchLife {
+		t.sync.batches = workerBatches{since: t.now}
+	}
+	if b, ok := t.sync.batches.bySeq.Get(after); ok {
+		return t.inBudget(b, after)
+	}
+	workers, revision := t.registry.After(after, batchSize)
+	b := workerBatch{record: registry.Pack(workers), revision: revision}
+	if len(workers) < batchSize {
+		return b.record, b.revision
+	}
+	t.sync.batches.bySeq = t.sync.batches.bySeq.With(after, b)
+	return t.inBudget(b, after)
+}
+
+func (t *turn) inBudget(b workerBatch, after uint64) (record []byte, revision uint64) {
+	if t.sync.bulkBytes >= bulkBytesPerTick {
+		return nil, after
+	}
+	t.sync.bulkBytes += len(b.record)
+	return b.record, b.revision
+}
--- a/core/registry/registry.go
+++ b/core/registry/registry.go
@@ -6,7 +6,7 @@
 // # Usage
 //
 //	r, changed := r.WithBeat(worker, now)
-//	entries, revision := r.After(seen)
+//	entries, revision := r.After(seen, limit)
 //	r = r.Expire(silentAfter, now)
 //
 // Each change gets a revision, so that hosts which follow the registry are sent
@@ -15,6 +15,7 @@
 package registry
 
 import (
+	"cmp"
 	"time"
 
 	"github.com/yardhall/yardhall/core/ident"
@@ -42,15 +43,15 @@
 
 // Worker is one registration.
 type Worker struct {
-	ID      ident.Target
-	Pool    ident.Service
-	Zone    ident.Zone
-	Address string
+	ID      ident.Target  `cbor:"1,keyasint"`
+	Pool    ident.Service `cbor:"2,keyasint,omitempty"`
+	Zone    ident.Zone    `cbor:"3,keyasint,omitempty"`
+	Address string        `cbor:"4,keyasint,omitempty"`
 	// Slots is how many requests it serves at once.
-	Slots int
-	State State
+	Slots int   `cbor:"5,keyasint,omitempty"`
+	State State `cbor:"6,keyasint,omitempty"`
 	// Seq grows with each heartbeat of the worker.
-	Seq uint64
+	Seq uint64 `cbor:"7,keyasint,omitempty"`
 }
 
 // Newer tells whether a says more recent things than b about the same worker.
@@ -90,6 +91,20 @@
 // Revision counts the changes so far.
 func (r Registry) Revision() uint64 { return r.revision }
 
+// Ready returns how many workers are ready.
+func (r Registry) Ready() int {
+	n := 0
+	for _, e := range r.workers.All() {
+		if e.worker.State == Ready {
+			n++
+		}
+	}
+	return n
+}
+
+// ByID orders workers by their ids.
+func ByID(a, b Worker) int { return cmp.Compare(a.ID, b.ID) }
+
 // Len returns how many workers are known.
 func (r Registry) Len() int { return r.workers.Len() }
 
@@ -159,8 +174,9 @@
 	return r, changed
 }
 
-// After returns the workers changed after a revision, and the newest revision.
-func (r Registry) After(revision uint64) ([]Worker, uint64) {
+// After returns the workers changed after a revision, at most limit of them, and
+// the revision that they lead to.
+func (r Registry) After(revision uint64, limit int) ([]Worker, uint64) {
 	if revision == r.revision {
 		return nil, r.revision
 	}
@@ -171,6 +187,9 @@
 		}
 		e, _ := r.workers.Get(id)
 		out = append(out, e.worker)
+		if len(out) == limit {
+			return out, at
+		}
 	}
 	return out, r.revision
 }
--- a/core/registry/registry_test.go
+++ b/core/registry/registry_test.go
@@ -3,12 +3,14 @@
 package registry_test
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
 	"github.com/stretchr/testify/require"
 	"pgregory.net/rapid"
 
+	"github.com/yardhall/yardhall/core/ident"
 	"github.com/yardhall/yardhall/core/registry"
 )
 
@@ -47,14 +49,14 @@
 	var r registry.Registry
 	r, changed := r.WithBeat(worker(1, registry.Ready), start)
 	require.True(t, changed)
-	_, seen := r.After(0)
+	_, seen := r.After(0, 10)
 	r, changed = r.WithBeat(worker(2, registry.Ready), start.Add(time.Second))
 	require.False(t, changed, "a heartbeat that says nothing new is no change")
-	none, _ := r.After(seen)
+	none, _ := r.After(seen, 10)
 	require.Empty(t, none)
 	r, changed = r.WithBeat(worker(3, registry.Draining), start.Add(2*time.Second))
 	require.True(t, changed)
-	news, _ := r.After(seen)
+	news, _ := r.After(seen, 10)
 	require.Len(t, news, 1)
 	require.Equal(t, registry.Draining, news[0].State)
 }
@@ -86,3 +88,23 @@
 	r, _ = r.Expire(6*time.Second, start.Add(20*time.Minute))
 	require.Zero(t, r.Len())
 }
+
+// TestManyChangesComeInPieces follows a registry three workers at a time.
+func TestManyChangesComeInPieces(t *testing.T) {
+	var r registry.Registry
+	for i := range 8 {
+		r, _ = r.WithBeat(registry.Worker{ID: ident.Target(fmt.Sprint("w", i)), Seq: 1}, start)
+	}
+	got := make([]registry.Worker, 0, 8)
+	var seen uint64
+	for range 3 {
+		var part []registry.Worker
+		part, seen = r.After(seen, 3)
+		unpacked, err := registry.Unpack(registry.Pack(part))
+		require.NoError(t, err)
+		require.Equal(t, part, unpacked)
+		got = append(got, part...)
+	}
+	require.Len(t, got, 8)
+	require.Equal(t, r.Revision(), seen)
+}
--- a/daemon/gateway.go
+++ b/daemon/gateway.go
@@ -80,6 +80,7 @@
 		{s.Listen, &limitedServer{handler: d.gateway, limits: d.loop.Limits}},
 		{s.Ready, plainServer(ready)},
 		{s.Control, plainServer(platform.NewControl(d.loop).Handler())},
+		{s.Relay, plainServer(platform.NewControl(d.loop).RelayHandler())},
 	} {
 		if port.address == "" {
 			continue
--- a/daemon/loop.go
+++ b/daemon/loop.go
@@ -95,29 +95,47 @@
 	}
 }
 
-// reduce feeds one event and carries out what comes of it, but for the
-// gateway's decisions, which it returns.
-func (l *loop) reduce(ctx context.Context, ev host.Event) []gateway.Decision {
+// reduce feeds one event and carries out what comes of it, but for what is meant
+// for who brought the event, which it returns: the gateway's decisions and answers
+// to workers.
+func (l *loop) reduce(ctx context.Context, ev host.Event) []host.Effect {
 	l.reducing.Lock()
 	defer l.reducing.Unlock()
 	next, effects := host.Reduce(*l.state.Load(), ev, l.now())
 	l.state.Store(&next)
 	l.reduced.Add(1)
-	var decisions []gateway.Decision
+	var own []host.Effect
 	for _, e := range effects {
-		if r, ok := e.(host.Route); ok {
-			decisions = append(decisions, r.Decision)
-			continue
+		switch e.(type) {
+		case host.Route, host.BeatAnswer:
+			own = append(own, e)
+		default:
+			l.carryOut(ctx, e)
 		}
-		l.carryOut(ctx, e)
 	}
-	return decisions
+	return own
 }
 
 // Route implements gateway.Core: it runs on the caller's goroutine, as each
 // decision concerns the request that asked.
 func (l *loop) Route(ev gateway.Event) []gateway.Decision {
-	return l.reduce(context.Background(), host.Routed{Event: ev})
+	var decisions []gateway.Decision
+	for _, e := range l.reduce(context.Background(), host.Routed{Event: ev}) {
+		if r, ok := e.(host.Route); ok {
+			decisions = append(decisions, r.Decision)
+		}
+	}
+	return decisions
+}
+
+// Hear implements platform.Core: it feeds a worker's word and returns the answer.
+func (l *loop) Hear(ev host.Event) host.BeatAnswer {
+	for _, e := range l.reduce(context.Background(), ev) {
+		if a, ok := e.(host.BeatAnswer); ok {
+			return a
+		}
+	}
+	return host.BeatAnswer{}
 }
 
 // Limits implements gateway.Core.
--- a/peers/bench_test.go
+++ b/peers/bench_test.go
@@ -15,6 +15,9 @@
 	"github.com/yardhall/yardhall/peers"
 )
 
+// benchWorkers is the size of a large fleet of today.
+const benchWorkers = 144
+
 // BenchmarkConnect is what both ends spend on a new connection and its first
 // answer, with the loads and registrations of 144 workers.
 func BenchmarkConnect(b *testing.B) {
@@ -29,12 +32,13 @@
 	go func() { _ = server.Serve(l) }()
 	defer server.Close()
 	m, counts := host.SyncAnswer{Round: 1, Fresh: true, Summed: true}, loads.Counts{}
-	for i := range 144 {
+	workers := make([]registry.Worker, 0, benchWorkers)
+	for i := range benchWorkers {
 		id := ident.Target(fmt.Sprintf("i-%010x", i*7919))
-		m.Workers = append(m.Workers, registry.Worker{ID: id, Pool: "pool", Zone: "z", Address: "10.0.0.1:8080", Slots: 24, Seq: 9})
+		workers = append(workers, registry.Worker{ID: id, Pool: "pool", Zone: "z", Address: "10.0.0.1:8080", Slots: 24, Seq: 9})
 		counts[loads.TagOf(id)] = i
 	}
-	m.Loads = loads.Pack(counts)
+	m.Loads, m.Workers = loads.Pack(counts), registry.Pack(workers)
 	for b.Loop() {
 		pool := peers.NewPool(peers.Options{Self: "c", Fleet: "f", Key: "k", MaxMessage: 1 << 20})
 		pool.Send(ident.Host(l.Addr().String()), m)
@@ -60,12 +64,13 @@
 	go func() { _ = server.Serve(l) }()
 	defer server.Close()
 	m, counts := host.SyncAnswer{Round: 1, Fresh: true, Summed: true}, loads.Counts{}
-	for i := range 144 {
+	workers := make([]registry.Worker, 0, benchWorkers)
+	for i := range benchWorkers {
 		id := ident.Target(fmt.Sprintf("i-%010x", i*7919))
-		m.Workers = append(m.Workers, registry.Worker{ID: id, Pool: "pool", Zone: "z", Address: "10.0.0.1:8080", Slots: 24, Seq: 9})
+		workers = append(workers, registry.Worker{ID: id, Pool: "pool", Zone: "z", Address: "10.0.0.1:8080", Slots: 24, Seq: 9})
 		counts[loads.TagOf(id)] = i
 	}
-	m.Loads = loads.Pack(counts)
+	m.Loads, m.Workers = loads.Pack(counts), registry.Pack(workers)
 	counters := &peers.Counters{}
 	pool := peers.NewPool(peers.Options{Self: "c", Fleet: "f", Key: "k", MaxMessage: 1 << 20, Counters: counters})
 	defer pool.Close()
--- a/settings/load.go
+++ b/settings/load.go
@@ -170,6 +170,7 @@
 	checkAddress("callers", s.Callers.Listen, false, p)
 	checkAddress("operators", s.Operators.Listen, false, p)
 	checkAddress("metrics", s.Metrics.Listen, false, p)
+	checkRelay(s.Gateway, p)
 	if s.Peer.Shown != "" && !s.Seeded() {
 		p.add("peer", "advertise", "only with seeds; name the address in [replicas] members elsewhere")
 	}
@@ -218,6 +219,18 @@
 	}
 }
 
+func checkRelay(g Gateway, p *ProblemsError) {
+	if g.Relay == "" {
+		return
+	}
+	if _, err := netip.ParseAddrPort(g.Relay); err != nil {
+		p.add("gateway", "relay", "%q is not ip:port; host names are not taken", g.Relay)
+	}
+	if g.Listen == "" {
+		p.add("gateway", "relay", "only on a host that takes requests")
+	}
+}
+
 func parseMember(line string) (config.Host, error) {
 	parts := strings.Split(line, "@")
 	if len(parts) != 3 || parts[0] == "" || parts[1] == "" {
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -120,6 +120,7 @@
 	Listen     string        `ini:"listen" doc:"ip:port for requests; empty on a host that takes none."`
 	Ready      string        `ini:"ready" doc:"ip:port at which the balancer asks whether this host takes requests."`
 	Control    string        `ini:"control" doc:"ip:port for workers' registrations and for operators of the route table."`
+	Relay      string        `ini:"relay" doc:"ip:port at which a host that takes requests also takes workers' heartbeats for the replicas, where these are many; empty for none."`
 	KeyLease   time.Duration `ini:"key_lease" default:"4s" doc:"Time for which a confirmed configuration may be used for requests with a key."`
 	Heartbeat  time.Duration `ini:"heartbeat" default:"1200ms" doc:"Time between two heartbeats of a worker."`
 	RetryShare string        `ini:"retry_share" default:"0.2" doc:"Part of a pool's requests that may be sent once more."`
