--- a/commands/yardhall/explain.go
+++ b/commands/yardhall/explain.go
@@ -7,6 +7,7 @@
 	"flag"
 	"net/http"
 	"net/url"
+	"os"
 
 	"github.com/google/subcommands"
 
@@ -14,8 +15,11 @@
 	"github.com/yardhall/yardhall/operators"
 )
 
-// explainCommand prints the audit trail.
-type explainCommand struct{ c *connection }
+// explainCommand prints the audit trail, or the way of one request.
+type explainCommand struct {
+	c    *connection
+	logs string
+}
 
 // Name implements subcommands.Command.
 func (*explainCommand) Name() string { return "explain" }
@@ -25,14 +29,23 @@
 
 // Usage implements subcommands.Command.
 func (*explainCommand) Usage() string {
-	return "yardhall explain [OBJECT]\n\nExample:\n  yardhall explain plan-3\n  yardhall explain account/halls\n\n"
+	return "yardhall explain [OBJECT]\n\nExample:\n  yardhall explain plan-3\n  yardhall explain account/halls\n  yardhall explain -logs /var/log/yardhall 71431f42e8d5bd66\n\n"
 }
 
 // SetFlags implements subcommands.Command.
-func (e *explainCommand) SetFlags(f *flag.FlagSet) { e.c.setFlags(f) }
+func (e *explainCommand) SetFlags(f *flag.FlagSet) {
+	e.c.setFlags(f)
+	f.StringVar(&e.logs, "logs", "", "folder with the hosts' logs: print the lines on one request, by time")
+}
 
 // Execute implements subcommands.Command.
 func (e *explainCommand) Execute(ctx context.Context, f *flag.FlagSet, _ ...any) subcommands.ExitStatus {
+	if e.logs != "" {
+		if err := explainRequest(os.Stdout, e.logs, f.Arg(0)); err != nil {
+			return failed(err)
+		}
+		return subcommands.ExitSuccess
+	}
 	client, err := e.c.client()
 	if err != nil {
 		return failed(err)
--- /dev/null
+++ b/core/config/delta.go
@@ -0,0 +1,115 @@
+// Copyright 2026 The Yardhall Authors. Licensed under the Apache License, Version 2.0.
+
+package config
+
+import (
+	"reflect"
+
+	"github.com/fxamacker/cbor/v2"
+	"github.com/pkg/errors"
+
+	"github.com/yardhall/yardhall/core/ident"
+	"github.com/yardhall/yardhall/core/pack"
+)
+
+// GatewayDelta leads from one route table to another. Sources are left out:
+// only hosts that keep the replicated state hold them.
+type GatewayDelta struct {
+	From uint64 `json:"from"`
+	To   uint64 `json:"to"`
+	// Put are routes that are new or changed, Drop the places without one.
+	Put  []Route      `json:"put,omitempty"`
+	Drop []RoutePlace `json:"drop,omitempty"`
+	// Keys are holders that are new or changed, DropKeys accounts without keys.
+	Keys     []Holder        `json:"keys,omitempty"`
+	DropKeys []ident.Account `json:"drop_keys,omitempty"`
+	// Pools and Limits are whole.
+	Pools  []Pool `json:"pools,omitempty"`
+	Limits Limits `json:"limits"`
+}
+
+// RoutePlace is where a route stands; no two routes share one.
+type RoutePlace struct {
+	Host   string `json:"host"`
+	Prefix string `json:"prefix"`
+}
+
+func placeOf(r Route) RoutePlace { return RoutePlace{Host: r.Host, Prefix: r.Prefix} }
+
+// DeltaTo returns what leads from g to next.
+func (g Gateway) DeltaTo(next Gateway) GatewayDelta {
+	d := GatewayDelta{From: g.Number, To: next.Number, Pools: next.Pools, Limits: next.Limits}
+	d.Put, d.Drop = changed(g.Routes, next.Routes, placeOf)
+	d.Keys, d.DropKeys = changed(g.Keys, next.Keys, func(h Holder) ident.Account { return h.Account })
+	return d
+}
+
+// changed returns the items of next that differ from those of before, and the
+// keys that next no longer has.
+func changed[T any, K comparable](before, next []T, key func(T) K) (put []T, drop []K) {
+	old := make(map[K]T, len(before))
+	for _, item := range before {
+		old[key(item)] = item
+	}
+	for _, item := range next {
+		k := key(item)
+		if had, ok := old[k]; !ok || !reflect.DeepEqual(had, item) {
+			put = append(put, item)
+		}
+		delete(old, k)
+	}
+	for _, item := range before {
+		if _, gone := old[key(item)]; gone {
+			drop = append(drop, key(item))
+		}
+	}
+	return put, drop
+}
+
+// WithDelta returns the table that d leads to, or an error where d does not
+// begin at g.
+func (g Gateway) WithDelta(d GatewayDelta) (Gateway, error) {
+	if d.From != g.Number {
+		return g, errors.Errorf("route table: a delta from %d does not fit %d", d.From, g.Number)
+	}
+	next := Gateway{Number: d.To, Pools: d.Pools, Limits: d.Limits}
+	next.Routes = applied(g.Routes, d.Put, d.Drop, placeOf)
+	next.Keys = applied(g.Keys, d.Keys, d.DropKeys, func(h Holder) ident.Account { return h.Account })
+	return next, nil
+}
+
+func applied[T any, K comparable](before, put []T, drop []K, key func(T) K) []T {
+	gone := make(map[K]bool, len(put)+len(drop))
+	for _, k := range drop {
+		gone[k] = true
+	}
+	for _, item := range put {
+		gone[key(item)] = true
+	}
+	out := make([]T, 0, len(before)+len(put))
+	for _, item := range before {
+		if !gone[key(item)] {
+			out = append(out, item)
+		}
+	}
+	return append(out, put...)
+}
+
+// Packed returns the delta as it travels.
+func (d GatewayDelta) Packed() []byte {
+	b, err := cbor.Marshal(d)
+	if err != nil {
+		panic(errors.Wrap(err, "config: encode a delta"))
+	}
+	return pack.Bytes(b)
+}
+
+// UnpackGatewayDelta reads what Packed returned.
+func UnpackGatewayDelta(record []byte) (GatewayDelta, error) {
+	var d GatewayDelta
+	b, err := pack.Unpack(record)
+	if err != nil {
+		return d, errors.Wrap(err, "route table delta")
+	}
+	return d, errors.Wrap(cbor.Unmarshal(b, &d), "route table delta")
+}
--- a/core/gateway/event.go
+++ b/core/gateway/event.go
@@ -148,7 +148,8 @@
 
 // Inputs are what a decision was made from, for the log.
 type Inputs struct {
-	// Number is the route table's, ConfigAge the time since it was confirmed.
+	// Number is the route table's, ConfigAge the time since it was confirmed;
+	// negative where it never was.
 	Number    uint64
 	ConfigAge time.Duration
 	// Load is the worker's, as estimated; LoadAge the age of the part that other
--- a/core/gateway/gateway.go
+++ b/core/gateway/gateway.go
@@ -213,7 +213,7 @@
 func (t *turn) inputs(picked choice) Inputs {
 	in := Inputs{
 		Number: t.number, Mean: picked.mean, Choice: picked.place, Candidates: picked.of,
-		Load: picked.worker.load(t.now),
+		Load: picked.worker.load(t.now), ConfigAge: -time.Millisecond,
 	}
 	if !t.confirmed.IsZero() {
 		in.ConfigAge = t.now.Sub(t.confirmed)
--- a/core/host/event.go
+++ b/core/host/event.go
@@ -246,8 +246,10 @@
 		// newest.
 		Fresh   bool
 		Version config.Version
-		// Gateway is the packed route table of Version, where it is sent.
+		// Gateway is the packed route table of Version, where it is sent; where
+		// Base is set, the packed delta from the table of that version.
 		Gateway []byte
+		Base    config.Version
 		Epoch   uint64
 		// Since is the revision that Workers follow.
 		Since    uint64
--- a/core/host/sync.go
+++ b/core/host/sync.go
@@ -7,6 +7,8 @@
 	"slices"
 	"time"
 
+	"github.com/pkg/errors"
+
 	"github.com/yardhall/yardhall/core/config"
 	"github.com/yardhall/yardhall/core/gateway"
 	"github.com/yardhall/yardhall/core/ident"
@@ -18,14 +20,17 @@
 // replica, a few times a second, for what it lacks. One of them, the leader
 // where it is known, gives configuration and other hosts' loads too.
 const (
-	// syncInterval is the time between two questions to a replica.
-	syncInterval = 300 * time.Millisecond
+	// minSyncInterval and maxSyncInterval bound the time between two questions
+	// to a replica; it grows by syncShare for each entry host.
+	minSyncInterval = 300 * time.Millisecond
+	maxSyncInterval = 600 * time.Millisecond
+	syncShare       = 7 * time.Millisecond
 	// syncLife is how long a replica keeps what a host told it.
 	syncLife = 3 * time.Second
-	// leadTimeout without an answer makes a host turn to another replica.
-	leadTimeout = 900 * time.Millisecond
-	// askAllAfter without a leader's word makes a host ask all replicas for it.
-	askAllAfter = 600 * time.Millisecond
+	// leadTimeout intervals without a leader's word make a host turn to another
+	// replica, askAllAfter to all of them.
+	leadTimeout = 3
+	askAllAfter = 2
 	// contactTimeout without an answer is noted as a lost dependency.
 	contactTimeout = 3 * time.Second
 	// maxRounds bounds the unanswered questions remembered.
@@ -47,12 +52,16 @@
 	lead     ident.Host
 	leadAt   time.Time
 	turns    int
+	// hosts is how many entry hosts there are, by a leader's word.
+	hosts    int
 	clients  table.Table[ident.Host, client]
 	joiners  table.Table[ident.Host, time.Time]
 	joinAt   time.Time
 	memberAt time.Time
-	packed   []byte
-	packedAt config.Version
+	// tables are the newest route tables, packed what leads from each of them
+	// to the newest one.
+	tables table.Table[config.Version, config.Gateway]
+	packed table.Table[config.Version, []byte]
 }
 
 // contact is a replica as a host sees it.
@@ -104,7 +113,7 @@
 	if !t.settings.Serves || t.now.Before(t.sync.at) {
 		return
 	}
-	t.sync.at = t.now.Add(syncInterval)
+	t.sync.at = t.now.Add(t.syncInterval())
 	hosts := t.contactHosts()
 	t.pickLead(hosts)
 	t.noteLost()
@@ -113,12 +122,18 @@
 	}
 }
 
+// syncInterval is the time between two questions to a replica: the more hosts
+// ask, the less often each does, so that replicas stay within their bytes.
+func (t *turn) syncInterval() time.Duration {
+	return min(max(minSyncInterval, time.Duration(t.sync.hosts)*syncShare), maxSyncInterval)
+}
+
 // pickLead turns to the next replica where the present one does not answer.
 func (t *turn) pickLead(hosts []ident.Host) {
 	if len(hosts) == 0 {
 		return
 	}
-	if slices.Contains(hosts, t.sync.lead) && t.now.Sub(t.sync.leadAt) < leadTimeout {
+	if slices.Contains(hosts, t.sync.lead) && t.now.Sub(t.sync.leadAt) < leadTimeout*t.syncInterval() {
 		return
 	}
 	t.sync.turns++
@@ -145,7 +160,7 @@
 	c, _ := t.sync.contacts.Get(to)
 	m := Sync{
 		Round: t.sync.round, Version: t.config.Version,
-		Lead:  to == t.sync.lead || t.now.Sub(t.sync.leadAt) > askAllAfter,
+		Lead:  to == t.sync.lead || t.now.Sub(t.sync.leadAt) > askAllAfter*t.syncInterval(),
 		Epoch: c.epoch, Revision: c.revision, Serves: t.settings.Serves && !t.draining,
 	}
 	if m.Lead {
@@ -180,7 +195,7 @@
 		a.Replicas = t.memberAddresses()
 		a.Loads, a.Hosts = t.otherLoads(to)
 		if c.version < t.catalog.Config.Version {
-			a.Gateway = t.packedGateway()
+			a.Gateway, a.Base = t.packedGateway(c.version)
 			c.version = t.catalog.Config.Version
 		}
 	}
@@ -189,13 +204,41 @@
 	t.send(to, a)
 }
 
-// packedGateway is the route table for hosts that only route, packed once a
-// version.
-func (t *turn) packedGateway() []byte {
-	if t.sync.packedAt != t.catalog.Config.Version {
-		t.sync.packed, t.sync.packedAt = t.catalog.Config.Gateway.Packed(), t.catalog.Config.Version
+// tableHistory is how many route tables back a host may be and still be sent
+// only what changed.
+const tableHistory = 32
+
+// rememberTable keeps the tables from which hosts may follow. Each is packed
+// once a version.
+func (t *turn) rememberTable(cfg config.Config) {
+	if !t.settings.IsReplica() {
+		return
+	}
+	t.sync.tables = t.sync.tables.With(cfg.Version, cfg.Gateway.WithoutSource())
+	for t.sync.tables.Len() > tableHistory {
+		oldest, _, _ := t.sync.tables.First()
+		t.sync.tables = t.sync.tables.Without(oldest)
 	}
-	return t.sync.packed
+	t.sync.packed = table.Table[config.Version, []byte]{}
+}
+
+// packedGateway is what leads from the table of a version to the newest one:
+// a delta, or with base 0 the whole table.
+func (t *turn) packedGateway(from config.Version) (record []byte, base config.Version) {
+	newest := t.catalog.Config.Gateway
+	old, ok := t.sync.tables.Get(from)
+	if !ok || old.Number == 0 {
+		from = 0
+	}
+	record, ok = t.sync.packed.Get(from)
+	if !ok {
+		record = newest.Packed()
+		if from != 0 {
+			record = old.DeltaTo(newest).Packed()
+		}
+		t.sync.packed = t.sync.packed.With(from, record)
+	}
+	return record, from
 }
 
 func (t *turn) memberAddresses() []ident.Host {
@@ -269,6 +312,7 @@
 	}
 	t.sync.lead, t.sync.leadAt = from, t.now
 	t.sync.replicas = m.Replicas
+	t.sync.hosts = m.Hosts
 	t.gateway = t.gateway.WithHosts(m.Hosts)
 	t.routed(gateway.LoadsTold{Loads: m.Loads})
 	if known && t.config.Version == m.Version {
@@ -286,9 +330,10 @@
 	t.sendSync(leader)
 }
 
-// takeGateway puts a newer route table in force.
+// takeGateway puts a newer route table in force. A delta from another table
+// than the one held is left; the next question asks again.
 func (t *turn) takeGateway(m SyncAnswer) {
-	g, err := config.UnpackGateway(m.Gateway)
+	g, err := t.unpackGateway(m)
 	if err != nil {
 		t.counters.StaleConfig++
 		return
@@ -298,6 +343,20 @@
 	t.useConfig(next)
 }
 
+func (t *turn) unpackGateway(m SyncAnswer) (config.Gateway, error) {
+	if m.Base == 0 {
+		return config.UnpackGateway(m.Gateway)
+	}
+	if m.Base != t.config.Version {
+		return config.Gateway{}, errors.Errorf("a delta from version %d, held is %d", m.Base, t.config.Version)
+	}
+	d, err := config.UnpackGatewayDelta(m.Gateway)
+	if err != nil {
+		return config.Gateway{}, err
+	}
+	return t.config.Gateway.WithDelta(d)
+}
+
 // hearContact records how far the registry of a replica is known.
 func (t *turn) hearContact(from ident.Host, m SyncAnswer) {
 	c, known := t.sync.contacts.Get(from)
--- a/gateway/headers.go
+++ b/gateway/headers.go
@@ -47,7 +47,7 @@
 // DefaultHeaders are yardhall's own names.
 func DefaultHeaders() Headers {
 	return Headers{
-		RequestID: "Yardhall-Request-Id", DeadlineMs: "Yardhall-Deadline-Ms", Model: "Yardhall-Model",
+		RequestID: "Yardhall-Request-Id", DeadlineMs: "Yardhall-Timeout-Ms", Model: "Yardhall-Model",
 		Tokens: "Yardhall-Tokens", Parts: "Yardhall-Prompt-Parts", LastEvent: "Last-Event-Id",
 		Account: "Yardhall-Account", Expect: "Yardhall-Expect-Worker", Instance: "Yardhall-Worker",
 		CacheFrom: "Yardhall-Cache-From", Rank: "Yardhall-Rank", Load: "Yardhall-Load", NotRun: "Yardhall-Not-Run", Signature: "Yardhall-Signature",
--- a/gateway/server.go
+++ b/gateway/server.go
@@ -189,10 +189,14 @@
 	} else {
 		c.answer, result = x.plain(ctx)
 	}
-	c.observed.Tries = append(c.observed.Tries, Try{Dispatch: d, Result: result, Took: c.server.now().Sub(started)})
 	gone := c.request.Context().Err() != nil || c.relay.failed
-	late := !gone && !c.server.now().Before(d.Deadline)
-	if _, answered := result.(outcome.Answered); late && !answered {
+	_, answered := result.(outcome.Answered)
+	late := !gone && !answered && !c.server.now().Before(d.Deadline)
+	if late {
+		result = outcome.Broken{Reason: "no whole answer before the deadline", Begun: c.relay.begun}
+	}
+	c.observed.Tries = append(c.observed.Tries, Try{Dispatch: d, Result: result, Took: c.server.now().Sub(started)})
+	if late {
 		return gateway.Expired{Request: d.Request}
 	}
 	return gateway.AttemptEnded{Request: d.Request, Attempt: d.Attempt, Result: result, Wanted: !gone}
