core/host: Let the hosts of a large fleet ask hubs instead of replicas

Cause: every entry host asked every replica, 0.3 to 1.4 s apart, and every replica sent every host each registration.

Above 40 entry hosts the replicas now name hubs, one for 16 hosts and two in a zone at least, by a hash over the live hosts that is the same everywhere. A hub asks replicas and answers like one; a host asks two hubs, and replicas only where no hub is of use. A hub's word on the configuration carries its age and is counted from before the question, so key leases hold behind a frozen or cut off hub.

Ruled out: fewer questions (1.4 s is the key lease's bound); one tree over all hosts (two lost levels in a row cost the lease); relays of the leader alone (registrations come from all replicas). The answer in the reply of the same call would halve the cost but leaves it growing with the fleet.

--- a/core/gateway/gateway.go
+++ b/core/gateway/gateway.go
@@ -14,6 +14,7 @@
 package gateway
 
 import (
+	"iter"
 	"time"
 
 	"github.com/yardhall/yardhall/core/config"
@@ -136,6 +137,21 @@
 	return s.number > 0 && !s.confirmed.IsZero() && now.Sub(s.confirmed) < s.settings.KeyLease
 }
 
+// Confirmed is the time as of which the configuration held was surely the newest
+// one; zero for never.
+func (s State) Confirmed() time.Time { return s.confirmed }
+
+// Workers yields all workers as this host knows them, in the order of their ids.
+func (s State) Workers() iter.Seq[registry.Worker] {
+	return func(yield func(registry.Worker) bool) {
+		for _, w := range s.workers.All() {
+			if !yield(w.Worker) {
+				return
+			}
+		}
+	}
+}
+
 // Idle tells whether no request is in progress.
 func (s State) Idle() bool { return s.calls.Len() == 0 }
 
@@ -255,110 +271,6 @@
 	maxConnects = 4
 )
 
-// arrive checks a request and sends it to its first worker.
-func (t *turn) arrive(r Request) {
-	t.counters.Requests++
-	if t.number == 0 {
-		t.refuse(r.ID, CodeNotReady, "this host has no route table yet", comeBack)
-		return
-	}
-	if t.closing {
-		t.refuse(r.ID, CodeDraining, "this host is being stopped", comeBackElsewhere)
-		return
-	}
-	if t.calls.Has(r.ID) {
-		t.refuseDuplicate(r.ID)
-		return
-	}
-	c := call{req: r, worst: outcome.NotRun}
-	if !t.admit(&c) {
-		return
-	}
-	t.addRequest(c.pool.ID)
-	t.dispatch(c, Verdict{Code: CodeNoWorker, Reason: "no worker is known"})
-}
-
-// refuseDuplicate ends a second request under an id in use; the first goes on.
-func (t *turn) refuseDuplicate(id ident.Request) {
-	t.counters.Refused++
-	t.out = append(t.out, Finish{Request: id, Verdict: Verdict{
-		Outcome: outcome.Unknown, Code: CodeDuplicate, Reason: "a request with this id is in progress",
-	}})
-}
-
-// admit resolves route, account, pool and deadline.
-func (t *turn) admit(c *call) bool {
-	fresh := t.Fresh(t.now)
-	route, ok := t.index.Route(c.req.Host, c.req.Path)
-	if !ok {
-		t.refuseBy(c.req.ID, fresh, CodeNoRoute, "no route for host and path")
-		return false
-	}
-	c.route, c.rank = route, route.Rank
-	holder, known := t.index.Holder(c.req.KeyHash)
-	if !known && !route.Public && t.index.Keyed() {
-		t.refuseBy(c.req.ID, fresh, CodeBadKey, "the API key is not known")
-		return false
-	}
-	if known && !fresh && !route.Public {
-		t.counters.Stale++
-		t.refuse(c.req.ID, CodeStale, "the configuration was not confirmed in time", comeBack)
-		return false
-	}
-	if known {
-		c.account = holder.Account
-		if holder.Ranked {
-			c.rank = holder.Rank
-		}
-	}
-	c.pool, _ = t.index.Pool(t.share(*c))
-	return t.admitDeadline(c)
-}
-
-// refuseBy refuses for good where the configuration is surely the newest, and
-// for the moment otherwise.
-func (t *turn) refuseBy(id ident.Request, fresh bool, code Code, reason string) {
-	if !fresh {
-		t.counters.Stale++
-		t.refuse(id, CodeStale, "the configuration was not confirmed in time", comeBack)
-		return
-	}
-	t.refuse(id, code, reason, 0)
-}
-
-// admitDeadline bounds the request by the route's timeout.
-func (t *turn) admitDeadline(c *call) bool {
-	limit := t.now.Add(time.Duration(c.route.Timeout))
-	if c.req.Deadline.IsZero() || c.req.Deadline.After(limit) {
-		c.req.Deadline = limit
-	}
-	if !t.now.Before(c.req.Deadline) {
-		t.refuse(c.req.ID, CodeDeadline, "the deadline has passed", 0)
-		return false
-	}
-	return true
-}
-
-// share picks the pool that takes the request, by the route's weights.
-func (t *turn) share(c call) ident.Service {
-	shares := c.route.Shares
-	if len(shares) == 1 {
-		return shares[0].Pool
-	}
-	total := 0
-	for _, s := range shares {
-		total += s.Weight
-	}
-	at := int(uint64(requestKey(c.req.ID)) % uint64(max(1, total))) //nolint:gosec // Below total, which is an int.
-	for _, s := range shares {
-		if at < s.Weight {
-			return s.Pool
-		}
-		at -= s.Weight
-	}
-	return shares[0].Pool
-}
-
 // dispatch sends the call to the best worker, or ends it with v where there is
 // none.
 func (t *turn) dispatch(c call, v Verdict) {
--- a/core/host/effect.go
+++ b/core/host/effect.go
@@ -116,4 +116,5 @@
 	NoteMembers   NoteKind = "replica membership"
 	NoteWorker    NoteKind = "worker registration"
 	NoteReplica   NoteKind = "replica contact"
+	NoteHub       NoteKind = "hub"
 )
--- a/core/host/message.go
+++ b/core/host/message.go
@@ -125,6 +125,14 @@
 		// that it has heard there.
 		Relay string
 		Beats []byte
+		Zone  ident.Zone
+		// Home is set where the hub that is asked counts this host.
+		Home bool
+		// HubList names the list of hubs that this host holds.
+		HubList hash.Key
+		// Grouped is set where Group are the hosts that this hub counts.
+		Grouped bool
+		Group   []EntryHost
 	}
 	// SyncAnswer answers Sync, or tells of a change with Round 0.
 	SyncAnswer struct {
@@ -148,8 +156,17 @@
 		// Summed is set where Loads are the requests of all other hosts.
 		Summed bool
 		Loads  loads.Digest
-		// Hosts is how many entry hosts sync with the replica.
+		// Hosts is how many entry hosts there are.
 		Hosts int
+		// HubList names the list of the fleet's hubs, 0 for none known; Hubs are
+		// they, where the asker holds another list.
+		HubList hash.Key
+		Hubs    []EntryHost
+		// Age and LoadsAge are how old a hub's word is on Version and on Loads; a
+		// replica's is not. Cut is set where a hub hears no replica.
+		Age      time.Duration
+		LoadsAge time.Duration
+		Cut      bool
 	}
 	// Join asks the leader to take a replica in.
 	Join struct{ Identity ident.Host }
--- a/core/host/relay.go
+++ b/core/host/relay.go
@@ -3,6 +3,7 @@
 package host
 
 import (
+	"maps"
 	"slices"
 	"time"
 
@@ -56,16 +57,26 @@
 	}
 	taken := t.mayRelay(w)
 	if taken {
-		heard := make(map[ident.Target]registry.Worker, len(t.sync.relay.heard)+1)
-		for id, other := range t.sync.relay.heard {
-			heard[id] = other
-		}
-		heard[w.ID] = w
-		t.sync.relay.heard = heard
+		t.relayHeard(w)
 	}
 	t.emit(BeatAnswer{Taken: taken})
 }
 
+// relayHeard remembers workers whose heartbeats replicas are to be told of.
+func (t *turn) relayHeard(workers ...registry.Worker) {
+	if len(workers) == 0 {
+		return
+	}
+	heard := make(map[ident.Target]registry.Worker, len(t.sync.relay.heard)+len(workers))
+	maps.Copy(heard, t.sync.relay.heard)
+	for _, w := range workers {
+		if have, ok := heard[w.ID]; !ok || registry.Newer(w, have) {
+			heard[w.ID] = w
+		}
+	}
+	t.sync.relay.heard = heard
+}
+
 // leaveHeard takes a worker's word that it ends; only replicas do.
 func (t *turn) leaveHeard(id ident.Target) {
 	taken := t.settings.IsReplica()
@@ -97,25 +108,27 @@
 // replicaHeard tells whether any replica has answered within a time.
 func (t *turn) replicaHeard(within time.Duration) bool {
 	for _, c := range t.sync.contacts.All() {
-		if t.now.Sub(c.heard) <= within {
+		if t.now.Sub(c.useful) <= within {
 			return true
 		}
 	}
 	return false
 }
 
-// relayed returns the workers that replicas are to be told of now: each replica of
-// those that it told of itself, and another one where that one is silent.
-func (t *turn) relayed() map[ident.Host][]registry.Worker {
-	if len(t.sync.relay.heard) == 0 || t.now.Sub(t.sync.relay.at) < relayInterval {
+// relayed returns the workers that each of the hosts asked is to be told of now: each
+// replica of those that it told of itself, and another one where that one is silent.
+// A hub passes on at once what relays have gathered.
+func (t *turn) relayed(asked []ident.Host) map[ident.Host][]registry.Worker {
+	wait := !t.sync.hub.serves && t.now.Sub(t.sync.relay.at) < relayInterval
+	if len(t.sync.relay.heard) == 0 || wait {
 		return nil
 	}
 	t.sync.relay.at = t.now
 	out := map[ident.Host][]registry.Worker{}
 	for id, w := range t.sync.relay.heard {
 		to := t.gateway.ToldBy(id)
-		if c, ok := t.sync.contacts.Get(to); !ok || c.lost {
-			to = t.sourceOf("beats", contactTimeout)
+		if c, ok := t.sync.contacts.Get(to); !ok || c.lost || !slices.Contains(asked, to) {
+			to = t.beatSource()
 		}
 		out[to] = append(out[to], w)
 	}
@@ -126,6 +139,14 @@
 	return out
 }
 
+// beatSource is the host that is told of workers which none of those asked told of.
+func (t *turn) beatSource() ident.Host {
+	if home := t.home(); home != "" {
+		return home
+	}
+	return t.sourceOf("beats", contactTimeout)
+}
+
 // tickRegistry looks over all registrations now and then: who is silent, and
 // whether relays are needed.
 func (t *turn) tickRegistry() {
@@ -138,13 +159,15 @@
 		silent = defaultSilentAfter
 	}
 	t.registry, _ = t.registry.Expire(silent, t.now)
+	hosts := t.entryHosts()
+	t.nameHubs(hosts)
 	t.sync.relay.hosts = nil
 	if t.registry.Ready() <= relayAbove {
 		return
 	}
-	for _, c := range t.sync.clients.All() {
-		if c.relay != "" && t.now.Sub(c.heard) <= syncLife {
-			t.sync.relay.hosts = append(t.sync.relay.hosts, c.relay)
+	for _, h := range hosts {
+		if h.Relay != "" {
+			t.sync.relay.hosts = append(t.sync.relay.hosts, h.Relay)
 		}
 	}
 }
--- a/core/host/seeded_test.go
+++ b/core/host/seeded_test.go
@@ -4,6 +4,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -112,8 +113,8 @@
 func (f *seededFleet) start(id ident.Host) {
 	f.starts++
 	s := host.Settings{
-		ID: id, Zone: "z", Seeds: f.seeds, Incarnation: f.starts, Voters: f.voters, Serves: f.disks[id] == nil,
-		Gateway: gateway.Settings{Zone: "z"},
+		ID: id, Zone: f.zoneOf(id), Seeds: f.seeds, Incarnation: f.starts, Voters: f.voters, Serves: f.disks[id] == nil,
+		Gateway: gateway.Settings{Zone: f.zoneOf(id)},
 	}
 	d := f.disks[id]
 	if d != nil {
@@ -130,6 +131,11 @@
 	f.states[id], f.down[id] = state, false
 }
 
+// zoneOf spreads the hosts over three zones.
+func (f *seededFleet) zoneOf(id ident.Host) ident.Zone {
+	return ident.Zone(fmt.Sprint("z", slices.Index(f.order, id)%3))
+}
+
 func (f *seededFleet) stop(id ident.Host) { f.down[id] = true }
 
 func (f *seededFleet) cutOff(id ident.Host, off bool) {
--- a/core/host/sync.go
+++ b/core/host/sync.go
@@ -19,12 +19,13 @@
 )
 
 // In a seeded fleet hosts know replicas, not each other: each host asks every
-// replica, a few times a second, for what it lacks. The leader says which
-// configuration is the newest; one replica, another one for each host, gives the
-// table, and one the loads of all hosts, so that no replica's link carries all.
+// replica, or in a large fleet two hubs (hub.go), a few times a second, for what it
+// lacks. The leader says which configuration is the newest; one replica, another
+// one for each host, gives the table, and one the loads of all hosts, so that no
+// replica's link carries all.
 const (
 	// minSyncInterval and maxSyncInterval bound the time between two questions
-	// to a replica; it grows by syncShare for each entry host.
+	// to a replica; it grows by syncShare for each host that asks replicas.
 	minSyncInterval = 300 * time.Millisecond
 	maxSyncInterval = 1400 * time.Millisecond
 	syncShare       = 7 * time.Millisecond
@@ -39,6 +40,9 @@
 	maxLeadWait = 2 * time.Second
 	// contactTimeout without an answer is noted as a lost dependency.
 	contactTimeout = 3 * time.Second
+	// loadByteTime is kept between two questions for loads, for each of the bytes
+	// that the last answer took.
+	loadByteTime = 50 * time.Microsecond
 	// maxRounds bounds the unanswered questions remembered.
 	maxRounds = 32
 	// defaultSilentAfter is how long a worker may be silent.
@@ -71,19 +75,24 @@
 	joinAt    time.Time
 	memberAt  time.Time
 	sums      loadSums
-	relay     relayState
+	// loadsAt is when loads are next asked for.
+	loadsAt time.Time
+	relay   relayState
+	hub     hubState
 	// tables are the newest route tables, packed what leads from each of them
 	// to the newest one.
 	tables table.Table[config.Version, config.Gateway]
 	packed table.Table[config.Version, []byte]
 }
 
-// contact is a replica as a host sees it.
+// contact is a replica or a hub as a host sees it.
 type contact struct {
 	epoch    uint64
 	revision uint64
 	heard    time.Time
-	lost     bool
+	// useful is when it answered last, as one that is in touch with replicas.
+	useful time.Time
+	lost   bool
 }
 
 // client is a host that syncs with this replica.
@@ -99,8 +108,11 @@
 	table  bool
 	serves bool
 	loads  loads.Digest
-	// relay is where the host takes workers' heartbeats; empty for nowhere.
-	relay string
+	// entry is what others are told of the host. A hub counts those whose home it
+	// is; group are those that the host itself counts as a hub.
+	entry EntryHost
+	home  bool
+	group []EntryHost
 }
 
 func (t *turn) tickSeeded() {
@@ -113,6 +125,7 @@
 		t.tickMembers()
 		t.maybeCompact()
 	}
+	t.tickHub()
 	ready := t.gateway.Fresh(t.now)
 	if ready != t.ready {
 		t.note(NoteReady, string(t.settings.ID), fmt.Sprintf("ready=%t version=%d gateway=%d", ready, t.config.Version, t.gateway.Number()))
@@ -136,24 +149,50 @@
 		return
 	}
 	t.sync.at = t.now.Add(t.syncInterval())
-	hosts := t.contactHosts()
+	t.renewHubs()
+	hosts := t.syncHosts()
 	t.pickLead(hosts)
-	t.noteLost()
-	own, beats := t.gateway.Loads(), t.relayed()
+	t.noteLost(hosts)
+	t.leaveOthers(hosts)
+	beats := t.relayed(hosts)
+	group, grouped := []EntryHost(nil), false
+	if t.isHub() {
+		group, grouped = t.group()
+	}
 	for _, h := range hosts {
-		t.sendSync(h, own, registry.Pack(beats[h]))
+		m := t.question(h)
+		m.Beats, m.Group, m.Grouped = registry.Pack(beats[h]), group, grouped
+		t.sendSync(h, m)
+	}
+}
+
+// syncHosts are the hosts to ask: replicas, or the hubs picked, and where these are
+// of no use, now and then replicas too.
+func (t *turn) syncHosts() []ident.Host {
+	if !t.followsHubs() {
+		return t.contactHosts()
+	}
+	out := t.hubsAsked()
+	if t.hubsFailed() && !t.now.Before(t.sync.hub.directAt) {
+		t.sync.hub.directAt = t.now.Add(maxSyncInterval)
+		out = append(out, t.contactHosts()...)
 	}
+	return out
 }
 
-// syncInterval is the time between two questions to a replica: the more hosts
-// ask, the less often each does, so that replicas stay within their bytes.
+// syncInterval is the time between two questions: the more hosts ask replicas, the
+// less often each does, so that replicas stay within their bytes.
 func (t *turn) syncInterval() time.Duration {
-	return min(max(minSyncInterval, time.Duration(t.sync.hosts)*syncShare), maxSyncInterval)
+	asking := t.sync.hosts
+	if hubs := len(t.sync.hub.list); hubs > 0 {
+		asking = hubs
+	}
+	return min(max(minSyncInterval, time.Duration(asking)*syncShare), maxSyncInterval)
 }
 
 // pickLead turns to the next replica where the present one does not answer.
 func (t *turn) pickLead(hosts []ident.Host) {
-	if len(hosts) == 0 {
+	if len(hosts) == 0 || t.followsHubs() {
 		return
 	}
 	if slices.Contains(hosts, t.sync.lead) && t.now.Sub(t.sync.leadAt) < min(leadTimeout*t.syncInterval(), maxLeadWait) {
@@ -163,9 +202,10 @@
 	t.sync.lead = hosts[t.sync.turns%len(hosts)]
 }
 
-func (t *turn) noteLost() {
-	for h, c := range t.sync.contacts.All() {
-		if !c.lost && t.now.Sub(c.heard) > contactTimeout {
+func (t *turn) noteLost(asked []ident.Host) {
+	for _, h := range asked {
+		c, ok := t.sync.contacts.Get(h)
+		if ok && !c.lost && t.now.Sub(c.heard) > contactTimeout {
 			c.lost = true
 			t.sync.contacts = t.sync.contacts.With(h, c)
 			t.note(NoteReplica, string(h), "lost")
@@ -173,41 +213,56 @@
 	}
 }
 
-func (t *turn) sendSync(to ident.Host, own loads.Digest, beats []byte) {
+// question is what this host asks another one.
+func (t *turn) question(to ident.Host) Sync {
+	c, _ := t.sync.contacts.Get(to)
+	home := t.home()
+	return Sync{
+		Version: t.config.Version,
+		Lead:    to == t.sync.lead || t.sync.hub.asked.Has(to) || t.now.Sub(t.sync.leadAt) > min(askAllAfter*t.syncInterval(), maxLeadWait),
+		Table:   to == t.tableSource() || to == t.sync.lead && t.behind(),
+		Sums:    to == t.loadSource() && !t.now.Before(t.sync.loadsAt),
+		Epoch:   c.epoch, Revision: c.revision, Serves: t.settings.Serves && !t.draining, Loads: t.loadsToldTo(to),
+		Boot: t.settings.Incarnation, Zone: t.settings.Zone, Relay: t.relayAddress(),
+		Home: home != "" && to == home, HubList: t.sync.hub.key,
+	}
+}
+
+// relayAddress is where this host takes workers' heartbeats now.
+func (t *turn) relayAddress() string {
+	if !t.settings.Serves || t.draining {
+		return ""
+	}
+	return t.settings.Relay
+}
+
+func (t *turn) sendSync(to ident.Host, m Sync) {
 	t.sync.round++
+	m.Round = t.sync.round
 	t.sync.rounds = t.sync.rounds.With(t.sync.round, t.now)
 	for t.sync.rounds.Len() > maxRounds {
 		oldest, _, _ := t.sync.rounds.First()
 		t.sync.rounds = t.sync.rounds.Without(oldest)
 	}
-	c, _ := t.sync.contacts.Get(to)
-	m := Sync{
-		Round: t.sync.round, Version: t.config.Version,
-		Lead:  to == t.sync.lead || t.now.Sub(t.sync.leadAt) > min(askAllAfter*t.syncInterval(), maxLeadWait),
-		Table: to == t.tableSource() || to == t.sync.lead && t.behind(),
-		Sums:  to == t.loadSource(),
-		Epoch: c.epoch, Revision: c.revision, Serves: t.settings.Serves && !t.draining, Loads: own,
-		Beats: beats, Boot: t.settings.Incarnation,
-	}
-	if m.Serves {
-		m.Relay = t.settings.Relay
-	}
 	t.send(to, m)
 }
 
-// syncAnswered takes what a replica told.
+// syncAnswered takes what a replica or a hub told.
 func (t *turn) syncAnswered(from ident.Host, m SyncAnswer) {
 	t.hearContact(from, m)
 	if workers, err := registry.Unpack(m.Workers); err == nil && len(workers) > 0 {
 		t.routed(gateway.Registered{From: from, Workers: workers})
+		t.heardAsHub(workers)
 	}
+	t.takeHubs(m)
 	if len(m.Gateway) > 0 && m.Version > t.config.Version {
 		t.takeGateway(m)
 	}
 	asked, known := t.sync.rounds.Get(m.Round)
 	t.sync.rounds = t.sync.rounds.Without(m.Round)
 	if m.Summed && known {
-		t.routed(gateway.LoadsTold{Loads: m.Loads, AsOf: asked.Add(-t.syncInterval() / 2)})
+		t.sync.loadsAt = t.now.Add(time.Duration(len(m.Loads)) * loadByteTime)
+		t.toldLoads(m.Loads, asked.Add(-t.syncInterval()/2-m.LoadsAge))
 	}
 	if !m.Fresh {
 		// A fleet that starts has no leader yet, and must not ask its replicas as
@@ -227,8 +282,10 @@
 		t.sync.hosts = m.Hosts
 		t.gateway = t.gateway.WithHosts(m.Hosts)
 	}
-	if known && t.config.Version == m.Version {
-		t.routed(gateway.Confirmed{AsOf: asked})
+	if known && t.config.Version >= m.Version {
+		// A hub's word is counted from before this host asked, so that a hub that
+		// is held up makes it older and never younger.
+		t.routed(gateway.Confirmed{AsOf: asked.Add(-m.Age)})
 	}
 }
 
@@ -243,7 +300,7 @@
 // host, so that no replica serves all of them.
 func (t *turn) sourceOf(what string, within time.Duration) ident.Host {
 	var heard []ident.Host
-	for _, h := range t.contactHosts() {
+	for _, h := range t.sources() {
 		if c, ok := t.sync.contacts.Get(h); ok && t.now.Sub(c.heard) <= within {
 			heard = append(heard, h)
 		}
@@ -255,6 +312,14 @@
 	return source
 }
 
+// sources are the hosts of which one may be the source of something.
+func (t *turn) sources() []ident.Host {
+	if t.followsHubs() && !t.hubsFailed() {
+		return t.hubsAsked()
+	}
+	return t.contactHosts()
+}
+
 // behind tells whether the leader has named a newer table for so long that it
 // is asked for it itself.
 func (t *turn) behind() bool {
@@ -264,11 +329,11 @@
 // followLeader turns to the leader that the replica asked last knows of. One
 // that knows none, or is cut off itself, is left after leadTimeout.
 func (t *turn) followLeader(from, leader ident.Host) {
-	if from != t.sync.lead || leader == "" || leader == from {
+	if from != t.sync.lead || leader == "" || leader == from || t.followsHubs() {
 		return
 	}
 	t.sync.lead = leader
-	t.sendSync(leader, t.gateway.Loads(), nil)
+	t.sendSync(leader, t.question(leader))
 }
 
 // takeGateway puts a newer route table in force. A delta from another table
@@ -305,6 +370,12 @@
 		t.note(NoteReplica, string(from), "found")
 	}
 	c.heard, c.lost = t.now, false
+	if !m.Cut {
+		c.useful = t.now
+		if t.sync.hub.asked.Has(from) {
+			t.sync.hub.usefulAt = t.now
+		}
+	}
 	switch {
 	case c.epoch != m.Epoch && m.Since == 0:
 		c.epoch, c.revision = m.Epoch, m.Revision
--- a/core/host/syncreplica.go
+++ b/core/host/syncreplica.go
@@ -16,17 +16,17 @@
 
 // syncAsked answers a host, and remembers it for what changes next.
 func (t *turn) syncAsked(from ident.Host, m Sync) {
-	if !t.settings.IsReplica() {
+	if !t.answersSync() {
 		return
 	}
 	c := client{
 		version: m.Version, revision: m.Revision, heard: t.now, table: m.Table, serves: m.Serves, loads: m.Loads,
-		relay: m.Relay, boot: m.Boot,
+		boot: m.Boot, entry: EntryHost{Host: from, Zone: m.Zone, Relay: m.Relay}, home: m.Home, group: m.Group,
 	}
-	beats, _ := registry.Unpack(m.Beats)
-	for _, w := range beats {
-		t.beaten(w)
+	if before, ok := t.sync.clients.Get(from); ok && before.boot == c.boot && !m.Grouped {
+		c.group = before.group
 	}
+	t.beatsTold(m.Beats)
 	if m.Epoch != t.settings.Incarnation {
 		c.revision = 0
 	}
@@ -38,27 +38,44 @@
 	t.answerSync(from, c, m)
 }
 
+// beatsTold takes the heartbeats that a relay heard: a replica for itself, a hub for
+// the replicas.
+func (t *turn) beatsTold(packed []byte) {
+	beats, _ := registry.Unpack(packed)
+	if !t.settings.IsReplica() {
+		t.relayHeard(beats...)
+		return
+	}
+	for _, w := range beats {
+		t.beaten(w)
+	}
+}
+
 // underWay is how long registrations that were sent may take to arrive.
 const underWay = 2 * time.Second
 
 // answerSync sends what the client lacks and remembers what it has then.
 func (t *turn) answerSync(to ident.Host, c client, asked Sync) {
 	workers, revision := t.nextWorkers(c.revision)
+	held := t.heldConfig().Version
 	a := SyncAnswer{
-		Round: asked.Round, Leader: t.raft.Leader().Address(), Version: t.catalog.Config.Version,
+		Round: asked.Round, Version: held,
 		Epoch: t.settings.Incarnation, Since: c.revision, Revision: revision, Workers: workers,
-		Hosts: t.sumLoads().serving,
 	}
-	if asked.Lead {
-		a.Fresh = t.raft.LeaseHeld(t.now)
-		a.Replicas = t.memberAddresses()
+	if t.settings.IsReplica() {
+		a = t.replicaWord(a, asked)
+	} else {
+		a = t.hubWord(a, asked)
+	}
+	if a.Summed {
+		a.Loads = t.sumLoads().others(to, t.sync.hub.outside)
 	}
-	if asked.Sums && t.now.Sub(t.started) >= sumWarmUp {
-		a.Summed, a.Loads = true, t.sumLoads().others(to)
+	if asked.Lead {
+		a = t.tellHubs(a, asked)
 	}
-	if c.table && c.version < t.catalog.Config.Version && t.sync.bulkBytes < bulkBytesPerTick {
+	if c.table && c.version < held && t.sync.bulkBytes < bulkBytesPerTick {
 		a.Gateway, a.Base = t.packedGateway(c.version)
-		c.version = t.catalog.Config.Version
+		c.version = held
 		t.sync.bulkBytes += len(a.Gateway)
 	}
 	if revision > c.revision {
@@ -68,6 +85,25 @@
 	t.send(to, a)
 }
 
+// replicaWord adds to an answer what only a replica knows.
+func (t *turn) replicaWord(a SyncAnswer, asked Sync) SyncAnswer {
+	a.Leader, a.Hosts = t.raft.Leader().Address(), t.sumLoads().serving
+	if asked.Lead {
+		a.Fresh = t.raft.LeaseHeld(t.now)
+		a.Replicas = t.memberAddresses()
+	}
+	a.Summed = asked.Sums && t.now.Sub(t.started) >= sumWarmUp
+	return a
+}
+
+// heldConfig is the configuration that this host gives others.
+func (t *turn) heldConfig() config.Config {
+	if t.settings.IsReplica() {
+		return t.catalog.Config
+	}
+	return t.config
+}
+
 // tableHistory is how many route tables back a host may be and still be sent
 // only what changed.
 const tableHistory = 32
@@ -75,7 +111,7 @@
 // rememberTable keeps the tables from which hosts may follow. Each is packed
 // once a version.
 func (t *turn) rememberTable(cfg config.Config) {
-	if !t.settings.IsReplica() {
+	if !t.answersSync() {
 		return
 	}
 	t.sync.tables = t.sync.tables.With(cfg.Version, cfg.Gateway.WithoutSource())
@@ -89,7 +125,7 @@
 // packedGateway is what leads from the table of a version to the newest one:
 // a delta, or with base 0 the whole table.
 func (t *turn) packedGateway(from config.Version) (record []byte, base config.Version) {
-	newest := t.catalog.Config.Gateway
+	newest := t.heldConfig().Gateway
 	old, ok := t.sync.tables.Get(from)
 	if !ok || old.Number == 0 {
 		from = 0
@@ -126,8 +162,14 @@
 	serving int
 }
 
-// others are the loads of all hosts but one.
-func (s loadSums) others(but ident.Host) loads.Digest { return s.total.Without(s.parts[but]) }
+// others are the loads of all hosts but one, and of those outside the sum.
+func (s loadSums) others(but ident.Host, outside loads.Digest) loads.Digest {
+	rest := s.total.Without(s.parts[but])
+	if len(outside) == 0 {
+		return rest
+	}
+	return loads.Sum(slices.Values([]loads.Digest{rest, outside}))
+}
 
 const (
 	// minSumInterval and sumShare for each host bound how long sums are used.
@@ -150,11 +192,12 @@
 			t.sync.clients = t.sync.clients.Without(id)
 			continue
 		}
-		if c.serves {
-			next.serving++
-		}
 		next.parts[id] = c.loads
 	}
+	if t.settings.Serves {
+		next.parts[t.settings.ID] = t.gateway.Loads()
+	}
+	next.serving = len(t.entryHosts())
 	next.total = loads.Sum(maps.Values(next.parts))
 	t.sync.sums = next
 	return next
@@ -166,7 +209,7 @@
 func (t *turn) pushSync() {
 	t.sync.bulkBytes = 0
 	for id, c := range t.sync.clients.All() {
-		stale := c.table && c.version < t.catalog.Config.Version && t.sync.bulkBytes < bulkBytesPerTick
+		stale := c.table && c.version < t.heldConfig().Version && t.sync.bulkBytes < bulkBytesPerTick
 		if t.now.Sub(c.heard) <= syncLife && (stale || c.revision < t.registry.Revision()) {
 			t.answerSync(id, c, Sync{})
 		}
--- a/core/registry/registry.go
+++ b/core/registry/registry.go
@@ -155,16 +155,39 @@
 	return r
 }
 
-// Expire marks workers silent that were not heard for silentAfter and forgets
-// those that are over for long.
-func (r Registry) Expire(silentAfter time.Duration, now time.Time) (next Registry, changed bool) {
+// WithWord takes what another registry told of a worker.
+func (r Registry) WithWord(w Worker, now time.Time) Registry {
+	have, known := r.workers.Get(w.ID)
+	if known && !Newer(w, have.worker) {
+		return r
+	}
+	return r.with(w, now)
+}
+
+// Forget drops workers that are over for long.
+func (r Registry) Forget(now time.Time) Registry {
 	for id, e := range r.workers.All() {
-		age := now.Sub(e.heard)
-		switch {
-		case e.worker.State == Gone && age > forgetGone, e.worker.State == Silent && age > forgetSilent:
+		if e.over(now) {
 			r.workers = r.workers.Without(id)
 			r.changes = r.changes.Without(e.revision)
-		case e.worker.State != Gone && e.worker.State != Silent && age > silentAfter:
+		}
+	}
+	return r
+}
+
+// over tells whether the worker has been gone or silent for so long that it may be
+// forgotten.
+func (e entry) over(now time.Time) bool {
+	age := now.Sub(e.heard)
+	return e.worker.State == Gone && age > forgetGone || e.worker.State == Silent && age > forgetSilent
+}
+
+// Expire marks workers silent that were not heard for silentAfter and forgets
+// those that are over for long.
+func (r Registry) Expire(silentAfter time.Duration, now time.Time) (next Registry, changed bool) {
+	r = r.Forget(now)
+	for _, e := range r.workers.All() {
+		if e.worker.State != Gone && e.worker.State != Silent && now.Sub(e.heard) > silentAfter {
 			w := e.worker
 			w.State = Silent
 			r = r.with(w, e.heard)
