daemon, core/host: Let a replica outlive the moment in which thousands of workers come

Cause: 3,000 workers and 300 hosts start together. A trial that counted events on a replica (own site of 300 machines) showed where its tenth of a core went: - each change of the registry was packed anew for each host, after a walk over all earlier changes: 0.7 to 0.9 s of each second in ticks; - hosts were told of every change in every tick, 800 messages a second; - new connections were taken without bound: 4,606 files, and a replica ended, as the accept of peers took EMFILE for its end (callers' port likewise); - relays were named only after 150 workers had come and stayed; a few known early got all of them: 941 connections at one host; - a host that did not answer was dialled each 0.2 s, 0.3 ms of processor each.

Now registrations are looked up from where a host stands and packed once, 16 hosts are told in a tick by turns, who leaves says so, connections of workers and operators are taken 16 at a time with a short queue, EMFILE passes, relays of the worker's zone are named with the first heartbeat in fleets of over 100 hosts and take at most twice their share, dialling slows down to 0.8 s, and lines on workers are bounded, with a word on those skipped.

Ruled out: heartbeats themselves (75 us each, measured by a benchmark, 1,000 a replica and round); gob alone (0.3 ms a connection, both ways, and host). A pool of flate writers was tried and taken out: the core has no concurrency.

Tests that failed or did not build before: sockets TestAcceptWaitsForDescriptors, core/host TestChangesAreToldToAFewHostsATick, TestRelaysOfAVeryLargeFleet, daemon paced_test.

--- a/core/gateway/gateway.go
+++ b/core/gateway/gateway.go
@@ -152,6 +152,9 @@
 	}
 }
 
+// KnownWorkers is how many workers this host knows.
+func (s State) KnownWorkers() int { return s.workers.Len() }
+
 // Idle tells whether no request is in progress.
 func (s State) Idle() bool { return s.calls.Len() == 0 }
 
--- a/core/host/hub.go
+++ b/core/host/hub.go
@@ -39,6 +39,8 @@
 	// asked, hubAvoided how long it is then passed over.
 	hubTimeout = 1200 * time.Millisecond
 	hubAvoided = 5 * time.Second
+	// hubWarmUp is how long a replica that starts hears hosts before it names hubs.
+	hubWarmUp = 1700 * time.Millisecond
 	// groupInterval is the time between two words of a hub on whom it counts, where
 	// nothing changes.
 	groupInterval = 1500 * time.Millisecond
@@ -181,10 +183,7 @@
 		if slices.Contains(asked, h) {
 			continue
 		}
-		m := t.question(h)
-		m.Loads, m.Home, m.Group, m.Grouped = nil, false, nil, true
-		m.Table, m.Sums = false, false
-		t.sendSync(h, m)
+		t.send(h, Sync{Leaves: true})
 	}
 	t.sync.hub.askedLast = asked
 }
@@ -317,7 +316,7 @@
 // nameHubs names the hubs of the fleet, on a replica that has had the time to hear
 // of all hosts.
 func (t *turn) nameHubs(hosts []EntryHost) {
-	if t.now.Sub(t.started) < sumWarmUp {
+	if t.now.Sub(t.started) < hubWarmUp {
 		return
 	}
 	least := hubsAbove
--- a/core/host/hub_test.go
+++ b/core/host/hub_test.go
@@ -4,6 +4,7 @@
 
 import (
 	"fmt"
+	"strings"
 	"testing"
 	"time"
 
@@ -235,3 +236,51 @@
 		require.Equal(t, manyWorkers, f.usableAt(entryName(i)), "entry %d", i)
 	}
 }
+
+// TestChangesAreToldToAFewHostsATick has a worker come at a replica that many hosts
+// ask: in each tick it tells a bounded number of them, and soon all.
+func TestChangesAreToldToAFewHostsATick(t *testing.T) {
+	const entries = 39
+	f := startLarge(t, entries)
+	told := map[time.Time]int{}
+	f.seen = func(p seededPacket) {
+		if m, ok := p.message.(host.SyncAnswer); ok && m.Round == 0 && p.from == replicaName(1) {
+			told[f.now]++
+		}
+	}
+	f.beat(replicaName(1), "w2", registry.Ready, 1)
+	f.run(4 * seededStep)
+	for at, n := range told {
+		require.LessOrEqual(t, n, 16, "%s", at)
+	}
+	for i := range entries {
+		_, known := f.states[entryName(i)].Gateway().Worker("w2")
+		require.True(t, known, "entry %d", i)
+	}
+}
+
+// TestRelaysOfAVeryLargeFleet has workers come for the first time: each is sent to a
+// relay of its zone with its first heartbeat, and a relay that gets too many of them
+// sends some back.
+func TestRelaysOfAVeryLargeFleet(t *testing.T) {
+	const entries = 120
+	f := startLarge(t, entries)
+	answer := func(at ident.Host, id string) host.BeatAnswer {
+		f.beats = nil
+		f.reduce(at, host.Beaten{Worker: registry.Worker{ID: ident.Target(id), Pool: "pool", Zone: "z1", Address: "10.9.9.9:80", Slots: 4, Seq: 1}})
+		require.Len(t, f.beats, 1)
+		return f.beats[0]
+	}
+	first := answer(replicaName(0), "new")
+	relay, ok := strings.CutPrefix(first.Relay, "relay at ")
+	require.True(t, first.Taken && ok, "%#v", first)
+	require.EqualValues(t, "z1", f.zoneOf(ident.Host(relay)))
+	taken := 0
+	for i := range 100 {
+		if answer(ident.Host(relay), fmt.Sprint("many-", i)).Taken {
+			taken++
+		}
+	}
+	require.Greater(t, taken, 10)
+	require.Less(t, taken, 30)
+}
--- a/core/host/message.go
+++ b/core/host/message.go
@@ -126,6 +126,9 @@
 		Relay string
 		Beats []byte
 		Zone  ident.Zone
+		// Leaves is set where the host asks others from now on; it is all that is
+		// said then.
+		Leaves bool
 		// Home is set where the hub that is asked counts this host.
 		Home bool
 		// HubList names the list of hubs that this host holds.
--- a/core/host/relay.go
+++ b/core/host/relay.go
@@ -24,6 +24,17 @@
 	// relayAbove is the number of ready workers that a replica knows above which it
 	// names relays. Without relays each replica knows those that speak to it.
 	relayAbove = 150
+	// relayHosts is the number of entry hosts above which relays are named from the
+	// first heartbeat on: so large a fleet has as many workers, which all come at
+	// the same time when it starts.
+	relayHosts = 100
+	// relayWarmUp is how long a replica that starts hears entry hosts before it names
+	// relays, so that not a few of them get all workers.
+	relayWarmUp = time.Second
+	// relayShare times its part of all workers, and relayLeast more, is what a relay
+	// takes; the others go back to a replica, which knows more relays by then.
+	relayShare = 2
+	relayLeast = 16
 	// relayInterval is the time between two words of a relay on whom it has
 	// heard; several fit into the time that a worker may be silent.
 	relayInterval = 1500 * time.Millisecond
@@ -41,9 +52,9 @@
 	// heard are the workers heard since the last word, on a relay.
 	heard map[ident.Target]registry.Worker
 	at    time.Time
-	// hosts are the addresses of relays, on a replica; empty where none are
+	// hosts are the entry hosts that are relays, on a replica; empty where none are
 	// needed. Neither is changed in place.
-	hosts []string
+	hosts []EntryHost
 	looks time.Time
 }
 
@@ -91,8 +102,12 @@
 	if w.State != registry.Ready {
 		return ""
 	}
-	relay, _ := hash.Best(hash.Of(string(w.ID)), t.sync.relay.hosts, func(h string) string { return h })
-	return relay
+	near := slices.DeleteFunc(slices.Clone(t.sync.relay.hosts), func(h EntryHost) bool { return h.Zone != w.Zone })
+	if len(near) == 0 {
+		near = t.sync.relay.hosts
+	}
+	relay, _ := hash.Best(hash.Of(string(w.ID)), near, func(h EntryHost) string { return h.Relay })
+	return relay.Relay
 }
 
 // mayRelay tells whether a heartbeat says nothing that is at odds with what is
@@ -102,7 +117,19 @@
 	known, ok := t.gateway.Worker(w.ID)
 	same := known.Pool == w.Pool && known.Address == w.Address && known.Zone == w.Zone && known.Slots == w.Slots
 	settled := known.State == registry.Ready || known.State == registry.Silent
-	return (!ok || same && settled) && w.State == registry.Ready && !t.draining && t.replicaHeard(relayContact)
+	return (!ok || same && settled) && w.State == registry.Ready && !t.draining && t.replicaHeard(relayContact) && t.relayHasRoom(w.ID)
+}
+
+// relayHasRoom tells whether this relay takes one more worker, in the time between
+// two words to replicas. One that has become a hub sends its workers away.
+func (t *turn) relayHasRoom(id ident.Target) bool {
+	if t.sync.hub.serves {
+		return false
+	}
+	if _, heard := t.sync.relay.heard[id]; heard {
+		return true
+	}
+	return len(t.sync.relay.heard) < relayLeast+relayShare*t.gateway.KnownWorkers()/max(1, t.sync.hosts)
 }
 
 // replicaHeard tells whether any replica has answered within a time.
@@ -162,12 +189,13 @@
 	hosts := t.entryHosts()
 	t.nameHubs(hosts)
 	t.sync.relay.hosts = nil
-	if t.registry.Ready() <= relayAbove {
+	few := t.registry.Ready() <= relayAbove && len(hosts) <= relayHosts
+	if few || t.now.Sub(t.started) < relayWarmUp {
 		return
 	}
 	for _, h := range hosts {
 		if h.Relay != "" {
-			t.sync.relay.hosts = append(t.sync.relay.hosts, h.Relay)
+			t.sync.relay.hosts = append(t.sync.relay.hosts, h)
 		}
 	}
 }
--- a/core/host/sync.go
+++ b/core/host/sync.go
@@ -69,12 +69,14 @@
 	// bulkBytes counts the bytes of tables and of many registrations sent since
 	// the last tick.
 	bulkBytes int
-	batches   workerBatches
-	clients   table.Table[ident.Host, client]
-	joiners   table.Table[ident.Host, time.Time]
-	joinAt    time.Time
-	memberAt  time.Time
-	sums      loadSums
+	// pushedTo is the host that was told of a change last.
+	pushedTo ident.Host
+	batches  workerBatches
+	clients  table.Table[ident.Host, client]
+	joiners  table.Table[ident.Host, time.Time]
+	joinAt   time.Time
+	memberAt time.Time
+	sums     loadSums
 	// loadsAt is when loads are next asked for.
 	loadsAt time.Time
 	relay   relayState
@@ -228,9 +230,10 @@
 	}
 }
 
-// relayAddress is where this host takes workers' heartbeats now.
+// relayAddress is where this host takes workers' heartbeats now. A hub has enough to
+// do.
 func (t *turn) relayAddress() string {
-	if !t.settings.Serves || t.draining {
+	if !t.settings.Serves || t.draining || t.sync.hub.serves {
 		return ""
 	}
 	return t.settings.Relay
--- a/core/host/syncreplica.go
+++ b/core/host/syncreplica.go
@@ -19,6 +19,10 @@
 	if !t.answersSync() {
 		return
 	}
+	if m.Leaves {
+		t.sync.clients = t.sync.clients.Without(from)
+		return
+	}
 	c := client{
 		version: m.Version, revision: m.Revision, heard: t.now, table: m.Table, serves: m.Serves, loads: m.Loads,
 		boot: m.Boot, entry: EntryHost{Host: from, Zone: m.Zone, Relay: m.Relay}, home: m.Home, group: m.Group,
@@ -208,14 +212,25 @@
 // the replicated log would wait behind it.
 func (t *turn) pushSync() {
 	t.sync.bulkBytes = 0
-	for id, c := range t.sync.clients.All() {
+	pushed := 0
+	for _, id := range t.sync.clients.KeysAfter(t.sync.pushedTo) {
+		c, _ := t.sync.clients.Get(id)
 		stale := c.table && c.version < t.heldConfig().Version && t.sync.bulkBytes < bulkBytesPerTick
 		if t.now.Sub(c.heard) <= syncLife && (stale || c.revision < t.registry.Revision()) {
 			t.answerSync(id, c, Sync{})
+			t.sync.pushedTo = id
+			pushed++
+		}
+		if pushed == pushesPerTick {
+			return
 		}
 	}
 }
 
+// pushesPerTick bounds the hosts that are told of changes in a tick. Where there are
+// more, they take turns, so that many changes in a row are told together.
+const pushesPerTick = 16
+
 // bulkBytesPerTick bounds the bytes of tables and of many registrations that a
 // replica sends in a tick.
 const bulkBytesPerTick = 20 << 10
@@ -223,9 +238,9 @@
 // batchSize is how many registrations travel together at most.
 const batchSize = 128
 
-// workerBatches are full batches of registrations, which many hosts are sent, by
-// the revision that they follow. They are made anew after a while, as they go on
-// showing what has been forgotten since.
+// workerBatches are batches of registrations, which many hosts are sent, by the
+// revision that they follow. They are made anew after a while, as they go on
+// showing what has been forgotten since; one that is not full, with the next change.
 type workerBatches struct {
 	since time.Time
 	bySeq table.Table[uint64, workerBatch]
@@ -235,6 +250,7 @@
 type workerBatch struct {
 	record   []byte
 	revision uint64
+	full     bool
 }
 
 // batchLife is how long batches are used.
@@ -247,15 +263,15 @@
 	if t.now.Sub(t.sync.batches.since) > batchLife {
 		t.sync.batches = workerBatches{since: t.now}
 	}
-	if b, ok := t.sync.batches.bySeq.Get(after); ok {
-		return t.inBudget(b, after)
+	b, ok := t.sync.batches.bySeq.Get(after)
+	if !ok || !b.full && b.revision != t.registry.Revision() {
+		workers, revision := t.registry.After(after, batchSize)
+		b = workerBatch{record: registry.Pack(workers), revision: revision, full: len(workers) == batchSize}
+		t.sync.batches.bySeq = t.sync.batches.bySeq.With(after, b)
 	}
-	workers, revision := t.registry.After(after, batchSize)
-	b := workerBatch{record: registry.Pack(workers), revision: revision}
-	if len(workers) < batchSize {
+	if !b.full {
 		return b.record, b.revision
 	}
-	t.sync.batches.bySeq = t.sync.batches.bySeq.With(after, b)
 	return t.inBudget(b, after)
 }
 
--- a/core/registry/registry.go
+++ b/core/registry/registry.go
@@ -204,10 +204,7 @@
 		return nil, r.revision
 	}
 	var out []Worker
-	for at, id := range r.changes.All() {
-		if at <= revision {
-			continue
-		}
+	for at, id := range r.changes.From(revision + 1) {
 		e, _ := r.workers.Get(id)
 		out = append(out, e.worker)
 		if len(out) == limit {
--- a/core/table/table.go
+++ b/core/table/table.go
@@ -62,16 +62,48 @@
 // All walks the table in key order.
 func (t Table[K, V]) All() iter.Seq2[K, V] {
 	return func(yield func(K, V) bool) {
-		if t.m == nil {
+		if t.m != nil {
+			walk(t.m.Iterator(), yield)
+		}
+	}
+}
+
+// From walks the table in key order, from k on. What stands before is not visited.
+func (t Table[K, V]) From(k K) iter.Seq2[K, V] {
+	return func(yield func(K, V) bool) {
+		if t.m != nil {
+			it := t.m.Iterator()
+			it.Seek(k)
+			walk(it, yield)
+		}
+	}
+}
+
+func walk[K, V any](it *immutable.SortedMapIterator[K, V], yield func(K, V) bool) {
+	for !it.Done() {
+		k, v, _ := it.Next()
+		if !yield(k, v) {
 			return
 		}
-		for it := t.m.Iterator(); !it.Done(); {
-			k, v, _ := it.Next()
-			if !yield(k, v) {
-				return
-			}
+	}
+}
+
+// KeysAfter returns all keys in order, beginning with the one that follows k and
+// going on from the first.
+func (t Table[K, V]) KeysAfter(k K) []K {
+	out := make([]K, 0, t.Len())
+	for key := range t.From(k) {
+		if key != k {
+			out = append(out, key)
 		}
 	}
+	for key := range t.All() {
+		if key > k {
+			break
+		}
+		out = append(out, key)
+	}
+	return out
 }
 
 // Values returns the values in key order.
--- a/daemon/gateway.go
+++ b/daemon/gateway.go
@@ -32,6 +32,8 @@
 	// callerIdle is how long a caller's connection may rest where the route table
 	// does not say.
 	callerIdle = time.Minute
+	// workerIdle is how long a connection of a worker or the operator may rest.
+	workerIdle = 10 * time.Second
 	// callerHeader is how long a caller may take to send a request's head there.
 	callerHeader = 10 * time.Second
 	// retryCaution is the part of the fleet's retry budget that is used.
@@ -79,8 +81,8 @@
 	}{
 		{s.Listen, &limitedServer{handler: d.gateway, limits: d.loop.Limits}},
 		{s.Ready, plainServer(ready)},
-		{s.Control, plainServer(platform.NewControl(d.loop).Handler())},
-		{s.Relay, plainServer(platform.NewControl(d.loop).RelayHandler())},
+		{s.Control, newPacedServer(platform.NewControl(d.loop).Handler(), workerIdle)},
+		{s.Relay, newPacedServer(platform.NewControl(d.loop).RelayHandler(), workerIdle)},
 	} {
 		if port.address == "" {
 			continue
--- a/daemon/limited.go
+++ b/daemon/limited.go
@@ -11,6 +11,7 @@
 
 	"github.com/pkg/errors"
 
+	"github.com/yardhall/yardhall/common/sockets"
 	"github.com/yardhall/yardhall/core/config"
 )
 
@@ -52,7 +53,7 @@
 	s.listener = l
 	s.mu.Unlock()
 	for {
-		conn, err := l.Accept()
+		conn, err := sockets.Accept(l)
 		switch {
 		case errors.Is(err, net.ErrClosed):
 			return http.ErrServerClosed
--- a/daemon/loop.go
+++ b/daemon/loop.go
@@ -36,6 +36,7 @@
 // loop feeds events to the core one at a time and carries out its effects.
 type loop struct {
 	log     logr.Logger
+	notes   *noteLog
 	now     func() time.Time
 	events  chan host.Event
 	state   atomic.Pointer[host.State]
@@ -61,7 +62,7 @@
 
 func newLoop(s host.State, log logr.Logger, pool *peers.Pool, t *targets.Client) *loop {
 	l := &loop{
-		log: log, now: time.Now, events: make(chan host.Event, eventQueue), pool: pool, targets: t,
+		log: log, notes: newNoteLog(log), now: time.Now, events: make(chan host.Event, eventQueue), pool: pool, targets: t,
 		done: make(chan struct{}), calls: map[ident.Request]chan host.Effect{}, writes: map[string]chan writeAnswer{},
 		reads:   map[string]chan bool{},
 		reduced: new(expvar.Int), answers: &callers.Answers{},
@@ -193,7 +194,7 @@
 	case host.AnswerWrite:
 		l.answerWrite(e)
 	case host.Note:
-		l.log.Info(string(e.Kind), "object", e.Object, "detail", e.Detail)
+		l.notes.observe(e)
 	case host.LookUp:
 		l.lookUp(e)
 	case host.KnowHosts:
--- a/peers/pool.go
+++ b/peers/pool.go
@@ -26,8 +26,10 @@
 	maxBatch = 128
 	// maxCalls bounds the calls under way to one host.
 	maxCalls = 8
-	// redialPause follows a failed dial.
-	redialPause = 200 * time.Millisecond
+	// redialPause follows a failed dial, and doubles with each one in a row up to
+	// maxRedialPause: a host that is overloaded must not be called all the more.
+	redialPause    = 200 * time.Millisecond
+	maxRedialPause = 800 * time.Millisecond
 )
 
 // Pool sends messages to other hosts, one connection each.
@@ -116,6 +118,8 @@
 	addr   string
 	calls  chan *rpc.Call
 	open   int
+	// pause is the wait after the next failed dial.
+	pause time.Duration
 	// asked is when the oldest open call was made, or the last one answered.
 	asked time.Time
 }
@@ -176,7 +180,8 @@
 
 // drop empties the queue after a failed dial and pauses: what waited is stale.
 func (s *sender) drop() {
-	pause := time.NewTimer(redialPause)
+	s.pause = min(max(redialPause, 2*s.pause), maxRedialPause)
+	pause := time.NewTimer(s.pause)
 	defer pause.Stop()
 	for {
 		select {
@@ -242,7 +247,7 @@
 		_ = client.Close()
 		return errors.Wrap(err, "hello")
 	}
-	s.client, s.addr, s.open = client, addr, 0
+	s.client, s.addr, s.open, s.pause = client, addr, 0, 0
 	s.calls = make(chan *rpc.Call, maxCalls)
 	o.Counters.Connected.Add(1)
 	return nil
--- a/peers/server.go
+++ b/peers/server.go
@@ -27,6 +27,7 @@
 
 	"github.com/pkg/errors"
 
+	"github.com/yardhall/yardhall/common/sockets"
 	"github.com/yardhall/yardhall/core/host"
 	"github.com/yardhall/yardhall/core/ident"
 )
@@ -100,7 +101,7 @@
 		l = tls.NewListener(l, s.options.TLS)
 	}
 	for {
-		conn, err := l.Accept()
+		conn, err := sockets.Accept(l)
 		if err != nil {
 			return errors.Wrap(err, "accept")
 		}
