settings, soak: Let a fleet of any size have hubs, and show them in the dump

Cause: hubs could be tried by real processes only with more than 40 entry hosts. `[replicas] hubs_above` names the number; `make soak SHAPE="-entries 12 -hubs 6"` plays hubs under faults. The state dump says whom a host asks, since when its table is confirmed, and which hosts are hubs.

--- a/core/host/host.go
+++ b/core/host/host.go
@@ -58,6 +58,9 @@
 	// Relay is the ip:port at which this host takes workers' heartbeats for the
 	// replicas; empty for none.
 	Relay string
+	// HubsAbove is the number of entry hosts above which a replica names hubs; 0 is
+	// the default.
+	HubsAbove int
 	// Gateway are the bounds of the route table's requests.
 	Gateway gateway.Settings
 }
--- a/core/host/hub.go
+++ b/core/host/hub.go
@@ -25,10 +25,10 @@
 // entry hosts, by a hash that is the same everywhere. So a new leader names the same
 // ones, and nothing about hubs needs to be kept or agreed on.
 const (
-	// hubsAbove is the number of entry hosts above which hubs are named, and
-	// hubsDownTo the one down to which they stay.
-	hubsAbove  = 40
-	hubsDownTo = 30
+	// defaultHubsAbove is the number of entry hosts above which hubs are named. They
+	// stay until there are fewer than hubsStay hundredths of that.
+	defaultHubsAbove = 40
+	hubsStay         = 75
 	// hubGroup is how many hosts a hub is meant to serve, minZoneHubs the least
 	// number of hubs in a zone.
 	hubGroup    = 16
@@ -319,9 +319,12 @@
 	if t.now.Sub(t.started) < hubWarmUp {
 		return
 	}
-	least := hubsAbove
+	least := t.settings.HubsAbove
+	if least == 0 {
+		least = defaultHubsAbove
+	}
 	if len(t.sync.hub.list) > 0 {
-		least = hubsDownTo
+		least = least * hubsStay / percent
 	}
 	var hubs []EntryHost
 	if len(hosts) > least {
--- a/core/host/hub_test.go
+++ b/core/host/hub_test.go
@@ -86,10 +86,26 @@
 				require.Less(t, len(direct), 8+entries/8)
 			}
 			f.requireServing(t, entries, 1)
+			f.requireDumped(t, entries)
 		})
 	}
 }
 
+// requireDumped compares the dump of a host with the fleet.
+func (f *seededFleet) requireDumped(t *testing.T, entries int) {
+	t.Helper()
+	d := f.states[entryName(0)].Dump(f.now).Sync
+	require.Equal(t, entries, d.Hosts)
+	require.Equal(t, 1, d.Workers)
+	require.Equal(t, entries > 40, len(d.Hubs) > 0)
+	for _, asked := range d.Asks {
+		require.Equal(t, d.Serves || len(d.Hubs) == 0, f.disks[asked] != nil, "%s", asked)
+	}
+	leader := f.states[f.leader()].Dump(f.now).Sync
+	require.True(t, leader.Serves)
+	require.Positive(t, leader.Askers)
+}
+
 // TestChangesReachALargeFleetAtOnce changes the table, has a worker drain and
 // another one join: all hosts know within a few ticks.
 func TestChangesReachALargeFleetAtOnce(t *testing.T) {
--- a/core/host/view.go
+++ b/core/host/view.go
@@ -63,6 +63,7 @@
 	Version     config.Version
 	Leader      ident.Host
 	Replica     *DumpReplica `json:",omitempty"`
+	Sync        *DumpSync    `json:",omitempty"`
 	Peers       []DumpPeer
 	Groups      []DumpGroup
 	Targets     []DumpTarget
@@ -86,6 +87,21 @@
 	Followers []DumpFollower
 }
 
+// DumpSync is what a host of a seeded fleet knows of replicas and hubs.
+type DumpSync struct {
+	// Hosts is how many entry hosts there are, Hubs which of them are hubs; Asks are
+	// the hosts that this one asked last.
+	Hosts int
+	Hubs  []ident.Host
+	Asks  []ident.Host
+	// Serves is set on a replica and on a hub, Askers is how many hosts ask it.
+	Serves bool
+	Askers int
+	// ConfirmedAt is as of when the route table held was surely the newest.
+	ConfirmedAt time.Time
+	Workers     int
+}
+
 // DumpMember is one replica as the leader sees it.
 type DumpMember struct {
 	Host  ident.Host
@@ -155,6 +171,9 @@
 	if s.raft.Active() {
 		d.Replica = s.dumpReplica(now)
 	}
+	if s.settings.Seeded() {
+		d.Sync = s.dumpSync()
+	}
 	for id, p := range s.peers.All() {
 		d.Peers = append(d.Peers, DumpPeer{
 			Host: id, Zone: p.beat.Zone, Alive: p.alive, Draining: p.beat.Draining, Version: p.beat.Version, Heard: p.heard,
@@ -193,6 +212,17 @@
 	return r
 }
 
+func (s State) dumpSync() *DumpSync {
+	d := &DumpSync{
+		Hosts: s.sync.hosts, Asks: s.sync.hub.askedLast, Serves: s.settings.IsReplica() || s.sync.hub.serves,
+		Askers: s.sync.clients.Len(), ConfirmedAt: s.gateway.Confirmed(), Workers: s.gateway.KnownWorkers(),
+	}
+	for _, h := range s.sync.hub.list {
+		d.Hubs = append(d.Hubs, h.Host)
+	}
+	return d
+}
+
 // Incarnation is the start of this process.
 func (s State) Incarnation() uint64 { return s.settings.Incarnation }
 
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -89,12 +89,13 @@
 
 // Replicas are the hosts that keep the replicated state.
 type Replicas struct {
-	Members []string `ini:"members" doc:"Hosts as id@zone@ip:port, separated by commas; 1, 3 or 5 of them."`
-	Join    string   `ini:"join" default:"no" doc:"yes on a replica with an empty data folder that joins a running fleet."`
-	Seeds   []string `ini:"seeds" doc:"ip:port of some replicas, separated by commas, instead of members: the others are found through them. Only the IP counts; the port is that at which this host is reached."`
-	Keep    string   `ini:"keep" default:"no" doc:"yes where this host keeps the replicated state; only with seeds."`
-	Found   string   `ini:"found" default:"no" doc:"yes at the very first start of the whole fleet: hosts named in seeds then form the first group; only with seeds."`
-	Losses  int      `ini:"losses" default:"1" doc:"Replicas that may be lost at once; twice as many and one more vote. Only with seeds."`
+	Members   []string `ini:"members" doc:"Hosts as id@zone@ip:port, separated by commas; 1, 3 or 5 of them."`
+	Join      string   `ini:"join" default:"no" doc:"yes on a replica with an empty data folder that joins a running fleet."`
+	Seeds     []string `ini:"seeds" doc:"ip:port of some replicas, separated by commas, instead of members: the others are found through them. Only the IP counts; the port is that at which this host is reached."`
+	Keep      string   `ini:"keep" default:"no" doc:"yes where this host keeps the replicated state; only with seeds."`
+	Found     string   `ini:"found" default:"no" doc:"yes at the very first start of the whole fleet: hosts named in seeds then form the first group; only with seeds."`
+	HubsAbove int      `ini:"hubs_above" default:"40" doc:"Entry hosts above which replicas name hubs, which ask replicas for the others; the same on all replicas. Only with seeds."`
+	Losses    int      `ini:"losses" default:"1" doc:"Replicas that may be lost at once; twice as many and one more vote. Only with seeds."`
 }
 
 // SeedHosts returns the peer addresses of the seeds.
--- a/soak/fleet_test.go
+++ b/soak/fleet_test.go
@@ -38,7 +38,7 @@
 )
 
 // shape is how large a fleet is.
-type shape struct{ replicas, entries, workers int }
+type shape struct{ replicas, entries, workers, hubs int }
 
 // fleet are the processes of one seed, the network between them and the workers
 // behind them. Hosts are nodes 1 and up, workers 101 and up.
@@ -139,6 +139,9 @@
 	if found {
 		text.WriteString("found = yes\n")
 	}
+	if f.shape.hubs > 0 {
+		fmt.Fprintf(&text, "hubs_above = %d\n", f.shape.hubs)
+	}
 	fmt.Fprintf(&text, "[gateway]\ndrain_time = %s\nretry_extra = 200\n", drainTime)
 	if f.isReplica(n) {
 		fmt.Fprintf(&text, "control = %s\n", f.real(n, controlPort))
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -24,6 +24,7 @@
 	replicas = flag.Int("replicas", 3, "hosts that keep the state")
 	entries  = flag.Int("entries", 3, "hosts that take requests")
 	workers  = flag.Int("workers", 4, "workers behind them")
+	hubs     = flag.Int("hubs", 0, "hosts that take requests above which hubs are named; 0 is the default")
 	logs     = flag.String("logs", "", "folder in which the logs of seeds that fail are kept")
 )
 
@@ -41,7 +42,7 @@
 	for _, seed := range list {
 		t.Run(fmt.Sprint("seed-", seed), func(t *testing.T) {
 			t.Parallel()
-			play(t, seed, shape{*replicas, *entries, *workers})
+			play(t, seed, shape{*replicas, *entries, *workers, *hubs})
 		})
 	}
 }
