--- a/core/gateway/attempt.go
+++ b/core/gateway/attempt.go
@@ -159,7 +159,7 @@
 	if !ok {
 		return
 	}
-	if missed, ok := a.(outcome.NeverSent); ok && missed.Silent {
+	if silent(a) {
 		t.missed(w)
 	} else if answers(a) {
 		t.heardFrom(w.Zone)
@@ -184,6 +184,17 @@
 	}
 }
 
+// silent tells whether nothing came from the worker, not even a refusal.
+func silent(a outcome.Attempt) bool {
+	switch a := a.(type) {
+	case outcome.NeverSent:
+		return a.Silent
+	case outcome.Broken:
+		return a.Silent
+	}
+	return false
+}
+
 // answers tells whether the worker said something.
 func answers(a outcome.Attempt) bool {
 	switch a.(type) {
--- a/core/gateway/reach_test.go
+++ b/core/gateway/reach_test.go
@@ -17,17 +17,19 @@
 
 // zonedGateway is the gateway of a host in zone z, with workers of three zones.
 type zonedGateway struct {
-	t      *testing.T
-	state  gateway.State
-	now    time.Time
-	zones  map[ident.Target]ident.Zone
-	next   int
+	t     *testing.T
+	state gateway.State
+	now   time.Time
+	zones map[ident.Target]ident.Zone
+	next  int
+	// kept is set where requests go over connections kept from before the cut.
+	kept   bool
 	probes []registry.Worker
 }
 
 func newZoned(t *testing.T, each int) *zonedGateway {
 	g := &zonedGateway{t: t, state: ready(0), now: start, zones: map[ident.Target]ident.Zone{}}
-	var all []registry.Worker
+	all := make([]registry.Worker, 0, 3*each)
 	for _, zone := range []ident.Zone{"z", "y", "x"} {
 		for i := range each {
 			w := registry.Worker{
@@ -77,7 +79,7 @@
 		var result outcome.Attempt = outcome.Answered{Status: 200}
 		for _, zone := range cut {
 			if g.zones[d.Worker.ID] == zone {
-				result = outcome.NeverSent{Reason: "i/o timeout", Silent: true}
+				result = g.silence()
 			}
 		}
 		next := g.feed(gateway.AttemptEnded{Request: d.Request, Attempt: d.Attempt, Result: result, Wanted: true})
@@ -89,10 +91,25 @@
 	}
 }
 
+// silence is how a try ends in a zone that is cut off.
+func (g *zonedGateway) silence() outcome.Attempt {
+	if g.kept {
+		return outcome.Broken{Reason: "i/o timeout", Silent: true}
+	}
+	return outcome.NeverSent{Reason: "i/o timeout", Silent: true}
+}
+
 // TestZoneThatIsCutOffIsLeftAtOnce cuts a zone of thirty workers off: a few requests
 // find out, not one for each worker; when it is back, all its workers are used again.
 func TestZoneThatIsCutOffIsLeftAtOnce(t *testing.T) {
+	for _, kept := range []bool{false, true} {
+		t.Run(fmt.Sprint("kept connections ", kept), func(t *testing.T) { cutOneZone(t, kept) })
+	}
+}
+
+func cutOneZone(t *testing.T, kept bool) {
 	g := newZoned(t, 30)
+	g.kept = kept
 	misses := 0
 	for range 200 {
 		misses += g.play("y") - 1
--- a/core/host/hub.go
+++ b/core/host/hub.go
@@ -3,7 +3,6 @@
 package host
 
 import (
-	"maps"
 	"slices"
 	"time"
 
@@ -88,10 +87,6 @@
 	return t.named() || t.sync.hub.serves && t.counts()
 }
 
-func (t *turn) named() bool {
-	return slices.ContainsFunc(t.sync.hub.list, func(h EntryHost) bool { return h.Host == t.settings.ID })
-}
-
 // counts tells whether some host has this hub for its home.
 func (t *turn) counts() bool {
 	for _, c := range t.sync.clients.All() {
@@ -197,30 +192,6 @@
 	return out
 }
 
-// order is the result of a comparison where a does or does not go first.
-func order(first bool) int {
-	if first {
-		return -1
-	}
-	return 1
-}
-
-// takeHubs takes the list of hubs that a replica or a hub told, and begins to serve
-// as one where this host stands on it.
-func (t *turn) takeHubs(m SyncAnswer) {
-	h := &t.sync.hub
-	if m.HubList == 0 || m.HubList == h.key || !m.Fresh && h.key != 0 {
-		return
-	}
-	if len(h.list) == 0 {
-		h.usefulAt = t.now
-	}
-	h.list, h.key = m.Hubs, m.HubList
-	if t.named() && !h.serves {
-		t.serveAsHub()
-	}
-}
-
 // serveAsHub gives this host what it needs to answer others: the workers that it
 // knows, with revisions of its own, and the table from which others may follow.
 func (t *turn) serveAsHub() {
@@ -295,69 +266,6 @@
 	return hosts, changed
 }
 
-// entryHosts are the live entry hosts that a replica knows: those that ask it and
-// those that hubs count, by name.
-func (t *turn) entryHosts() []EntryHost {
-	found := map[ident.Host]EntryHost{}
-	for _, c := range t.sync.clients.All() {
-		if t.now.Sub(c.heard) > syncLife {
-			continue
-		}
-		for _, h := range c.group {
-			found[h.Host] = h
-		}
-		if c.serves {
-			found[c.entry.Host] = c.entry
-		}
-	}
-	return slices.SortedFunc(maps.Values(found), func(a, b EntryHost) int { return order(a.Host < b.Host) })
-}
-
-// nameHubs names the hubs of the fleet, on a replica that has had the time to hear
-// of all hosts.
-func (t *turn) nameHubs(hosts []EntryHost) {
-	if t.now.Sub(t.started) < hubWarmUp {
-		return
-	}
-	least := t.settings.HubsAbove
-	if least == 0 {
-		least = defaultHubsAbove
-	}
-	if len(t.sync.hub.list) > 0 {
-		least = least * hubsStay / percent
-	}
-	var hubs []EntryHost
-	if len(hosts) > least {
-		hubs = rankHubs(hosts)
-	}
-	names := []string{"hubs"}
-	for _, h := range hubs {
-		names = append(names, string(h.Host))
-	}
-	t.sync.hub.list, t.sync.hub.key = hubs, hash.Of(names...)
-}
-
-// rankHubs picks the hubs of each zone.
-func rankHubs(hosts []EntryHost) []EntryHost {
-	byZone := map[ident.Zone][]EntryHost{}
-	for _, h := range hosts {
-		byZone[h.Zone] = append(byZone[h.Zone], h)
-	}
-	key := hash.Of("hubs")
-	var out []EntryHost
-	for _, zone := range slices.Sorted(maps.Keys(byZone)) {
-		inZone := byZone[zone]
-		slices.SortFunc(inZone, func(a, b EntryHost) int {
-			return order(hash.Mix(key, hash.Of(string(a.Host))) > hash.Mix(key, hash.Of(string(b.Host))))
-		})
-		n := max(minZoneHubs, (len(inZone)+hubGroup-1)/hubGroup)
-		for _, h := range inZone[:min(n, len(inZone))] {
-			out = append(out, EntryHost{Host: h.Host, Zone: h.Zone})
-		}
-	}
-	return out
-}
-
 // heardAsHub keeps what replicas tell of workers, for the hosts that ask this hub.
 func (t *turn) heardAsHub(workers []registry.Worker) {
 	if !t.sync.hub.serves {
--- a/core/outcome/outcome.go
+++ b/core/outcome/outcome.go
@@ -53,6 +53,8 @@
 		Reason string
 		// Begun is true where the caller has already seen part of it.
 		Begun bool
+		// Silent is true where nothing at all came in the time allowed.
+		Silent bool
 	}
 	// Abandoned means that the caller left.
 	Abandoned struct{ Sent bool }
--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -177,7 +177,7 @@
 	resp, err := x.receive()
 	if err != nil {
 		_ = x.conn.Close()
-		return nil, outcome.Broken{Reason: err.Error()}
+		return nil, outcome.Broken{Reason: err.Error(), Silent: isTimeout(err)}
 	}
 	x.server.told(x.dispatch, resp.Header)
 	x.waitFor(0)
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -46,7 +46,7 @@
 	resp, err := x.receive()
 	if err != nil {
 		_ = x.conn.Close()
-		return nil, outcome.Broken{Reason: err.Error(), Begun: r.begun}
+		return nil, outcome.Broken{Reason: err.Error(), Begun: r.begun, Silent: isTimeout(err)}
 	}
 	x.server.told(x.dispatch, resp.Header)
 	if notRun(resp, x.server.headers) {
