--- a/core/host/seeded_test.go
+++ b/core/host/seeded_test.go
@@ -67,6 +67,16 @@
 	beats []host.BeatAnswer
 	// seen, where set, is shown each message that arrives.
 	seen func(seededPacket)
+	// hold, where set, is how long a message stays on its way; held are those that
+	// do.
+	hold func(seededPacket) time.Duration
+	held []heldPacket
+}
+
+// heldPacket is a message that arrives later.
+type heldPacket struct {
+	seededPacket
+	due time.Time
 }
 
 func replicaName(i int) ident.Host { return ident.Host(fmt.Sprintf("10.0.0.%d:7000", i+1)) }
@@ -182,21 +192,51 @@
 		for _, id := range f.order {
 			f.reduce(id, host.Tick{})
 		}
+		f.release()
 		for range 6 {
 			batch := f.wire
 			f.wire = nil
 			for _, p := range batch {
-				if !f.cut[[2]ident.Host{p.from, p.to}] && !f.down[p.from] {
-					if f.seen != nil {
-						f.seen(p)
-					}
-					f.reduce(p.to, host.Received{From: p.from, Message: p.message})
-				}
+				f.carry(p)
 			}
 		}
 	}
 }
 
+// carry delivers a message, loses it, or holds it up.
+func (f *seededFleet) carry(p seededPacket) {
+	if f.cut[[2]ident.Host{p.from, p.to}] || f.down[p.from] {
+		return
+	}
+	if f.hold != nil {
+		if d := f.hold(p); d > 0 {
+			f.held = append(f.held, heldPacket{p, f.now.Add(d)})
+			return
+		}
+	}
+	f.deliver(p)
+}
+
+func (f *seededFleet) deliver(p seededPacket) {
+	if f.seen != nil {
+		f.seen(p)
+	}
+	f.reduce(p.to, host.Received{From: p.from, Message: p.message})
+}
+
+// release delivers what was held up until now.
+func (f *seededFleet) release() {
+	var later []heldPacket
+	for _, p := range f.held {
+		if p.due.After(f.now) {
+			later = append(later, p)
+			continue
+		}
+		f.deliver(p.seededPacket)
+	}
+	f.held = later
+}
+
 func (f *seededFleet) leader() ident.Host {
 	for _, id := range f.order {
 		if s := f.states[id]; !f.down[id] && s.Raft().Active() && s.Raft().LeaseHeld(f.now) {
