daemon, core/host: Tell when the processor is short, and what becomes of heartbeats

A tick that is late by 200 ms now gives one line a second with the delay, the events that wait and the heartbeats taken, sent to relays and declined; loop_delay_us holds the delays of all ticks.

Test: TestShortProcessorIsSaidOnceASecond. No change of what is decided.

--- a/core/host/host.go
+++ b/core/host/host.go
@@ -178,6 +178,11 @@
 	Adopted       uint64
 	Ejections     uint64
 	Repairs       uint64
+	// Beats counts workers' heartbeats taken here, BeatsNamed those answered with a
+	// relay for the next ones, BeatsDeclined those that this host did not take.
+	Beats         uint64
+	BeatsNamed    uint64
+	BeatsDeclined uint64
 }
 
 // New returns the process as it starts at now.
--- a/core/host/relay.go
+++ b/core/host/relay.go
@@ -63,14 +63,28 @@
 func (t *turn) beatHeard(w registry.Worker) {
 	if t.settings.IsReplica() {
 		t.beaten(w)
-		t.emit(BeatAnswer{Taken: true, Relay: t.relayFor(w)})
+		t.answerBeat(BeatAnswer{Taken: true, Relay: t.relayFor(w)})
 		return
 	}
 	taken := t.mayRelay(w)
 	if taken {
 		t.relayHeard(w)
 	}
-	t.emit(BeatAnswer{Taken: taken})
+	t.answerBeat(BeatAnswer{Taken: taken})
+}
+
+// answerBeat answers a worker and counts the answer.
+func (t *turn) answerBeat(a BeatAnswer) {
+	switch {
+	case !a.Taken:
+		t.counters.BeatsDeclined++
+	case a.Relay != "":
+		t.counters.BeatsNamed++
+	}
+	if a.Taken {
+		t.counters.Beats++
+	}
+	t.emit(a)
 }
 
 // relayHeard remembers workers whose heartbeats replicas are to be told of.
--- a/daemon/loop.go
+++ b/daemon/loop.go
@@ -45,6 +45,7 @@
 	done    chan struct{}
 	reduced *expvar.Int
 	answers *callers.Answers
+	delays  *delays
 
 	// reducing is held while an event is reduced and its effects carried out.
 	reducing sync.Mutex
@@ -68,7 +69,7 @@
 		done: make(chan struct{}), calls: map[ident.Request]chan host.Effect{}, writes: map[string]chan writeAnswer{},
 		reads:   map[string]chan bool{},
 		waits:   map[ident.Request]chan gateway.Decision{},
-		reduced: new(expvar.Int), answers: &callers.Answers{},
+		reduced: new(expvar.Int), answers: &callers.Answers{}, delays: newDelays(log),
 	}
 	l.state.Store(&s)
 	return l
@@ -92,6 +93,7 @@
 		case <-ctx.Done():
 			return nil
 		case <-ticker.C:
+			l.delays.ticked(l.now(), len(l.events), l.state.Load().Counters())
 			l.reduce(ctx, host.Tick{})
 		case ev := <-l.events:
 			l.reduce(ctx, ev)
--- a/daemon/metrics.go
+++ b/daemon/metrics.go
@@ -48,6 +48,7 @@
 	m.vars.Set("gateway_requests", m.verdicts)
 	m.vars.Set("worker_connections", expvar.Func(func() any { return d.workerConnections() }))
 	m.vars.Set("reduced_events", d.loop.reduced)
+	m.vars.Set("loop_delay_us", expvar.Func(func() any { return d.loop.delays.summary() }))
 	m.vars.Set("peers", expvar.Func(func() any { return peerCounters(d) }))
 	m.vars.Set("probe_bytes", expvar.Func(func() any { return d.targets.ProbeBytes.Load() }))
 	m.vars.Set("mismatched_answers", expvar.Func(func() any { return d.targets.Mismatched.Load() }))
@@ -105,6 +106,11 @@
 func (m *metrics) summary(h *hdrhistogram.Histogram) timeSummary {
 	m.mu.Lock()
 	defer m.mu.Unlock()
+	return summaryOf(h)
+}
+
+// summaryOf reads a histogram of microseconds; its owner holds the lock.
+func summaryOf(h *hdrhistogram.Histogram) timeSummary {
 	return timeSummary{
 		Count: h.TotalCount(), P50: h.ValueAtQuantile(50), P99: h.ValueAtQuantile(99),
 		P999: h.ValueAtQuantile(99.9), Max: h.Max(),
