core/host, core/gateway: Acknowledge a route table once it will be in force in time

A host serves by a table for the key lease, 4 s from its last confirmation; the promise is 2 s from the acknowledgement. Whoever was out of touch for no fault of its own in between served by an older table, and nobody knew.

Now whoever passes on a leader's word that a table is the newest one remembers to whom and when, and says in its own questions which is the oldest table by which it, or one that it has told, may serve. The leader answers a change once each of those that it has told serves by no older one or has a lease that ends in time; a silent host holds an answer up for 2.1 s at most. Other replicas ask the leader. Hosts that take a newer table say so at once. A host that knows of a newer table than it holds serves nothing by the old one once its confirmation is over, public routes included. Numbers of questions differ from those of an earlier process at the same address, whose late answers would be counted from too late a time.

Ruled out: a shorter lease (2 s: an election would cost calm requests); refusing at 2 s where a newer table is known (a host that hears nothing does not know).

An answer to an overtaken table takes a word with the leader: 0.1 s instead of none.

--- a/core/gateway/admit.go
+++ b/core/gateway/admit.go
@@ -63,7 +63,9 @@
 		t.refuseBy(c.req.ID, fresh, CodeBadKey, "the API key is not known")
 		return false
 	}
-	if known && !fresh && !route.Public {
+	if !fresh && (t.behind || known && !route.Public) {
+		// What needs no key is served without a word from replicas, but not by a table
+		// that is known to have been replaced.
 		t.refuseStale(c.req.ID)
 		return false
 	}
--- a/core/gateway/gateway.go
+++ b/core/gateway/gateway.go
@@ -80,9 +80,11 @@
 	index    config.GatewayIndex
 	// confirmed is when the configuration held was surely the newest one.
 	confirmed time.Time
-	workers   table.Table[ident.Target, worker]
-	calls     table.Table[ident.Request, call]
-	budgets   table.Table[ident.Service, budget]
+	// behind is set while a newer table than the one held is known of.
+	behind  bool
+	workers table.Table[ident.Target, worker]
+	calls   table.Table[ident.Request, call]
+	budgets table.Table[ident.Service, budget]
 	// heads are the times until answers begin, by route.
 	heads table.Table[string, headTimes]
 	// told are the requests of other hosts, by what was told at toldAt and held
@@ -138,6 +140,13 @@
 	return s.forgetHeads()
 }
 
+// WithBehind returns the gateway of a host that knows, or does not know, of a newer
+// route table than the one that it holds.
+func (s State) WithBehind(behind bool) State {
+	s.behind = behind
+	return s
+}
+
 // WithHosts returns the gateway as one of n entry hosts.
 func (s State) WithHosts(n int) State {
 	s.hosts = max(1, n)
--- a/core/host/follow.go
+++ b/core/host/follow.go
@@ -247,6 +247,7 @@
 	hostsMoved := t.config.Hosts != cfg.Hosts
 	t.config = cfg
 	t.gateway = t.gateway.WithConfig(cfg.Gateway)
+	t.noteNewest(cfg.Version)
 	t.rememberTable(cfg)
 	t.counters.ConfigApplied++
 	if hostsMoved {
--- a/core/host/host.go
+++ b/core/host/host.go
@@ -61,6 +61,9 @@
 	// HubsAbove is the number of entry hosts above which a replica names hubs; 0 is
 	// the default.
 	HubsAbove int
+	// InForce is how long after its acknowledgement a route table is in force
+	// everywhere; 0 is the default.
+	InForce time.Duration
 	// Gateway are the bounds of the route table's requests.
 	Gateway gateway.Settings
 }
@@ -327,6 +330,8 @@
 		t.syncAsked(from, m)
 	case SyncAnswer:
 		t.syncAnswered(from, m)
+	case ForceAsk:
+		t.forceAsked(from, m)
 	case Join:
 		t.joined(m)
 	case ReadAsk:
--- /dev/null
+++ b/core/host/inforce.go
@@ -0,0 +1,242 @@
+// Copyright 2026 The Yardhall Authors. Licensed under the Apache License, Version 2.0.
+
+package host
+
+import (
+	"time"
+
+	"github.com/yardhall/yardhall/core/catalog"
+	"github.com/yardhall/yardhall/core/config"
+	"github.com/yardhall/yardhall/core/ident"
+	"github.com/yardhall/yardhall/core/raft"
+	"github.com/yardhall/yardhall/core/table"
+)
+
+// A route table is acknowledged once it will be in force everywhere within
+// Settings.InForce, not only once a quorum holds it. Entry hosts serve by a table under
+// a lease: the word of a leader that it is the newest one, which counts for the key
+// lease. Leases are granted by whoever passes that word on: the leader, hubs, and entry
+// hosts that are asked in place of replicas. Each remembers until when those that it has
+// told may serve by which table, and says in its own questions what the oldest of these
+// is. So the leader knows, and answers a change once each of those that it has told
+// either serves by no older table, or has a lease that ends within InForce. This is
+// write-through under leases, after Gray and Cheriton, "Leases: An Efficient
+// Fault-Tolerant Mechanism for Distributed File Cache Consistency" (1989); nobody who
+// is lost holds an answer up for longer than the key lease less InForce.
+const (
+	// defaultInForce is the time after its acknowledgement in which a table is in force.
+	defaultInForce = 2 * time.Second
+	// leaseWarmUp is how long a replica that starts hears hosts before it knows who
+	// holds leases: longer than hosts of any fleet leave between two questions.
+	leaseWarmUp = maxSyncInterval + minSyncInterval
+	// forceMargin is kept from InForce for clocks that run at other rates, and for the
+	// way of a request from the decision to its worker.
+	forceMargin = 100 * time.Millisecond
+	// reportGap is kept between two questions of a host that has something to say of
+	// what is in force, which it does not keep until its next question.
+	reportGap = 100 * time.Millisecond
+)
+
+// tableLease is what a host knows of one that it has told which table is the newest.
+type tableLease struct {
+	boot uint64
+	// inForce is the oldest table by which the other host, or any that it has told in
+	// turn, may serve, by its own word.
+	inForce config.Version
+	// told is the newest version that it was told of, last at toldAt; before is when it
+	// was last told of an older one.
+	told   config.Version
+	toldAt time.Time
+	before time.Time
+}
+
+// olderTold is when the host was last told that a table older than v was the newest.
+func (l tableLease) olderTold(v config.Version) time.Time {
+	if l.told < v {
+		return l.toldAt
+	}
+	return l.before
+}
+
+// withTold returns the lease after the host was told of v.
+func (l tableLease) withTold(v config.Version, now time.Time) tableLease {
+	if v > l.told {
+		if l.told > 0 {
+			l.before = l.toldAt
+		}
+		l.told = v
+	}
+	l.toldAt = now
+	return l
+}
+
+// forceState is what a host keeps to know which tables are in force.
+type forceState struct {
+	leases table.Table[ident.Host, tableLease]
+	// answers wait for a table to be in force, on the leader.
+	answers table.Table[string, heldAnswer]
+	// since is when the newest table was committed here.
+	since time.Time
+	// reported is the oldest table in force that this host told of last, at reportedAt.
+	reported   config.Version
+	reportedAt time.Time
+}
+
+// heldAnswer is the answer to a write that waits until version is in force.
+type heldAnswer struct {
+	to      ident.Host
+	result  catalog.Result
+	version config.Version
+}
+
+// inForceTime is the time after its acknowledgement in which a table is in force.
+func (t *turn) inForceTime() time.Duration {
+	if t.settings.InForce > 0 {
+		return t.settings.InForce
+	}
+	return defaultInForce
+}
+
+// graceTime is how long after it was told of an older table a silent host may hold an
+// acknowledgement up.
+func (t *turn) graceTime() time.Duration {
+	return max(0, t.gateway.KeyLease()-t.inForceTime()+forceMargin)
+}
+
+// leaseAsked takes what a host says in a question of the tables in force there. An
+// earlier process of the host holds no lease any more; a late word of one says nothing.
+func (t *turn) leaseAsked(from ident.Host, m Sync) {
+	l, known := t.sync.force.leases.Get(from)
+	if known && m.Boot != l.boot {
+		if m.Boot < l.boot && t.now.Sub(l.toldAt) < maxSyncInterval {
+			return
+		}
+		l = tableLease{}
+	}
+	l.boot = m.Boot
+	l.inForce = max(l.inForce, m.InForce)
+	l = l.withTold(t.heldConfig().Version, t.now)
+	t.sync.force.leases = t.sync.force.leases.With(from, l)
+	t.releaseAnswers()
+}
+
+// oldestInForce is the oldest table by which this host, or any that it has told, may
+// serve.
+func (t *turn) oldestInForce() config.Version {
+	oldest := t.config.Version
+	for _, l := range t.sync.force.leases.All() {
+		if l.inForce < oldest && t.now.Sub(l.olderTold(oldest)) < t.gateway.KeyLease() {
+			oldest = l.inForce
+		}
+	}
+	return oldest
+}
+
+// reportDue tells whether this host has news of what is in force, which a leader may
+// wait for.
+func (t *turn) reportDue() bool {
+	f := &t.sync.force
+	return t.now.Sub(f.reportedAt) >= reportGap && t.oldestInForce() > f.reported
+}
+
+// reportedInForce is the oldest table in force, as said in a question.
+func (t *turn) reportedInForce() config.Version {
+	f := &t.sync.force
+	f.reported, f.reportedAt = t.oldestInForce(), t.now
+	return f.reported
+}
+
+// tableCommitted notes that another table has become the newest one.
+func (t *turn) tableCommitted() { t.sync.force.since = t.now }
+
+// inForce tells whether a table that is committed here will be in force everywhere
+// within InForce.
+func (t *turn) inForce(v config.Version) bool {
+	f := t.sync.force
+	grace := t.graceTime()
+	if t.now.Sub(f.since) >= grace {
+		// No older table was called the newest since.
+		return true
+	}
+	if t.now.Sub(t.started) < leaseWarmUp {
+		return false
+	}
+	for _, l := range f.leases.All() {
+		told := l.olderTold(v)
+		if l.inForce >= v || told.IsZero() || t.now.Sub(l.toldAt) >= t.gateway.KeyLease() {
+			continue
+		}
+		if told.Before(t.leaderSince) {
+			// The leader before may have told it later.
+			told = t.leaderSince
+		}
+		if t.now.Sub(told) < grace {
+			return false
+		}
+	}
+	return true
+}
+
+// holdAnswer keeps the answer to a write until version is in force; only a leader
+// knows when that is.
+func (t *turn) holdAnswer(id string, to ident.Host, version config.Version, r catalog.Result) {
+	if !t.sync.force.answers.Has(id) {
+		t.sync.force.answers = t.sync.force.answers.With(id, heldAnswer{to: to, result: r, version: version})
+	}
+	t.releaseAnswers()
+}
+
+// releaseAnswers gives the answers whose tables are in force.
+func (t *turn) releaseAnswers() {
+	f := &t.sync.force
+	if f.answers.Len() == 0 || !t.raft.LeaseHeld(t.now) {
+		return
+	}
+	for id, a := range f.answers.All() {
+		if !t.inForce(a.version) {
+			continue
+		}
+		f.answers = f.answers.Without(id)
+		if a.to == t.settings.ID {
+			t.writeAnswered(id, a.result)
+			continue
+		}
+		t.send(a.to, WriteAnswered{ID: id, Result: a.result})
+	}
+}
+
+// forceAsked holds the answer to a write whose table another replica knows to be
+// committed.
+func (t *turn) forceAsked(from ident.Host, m ForceAsk) {
+	if t.raft.Role() != raft.Leader || t.catalog.Config.Version < m.Version {
+		return
+	}
+	t.holdAnswer(m.ID, from, m.Version, catalog.Result{Code: catalog.OK, Version: m.Version})
+}
+
+// awaitForce waits for the table that answers a write, which is committed, to be in
+// force.
+func (t *turn) awaitForce(p pendingWrite) {
+	if p.force == 0 {
+		p.force = t.catalog.Config.Version
+	}
+	p.resend = t.now.Add(resendInterval)
+	t.writes = t.writes.With(p.write.ID, p)
+	if t.raft.Role() == raft.Leader {
+		t.holdAnswer(p.write.ID, t.settings.ID, p.force, catalog.Result{Code: catalog.OK, Version: p.force})
+		return
+	}
+	if leader := t.leaderHint(); leader != "" && leader.Address() != t.settings.ID {
+		t.send(leader, ForceAsk{ID: p.write.ID, Version: p.force})
+	}
+}
+
+// changesTable tells whether a write changes the route table of a seeded fleet.
+func (t *turn) changesTable(w catalog.Write) bool {
+	edit, _ := w.Command.(catalog.Edit)
+	switch edit.Change.(type) {
+	case config.PutGateway, config.PatchGateway:
+		return t.settings.Seeded()
+	}
+	return false
+}
--- a/core/host/message.go
+++ b/core/host/message.go
@@ -137,6 +137,9 @@
 		NeighbourList hash.Key
 		// Neighbour is set where an entry host is asked in place of replicas.
 		Neighbour bool
+		// InForce is the oldest table by which this host, or any that it has told which
+		// one is the newest, may serve.
+		InForce config.Version
 		// Grouped is set where Group are the hosts that this hub counts.
 		Grouped bool
 		Group   []EntryHost
@@ -181,6 +184,12 @@
 		LoadsAge time.Duration
 		Cut      bool
 	}
+	// ForceAsk asks the leader to answer a write once a table, which is committed, is
+	// in force.
+	ForceAsk struct {
+		ID      string
+		Version config.Version
+	}
 	// Join asks the leader to take a replica in.
 	Join struct{ Identity ident.Host }
 	// ReadAsk asks the leader for the newest version.
@@ -195,6 +204,7 @@
 func (Raft) message()          {}
 func (Sync) message()          {}
 func (SyncAnswer) message()    {}
+func (ForceAsk) message()      {}
 func (Join) message()          {}
 func (ReadAsk) message()       {}
 func (ReadAnswer) message()    {}
--- a/core/host/neighbours.go
+++ b/core/host/neighbours.go
@@ -124,11 +124,15 @@
 	}
 }
 
-// noteNewest remembers since when a newer table than the one held is known of.
+// noteNewest takes note of a table that was the newest one, and remembers since when a
+// newer one than the one held is known of.
 func (t *turn) noteNewest(v config.Version) {
-	if t.config.Version >= v {
+	t.sync.newest = max(t.sync.newest, v)
+	switch behind := t.config.Version < t.sync.newest; {
+	case !behind:
 		t.sync.behindAt = time.Time{}
-	} else if t.sync.behindAt.IsZero() {
+	case t.sync.behindAt.IsZero():
 		t.sync.behindAt = t.now
 	}
+	t.gateway = t.gateway.WithBehind(!t.sync.behindAt.IsZero())
 }
--- a/core/host/sync.go
+++ b/core/host/sync.go
@@ -41,6 +41,9 @@
 	// loadByteTime is kept between two questions for loads, for each of the bytes
 	// that the last answer took.
 	loadByteTime = 50 * time.Microsecond
+	// roundBits leaves room for the questions that a process may ask before its numbers
+	// meet those of one that starts a millisecond later.
+	roundBits = 20
 	// maxRounds bounds the unanswered questions remembered.
 	maxRounds = 32
 	// defaultSilentAfter is how long a worker may be silent.
@@ -62,7 +65,9 @@
 	turns    int
 	// hosts is how many entry hosts there are, by a leader's word.
 	hosts int
-	// behindAt is since when the leader names a newer table than is held.
+	// newest is the newest table that this host knows of, behindAt since when it is
+	// newer than the one held.
+	newest   config.Version
 	behindAt time.Time
 	// bulkBytes counts the bytes of tables and of many registrations sent since
 	// the last tick.
@@ -79,6 +84,8 @@
 	loadsAt time.Time
 	relay   relayState
 	hub     hubState
+	// force is what is known of which tables are in force.
+	force forceState
 	// neighbours are entry hosts to ask where no replica answers.
 	neighbours neighbourState
 	// tables are the newest route tables, packed what leads from each of them
@@ -126,6 +133,7 @@
 	if t.settings.IsReplica() {
 		t.tickRegistry()
 		t.pushSync()
+		t.releaseAnswers()
 		t.tickMembers()
 		t.maybeCompact()
 	}
@@ -163,7 +171,7 @@
 }
 
 func (t *turn) tickSync() {
-	if !t.settings.Serves || t.now.Before(t.sync.at) {
+	if !t.settings.Serves || t.now.Before(t.sync.at) && !t.reportDue() {
 		return
 	}
 	t.sync.at = t.now.Add(t.syncInterval())
@@ -177,13 +185,17 @@
 	if t.isHub() {
 		group, grouped = t.group()
 	}
+	inForce := t.reportedInForce()
 	for _, h := range hosts {
 		m := t.question(h)
+		m.InForce = inForce
 		m.Beats, m.Group, m.Grouped = registry.Pack(beats[h]), group, grouped
 		t.sendSync(h, m)
 	}
 	for _, h := range t.neighboursToAsk() {
-		t.sendSync(h, t.neighbourQuestion(h))
+		m := t.neighbourQuestion(h)
+		m.InForce = inForce
+		t.sendSync(h, m)
 	}
 }
 
@@ -260,6 +272,11 @@
 }
 
 func (t *turn) sendSync(to ident.Host, m Sync) {
+	if t.sync.round == 0 {
+		// A late answer to an earlier process of this host must not be taken for one to
+		// this process: it would be counted from a time at which it was old.
+		t.sync.round = t.settings.Incarnation << roundBits
+	}
 	t.sync.round++
 	m.Round = t.sync.round
 	t.sync.rounds = t.sync.rounds.With(t.sync.round, t.now)
--- a/core/host/syncreplica.go
+++ b/core/host/syncreplica.go
@@ -26,6 +26,7 @@
 		t.sync.clients = t.sync.clients.Without(from)
 		return
 	}
+	t.leaseAsked(from, m)
 	c := client{
 		version: m.Version, revision: m.Revision, heard: t.now, table: m.Table, serves: m.Serves, loads: m.Loads,
 		boot: m.Boot, entry: EntryHost{Host: from, Zone: m.Zone, Relay: m.Relay}, home: m.Home, group: m.Group,
--- a/core/host/wire.go
+++ b/core/host/wire.go
@@ -43,6 +43,7 @@
 		{"sy", Sync{}},
 		{"sa", SyncAnswer{}},
 		{"jo", Join{}},
+		{"fr", ForceAsk{}},
 		{"rq", ReadAsk{}},
 		{"rr", ReadAnswer{}},
 		{"vq", raft.VoteRequest{}},
--- a/core/host/write.go
+++ b/core/host/write.go
@@ -34,7 +34,10 @@
 	// proposed is the term in which this replica, as leader, wrote it to the log.
 	proposed raft.Term
 	// after is the version that must be held before the write is sent again.
-	after    config.Version
+	after config.Version
+	// force is the committed version that answers the write once it is in force; 0
+	// before.
+	force    config.Version
 	deadline time.Time
 	resend   time.Time
 }
@@ -42,10 +45,6 @@
 // submit sends a write to the leader until it is answered or its time is over.
 func (t *turn) submit(w catalog.Write, deadline time.Time) {
 	t.counters.Writes++
-	if t.overtaken(w) {
-		t.writeDone(w.ID, catalog.Result{Code: catalog.OK, Version: t.catalog.Config.Version}, true)
-		return
-	}
 	t.sendWrite(pendingWrite{write: w, deadline: deadline})
 }
 
@@ -74,6 +73,10 @@
 }
 
 func (t *turn) sendWrite(p pendingWrite) {
+	if p.force > 0 || t.overtaken(p.write) {
+		t.awaitForce(p)
+		return
+	}
 	p.resend = t.now.Add(resendInterval)
 	if p.logged.Command == nil || p.base != t.catalog.Config.Version {
 		p.logged, p.packed, p.base = t.patched(p.write), nil, t.catalog.Config.Version
@@ -107,16 +110,11 @@
 
 // sendMoved sends the writes again whose base has come.
 func (t *turn) sendMoved() {
-	for id, p := range t.writes.All() {
+	for _, p := range t.writes.All() {
 		if p.after == 0 || t.catalog.Config.Version < p.after {
 			continue
 		}
 		p.after = 0
-		if t.overtaken(p.write) {
-			t.writes = t.writes.Without(id)
-			t.writeDone(id, catalog.Result{Code: catalog.OK, Version: t.catalog.Config.Version}, true)
-			continue
-		}
 		t.sendWrite(p)
 	}
 }
@@ -243,6 +241,7 @@
 	t.leader = e.Leader
 	// Writes handed over in an older term may be lost; who waits sends again.
 	t.origins = table.Table[string, ident.Host]{}
+	t.sync.force.answers = table.Table[string, heldAnswer]{}
 	t.note(NoteRole, string(t.settings.ID), fmt.Sprintf("%s term=%d leader=%s", e.Role, e.Term, e.Leader))
 }
 
@@ -261,8 +260,12 @@
 			panic("host: " + err.Error())
 		}
 		var r catalog.Result
+		table := t.catalog.Config.Gateway.Number
 		t.catalog, r = t.catalog.Apply(w)
-		t.answerOrigin(w.ID, r)
+		if t.catalog.Config.Gateway.Number != table {
+			t.tableCommitted()
+		}
+		t.answerOrigin(w, r)
 	}
 	if t.catalog.Config.Version != before {
 		t.useConfig(t.catalog.Config)
@@ -272,13 +275,22 @@
 	}
 }
 
-func (t *turn) answerOrigin(id string, r catalog.Result) {
-	if from, ok := t.origins.Get(id); ok {
-		t.origins = t.origins.Without(id)
-		t.send(from, WriteAnswered{ID: id, Result: r})
-		return
+// answerOrigin answers a write that was applied, or has its answer wait until the table
+// that it brought is in force.
+func (t *turn) answerOrigin(w catalog.Write, r catalog.Result) {
+	from, forwarded := t.origins.Get(w.ID)
+	t.origins = t.origins.Without(w.ID)
+	p, own := t.writes.Get(w.ID)
+	switch {
+	case r.Code == catalog.OK && t.changesTable(w) && forwarded:
+		t.holdAnswer(w.ID, from, t.catalog.Config.Version, r)
+	case r.Code == catalog.OK && t.changesTable(w) && own:
+		t.awaitForce(p)
+	case forwarded:
+		t.send(from, WriteAnswered{ID: w.ID, Result: r})
+	default:
+		t.writeAnswered(w.ID, r)
 	}
-	t.writeAnswered(id, r)
 }
 
 func (t *turn) restore(s raft.Snapshot) {
@@ -287,6 +299,7 @@
 		panic("host: " + err.Error())
 	}
 	t.catalog, t.applied = c, s.Index
+	t.tableCommitted()
 	t.useConfig(c.Config)
 	t.note(NoteStateLoad, string(t.settings.ID), fmt.Sprintf("index=%d version=%d", s.Index, c.Config.Version))
 }
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -91,7 +91,7 @@
 		Replicas: s.Replicas.Hosts(), Neighbours: s.Neighbors.Hosts(), Raft: raftOptions(s, o.Raft),
 		Incarnation: incarnation, Chats: s.Host.Chats, Seeds: s.SeedHosts(), Voters: 2*s.Replicas.Losses + 1,
 		SilentAfter: silentBeats * s.Gateway.Heartbeat, Gateway: gatewaySettings(s), Relay: s.Gateway.Relay,
-		HubsAbove: s.Replicas.HubsAbove,
+		HubsAbove: s.Replicas.HubsAbove, InForce: min(s.Gateway.InForce, s.Gateway.Revoke),
 	}
 	log, boot, err := d.openStorage(&hs)
 	if err != nil {
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -123,6 +123,8 @@
 	Control    string        `ini:"control" doc:"ip:port for workers' registrations and for operators of the route table."`
 	Relay      string        `ini:"relay" doc:"ip:port at which a host that takes requests also takes workers' heartbeats for the replicas, where these are many; empty for none."`
 	KeyLease   time.Duration `ini:"key_lease" default:"4s" doc:"Time for which a confirmed configuration may be used for requests with a key."`
+	InForce    time.Duration `ini:"in_force" default:"2s" doc:"Time after its acknowledgement in which a route table is in force everywhere. An acknowledgement waits for hosts that cannot be reached, at most key_lease less this."`
+	Revoke     time.Duration `ini:"revoke" default:"5s" doc:"Time after the acknowledgement in which keys that were taken away stop working everywhere. Where it is shorter than in_force, it takes its place."`
 	Heartbeat  time.Duration `ini:"heartbeat" default:"1200ms" doc:"Time between two heartbeats of a worker."`
 	RetryShare string        `ini:"retry_share" default:"0.2" doc:"Part of a pool's requests that may be sent once more."`
 	RetryExtra string        `ini:"retry_extra" default:"20" doc:"Requests that the whole fleet may send once more beyond that."`
