core/registry, core/host: Pass over late words of earlier processes at an address

Ruled out by reading: messages of the replicated log carry the disk's name and a term; answers to reads and writes carry an id of their own.

--- a/core/host/hub.go
+++ b/core/host/hub.go
@@ -185,7 +185,7 @@
 		if slices.Contains(asked, h) {
 			continue
 		}
-		t.send(h, Sync{Leaves: true})
+		t.send(h, Sync{Leaves: true, Boot: t.settings.Incarnation})
 	}
 	t.sync.hub.askedLast = asked
 }
--- a/core/host/inforce.go
+++ b/core/host/inforce.go
@@ -108,13 +108,10 @@
 }
 
 // leaseAsked takes what a host says in a question of the tables in force there. An
-// earlier process of the host holds no lease any more; a late word of one says nothing.
+// earlier process of the host holds no lease any more.
 func (t *turn) leaseAsked(from ident.Host, m Sync) {
 	l, known := t.sync.force.leases.Get(from)
 	if known && m.Boot != l.boot {
-		if m.Boot < l.boot && t.now.Sub(l.toldAt) < maxSyncInterval {
-			return
-		}
 		l = tableLease{}
 	}
 	l.boot = m.Boot
--- a/core/host/syncreplica.go
+++ b/core/host/syncreplica.go
@@ -19,7 +19,7 @@
 	if m.Neighbour && t.settings.Serves && !t.sync.hub.serves {
 		t.serveAsHub()
 	}
-	if !t.answersSync() {
+	if !t.answersSync() || t.isOfEarlierProcess(from, m) {
 		return
 	}
 	if m.Leaves {
@@ -50,6 +50,18 @@
 	t.answerSync(from, c, m)
 }
 
+// earlierLife is how long after a process was heard a question of one that started
+// before it is taken for late: longer than hosts leave between two questions. After
+// that the order of starts may be wrong, as they are told by clocks, which are set.
+const earlierLife = maxSyncInterval + minSyncInterval
+
+// isOfEarlierProcess tells whether a question was under way for so long that another
+// process at the same address has been heard meanwhile.
+func (t *turn) isOfEarlierProcess(from ident.Host, m Sync) bool {
+	before, ok := t.sync.clients.Get(from)
+	return ok && m.Boot < before.boot && t.now.Sub(before.heard) < earlierLife
+}
+
 // beatsTold takes the heartbeats that a relay heard: a replica for itself, a hub for
 // the replicas.
 func (t *turn) beatsTold(packed []byte) {
--- a/core/registry/registry.go
+++ b/core/registry/registry.go
@@ -70,8 +70,14 @@
 	worker   Worker
 	heard    time.Time
 	revision uint64
+	// displaced counts the heartbeats since another process registered at the address.
+	displaced int
 }
 
+// reclaimBeats are the heartbeats after which a worker whose address another one has
+// taken gets it back: a process that is gone leaves one or two on their way, not more.
+const reclaimBeats = 3
+
 const (
 	// forgetGone is how long a gone worker is remembered, so that a late
 	// heartbeat does not bring it back.
@@ -86,6 +92,9 @@
 	workers  table.Table[ident.Target, entry]
 	changes  table.Table[uint64, ident.Target]
 	revision uint64
+	// holders are the processes that registered last at each address. A heartbeat of an
+	// earlier one may arrive late, and must not bring it back.
+	holders table.Table[string, ident.Target]
 }
 
 // Revision counts the changes so far.
@@ -121,6 +130,13 @@
 	if known && !Newer(w, have.worker) && !revives(w, have.worker) {
 		return r, false
 	}
+	if known && r.isDisplaced(w) {
+		have.displaced++
+		if have.displaced < reclaimBeats {
+			r.workers = r.workers.With(w.ID, have)
+			return r, false
+		}
+	}
 	old := have.worker
 	old.Seq = w.Seq
 	if known && old == w {
@@ -128,7 +144,28 @@
 		r.workers = r.workers.With(w.ID, have)
 		return r, false
 	}
-	return r.with(w, now), true
+	return r.displaceFrom(w.Address, w.ID).with(w, now), true
+}
+
+// isDisplaced tells whether another process registered later at a worker's address.
+func (r Registry) isDisplaced(w Worker) bool {
+	holder, ok := r.holders.Get(w.Address)
+	return ok && holder != w.ID
+}
+
+// displaceFrom gives an address to a process: the one that held it gets no more work.
+func (r Registry) displaceFrom(address string, to ident.Target) Registry {
+	if address == "" {
+		return r
+	}
+	holder, held := r.holders.Get(address)
+	r.holders = r.holders.With(address, to)
+	e, known := r.workers.Get(holder)
+	if !held || holder == to || !known || e.worker.State != Ready || e.worker.Address != address {
+		return r
+	}
+	e.worker.State = Silent
+	return r.with(e.worker, e.heard)
 }
 
 // revives tells whether a heartbeat of a silent worker shows that it lives.
@@ -170,6 +207,9 @@
 		if e.over(now) {
 			r.workers = r.workers.Without(id)
 			r.changes = r.changes.Without(e.revision)
+			if holder, _ := r.holders.Get(e.worker.Address); holder == id {
+				r.holders = r.holders.Without(e.worker.Address)
+			}
 		}
 	}
 	return r
