peers: Keep the connection to a host whose clock was set back

Found while looking for places that tell processes apart by their starts: starts are told by clocks. What a process answers to a call now is taken for its start, whatever was heard before.

Test: TestClockSetBackKeepsItsConnection counts 5 connections for 5 messages without the mend, 1 with it.

--- a/daemon/metrics.go
+++ b/daemon/metrics.go
@@ -67,14 +67,14 @@
 }
 
 type peerCounts struct {
-	BytesIn, BytesOut, Sent, Received, Dropped, Failed, Refused, Connected int64
+	BytesIn, BytesOut, Sent, Received, Dropped, Failed, Refused, Connected, Dialed int64
 }
 
 func peerCounters(d *Daemon) peerCounts {
 	c := d.counters
 	return peerCounts{
 		BytesIn: c.BytesIn.Load(), BytesOut: c.BytesOut.Load(), Sent: c.Sent.Load(), Received: c.Received.Load(),
-		Dropped: c.Dropped.Load(), Failed: c.Failed.Load(), Refused: c.Refused.Load(), Connected: c.Connected.Load(),
+		Dropped: c.Dropped.Load(), Failed: c.Failed.Load(), Refused: c.Refused.Load(), Connected: c.Connected.Load(), Dialed: c.Dialed.Load(),
 	}
 }
 
--- a/peers/boots.go
+++ b/peers/boots.go
@@ -28,6 +28,17 @@
 	}
 }
 
+// answered takes the start of the process that has just answered a call, whatever was
+// heard before: the clock that starts are told by may have been set back.
+func (b *Boots) answered(of ident.Host, boot uint64) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if b.byHost == nil {
+		b.byHost = map[ident.Host]uint64{}
+	}
+	b.byHost[of] = boot
+}
+
 // isOver tells whether a host has told of a later start than the given one; 0 is one
 // that is not known.
 func (b *Boots) isOver(of ident.Host, boot uint64) bool {
--- a/peers/pool.go
+++ b/peers/pool.go
@@ -274,6 +274,8 @@
 	s.client, s.conn, s.boot, s.addr, s.open, s.pause = client, counted, ack.Boot, addr, 0, 0
 	s.calls = make(chan *rpc.Call, maxCalls)
 	o.Counters.Connected.Add(1)
+	o.Counters.Dialed.Add(1)
+	o.Boots.answered(s.to, ack.Boot)
 	return nil
 }
 
--- a/peers/restart_test.go
+++ b/peers/restart_test.go
@@ -89,3 +89,26 @@
 	second.awaitsOne(t)
 	require.EqualValues(t, 1, first.taken.Load())
 }
+
+// TestClockSetBackKeepsItsConnection restarts a host whose clock was set back, so that
+// its process seems to have started before the one that has called: the connection to it
+// is kept, not opened anew for each message.
+func TestClockSetBackKeepsItsConnection(t *testing.T) {
+	o := options("a")
+	o.Boots = &peers.Boots{}
+	own, _ := serve(t, o)
+	conn, err := rpc.Dial("tcp", own)
+	require.NoError(t, err)
+	defer func() { _ = conn.Close() }()
+	require.NoError(t, conn.Call("F.Hello", peers.Hello{From: "b", Fleet: o.Fleet, Key: o.Key, Boot: 9}, &peers.Ack{}))
+
+	second := startProcess(t, "127.0.0.1:0", 2)
+	p := peers.NewPool(o)
+	defer p.Close()
+	p.Know([]config.Host{{ID: "b", Address: second.listener.Addr().String()}})
+	for n := int32(1); n <= 5; n++ {
+		p.Send("b", beat)
+		require.Eventually(t, func() bool { return second.taken.Load() >= n }, 30*time.Second, time.Millisecond)
+	}
+	require.EqualValues(t, 1, o.Counters.Dialed.Load())
+}
--- a/peers/server.go
+++ b/peers/server.go
@@ -72,6 +72,8 @@
 	Failed    atomic.Int64
 	Refused   atomic.Int64
 	Connected atomic.Int64
+	// Dialed counts the connections that were opened to other hosts.
+	Dialed atomic.Int64
 }
 
 const (
--- a/soak/operator_test.go
+++ b/soak/operator_test.go
@@ -60,8 +60,8 @@
 	// acknowledgement may wait for hosts that are out of reach.
 	changeTime = 4 * time.Second
 	// olderTables is how many tables back routes are drawn from.
-	olderTables = 4
-	readInterval   = 250 * time.Millisecond
+	olderTables  = 4
+	readInterval = 250 * time.Millisecond
 )
 
 func newOperator(f *fleet) *operator {
