--- a/core/host/hub.go
+++ b/core/host/hub.go
@@ -292,5 +292,6 @@
 	if t.now.Sub(t.sync.relay.looks) >= registryInterval {
 		t.sync.relay.looks = t.now
 		t.registry = t.registry.Forget(t.now)
+		t.forgetLeases()
 	}
 }
--- a/core/host/inforce.go
+++ b/core/host/inforce.go
@@ -120,6 +120,16 @@
 	t.sync.force.leases = t.sync.force.leases.With(from, l)
 }
 
+// forgetLeases drops what was told so long ago that it is over.
+func (t *turn) forgetLeases() {
+	f := &t.sync.force
+	for id, l := range f.leases.All() {
+		if t.now.Sub(l.toldAt) >= t.gateway.KeyLease() {
+			f.leases = f.leases.Without(id)
+		}
+	}
+}
+
 // oldestInForce is the oldest table by which this host, or any that it has told, may
 // serve.
 func (t *turn) oldestInForce() config.Version {
@@ -155,7 +165,7 @@
 func (t *turn) inForce(v config.Version) (ok bool, waitsFor ident.Host) {
 	f := t.sync.force
 	grace := t.graceTime()
-	if t.now.Sub(f.since) >= grace {
+	if t.now.Sub(f.since) >= grace && t.now.Sub(t.started) >= grace {
 		// No older table was called the newest since.
 		return true, ""
 	}
@@ -164,7 +174,7 @@
 	}
 	for id, l := range f.leases.All() {
 		told := l.olderTold(v)
-		if l.inForce >= v || told.IsZero() || t.now.Sub(l.toldAt) >= t.gateway.KeyLease() {
+		if l.inForce >= v || told.IsZero() {
 			continue
 		}
 		if told.Before(t.leaderSince) {
--- a/core/host/relay.go
+++ b/core/host/relay.go
@@ -242,6 +242,7 @@
 		silent = defaultSilentAfter
 	}
 	t.registry, _ = t.registry.Expire(silent, t.now)
+	t.forgetLeases()
 	hosts := t.entryHosts()
 	t.nameHubs(hosts)
 	t.nameNeighbours(hosts)
