--- a/core/host/inforce_test.go
+++ b/core/host/inforce_test.go
@@ -38,6 +38,16 @@
 	return f.writes[id].Known && f.writes[id].Result.Code == catalog.OK
 }
 
+// silence loses all that is sent to a host from now on.
+func (f *seededFleet) silence(id ident.Host) {
+	f.hold = func(p seededPacket) time.Duration {
+		if p.to == id {
+			return time.Hour
+		}
+		return 0
+	}
+}
+
 // runUntilAcked runs until a write is acknowledged, and returns how long that took.
 func (f *seededFleet) runUntilAcked(t *testing.T, id string, limit time.Duration) time.Duration {
 	t.Helper()
@@ -82,12 +92,7 @@
 			f.beat(replicaName(1), "w1", registry.Ready, 1)
 			f.run(time.Second)
 			require.IsType(t, gateway.Dispatch{}, f.ask(entryName(0), "/x/1", "old"))
-			f.hold = func(p seededPacket) time.Duration {
-				if p.to == entryName(0) {
-					return time.Hour
-				}
-				return 0
-			}
+			f.silence(entryName(0))
 			to := f.leader()
 			if at == "follower" {
 				to = f.follower()
@@ -113,13 +118,9 @@
 	require.True(t, f.put(f.leader(), f.table(1, "old"), time.Second))
 	f.beat(replicaName(1), "w1", registry.Ready, 1)
 	f.run(time.Second)
-	f.hold = func(p seededPacket) time.Duration {
-		if p.to == entryName(0) {
-			return time.Hour
-		}
-		return 0
-	}
-	ids := []string{f.submit(replicaName(0), f.table(2, "new"))}
+	f.silence(entryName(0))
+	ids := make([]string, 0, 4)
+	ids = append(ids, f.submit(replicaName(0), f.table(2, "new")))
 	f.run(400 * time.Millisecond)
 	for i := range 3 {
 		ids = append(ids, f.submit(replicaName(i), f.table(2, "new")))
@@ -174,7 +175,7 @@
 			entries = leaseFleet
 		}
 		t.Run(fmt.Sprint(seed), func(t *testing.T) {
-			r := rand.New(rand.NewPCG(seed, 25)) //nolint:gosec // Draws of a test.
+			r := rand.New(rand.NewPCG(seed, 25))
 			f := newSeededFleet(t, 3, entries)
 			f.run(8 * time.Second)
 			require.True(t, f.put(f.leader(), f.table(1, "key-1"), 3*time.Second))
--- a/core/host/write.go
+++ b/core/host/write.go
@@ -3,7 +3,6 @@
 package host
 
 import (
-	"fmt"
 	"strings"
 	"time"
 
@@ -11,7 +10,6 @@
 	"github.com/yardhall/yardhall/core/config"
 	"github.com/yardhall/yardhall/core/ident"
 	"github.com/yardhall/yardhall/core/raft"
-	"github.com/yardhall/yardhall/core/table"
 )
 
 const (
@@ -192,124 +190,3 @@
 	}
 	t.emit(AnswerWrite{ID: id, Result: r, Known: known})
 }
-
-// stepRaft feeds the replicated log and carries out what it asks for.
-func (t *turn) stepRaft(ev raft.Event) {
-	if !t.raft.Active() {
-		return
-	}
-	next, effects := t.raft.Step(ev, t.now)
-	t.raft = next
-	for _, e := range effects {
-		switch e := e.(type) {
-		case raft.Send:
-			t.send(e.To, t.envelope(e))
-		case raft.Persist:
-			t.emit(Persist{Persist: e})
-		case raft.RoleChange:
-			t.roleChanged(e)
-		}
-	}
-	// Applying comes last: it may feed the log again, and what the disk must
-	// write has to leave here in log order.
-	for _, e := range effects {
-		switch e := e.(type) {
-		case raft.Commit:
-			t.applyEntries(e.Entries)
-		case raft.Restore:
-			t.restore(e.Snapshot)
-		}
-	}
-}
-
-// envelope addresses a message of the replicated log.
-func (s State) envelope(e raft.Send) Raft {
-	if !s.settings.Seeded() {
-		return Raft{Message: e.Message}
-	}
-	return Raft{From: s.settings.replicaID(), To: e.To, Message: e.Message}
-}
-
-// Envelope addresses a message that had to wait for the disk.
-func (s State) Envelope(e raft.Send) (ident.Host, Raft) { return e.To.Address(), s.envelope(e) }
-
-func (t *turn) roleChanged(e raft.RoleChange) {
-	if e.Role == raft.Leader {
-		t.counters.Elections++
-		t.leaderSince = t.now
-	}
-	t.leader = e.Leader
-	// Writes handed over in an older term may be lost; who waits sends again.
-	t.origins = table.Table[string, ident.Host]{}
-	t.sync.force.answers = table.Table[string, heldAnswer]{}
-	t.note(NoteRole, string(t.settings.ID), fmt.Sprintf("%s term=%d leader=%s", e.Role, e.Term, e.Leader))
-}
-
-func (t *turn) applyEntries(entries []raft.Entry) {
-	before := t.catalog.Config.Version
-	for _, e := range entries {
-		t.applied = e.Index
-		t.appliedBytes += len(e.Data)
-		if e.Kind != raft.EntryNormal {
-			continue
-		}
-		w, err := catalog.DecodeWrite(e.Data)
-		if err != nil {
-			// A committed entry that cannot be read means that this replica
-			// would diverge.
-			panic("host: " + err.Error())
-		}
-		var r catalog.Result
-		table := t.catalog.Config.Gateway.Number
-		t.catalog, r = t.catalog.Apply(w)
-		if table > 0 && t.catalog.Config.Gateway.Number != table {
-			t.tableCommitted()
-		}
-		t.answerOrigin(w, r)
-	}
-	if t.catalog.Config.Version != before {
-		t.useConfig(t.catalog.Config)
-		t.pushChanges()
-		t.answerReads()
-		t.sendMoved()
-	}
-}
-
-// answerOrigin answers a write that was applied, or has its answer wait until the table
-// that it brought is in force.
-func (t *turn) answerOrigin(w catalog.Write, r catalog.Result) {
-	from, forwarded := t.origins.Get(w.ID)
-	t.origins = t.origins.Without(w.ID)
-	p, own := t.writes.Get(w.ID)
-	switch {
-	case r.Code == catalog.OK && t.changesTable(w) && forwarded:
-		t.holdAnswer(w.ID, from, t.catalog.Config.Version, r)
-	case r.Code == catalog.OK && t.changesTable(w) && own:
-		t.awaitForce(p)
-	case forwarded:
-		t.send(from, WriteAnswered{ID: w.ID, Result: r})
-	default:
-		t.writeAnswered(w.ID, r)
-	}
-}
-
-func (t *turn) restore(s raft.Snapshot) {
-	c, err := catalog.Decode(s.Data)
-	if err != nil {
-		panic("host: " + err.Error())
-	}
-	t.catalog, t.applied = c, s.Index
-	t.tableCommitted()
-	t.useConfig(c.Config)
-	t.note(NoteStateLoad, string(t.settings.ID), fmt.Sprintf("index=%d version=%d", s.Index, c.Config.Version))
-}
-
-// maybeCompact takes a snapshot when the log has grown by compactEvery.
-func (t *turn) maybeCompact() {
-	grown := t.applied >= t.raft.SnapshotIndex()+compactEvery || t.appliedBytes >= compactBytes
-	if !t.raft.Active() || !grown || t.applied <= t.raft.SnapshotIndex() {
-		return
-	}
-	t.appliedBytes = 0
-	t.stepRaft(raft.Compact{Index: t.applied, Data: t.catalog.Encode()})
-}
--- a/peers/bench_test.go
+++ b/peers/bench_test.go
@@ -18,19 +18,24 @@
 // benchWorkers is the size of a large fleet of today.
 const benchWorkers = 144
 
-// BenchmarkConnect is what both ends spend on a new connection and its first
-// answer, with the loads and registrations of 144 workers.
-func BenchmarkConnect(b *testing.B) {
+// benchServer takes messages and tells of each.
+func benchServer(b *testing.B) (address ident.Host, got chan struct{}) {
+	b.Helper()
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		b.Fatal(err)
 	}
-	got := make(chan struct{}, 1)
+	got = make(chan struct{}, 1)
 	server := peers.NewServer(peers.Options{Self: "s", Fleet: "f", Key: "k", MaxMessage: 1 << 20}, func(ident.Host, host.Message) {
 		got <- struct{}{}
 	})
 	go func() { _ = server.Serve(l) }()
-	defer server.Close()
+	b.Cleanup(server.Close)
+	return ident.Host(l.Addr().String()), got
+}
+
+// benchAnswer is an answer with the loads and registrations of benchWorkers.
+func benchAnswer() host.SyncAnswer {
 	m, counts := host.SyncAnswer{Round: 1, Fresh: true, Summed: true}, loads.Counts{}
 	workers := make([]registry.Worker, 0, benchWorkers)
 	for i := range benchWorkers {
@@ -39,9 +44,17 @@
 		counts[loads.TagOf(id)] = i
 	}
 	m.Loads, m.Workers = loads.Pack(counts), registry.Pack(workers)
+	return m
+}
+
+// BenchmarkConnect is what both ends spend on a new connection and its first
+// answer, with the loads and registrations of 144 workers.
+func BenchmarkConnect(b *testing.B) {
+	address, got := benchServer(b)
+	m := benchAnswer()
 	for b.Loop() {
 		pool := peers.NewPool(peers.Options{Self: "c", Fleet: "f", Key: "k", MaxMessage: 1 << 20})
-		pool.Send(ident.Host(l.Addr().String()), m)
+		pool.Send(address, m)
 		select {
 		case <-got:
 		case <-time.After(5 * time.Second):
@@ -53,29 +66,13 @@
 
 // BenchmarkMessage is the same message on a connection that stands.
 func BenchmarkMessage(b *testing.B) {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		b.Fatal(err)
-	}
-	got := make(chan struct{}, 1)
-	server := peers.NewServer(peers.Options{Self: "s", Fleet: "f", Key: "k", MaxMessage: 1 << 20}, func(ident.Host, host.Message) {
-		got <- struct{}{}
-	})
-	go func() { _ = server.Serve(l) }()
-	defer server.Close()
-	m, counts := host.SyncAnswer{Round: 1, Fresh: true, Summed: true}, loads.Counts{}
-	workers := make([]registry.Worker, 0, benchWorkers)
-	for i := range benchWorkers {
-		id := ident.Target(fmt.Sprintf("i-%010x", i*7919))
-		workers = append(workers, registry.Worker{ID: id, Pool: "pool", Zone: "z", Address: "10.0.0.1:8080", Slots: 24, Seq: 9})
-		counts[loads.TagOf(id)] = i
-	}
-	m.Loads, m.Workers = loads.Pack(counts), registry.Pack(workers)
+	address, got := benchServer(b)
+	m := benchAnswer()
 	counters := &peers.Counters{}
 	pool := peers.NewPool(peers.Options{Self: "c", Fleet: "f", Key: "k", MaxMessage: 1 << 20, Counters: counters})
 	defer pool.Close()
 	for b.Loop() {
-		pool.Send(ident.Host(l.Addr().String()), m)
+		pool.Send(address, m)
 		<-got
 	}
 	b.ReportMetric(float64(counters.BytesOut.Load())/float64(b.N), "B/message")
