--- a/core/host/replica.go
+++ b/core/host/replica.go
@@ -125,6 +125,13 @@
 	t.note(NoteStateLoad, string(t.settings.ID), fmt.Sprintf("index=%d version=%d", s.Index, c.Config.Version))
 }
 
+const (
+	// compactEvery is how many entries the log grows between snapshots.
+	compactEvery = 4096
+	// compactBytes is how many bytes of entries are applied between snapshots.
+	compactBytes = 4 << 20
+)
+
 // maybeCompact takes a snapshot when the log has grown by compactEvery.
 func (t *turn) maybeCompact() {
 	grown := t.applied >= t.raft.SnapshotIndex()+compactEvery || t.appliedBytes >= compactBytes
--- a/core/host/write.go
+++ b/core/host/write.go
@@ -12,14 +12,8 @@
 	"github.com/yardhall/yardhall/core/raft"
 )
 
-const (
-	// resendInterval is the pause before an unanswered write is sent again.
-	resendInterval = 500 * time.Millisecond
-	// compactEvery is how many entries the log grows between snapshots.
-	compactEvery = 4096
-	// compactBytes is how many bytes of entries are applied between snapshots.
-	compactBytes = 4 << 20
-)
+// resendInterval is the pause before an unanswered write is sent again.
+const resendInterval = 500 * time.Millisecond
 
 // pendingWrite is a write that this process waits for.
 type pendingWrite struct {
