--- a/soak/checks_test.go
+++ b/soak/checks_test.go
@@ -80,13 +80,36 @@
 	}
 	switch porcupine.CheckOperationsTimeout(highest, history, historyLimit) {
 	case porcupine.Illegal:
-		return []string{"no order explains what was put and read"}
+		return append([]string{"no order explains what was put and read"}, e.historyFaults()...)
 	case porcupine.Unknown:
 		return []string{"the history could not be checked in time"}
 	}
 	return nil
 }
 
+// historyFaults names the readings that no order can hold: those older than what was
+// acknowledged or read before they were sent, and those of what was never put.
+func (e evidence) historyFaults() (out []string) {
+	for _, r := range e.readings {
+		at := fmt.Sprintf("host %d read configuration %d from %s to %s", r.replica, r.number, r.sent.Format(clock), r.ended.Format(clock))
+		put := slices.IndexFunc(e.changes, func(c change) bool { return c.number == r.number })
+		if put < 0 || r.ended.Before(e.changes[put].sent) {
+			out = append(out, at+": not put before")
+		}
+		for _, c := range e.changes {
+			if !c.acked.IsZero() && c.acked.Before(r.sent) && c.number > r.number {
+				out = append(out, fmt.Sprintf("%s: %d was acknowledged at %s", at, c.number, c.acked.Format(clock)))
+			}
+		}
+		for _, o := range e.readings {
+			if o.ended.Before(r.sent) && o.number > r.number {
+				out = append(out, fmt.Sprintf("%s: host %d read %d until %s", at, o.replica, o.number, o.ended.Format(clock)))
+			}
+		}
+	}
+	return out
+}
+
 const historyLimit = time.Minute
 
 // notRun are the statuses that promise that the request has not run and never
