--- a/core/host/capacity_test.go
+++ b/core/host/capacity_test.go
@@ -271,7 +271,7 @@
 	s := requests.New(requests.Settings{Zone: "z"}).WithConfig(g)
 	workers := make([]registry.Worker, 0, n)
 	for i := range n {
-		workers = append(workers, registry.Worker{ID: ident.Target(fmt.Sprintf("i-%010x", i*7919)), Pool: "pool", Zone: "z", Address: "10.0.0.1:80", Slots: 64, Seq: 1})
+		workers = append(workers, registry.Worker{ID: ident.Target(fmt.Sprintf("i-%010x", i*7919)), Pool: "pool", Zone: "z", Address: fmt.Sprintf("10.1.%d.%d:80", i/250, i%250), Slots: 64, Seq: 1})
 	}
 	s, _ = requests.Reduce(s, requests.Registered{From: "r", Workers: workers}, now)
 	s, _ = requests.Reduce(s, requests.Confirmed{Confirmation: confirmation.At(now)}, now)
--- a/core/host/clients.go
+++ b/core/host/clients.go
@@ -120,7 +120,11 @@
 		return
 	}
 	for _, w := range workers {
-		t.registerHeartbeat(w)
+		if reason := t.invalidReason(w); reason != "" {
+			t.heartbeatInvalid(w.ID, reason+", by "+string(from))
+		} else if t.registry.HasRoom(w.ID) {
+			t.registerHeartbeat(w)
+		}
 	}
 }
 
--- a/core/host/counters.go
+++ b/core/host/counters.go
@@ -31,4 +31,6 @@
 	Heartbeats           uint64 `json:"Beats"`
 	HeartbeatsRedirected uint64 `json:"BeatsNamed"`
 	HeartbeatsDeclined   uint64 `json:"BeatsDeclined"`
+	// HeartbeatsInvalid counts those that name no worker to use.
+	HeartbeatsInvalid uint64
 }
--- a/core/host/effect.go
+++ b/core/host/effect.go
@@ -81,6 +81,8 @@
 	HeartbeatAnswer struct {
 		Taken bool
 		Relay string
+		// Invalid is why the heartbeat names no worker to use; empty where it names one.
+		Invalid string
 	}
 )
 
--- a/core/host/event.go
+++ b/core/host/event.go
@@ -70,8 +70,18 @@
 	RequestEvent struct{ Event requests.Event }
 	// HeartbeatReceived is a worker's heartbeat. A HeartbeatAnswer follows at once.
 	HeartbeatReceived struct{ Worker registry.Worker }
-	// DeregistrationReceived reports that a worker ends. A HeartbeatAnswer follows at once.
-	DeregistrationReceived struct{ Worker ident.Target }
+	// HeartbeatUnreadable is a heartbeat, or a deregistration, that could not be read. A
+	// HeartbeatAnswer follows at once.
+	HeartbeatUnreadable struct {
+		Worker ident.Target
+		Reason string
+	}
+	// DeregistrationReceived reports that a worker ends: the process that started at Born,
+	// or with 0 the one that is known. A HeartbeatAnswer follows at once.
+	DeregistrationReceived struct {
+		Worker ident.Target
+		Born   registry.Incarnation
+	}
 	// Read asks whether the configuration held is the newest one.
 	Read struct {
 		ID       string
@@ -94,6 +104,7 @@
 func (ReplicaChange) event()          {}
 func (RequestEvent) event()           {}
 func (HeartbeatReceived) event()      {}
+func (HeartbeatUnreadable) event()    {}
 func (DeregistrationReceived) event() {}
 func (Read) event()                   {}
 func (Reseeded) event()               {}
--- /dev/null
+++ b/core/host/heartbeat_test.go
@@ -0,0 +1,134 @@
+// Copyright 2026 The Yardhall Authors. Licensed under the Apache License, Version 2.0.
+
+package host_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/yardhall/yardhall/core/host"
+	"github.com/yardhall/yardhall/core/ident"
+	"github.com/yardhall/yardhall/core/registry"
+)
+
+const bornFirst registry.Incarnation = 1_790_000_000_000
+
+// TestHeartbeatsThatNameNoWorkerChangeNothing sends a replica heartbeats of another writer
+// beside those of a worker: under its id, at its address, and of a service that the table
+// does not name.
+func TestHeartbeatsThatNameNoWorkerChangeNothing(t *testing.T) {
+	f := &relayedFleet{seededFleet: newSeededFleet(t, 3, 1)}
+	f.run(5 * time.Second)
+	replica := replicaName(1)
+	good := f.worker(1, registry.Ready)
+	early := good
+	early.ID, early.Pool, early.Address = "early", "not-yet-named", "10.9.1.1:80"
+	require.True(t, f.say(replica, host.HeartbeatReceived{Worker: early}).Taken, "no table is held yet")
+	require.True(t, f.put(f.leader(), f.table(1, "k"), time.Second))
+	require.True(t, f.say(replica, host.HeartbeatReceived{Worker: good}).Taken)
+	require.True(t, f.say(replica, host.HeartbeatReceived{Worker: early}).Taken, "it was known before")
+	before, _ := f.states[replica].Registry().Get(good.ID)
+
+	for name, spoil := range map[string]func(*registry.Worker){
+		"other service, its id":      func(w *registry.Worker) { w.Pool = "none" },
+		"other service, its address": func(w *registry.Worker) { w.ID, w.Pool = "stranger", "none" },
+		"unknown state":              func(w *registry.Worker) { w.State = 9 },
+		"no slots":                   func(w *registry.Worker) { w.Slots = 0 },
+		"no port":                    func(w *registry.Worker) { w.Address = "10.9.0.1" },
+		"no time":                    func(w *registry.Worker) { w.Born = -1 },
+	} {
+		bad := good
+		bad.Seq = 99
+		spoil(&bad)
+		counted := f.states[replica].Counters().HeartbeatsInvalid
+		answer := f.say(replica, host.HeartbeatReceived{Worker: bad})
+		require.False(t, answer.Taken, name)
+		require.NotEmpty(t, answer.Invalid, name)
+		require.Equal(t, counted+1, f.states[replica].Counters().HeartbeatsInvalid)
+		known, _ := f.states[replica].Registry().Get(good.ID)
+		require.Equal(t, before, known, name)
+		require.Equal(t, 2, f.states[replica].Registry().Len(), name)
+	}
+	require.NotEmpty(t, f.say(replica, host.DeregistrationReceived{Worker: good.ID, Born: -3}).Invalid)
+	require.NotEmpty(t, f.say(replica, host.HeartbeatUnreadable{Worker: good.ID, Reason: "cut short"}).Invalid)
+	known, _ := f.states[replica].Registry().Get(good.ID)
+	require.Equal(t, before, known)
+}
+
+// TestHeartbeatsOfRelaysAreChecked has an entry host pass on what its earlier program took.
+func TestHeartbeatsOfRelaysAreChecked(t *testing.T) {
+	f := &relayedFleet{seededFleet: newSeededFleet(t, 3, 1)}
+	f.run(5 * time.Second)
+	good, bad, unreadable := f.worker(1, registry.Ready), f.worker(2, registry.Ready), f.worker(3, registry.Ready)
+	bad.Address, unreadable.State = "", 77
+	f.reduce(replicaName(0), host.Received{From: entryName(0), Message: host.Poll{
+		Round: 1, Serves: true, Boot: 1 << 40, Beats: registry.Pack([]registry.Worker{bad, good, unreadable}),
+	}})
+	require.Equal(t, 1, f.states[replicaName(0)].Registry().Len(), "the others hold")
+	f.reduce(entryName(0), host.Received{From: replicaName(0), Message: host.PollReply{
+		Epoch: 5, Revision: 3, Workers: registry.Pack([]registry.Worker{unreadable, good}),
+	}})
+	_, known := f.states[entryName(0)].Requests().Worker(unreadable.ID)
+	require.False(t, known)
+	_, known = f.states[entryName(0)].Requests().Worker(good.ID)
+	require.True(t, known)
+}
+
+// TestWorkerBehindRelaysStartsAgain lets some workers of a large fleet start again under
+// their ids: relays send them to replicas, and entry hosts know the new processes at once.
+func TestWorkerBehindRelaysStartsAgain(t *testing.T) {
+	f := startRelayed(t, 4)
+	for range 40 {
+		f.beatAll()
+	}
+	f.run(time.Second)
+	for i := range 5 {
+		w := f.worker(i, registry.Ready)
+		w.Born, w.Seq = bornFirst, 1
+		answer := f.say(f.relay[w.ID], host.HeartbeatReceived{Worker: w})
+		if !answer.Taken {
+			answer = f.say(replicaName(i%3), host.HeartbeatReceived{Worker: w})
+		}
+		require.True(t, answer.Taken)
+		// Late ones of a process that said no start change nothing.
+		f.say(replicaName((i+1)%3), host.HeartbeatReceived{Worker: f.worker(i, registry.Ready)})
+	}
+	f.run(3 * time.Second)
+	for i := range 5 {
+		w := f.worker(i, registry.Ready)
+		w.Born, w.Seq = bornFirst+60_000, 1
+		require.False(t, f.say(f.relay[w.ID], host.HeartbeatReceived{Worker: w}).Taken, "it is news, for replicas")
+		require.True(t, f.say(replicaName(i%3), host.HeartbeatReceived{Worker: w}).Taken)
+	}
+	f.run(time.Second)
+	for e := range 4 {
+		for i := range 5 {
+			w, ok := f.states[entryName(e)].Requests().Worker(workerName(i))
+			require.True(t, ok)
+			require.Equal(t, bornFirst+60_000, w.Born)
+			require.Equal(t, registry.Ready, w.State)
+		}
+	}
+}
+
+// TestInventedWorkersAreBounded has a writer invent ids before the first table.
+func TestInventedWorkersAreBounded(t *testing.T) {
+	f := &relayedFleet{seededFleet: newSeededFleet(t, 3, 0)}
+	f.run(time.Second)
+	known := f.worker(1, registry.Ready)
+	require.True(t, f.say(replicaName(0), host.HeartbeatReceived{Worker: known}).Taken)
+	taken := 0
+	for i := range 9000 {
+		w := f.worker(2, registry.Ready)
+		w.ID, w.Pool, w.Address = ident.Target(fmt.Sprint("invented-", i)), "any", fmt.Sprintf("10.8.%d.%d:80", i/250, i%250)
+		if f.say(replicaName(0), host.HeartbeatReceived{Worker: w}).Taken {
+			taken++
+		}
+	}
+	require.Less(t, taken, 8500)
+	require.True(t, f.say(replicaName(0), host.HeartbeatReceived{Worker: known}).Taken)
+	require.True(t, f.say(replicaName(0), host.DeregistrationReceived{Worker: "invented-8999"}).Taken)
+}
--- a/core/host/host.go
+++ b/core/host/host.go
@@ -167,7 +167,10 @@
 	case HeartbeatReceived:
 		t.heartbeatReceived(ev.Worker)
 	case DeregistrationReceived:
-		t.deregistrationReceived(ev.Worker)
+		t.deregistrationReceived(ev)
+	case HeartbeatUnreadable:
+		t.heartbeatInvalid(ev.Worker, ev.Reason)
+		t.emit(HeartbeatAnswer{Invalid: ev.Reason})
 	case Read:
 		t.read(ev)
 	case Reseeded:
--- a/core/host/pollreply.go
+++ b/core/host/pollreply.go
@@ -71,6 +71,10 @@
 	if err != nil {
 		t.note(NoteReplica, string(from), "sent registrations that cannot be read: "+err.Error())
 	}
+	workers, err = registry.Checked(workers)
+	if err != nil {
+		t.note(NoteReplica, string(from), "sent a registration that cannot be used: "+err.Error())
+	}
 	if len(workers) == 0 {
 		return nil
 	}
--- a/core/host/relay.go
+++ b/core/host/relay.go
@@ -18,7 +18,16 @@
 // heartbeatReceived takes a worker's heartbeat and answers whether it is acknowledged, and
 // where the next ones shall go.
 func (t *transition) heartbeatReceived(w registry.Worker) {
+	if reason := t.invalidReason(w); reason != "" {
+		t.heartbeatInvalid(w.ID, reason)
+		t.answerHeartbeat(HeartbeatAnswer{Invalid: reason})
+		return
+	}
 	if t.settings.IsReplica() {
+		if !t.registry.HasRoom(w.ID) {
+			t.answerHeartbeat(HeartbeatAnswer{})
+			return
+		}
 		t.registerHeartbeat(w)
 		t.answerHeartbeat(HeartbeatAnswer{Taken: true, Relay: relay.For(w, t.seeded.relays)})
 		return
@@ -31,10 +40,18 @@
 }
 
 // deregistrationReceived takes a worker's report that it ends; only replicas do.
-func (t *transition) deregistrationReceived(id ident.Target) {
+func (t *transition) deregistrationReceived(ev DeregistrationReceived) {
+	gone := registry.Worker{ID: ev.Worker, State: registry.Gone, Born: ev.Born}
+	if err := gone.Check(); err != nil {
+		t.heartbeatInvalid(ev.Worker, err.Error())
+		t.emit(HeartbeatAnswer{Invalid: err.Error()})
+		return
+	}
+	// One that is not known is nowhere sent anything; it is remembered where there is room,
+	// so that a late heartbeat does not bring it in.
 	taken := t.settings.IsReplica()
-	if taken {
-		t.deregister(id)
+	if taken && t.registry.HasRoom(ev.Worker) {
+		t.deregister(ev.Worker, ev.Born)
 	}
 	t.emit(HeartbeatAnswer{Taken: taken})
 }
@@ -42,6 +59,7 @@
 // answerHeartbeat answers a worker and counts the answer.
 func (t *transition) answerHeartbeat(a HeartbeatAnswer) {
 	switch {
+	case a.Invalid != "":
 	case !a.Taken:
 		t.counters.HeartbeatsDeclined++
 	case a.Relay != "":
--- a/core/host/seeded.go
+++ b/core/host/seeded.go
@@ -117,8 +117,8 @@
 	for _, d := range decisions {
 		switch d := d.(type) {
 		case requests.WorkerChanged:
-			t.note(NoteWorker, string(d.Worker.ID), fmt.Sprintf("usable=%t state=%s seq=%d at=%s failures=%d why=%q",
-				d.Healthy, d.Worker.State, d.Worker.Seq, d.Worker.Address, d.Failures, d.Why))
+			t.note(NoteWorker, string(d.Worker.ID), fmt.Sprintf("usable=%t state=%s seq=%d born=%s at=%s failures=%d why=%q",
+				d.Healthy, d.Worker.State, d.Worker.Seq, d.Worker.Born, d.Worker.Address, d.Failures, d.Why))
 		case requests.ZoneChanged:
 			t.note(NoteZone, string(d.Zone), fmt.Sprintf("reached=%t others=%t missed=%s", d.Reachable, d.AllOthers, d.LastFailed))
 		default:
--- a/core/registry/forms_test.go
+++ b/core/registry/forms_test.go
@@ -7,21 +7,46 @@
 	"reflect"
 	"testing"
 
+	"github.com/fxamacker/cbor/v2"
 	"github.com/stretchr/testify/require"
 
 	"github.com/yardhall/yardhall/core/formtest"
+	"github.com/yardhall/yardhall/core/pack"
 	"github.com/yardhall/yardhall/core/registry"
 )
 
-// packedWorkers is a list of one worker, each field filled, as the program packed it
-// that first sent registrations.
-const packedWorkers = "0081a701627331026273320362733304627334050506060707"
+// Lists of one worker, each field filled: as the program packed it that first sent
+// registrations, and with the start of the worker's process.
+const (
+	packedWorkers         = "0081a701627331026273320362733304627334050506060707"
+	packedWorkersWithBorn = "0081a8016273310262733203627333046273340505060607070808"
+)
 
 func TestPackedWorkersOfEarlierProgramsAreRead(t *testing.T) {
 	want := formtest.Filled(reflect.TypeFor[[]registry.Worker](), nil).Interface().([]registry.Worker)
-	record, err := hex.DecodeString(packedWorkers)
+	require.Equal(t, want, unpacked(t, packedWorkersWithBorn), "packed today: %x", registry.Pack(want))
+	want[0].Born = 0
+	require.Equal(t, want, unpacked(t, packedWorkers))
+}
+
+// TestEarlierProgramsReadPastTheStart reads what is packed today into the form of before.
+func TestEarlierProgramsReadPastTheStart(t *testing.T) {
+	type before struct {
+		ID  string `cbor:"1,keyasint"`
+		Seq uint64 `cbor:"7,keyasint,omitempty"`
+	}
+	record, err := pack.Unpack(registry.Pack([]registry.Worker{process(bornFirst, 7, registry.Ready)}))
+	require.NoError(t, err)
+	var got []before
+	require.NoError(t, cbor.Unmarshal(record, &got))
+	require.Equal(t, []before{{ID: "w", Seq: 7}}, got)
+}
+
+func unpacked(t *testing.T, text string) []registry.Worker {
+	t.Helper()
+	record, err := hex.DecodeString(text)
 	require.NoError(t, err)
 	got, err := registry.Unpack(record)
 	require.NoError(t, err)
-	require.Equal(t, want, got, "packed today: %x", registry.Pack(want))
+	return got
 }
--- a/core/registry/registry.go
+++ b/core/registry/registry.go
@@ -5,13 +5,13 @@
 //
 // # Usage
 //
-//	r, changed := r.WithBeat(worker, now)
+//	r, changed := r.WithHeartbeat(worker, now)
 //	entries, revision := r.After(seen, limit)
 //	r = r.Expire(silentAfter, now)
 //
 // Each change gets a revision, so that hosts which follow the registry are sent
-// only what they have not seen. Entries of several registries are joined with
-// Newer.
+// only what they have not seen. Entries of several registries are joined in a Record;
+// a worker that starts again under its id is another Incarnation.
 package registry
 
 import (
@@ -50,40 +50,32 @@
 	// Slots is how many requests it serves at once.
 	Slots int   `cbor:"5,keyasint,omitempty"`
 	State State `cbor:"6,keyasint,omitempty"`
-	// Seq grows with each heartbeat of the worker.
+	// Seq grows with each heartbeat of one incarnation.
 	Seq uint64 `cbor:"7,keyasint,omitempty"`
-}
-
-// Newer tells whether a says more recent things than b about the same worker.
-func Newer(a, b Worker) bool {
-	if a.State == Gone || b.State == Gone {
-		return a.State == Gone && b.State != Gone
-	}
-	if a.Seq != b.Seq {
-		return a.Seq > b.Seq
-	}
-	return a.State > b.State
+	// Born is the incarnation; 0 where the worker does not say.
+	Born Incarnation `cbor:"8,keyasint,omitempty"`
 }
 
 // entry is a worker with the time it was last seen.
 type entry struct {
-	worker   Worker
+	record   Record
 	lastSeen time.Time
 	revision uint64
 	// displaced counts the heartbeats since another process registered at the address.
 	displaced int
+	claim     claim
 }
 
-// reclaimHeartbeats are the heartbeats after which a worker whose address another one has
-// taken gets it back: a process that is gone leaves one or two on their way, not more.
-const reclaimHeartbeats = 3
-
 const (
 	// forgetGone is how long a gone worker is remembered, so that a late
 	// heartbeat does not bring it back. Chosen, not measured.
 	forgetGone = 5 * time.Minute
 	// forgetSilent is how long a silent one is. Chosen, not measured.
 	forgetSilent = time.Minute
+	// maxWorkers bounds the workers remembered, so that a writer that invents ids cannot
+	// fill the memory: nine times the largest fleet designed for, as workers that are
+	// over stay for minutes.
+	maxWorkers = 8192
 )
 
 // Registry is the registrations taken here. It is immutable; the zero value is
@@ -104,7 +96,7 @@
 func (r Registry) Ready() int {
 	n := 0
 	for _, e := range r.workers.All() {
-		if e.worker.State == Ready {
+		if e.worker().State == Ready {
 			n++
 		}
 	}
@@ -120,85 +112,102 @@
 // Get returns a worker as last seen.
 func (r Registry) Get(id ident.Target) (Worker, bool) {
 	e, ok := r.workers.Get(id)
-	return e.worker, ok
+	return e.record.Worker(), ok
 }
 
-// WithHeartbeat takes a heartbeat. Late ones are ignored; changed tells whether the
-// worker's state, address or zone is other than before.
+// HasRoom tells whether a worker is known or may still be remembered.
+func (r Registry) HasRoom(id ident.Target) bool {
+	return r.workers.Len() < maxWorkers || r.workers.Has(id)
+}
+
+// WithHeartbeat takes a heartbeat. Late ones, and those of earlier processes, are ignored;
+// changed tells whether the worker's incarnation, state, address or zone is other than
+// before.
 func (r Registry) WithHeartbeat(w Worker, now time.Time) (next Registry, changed bool) {
-	have, known := r.workers.Get(w.ID)
-	if known && !Newer(w, have.worker) && !revives(w, have.worker) {
+	e, known := r.workers.Get(w.ID)
+	if !known {
+		return r.withFirst(w, now), true
+	}
+	w, e, counts := e.identified(w)
+	if have := e.record.Worker(); !counts || w.Born == have.Born && !Newer(w, have) && !revives(w, have) {
+		r.workers = r.workers.With(w.ID, e)
 		return r, false
 	}
-	if known && r.isDisplaced(w) {
-		have.displaced++
-		if have.displaced < reclaimHeartbeats {
-			r.workers = r.workers.With(w.ID, have)
+	if r.isDisplaced(w) {
+		e.displaced++
+		if e.displaced < reclaimHeartbeats {
+			r.workers = r.workers.With(w.ID, e)
 			return r, false
 		}
 	}
-	old := have.worker
+	old := e.record.Worker()
 	old.Seq = w.Seq
-	if known && old == w {
-		have.worker, have.lastSeen = w, now
-		r.workers = r.workers.With(w.ID, have)
+	if old == w {
+		e.record, e.lastSeen = Record{}.replacedBy(w), now
+		r.workers = r.workers.With(w.ID, e)
 		return r, false
 	}
-	return r.displaceFrom(w.Address, w.ID).with(w, now), true
-}
-
-// isDisplaced tells whether another process registered later at a worker's address.
-func (r Registry) isDisplaced(w Worker) bool {
-	holder, ok := r.owners.Get(w.Address)
-	return ok && holder != w.ID
+	e.displaced = 0
+	return r.displaceFrom(w.Address, w.ID).with(e, w, now), true
 }
 
-// displaceFrom gives an address to a process: the one that held it gets no more work.
-func (r Registry) displaceFrom(address string, to ident.Target) Registry {
-	if address == "" {
-		return r
-	}
-	holder, held := r.owners.Get(address)
-	r.owners = r.owners.With(address, to)
-	e, known := r.workers.Get(holder)
-	if !held || holder == to || !known || e.worker.State != Ready || e.worker.Address != address {
-		return r
+// withFirst enters a worker that was not known. One that seems to be an earlier process at
+// its address is silent until it has shown that it lives.
+func (r Registry) withFirst(w Worker, now time.Time) Registry {
+	if w.State == Ready && r.succeededAt(w) {
+		w.State = Silent
+		return r.with(entry{displaced: 1}, w, now)
 	}
-	e.worker.State = Silent
-	return r.with(e.worker, e.lastSeen)
+	return r.displaceFrom(w.Address, w.ID).with(entry{}, w, now)
 }
 
 // revives tells whether a heartbeat of a silent worker shows that it lives.
 func revives(w, have Worker) bool { return have.State == Silent && w.Seq > have.Seq }
 
-// WithGone records that a worker ends.
-func (r Registry) WithGone(id ident.Target, now time.Time) (next Registry, changed bool) {
-	have, _ := r.workers.Get(id)
-	if have.worker.State == Gone {
+// WithGone records that a worker ends: the incarnation given, or with 0 the one that is
+// known.
+func (r Registry) WithGone(id ident.Target, born Incarnation, now time.Time) (next Registry, changed bool) {
+	e, _ := r.workers.Get(id)
+	have := e.record.Worker()
+	born = e.claim.incarnationOf(born)
+	if have.State == Gone && !born.succeeds(have.Born) || have.Born.succeeds(born) {
 		return r, false
 	}
-	w := have.worker
+	w := have
 	w.ID, w.State = id, Gone
-	return r.with(w, now), true
+	if born != 0 && born != have.Born {
+		w.Born, w.Seq = born, 0
+	}
+	return r.with(e, w, now), true
+}
+
+// with enters a worker in place of what was known of it.
+func (r Registry) with(e entry, w Worker, now time.Time) Registry {
+	e.record = Record{}.replacedBy(w)
+	return r.withEntry(w.ID, e, now)
 }
 
-func (r Registry) with(w Worker, now time.Time) Registry {
-	if have, ok := r.workers.Get(w.ID); ok {
+func (r Registry) withEntry(id ident.Target, e entry, now time.Time) Registry {
+	if have, ok := r.workers.Get(id); ok {
 		r.changes = r.changes.Without(have.revision)
 	}
 	r.revision++
-	r.changes = r.changes.With(r.revision, w.ID)
-	r.workers = r.workers.With(w.ID, entry{worker: w, lastSeen: now, revision: r.revision})
+	r.changes = r.changes.With(r.revision, id)
+	e.lastSeen, e.revision = now, r.revision
+	r.workers = r.workers.With(id, e)
 	return r
 }
 
-// WithReport takes what another registry reports of a worker.
+// WithReport takes what another registry reports of a worker. Which of two processes at
+// one address gets work is decided by who sends it: see Addresses.
 func (r Registry) WithReport(w Worker, now time.Time) Registry {
-	have, known := r.workers.Get(w.ID)
-	if known && !Newer(w, have.worker) {
+	e, _ := r.workers.Get(w.ID)
+	next, changed := e.record.With(w)
+	if !changed {
 		return r
 	}
-	return r.with(w, now)
+	e.record = next
+	return r.withEntry(w.ID, e, now)
 }
 
 // Forget drops workers that are over for long.
@@ -207,8 +216,8 @@
 		if e.over(now) {
 			r.workers = r.workers.Without(id)
 			r.changes = r.changes.Without(e.revision)
-			if holder, _ := r.owners.Get(e.worker.Address); holder == id {
-				r.owners = r.owners.Without(e.worker.Address)
+			if holder, _ := r.owners.Get(e.worker().Address); holder == id {
+				r.owners = r.owners.Without(e.worker().Address)
 			}
 		}
 	}
@@ -218,19 +227,27 @@
 // over tells whether the worker has been gone or silent for so long that it may be
 // forgotten.
 func (e entry) over(now time.Time) bool {
-	age := now.Sub(e.lastSeen)
-	return e.worker.State == Gone && age > forgetGone || e.worker.State == Silent && age > forgetSilent
+	return Over(e.worker().State, now.Sub(e.lastSeen))
 }
 
+// Over tells whether a worker in a state has been out of touch for so long that it may be
+// forgotten.
+func Over(s State, age time.Duration) bool {
+	return s == Gone && age > forgetGone || s == Silent && age > forgetSilent
+}
+
+// worker is the worker as it is best known.
+func (e entry) worker() Worker { return e.record.Worker() }
+
 // Expire marks workers silent that were not seen for silentAfter and forgets
 // those that are over for long.
 func (r Registry) Expire(silentAfter time.Duration, now time.Time) (next Registry, changed bool) {
 	r = r.Forget(now)
 	for _, e := range r.workers.All() {
-		if e.worker.State != Gone && e.worker.State != Silent && now.Sub(e.lastSeen) > silentAfter {
-			w := e.worker
+		if e.worker().State != Gone && e.worker().State != Silent && now.Sub(e.lastSeen) > silentAfter {
+			w := e.worker()
 			w.State = Silent
-			r = r.with(w, e.lastSeen)
+			r = r.with(e, w, e.lastSeen)
 			changed = true
 		}
 	}
@@ -246,7 +263,7 @@
 	var out []Worker
 	for at, id := range r.changes.From(revision + 1) {
 		e, _ := r.workers.Get(id)
-		out = append(out, e.worker)
+		out = append(out, e.worker())
 		if len(out) == limit {
 			return out, at
 		}
--- a/core/registry/registry_test.go
+++ b/core/registry/registry_test.go
@@ -66,7 +66,7 @@
 	r, _ = r.WithHeartbeat(worker(5, registry.Draining), start)
 	r, changed := r.WithHeartbeat(worker(4, registry.Ready), start)
 	require.False(t, changed)
-	r, _ = r.WithGone("w", start)
+	r, _ = r.WithGone("w", 0, start)
 	r, changed = r.WithHeartbeat(worker(9, registry.Ready), start)
 	require.False(t, changed, "a late heartbeat brings nobody back")
 	w, _ := r.Get("w")
@@ -108,3 +108,5 @@
 	require.Len(t, got, 8)
 	require.Equal(t, r.Revision(), seen)
 }
+
+func invention(i int) ident.Target { return ident.Target(fmt.Sprint("invented-", i)) }
--- a/core/relay/relay.go
+++ b/core/relay/relay.go
@@ -90,7 +90,8 @@
 // worker, so that a relay may acknowledge it. A worker not known yet has just registered
 // with a replica, and its registration is in transit.
 func SaysNothingNew(w, have registry.Worker, known bool) bool {
-	same := have.Pool == w.Pool && have.Address == w.Address && have.Zone == w.Zone && have.Slots == w.Slots
+	sameProcess := have.Born == w.Born || have.Born == 0 || w.Born == 0
+	same := sameProcess && have.Pool == w.Pool && have.Address == w.Address && have.Zone == w.Zone && have.Slots == w.Slots
 	settled := have.State == registry.Ready || have.State == registry.Silent
 	return (!known || same && settled) && w.State == registry.Ready
 }
--- a/core/requests/attempt.go
+++ b/core/requests/attempt.go
@@ -27,7 +27,7 @@
 	if !ok || c.attempt != ev.Attempt {
 		return
 	}
-	t.addInFlight(c.target, -1)
+	t.endInFlight(c)
 	t.learnHealth(c, ev.Result)
 	c.combined = outcome.Combine(c.combined, outcome.Of(ev.Result))
 	if !ev.Wanted {
--- a/core/requests/bench_test.go
+++ b/core/requests/bench_test.go
@@ -31,7 +31,7 @@
 			workers := make([]registry.Worker, 0, size)
 			for i := range size {
 				workers = append(workers, registry.Worker{
-					ID: ident.Target(fmt.Sprintf("i-%010x", i*7919)), Pool: "pool", Zone: "z", Address: "10.0.0.1:80", Slots: 64, Seq: 1,
+					ID: ident.Target(fmt.Sprintf("i-%010x", i*7919)), Pool: "pool", Zone: "z", Address: fmt.Sprintf("10.1.%d.%d:80", i/250, i%250), Slots: 64, Seq: 1,
 				})
 			}
 			s, _ = requests.Reduce(s, requests.Registered{From: "r", Workers: workers}, now)
--- a/core/requests/builder_test.go
+++ b/core/requests/builder_test.go
@@ -41,7 +41,7 @@
 	for i := range n {
 		out = append(out, registry.Worker{
 			ID: ident.Target(fmt.Sprintf("%s-%d", pool, i)), Pool: pool, Zone: "z",
-			Address: fmt.Sprintf("10.0.0.%d:80", i), Slots: 64, Seq: 1,
+			Address: fmt.Sprintf("10.0.%d.%d:80", len(pool), i), Slots: 64, Seq: 1,
 		})
 	}
 	return out
--- a/core/requests/cachesource.go
+++ b/core/requests/cachesource.go
@@ -38,7 +38,7 @@
 // it, answered.
 func (t *transition) canGiveCache(c call, w worker) bool {
 	serving := w.State == registry.Ready || w.State == registry.Draining
-	if !serving || w.replaced || w.health.Ejected(t.now) || !t.reachable(w.Zone) {
+	if !serving || w.succeeded() || !w.mayHoldCache(t.now) || w.health.Ejected(t.now) || !t.reachable(w.Zone) {
 		return false
 	}
 	return w.ID == c.cacheHolder || !slices.Contains(c.tried, w.ID)
--- a/core/requests/cachesource_test.go
+++ b/core/requests/cachesource_test.go
@@ -13,8 +13,8 @@
 )
 
 // shared is a prompt whose first part many requests share.
-func shared(subject string) requests.Prompt {
-	return requests.Prompt{Model: "m", TokensIn: 1100, TokensOut: 50, Parts: []requests.Part{{ID: subject, Tokens: 1000}, {ID: "own", Tokens: 100}}}
+func shared() requests.Prompt {
+	return requests.Prompt{Model: "m", TokensIn: 1100, TokensOut: 50, Parts: []requests.Part{{ID: "subject", Tokens: 1000}, {ID: "own", Tokens: 100}}}
 }
 
 // TestRetryTakesThePrefixFromTheEngineThatFailed has the engine that ranks first answer
@@ -25,7 +25,7 @@
 		"failed": outcome.Answered{Status: 500}, "declined": outcome.Declined{}, "broke off": outcome.Broken{},
 	} {
 		r := request("1", "/resumable/x")
-		r.Prompt = shared("subject")
+		r.Prompt = shared()
 		s, d := arrive(t, ready(6), r, start)
 		first := d.(requests.Dispatch)
 		_, decisions := requests.Reduce(s, requests.AttemptEnded{Request: "1", Attempt: 1, Result: result, Wanted: true}, start)
@@ -40,7 +40,7 @@
 // leave: the next one takes its requests, and is told where the prefix is.
 func TestPrefixesAreTakenFromEnginesThatLeave(t *testing.T) {
 	r := request("1", "/resumable/x")
-	r.Prompt = shared("subject")
+	r.Prompt = shared()
 	s, d := arrive(t, ready(6), r, start)
 	keeper := d.(requests.Dispatch).Worker
 	leaving := keeper
--- a/core/requests/decision.go
+++ b/core/requests/decision.go
@@ -52,6 +52,11 @@
 	}
 	// GiveUp ends the present attempt of a request, which goes to another worker then.
 	GiveUp struct{ Request ident.Request }
+	// BreakOff ends an attempt whose worker has ended since. It is reported as broken.
+	BreakOff struct {
+		Request ident.Request
+		Attempt int
+	}
 	// ProbeConnection asks for a connection to a worker that carries no request, and for
 	// a ProbeEnded that tells what came of it.
 	ProbeConnection struct{ Worker registry.Worker }
@@ -78,6 +83,7 @@
 func (Wait) decision()            {}
 func (Finish) decision()          {}
 func (GiveUp) decision()          {}
+func (BreakOff) decision()        {}
 func (ProbeConnection) decision() {}
 func (WorkerChanged) decision()   {}
 func (ZoneChanged) decision()     {}
--- a/core/requests/dispatch.go
+++ b/core/requests/dispatch.go
@@ -25,6 +25,8 @@
 	// target is the worker of the present attempt, tried are all so far.
 	target ident.Target
 	tried  []ident.Target
+	// life is the worker's at the present attempt; it grows where the worker starts again.
+	life int
 	// resends counts how often it was sent to the same worker once more.
 	resends int
 	// cacheHolder is the first engine that answered without success; empty for none.
@@ -55,7 +57,8 @@
 // send begins the call's next attempt, at the worker picked, after a pause.
 func (t *transition) send(c call, picked choice, pause time.Duration) {
 	c.attempt++
-	t.addInFlight(picked.worker.ID, 1)
+	c.life = picked.worker.life
+	t.addInFlight(picked.worker.ID)
 	t.calls = t.calls.With(c.req.ID, c)
 	header, stall := c.responseTimeouts()
 	t.out = append(t.out, Dispatch{
@@ -102,7 +105,7 @@
 	if !ok {
 		return
 	}
-	t.addInFlight(c.target, -1)
+	t.endInFlight(c)
 	t.finish(id, Verdict{
 		Outcome: outcome.Combine(c.combined, outcome.Unknown), Code: CodeDeadline, Reason: "the deadline has passed",
 	})
--- a/core/requests/load.go
+++ b/core/requests/load.go
@@ -47,14 +47,21 @@
 	return loads.Pack(own)
 }
 
-// addInFlight counts this host's requests at a worker.
-func (t *transition) addInFlight(id ident.Target, n int) {
-	w, ok := t.workers.Get(id)
-	if !ok {
-		return
+// addInFlight counts a request of this host at a worker.
+func (t *transition) addInFlight(id ident.Target) {
+	if w, ok := t.workers.Get(id); ok {
+		w.inFlight++
+		t.workers = t.workers.With(id, w)
+	}
+}
+
+// endInFlight takes the call's attempt out of the count, unless its worker has started
+// again since.
+func (t *transition) endInFlight(c call) {
+	if w, ok := t.workers.Get(c.target); ok && w.life == c.life {
+		w.inFlight = max(0, w.inFlight-1)
+		t.workers = t.workers.With(c.target, w)
 	}
-	w.inFlight = max(0, w.inFlight+n)
-	t.workers = t.workers.With(id, w)
 }
 
 // headerReceived takes the time until an answer began, and the worker's report of its
--- a/core/requests/requests.go
+++ b/core/requests/requests.go
@@ -23,6 +23,7 @@
 //	resend.go         when a declined request returns to the same worker
 //	timeouts.go       when an attempt is given up
 //	workerhealth.go   what an attempt tells of its worker
+//	restart.go        what ends where a worker starts again under its id
 //	zones.go          when a zone is unreachable
 //
 // # Usage
@@ -109,8 +110,11 @@
 	// newerKnown is set while a newer table than the one held is known of.
 	newerKnown bool
 	workers    table.Table[ident.Target, worker]
-	calls      table.Table[ident.Request, call]
-	budgets    table.Table[ident.Service, budget]
+	// addresses tell which workers share one, forgotAt when workers were last forgotten.
+	addresses registry.Addresses
+	forgotAt  time.Time
+	calls     table.Table[ident.Request, call]
+	budgets   table.Table[ident.Service, budget]
 	// headerTimes are how long answers take to begin, by route.
 	headerTimes table.Table[string, headerTimes]
 	// reported are the requests of other hosts at workers, as of reportedAsOf; never
--- a/core/requests/workerhealth.go
+++ b/core/requests/workerhealth.go
@@ -23,7 +23,7 @@
 // learnHealth takes the result of an attempt as a sign of the worker's health.
 func (t *transition) learnHealth(c call, a outcome.Attempt) {
 	w, ok := t.workers.Get(c.target)
-	if !ok {
+	if !ok || w.life != c.life {
 		return
 	}
 	if isSilence(a) {
--- a/core/requests/zones.go
+++ b/core/requests/zones.go
@@ -140,7 +140,7 @@
 	var best registry.Worker
 	top := uint64(0)
 	for _, w := range t.workers.All() {
-		if w.State != registry.Ready || w.replaced || !fits(w) {
+		if w.State != registry.Ready || w.succeeded() || !fits(w) {
 			continue
 		}
 		if score := hash.Mix(requestKey(r.ID), w.key); best.ID == "" || score > top {
--- a/daemon/gateway.go
+++ b/daemon/gateway.go
@@ -50,6 +50,7 @@
 	}
 	d.workers = gateway.NewPool(from)
 	d.gateway = gateway.NewServer(gateway.Deps{Core: d.loop, Pool: d.workers, Headers: platform.Headers(), Observe: d.observeRequest()})
+	d.loop.breakOff = d.gateway.BreakOff
 	ready := http.NewServeMux()
 	ready.HandleFunc("GET "+platform.ReadyPath, d.readiness)
 	for _, port := range []struct {
--- a/daemon/loop.go
+++ b/daemon/loop.go
@@ -51,6 +51,8 @@
 	calls    map[ident.Request]chan host.Effect
 	writes   map[string]chan writeAnswer
 	reads    map[string]chan bool
+	// breakOff ends an attempt whose worker has ended; it does not wait.
+	breakOff func(requests.BreakOff)
 	// waits take the next decision for each request that waits; under
 	// reducing.
 	waits map[ident.Request]chan requests.Decision
@@ -60,9 +62,10 @@
 	l := &loop{
 		log: log, notes: newNoteLog(log), now: time.Now, events: make(chan host.Event, eventQueue), pool: pool, targets: t,
 		done: make(chan struct{}), calls: map[ident.Request]chan host.Effect{}, writes: map[string]chan writeAnswer{},
-		reads:   map[string]chan bool{},
-		waits:   map[ident.Request]chan requests.Decision{},
-		reduced: new(expvar.Int), answers: &callers.Answers{}, delays: newDelays(log), pace: newPace(),
+		reads:    map[string]chan bool{},
+		breakOff: func(requests.BreakOff) {},
+		waits:    map[ident.Request]chan requests.Decision{},
+		reduced:  new(expvar.Int), answers: &callers.Answers{}, delays: newDelays(log), pace: newPace(),
 	}
 	l.state.Store(&s)
 	return l
@@ -107,7 +110,9 @@
 	for _, e := range effects {
 		switch e := e.(type) {
 		case host.RequestDecision:
-			if !l.toWaiting(e.Decision) {
+			if b, ok := e.Decision.(requests.BreakOff); ok {
+				l.breakOff(b)
+			} else if !l.toWaiting(e.Decision) {
 				own = append(own, e)
 			}
 		case host.HeartbeatAnswer:
--- a/gateway/call.go
+++ b/gateway/call.go
@@ -63,6 +63,7 @@
 	defer cancel()
 	pauseFor(ctx, d.Pause)
 	x := &exchange{server: c.server, dispatch: d, request: c.request, body: c.body}
+	defer c.server.running.end(x)
 	var result outcome.Attempt
 	if d.Route.Kind == config.RouteStream {
 		c.answer, result = x.stream(ctx, &c.relay)
--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -10,6 +10,7 @@
 	"net/http"
 	"strconv"
 	"strings"
+	"sync"
 	"time"
 
 	"github.com/pkg/errors"
@@ -41,6 +42,10 @@
 	conn     *workerConn
 	// sent is when the request had been written.
 	sent time.Time
+	// mu guards brokenOff, which is set once the worker is known to have ended, and the
+	// read deadline that follows from it.
+	mu        sync.Mutex
+	brokenOff bool
 }
 
 // send writes the request. The error says whether a byte may have left.
@@ -58,6 +63,7 @@
 	}
 	_ = conn.SetDeadline(x.dispatch.Deadline)
 	head := x.head(x.server.headers.toWorker(x.request.Header, x.dispatch, left, lastEvent))
+	x.server.running.begin(x)
 	n, err := conn.Write(append(head, x.body...))
 	if err != nil {
 		_ = conn.Close()
@@ -81,6 +87,9 @@
 	}
 	x.boundReads(x.dispatch.HeaderTimeout)
 	_, err := x.conn.reader.Peek(1)
+	if isTimeout(err) && x.isBrokenOff() {
+		return errBrokenOff
+	}
 	if isTimeout(err) && x.server.givesUp(x.dispatch, x.server.now().Sub(x.sent)) {
 		return errHeaderLate
 	}
@@ -97,9 +106,15 @@
 // isSilence tells whether nothing came from a worker in the time allowed.
 func isSilence(err error) bool { return errors.Is(err, errHeaderLate) || isTimeout(err) }
 
-// boundReads bounds the next reads by d, and in any case by the deadline.
+// boundReads bounds the next reads by d, and in any case by the deadline; where the worker
+// has ended, by what may still be on its way.
 func (x *exchange) boundReads(d time.Duration) {
+	x.mu.Lock()
+	defer x.mu.Unlock()
 	by := x.dispatch.Deadline
+	if x.brokenOff {
+		d = breakOffGrace
+	}
 	if limit := x.server.now().Add(d); d > 0 && limit.Before(by) {
 		by = limit
 	}
--- a/gateway/pool.go
+++ b/gateway/pool.go
@@ -42,17 +42,25 @@
 type workerConn struct {
 	net.Conn
 	reader *bufio.Reader
-	worker ident.Target
+	worker process
 	// until is how long the connection may be kept idle.
 	until time.Time
 	fresh bool
 }
 
+// process is one process of a worker: a connection to an earlier one leads nowhere.
+type process struct {
+	id   ident.Target
+	born registry.Incarnation
+}
+
+func processOf(w registry.Worker) process { return process{id: w.ID, born: w.Born} }
+
 // Pool keeps connections to workers. It never sends anything twice.
 type Pool struct {
 	from *net.TCPAddr
 	mu   sync.Mutex
-	idle map[ident.Target][]*workerConn
+	idle map[process][]*workerConn
 	// swept is when idle connections were last looked through.
 	swept time.Time
 	// Dialed counts new connections, Reused those taken up again.
@@ -63,14 +71,14 @@
 // NewPool returns a pool that dials from the given address; nil leaves it to
 // the system.
 func NewPool(from *net.TCPAddr) *Pool {
-	return &Pool{from: from, idle: map[ident.Target][]*workerConn{}}
+	return &Pool{from: from, idle: map[process][]*workerConn{}}
 }
 
 // get returns a connection to the worker: an idle one that is open and silent, or a new
 // one.
 func (p *Pool) get(ctx context.Context, w registry.Worker, now time.Time) (*workerConn, error) {
 	for {
-		c := p.takeIdle(w.ID, now)
+		c := p.takeIdle(processOf(w), now)
 		if c == nil {
 			return p.dial(ctx, w)
 		}
@@ -83,7 +91,7 @@
 	}
 }
 
-func (p *Pool) takeIdle(id ident.Target, now time.Time) *workerConn {
+func (p *Pool) takeIdle(id process, now time.Time) *workerConn {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.sweep(now)
@@ -149,7 +157,7 @@
 			_ = c.Close()
 		}
 	}
-	p.idle = map[ident.Target][]*workerConn{}
+	p.idle = map[process][]*workerConn{}
 }
 
 func (p *Pool) dial(ctx context.Context, w registry.Worker) (*workerConn, error) {
@@ -162,7 +170,7 @@
 		return nil, errors.Wrap(err, "connect")
 	}
 	p.Dialed.Add(1)
-	return &workerConn{Conn: conn, reader: bufio.NewReaderSize(conn, readBuffer), worker: w.ID, fresh: true}, nil
+	return &workerConn{Conn: conn, reader: bufio.NewReaderSize(conn, readBuffer), worker: processOf(w), fresh: true}, nil
 }
 
 // openAndSilent tells whether an idle connection is open and silent: bytes that came
--- a/gateway/server.go
+++ b/gateway/server.go
@@ -81,6 +81,7 @@
 	headers Headers
 	now     func() time.Time
 	observe func(Observation)
+	running running
 	// InFlight counts the requests in progress.
 	InFlight atomic.Int64
 }
--- a/gateway/server_test.go
+++ b/gateway/server_test.go
@@ -71,6 +71,7 @@
 	url     string
 	core    *fakeCore
 	pool    *gateway.Pool
+	server  *gateway.Server
 	workers []*standin.Worker
 	number  int
 }
@@ -101,7 +102,8 @@
 	}
 	b.core.Decide(requests.Registered{Workers: registered})
 	b.core.Decide(requests.Confirmed{Confirmation: confirmation.At(time.Now())})
-	server := httptest.NewServer(gateway.NewServer(gateway.Deps{Core: b.core, Pool: b.pool, Headers: names}))
+	b.server = gateway.NewServer(gateway.Deps{Core: b.core, Pool: b.pool, Headers: names})
+	server := httptest.NewServer(b.server)
 	t.Cleanup(server.Close)
 	t.Cleanup(b.pool.Close)
 	b.url = server.URL
--- a/soak/operator_test.go
+++ b/soak/operator_test.go
@@ -200,7 +200,10 @@
 
 // beat sends a worker's heartbeat to replicas until one takes it.
 func (o *operator) beat(w *soakWorker) (acked bool) {
-	path, body := w.heartbeat()
+	path, body, sent := w.heartbeat()
+	if !sent {
+		return false
+	}
 	for range o.fleet.shape.replicas {
 		if status, _ := o.do(o.anyReplica(), http.MethodPut, path, body); status == http.StatusOK {
 			return true
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -65,6 +65,7 @@
 	x := newFaults(f)
 	settled := make(chan struct{})
 	go func() {
+		x.done.Go(func() { newRestarts(x, o).run(*duration) })
 		x.run(*duration)
 		close(settled)
 	}()
--- a/soak/worker_test.go
+++ b/soak/worker_test.go
@@ -71,6 +71,14 @@
 	faulty float64
 	seq    int
 	state  string
+	// listen is where it listens, server its present process, which started at born; life
+	// counts the starts. down and cut are set while it sends no heartbeats.
+	listen string
+	server *http.Server
+	born   time.Time
+	life   int
+	down   bool
+	cut    bool
 }
 
 const (
@@ -81,16 +89,57 @@
 )
 
 func startWorker(t *testing.T, r *runs, n node, listen, advertised string, seed uint64) *soakWorker {
-	l, err := net.Listen("tcp", listen)
-	require.NoError(t, err)
 	w := &soakWorker{
-		id: fmt.Sprintf("i-%02d-%d", n, seed), node: n, address: advertised, runs: r,
+		id: fmt.Sprintf("i-%02d-%d", n, seed), node: n, address: advertised, runs: r, listen: listen,
 		random: rand.New(rand.NewPCG(seed, uint64(n))), state: "ready",
 	}
+	require.NoError(t, w.start())
+	t.Cleanup(w.crash)
+	return w
+}
+
+// start begins a process: it counts its heartbeats anew.
+func (w *soakWorker) start() error {
+	l, err := net.Listen("tcp", w.listen)
+	if err != nil {
+		return err
+	}
 	server := &http.Server{Handler: w, ReadHeaderTimeout: time.Minute}
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.life++
+	w.server, w.born, w.seq, w.down = server, time.Now(), 0, false
 	go func() { _ = server.Serve(l) }()
-	t.Cleanup(func() { _ = server.Close() })
-	return w
+	return nil
+}
+
+// crash ends the process with all its connections.
+func (w *soakWorker) crash() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.life++
+	w.down = true
+	_ = w.server.Close()
+}
+
+// startAgain starts another process at the same address, as soon as that is free.
+func (w *soakWorker) startAgain() {
+	for w.start() != nil {
+		time.Sleep(holdPoll)
+	}
+}
+
+func (w *soakWorker) setCut(cut bool) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.cut = cut
+}
+
+// lives is the number of the process.
+func (w *soakWorker) lives() int {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.life
 }
 
 func (w *soakWorker) setFaulty(part float64) {
@@ -147,9 +196,10 @@
 	}
 	id := r.Header.Get(names.RequestID)
 	one := &run{worker: w.id, at: time.Now(), account: r.Header.Get(names.Account)}
+	life := w.lives()
 	w.runs.begin(id, one)
 	time.Sleep(workTime)
-	if fault == faultCutsBefore {
+	if fault == faultCutsBefore || w.lives() != life {
 		panic(http.ErrAbortHandler)
 	}
 	out.Header().Set(names.RequestID, id)
@@ -169,7 +219,9 @@
 		}
 		_, _ = io.WriteString(out, text)
 	}
-	w.runs.end(one)
+	if w.lives() == life {
+		w.runs.end(one)
+	}
 }
 
 func (w *soakWorker) stream(out http.ResponseWriter, r *http.Request, id string, fault int) {
@@ -191,13 +243,15 @@
 	}
 }
 
-// heartbeat is the worker's registration; each has a higher sequence.
-func (w *soakWorker) heartbeat() (path, body string) {
+// heartbeat is the worker's registration; each of a process has a higher sequence. sent is
+// false while none is sent.
+func (w *soakWorker) heartbeat() (path, body string, sent bool) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.seq++
-	return "/v1/instances/" + w.id, fmt.Sprintf(`{"Service":"pool","Address":%q,"Zone":"z1","Version":"v1","Slots":%d,"State":%q,"ColdLeftMs":0,"Seq":%d}`,
-		w.address, workerSlots, w.state, w.seq)
+	body = fmt.Sprintf(`{"Service":"pool","Address":%q,"Zone":"z1","Version":"v1","Slots":%d,"State":%q,"ColdLeftMs":0,"Seq":%d,"born":%d}`,
+		w.address, workerSlots, w.state, w.seq, w.born.UnixMilli())
+	return "/v1/instances/" + w.id, body, !w.down && !w.cut
 }
 
 func (w *soakWorker) setState(state string) {
