--- a/core/host/clients.go
+++ b/core/host/clients.go
@@ -72,6 +72,7 @@
 	}
 	t.grantLease(from, m)
 	t.relayedHeartbeats(from, m.Beats)
+	t.replacedReceived(from, m.Replaced)
 	t.replyTo(from, t.clientOf(from, m), m)
 }
 
--- a/core/host/hub.go
+++ b/core/host/hub.go
@@ -148,7 +148,7 @@
 	case t.pollsHubs() && to != t.primaryHub() && t.seeded.hub.choice.Has(to):
 		return nil
 	}
-	return t.requests.Loads()
+	return t.requests.Loads(t.now)
 }
 
 // takeLoads takes the requests of other hosts. A hub keeps them for its group, and adds
--- a/core/host/loadsums.go
+++ b/core/host/loadsums.go
@@ -57,7 +57,7 @@
 		next.parts[id] = c.loads
 	}
 	if t.settings.Serves {
-		next.parts[t.settings.ID] = t.requests.Loads()
+		next.parts[t.settings.ID] = t.requests.Loads(t.now)
 	}
 	next.serving = len(t.liveEntryHosts())
 	next.total = loads.Sum(maps.Values(next.parts))
--- a/core/host/message.go
+++ b/core/host/message.go
@@ -147,6 +147,8 @@
 		// Grouped is set where Group, the hosts that this hub counts, is reported.
 		Grouped bool
 		Group   []hubs.Host
+		// Replaced are workers at whose address another process answered lately.
+		Replaced []ReplacedWorker
 	}
 	// PollReply replies to a Poll, or is an update with Round 0. Its fields travel by
 	// their names, so they keep them.
--- a/core/host/polling.go
+++ b/core/host/polling.go
@@ -74,10 +74,10 @@
 	if t.isHub() {
 		group, grouped = t.groupReport()
 	}
-	inForce := t.inForceReport()
+	inForce, replaced := t.inForceReport(), t.replacedReport()
 	for _, h := range hosts {
 		m := t.poll(h)
-		m.InForce = inForce
+		m.InForce, m.Replaced = inForce, replaced
 		m.Beats, m.Group, m.Grouped = registry.Pack(heartbeats[h]), group, grouped
 		t.sendPoll(h, m)
 	}
--- a/core/host/seeded.go
+++ b/core/host/seeded.go
@@ -64,6 +64,8 @@
 	// place.
 	relay  relay.State
 	relays []hubs.Host
+	// replacements are the workers that clients of this hub found replaced.
+	replacements requests.Replacements
 	// lookedAt is when the registrations were last looked over.
 	lookedAt time.Time
 	// membership is what a replica keeps of the replicas that ask to be taken in.
--- a/core/registry/address.go
+++ b/core/registry/address.go
@@ -4,6 +4,7 @@
 
 import (
 	"slices"
+	"time"
 
 	"github.com/yardhall/yardhall/core/ident"
 	"github.com/yardhall/yardhall/core/table"
@@ -53,6 +54,19 @@
 	return r.with(e, w, e.lastSeen)
 }
 
+// WithReplaced takes an observation that another process answered at a worker's address at
+// seenAt, where nothing was heard of the worker since: until its next heartbeat it counts
+// as silent.
+func (r Registry) WithReplaced(id ident.Target, born Incarnation, seenAt time.Time) (next Registry, changed bool) {
+	e, known := r.workers.Get(id)
+	w := e.worker()
+	if !known || w.State != Ready || w.Born != born || e.lastSeen.After(seenAt) {
+		return r, false
+	}
+	w.State = Silent
+	return r.with(e, w, e.lastSeen), true
+}
+
 // claim is a row of heartbeats of a process that seems to have started before the one
 // known, or that gives its start for the first time after a deregistration without one. A
 // worker whose clock was set back before it started again looks like that. Its claim is
--- a/core/requests/builder_test.go
+++ b/core/requests/builder_test.go
@@ -48,8 +48,11 @@
 }
 
 // ready returns a gateway with a confirmed table and n workers in each pool.
-func ready(n int) requests.State {
-	s := requests.New(requests.Settings{Zone: "z"}).WithConfig(table()).WithHosts(1)
+func ready(n int) requests.State { return readyWith(requests.Settings{Zone: "z"}, n) }
+
+// readyWith is ready with settings of its own.
+func readyWith(set requests.Settings, n int) requests.State {
+	s := requests.New(set).WithConfig(table()).WithHosts(1)
 	s, _ = requests.Reduce(s, requests.Registered{From: "r", Workers: append(workers("plain", n), workers("engines", n)...)}, start)
 	s, _ = requests.Reduce(s, requests.Confirmed{Confirmation: confirmation.At(start)}, start)
 	return s
--- /dev/null
+++ b/core/requests/fleet_test.go
@@ -0,0 +1,572 @@
+// Copyright 2026 The Yardhall Authors. Licensed under the Apache License, Version 2.0.
+
+package requests_test
+
+import (
+	"cmp"
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"github.com/yardhall/yardhall/core/config"
+	"github.com/yardhall/yardhall/core/confirmation"
+	"github.com/yardhall/yardhall/core/ident"
+	"github.com/yardhall/yardhall/core/loads"
+	"github.com/yardhall/yardhall/core/outcome"
+	"github.com/yardhall/yardhall/core/registry"
+	"github.com/yardhall/yardhall/core/requests"
+)
+
+// A fleet in simulated time: hundreds of hosts, each with its own State, before engines that
+// read prompts, keep what they read, and make tokens. Hosts learn of each other's requests
+// late. It shows what callers get from the choice of engines: who finds a prefix read,
+// what is read again, and how far engines are loaded.
+
+// kind is one kind of request, as callers send it.
+type kind struct {
+	path      string
+	perSecond float64
+	// system and subject are the tokens of the parts that requests share, systems and
+	// subjects how many of each there are; own are the tokens of a request's own part.
+	system, subject, own int
+	systems, subjects    int
+	// tokensOut is how many tokens are made.
+	tokensOut int
+	// objective is the time to the first token.
+	objective time.Duration
+}
+
+// load describes a fleet and its traffic.
+type load struct {
+	hosts, engines, zones int
+	kinds                 []kind
+	// reportAge is how old the loads of other hosts are when a host takes them.
+	reportAge time.Duration
+	// hot is the share of the first kind that is about one subject, from hotFrom to hotTo.
+	hot            float64
+	hotFrom, hotTo time.Duration
+	// burst multiplies all traffic, from hotFrom to hotTo.
+	burst float64
+	// replacedEach, where set, is the time between two engines that are replaced: a new one
+	// joins, an old one leaves.
+	replacedEach time.Duration
+	// replaced is the share of engines at whose addresses another process answers from
+	// hotFrom to hotTo; unreported leaves it to each host to find out, and keeps what hosts
+	// send once more from each other.
+	replaced   float64
+	unreported bool
+}
+
+// hallsLoad is the traffic of many small hosts before lightly loaded engines: long prompts
+// that share most of their tokens, short ones, and labels of a few tokens.
+func hallsLoad() load {
+	return load{
+		hosts: 295, engines: 160, zones: 5, reportAge: 700 * time.Millisecond, burst: 1,
+		kinds: []kind{
+			{path: "/plan/x", perSecond: 128, system: 512, subject: 10000, own: 1300, systems: 3, subjects: 287, tokensOut: 378, objective: 1200 * time.Millisecond},
+			{path: "/brief/x", perSecond: 228, system: 119, subject: 580, own: 130, systems: 32, subjects: 513, tokensOut: 294, objective: 600 * time.Millisecond},
+			{path: "/tag/x", perSecond: 196, system: 341, subject: 1700, own: 360, systems: 80, subjects: 991, tokensOut: 28, objective: 800 * time.Millisecond},
+		},
+	}
+}
+
+// How engines work: tokens read in a millisecond, the time of a step and what each request
+// adds to it, the tokens kept, and the size of a token.
+const (
+	readPerMs   = 48.2
+	stepMs      = 2.6
+	stepMsEach  = 0.12
+	keptTokens  = 423_395
+	simStep     = 10 * time.Millisecond
+	reportEvery = 300 * time.Millisecond
+	engineSlots = 64
+	subjectSkew = 0.3
+	// readAgainWithin is how recently an engine must have used a part for another one's
+	// reading of it to count as reading again.
+	readAgainWithin = 10 * time.Second
+)
+
+// job is a request at an engine.
+type job struct {
+	id      ident.Request
+	host    int
+	attempt int
+	kind    *kind
+	route   string
+	parts   []requests.Part
+	from    string
+	// unread are prompt tokens still to be read, left the tokens still to be made.
+	unread float64
+	left   float64
+	first  bool
+}
+
+// simEngine is one engine.
+type simEngine struct {
+	worker  registry.Worker
+	jobs    []*job
+	kept    map[string]keptPart
+	tokens  int
+	leaving bool
+	// replaced is set where another process may answer at the address.
+	replaced bool
+}
+
+type keptPart struct {
+	tokens int
+	used   time.Time
+}
+
+// simRequest is a request in progress.
+type simRequest struct {
+	kind    *kind
+	request requests.Request
+	arrived time.Time
+}
+
+// simFleet is the fleet.
+type simFleet struct {
+	load    load
+	random  *rand.Rand
+	now     time.Time
+	began   time.Time
+	hosts   []requests.State
+	engines []*simEngine
+	byAddr  map[string]*simEngine
+	calls   map[ident.Request]simRequest
+	sizes   map[string]int
+	reports []loadReport
+	added   int
+	figures figures
+	// from is when counting begins.
+	from time.Time
+}
+
+// loadReport is what all hosts had at engines, as of a time.
+type loadReport struct {
+	asOf  time.Time
+	total loads.Digest
+	own   []loads.Digest
+	// silent are the workers that a replica takes for silent.
+	silent []registry.Worker
+}
+
+// figures are what callers got.
+type figures struct {
+	requests, first, beyondFifth int
+	// tokens are all prompt tokens, read those that engines read, readAgain those of shared
+	// parts that another engine kept, moved those taken over from another engine.
+	tokens, read, readAgain, moved int
+	// over counts the requests that reached an engine above the bound that callers were
+	// promised; worst is the most that any engine had over that bound.
+	over  int
+	worst float64
+	// late are those whose first token came after the objective, waits the times to it.
+	late  int
+	waits []float64
+	// declined counts the attempts that met another process, refused the requests that
+	// ended without an answer.
+	declined, refused int
+}
+
+func (f figures) share(n int) float64 { return float64(n) / float64(max(1, f.requests)) }
+
+// wait is a quantile of the times to the first token, in milliseconds.
+func (f figures) wait(q float64) float64 {
+	if len(f.waits) == 0 {
+		return 0
+	}
+	slices.Sort(f.waits)
+	return f.waits[int(q*float64(len(f.waits)-1))]
+}
+
+func (f figures) String() string {
+	return fmt.Sprintf("%d requests: first engine %.3f, beyond the fifth %.3f; of %d thousand tokens read %.3f, again %.4f, moved %.3f; over the bound %.4f, worst %.2f; late %.4f, first token p50 %.0f p99 %.0f ms; declined %d, refused %d",
+		f.requests, f.share(f.first), f.share(f.beyondFifth), f.tokens/1000, float64(f.read)/float64(max(1, f.tokens)),
+		float64(f.readAgain)/float64(max(1, f.tokens)), float64(f.moved)/float64(max(1, f.tokens)),
+		f.share(f.over), f.worst, f.share(f.late), f.wait(0.5), f.wait(0.99), f.declined, f.refused)
+}
+
+func newSimFleet(l load, seed uint64) *simFleet {
+	f := &simFleet{
+		load: l, random: rand.New(rand.NewPCG(seed, 1)), now: start, began: start,
+		byAddr: map[string]*simEngine{}, calls: map[ident.Request]simRequest{}, sizes: map[string]int{},
+	}
+	for range l.engines {
+		f.addEngine()
+	}
+	all := make([]registry.Worker, 0, l.engines)
+	for _, e := range f.engines {
+		all = append(all, e.worker)
+	}
+	for i := range l.hosts {
+		zone := ident.Zone(fmt.Sprint("z", i%l.zones))
+		s := requests.New(requests.Settings{Zone: zone, RetryExtra: 630}).WithConfig(f.table()).WithHosts(l.hosts)
+		s, _ = requests.Reduce(s, requests.Registered{From: "r", Workers: all}, f.now)
+		s, _ = requests.Reduce(s, requests.Confirmed{Confirmation: confirmation.At(f.now.Add(24 * time.Hour))}, f.now)
+		f.hosts = append(f.hosts, s)
+	}
+	return f
+}
+
+// table has a route for each kind of request, to one pool of engines.
+func (f *simFleet) table() config.RouteTable {
+	t := config.RouteTable{Number: 1, Pools: []config.Pool{{ID: "engines", Engine: true, Moves: true}}}
+	for _, k := range f.load.kinds {
+		t.Routes = append(t.Routes, config.Route{
+			Name: k.path, Host: "a.example", Prefix: k.path[:len(k.path)-1], Kind: config.RouteStream, Public: true,
+			Resumable: k.path != "/brief/x", Timeout: config.Duration(12 * time.Second), Objective: config.Duration(k.objective),
+			MaxAttempts: 2, Shares: []config.Share{{Pool: "engines", Weight: 1}},
+		})
+	}
+	return t
+}
+
+func (f *simFleet) addEngine() *simEngine {
+	i := f.added
+	f.added++
+	e := &simEngine{kept: map[string]keptPart{}, worker: registry.Worker{
+		ID: ident.Target(fmt.Sprintf("e-%04x", i*7919)), Pool: "engines", Zone: ident.Zone(fmt.Sprint("z", i%f.load.zones)),
+		Address: fmt.Sprintf("10.0.%d.%d:80", i/250, i%250), Slots: engineSlots, Seq: 1,
+	}}
+	e.replaced = f.random.Float64() < f.load.replaced
+	f.engines = append(f.engines, e)
+	f.byAddr[e.worker.Address] = e
+	return e
+}
+
+// run lets time pass; counting begins after warm.
+func (f *simFleet) run(warm, counted time.Duration) figures {
+	f.from = f.now.Add(warm)
+	nextReport, nextReplaced := f.now, f.now.Add(warm)
+	for end := f.from.Add(counted); f.now.Before(end); f.now = f.now.Add(simStep) {
+		if !f.now.Before(nextReport) {
+			nextReport = f.now.Add(reportEvery)
+			f.report()
+		}
+		if f.load.replacedEach > 0 && !f.now.Before(nextReplaced) {
+			nextReplaced = f.now.Add(f.load.replacedEach)
+			f.replaceEngine()
+		}
+		f.deliverReports()
+		f.arrivals()
+		for _, e := range f.engines {
+			f.work(e)
+		}
+	}
+	return f.figures
+}
+
+// surging tells whether the load's surge goes on.
+func (f *simFleet) surging() bool {
+	at := f.now.Sub(f.began)
+	return at >= f.load.hotFrom && at < f.load.hotTo
+}
+
+// report notes the loads of all hosts, which they take reportAge later.
+func (f *simFleet) report() {
+	r := loadReport{asOf: f.now}
+	for _, h := range f.hosts {
+		r.own = append(r.own, h.Loads(f.now))
+	}
+	r.total = loads.Sum(slices.Values(r.own))
+	if f.load.unreported {
+		r.total = withoutLending(r.total)
+	} else {
+		r.silent = f.silentWorkers()
+	}
+	f.reports = append(f.reports, r)
+}
+
+// deliverReports hands each host the reports that have become old enough, hosts one after
+// the other within the time between two reports.
+func (f *simFleet) deliverReports() {
+	steps := int(reportEvery / simStep)
+	for i := range f.hosts {
+		delay := f.load.reportAge + time.Duration(i%steps)*simStep
+		for _, r := range f.reports {
+			if age := f.now.Sub(r.asOf); age >= delay && age < delay+simStep {
+				f.feed(i, requests.LoadsReported{Loads: r.total.Without(r.own[i]), AsOf: r.asOf})
+				f.feed(i, requests.Registered{From: "r", Workers: r.silent})
+			}
+		}
+	}
+	f.reports = slices.DeleteFunc(f.reports, func(r loadReport) bool { return f.now.Sub(r.asOf) > 2*f.load.reportAge+time.Second })
+}
+
+// silentWorkers are those that hosts have found replaced, as replicas then report them.
+func (f *simFleet) silentWorkers() []registry.Worker {
+	var out []registry.Worker
+	for _, h := range f.hosts {
+		for _, one := range h.Replaced().Lately(f.now) {
+			if w, ok := h.Worker(one.Worker); ok {
+				w.State = registry.Silent
+				out = append(out, w)
+			}
+		}
+	}
+	return out
+}
+
+// withoutLending returns a report by which the fleet's budget is used up.
+func withoutLending(d loads.Digest) loads.Digest {
+	c := d.Counts()
+	c[loads.TagOf("retries of engines")] = 1 << 19
+	return loads.Pack(c)
+}
+
+// feed gives a host an event and begins what it dispatches.
+func (f *simFleet) feed(host int, ev requests.Event) {
+	next, decisions := requests.Reduce(f.hosts[host], ev, f.now)
+	f.hosts[host] = next
+	for _, d := range decisions {
+		switch d := d.(type) {
+		case requests.Dispatch:
+			f.begin(host, d)
+		case requests.Finish:
+			delete(f.calls, d.Request)
+			if d.Verdict.Code != requests.CodeOK && !f.now.Before(f.from) {
+				f.figures.refused++
+			}
+		}
+	}
+}
+
+// arrivals draws the requests of one step.
+func (f *simFleet) arrivals() {
+	for i := range f.load.kinds {
+		k := &f.load.kinds[i]
+		rate := k.perSecond
+		if f.surging() {
+			rate *= f.load.burst
+		}
+		for range f.poisson(rate * simStep.Seconds()) {
+			f.arrive(i, k)
+		}
+	}
+}
+
+func (f *simFleet) poisson(mean float64) int {
+	n, p, limit := 0, f.random.Float64(), math.Exp(-mean)
+	for p > limit {
+		p *= f.random.Float64()
+		n++
+	}
+	return n
+}
+
+// arrive draws a request of a kind, and the host that it comes to.
+func (f *simFleet) arrive(number int, k *kind) {
+	subject := f.zipf(k.subjects)
+	if number == 0 && f.surging() && f.random.Float64() < f.load.hot {
+		subject = 0
+	}
+	system := subject % k.systems
+	name := func(what string, i int) string { return fmt.Sprint(k.path, what, i) }
+	r := requests.Request{
+		ID: ident.Request(fmt.Sprintf("%016x", f.random.Uint64())), Host: "a.example", Path: k.path,
+		Deadline: f.now.Add(12 * time.Second),
+	}
+	own := 1 + int(f.random.ExpFloat64()*float64(k.own))
+	r.Prompt.Parts = []requests.Part{
+		{ID: name("system", system), Tokens: f.size(name("system", system), k.system)},
+		{ID: name("subject", subject), Tokens: f.size(name("subject", subject), k.subject)},
+		{ID: string(r.ID), Tokens: own},
+	}
+	r.Prompt.Model, r.Prompt.TokensOut = "m", k.tokensOut
+	for _, p := range r.Prompt.Parts {
+		r.Prompt.TokensIn += p.Tokens
+	}
+	f.calls[r.ID] = simRequest{kind: k, request: r, arrived: f.now}
+	f.feed(f.random.IntN(len(f.hosts)), requests.Arrived{Request: r})
+}
+
+// size is how many tokens a shared part has: the same each time.
+func (f *simFleet) size(part string, mean int) int {
+	if n, ok := f.sizes[part]; ok {
+		return n
+	}
+	n := 1 + int(float64(mean)*math.Exp(0.5*f.random.NormFloat64()-0.125))
+	f.sizes[part] = n
+	return n
+}
+
+// zipf draws one of n things, the first ones more often.
+func (f *simFleet) zipf(n int) int {
+	return min(n-1, int(float64(n)*math.Pow(f.random.Float64(), 1/(1-subjectSkew))))
+}
+
+// begin starts a request at the engine that its host chose.
+func (f *simFleet) begin(host int, d requests.Dispatch) {
+	e, call := f.byAddr[d.Worker.Address], f.calls[d.Request]
+	if e.replaced && f.surging() {
+		f.figures.declined++
+		f.feed(host, requests.AttemptEnded{
+			Request: d.Request, Attempt: d.Attempt, Result: outcome.Declined{Leaving: true}, Wanted: true,
+		})
+		return
+	}
+	j := &job{
+		id: d.Request, host: host, attempt: d.Attempt, kind: call.kind, route: d.Route.Name,
+		parts: call.request.Prompt.Parts, from: d.CacheFrom, left: float64(call.kind.tokensOut),
+	}
+	f.count(e, j, d)
+	e.jobs = append(e.jobs, j)
+}
+
+// count takes a dispatch into the figures.
+func (f *simFleet) count(e *simEngine, j *job, d requests.Dispatch) {
+	total, engines := 0, 0
+	for _, other := range f.engines {
+		if !other.leaving {
+			total += len(other.jobs)
+			engines++
+		}
+	}
+	own, shared, moved, again := f.toRead(e, j)
+	j.unread = float64(own + shared)
+	if f.now.Before(f.from) {
+		return
+	}
+	g := &f.figures
+	g.requests++
+	if d.Inputs.Choice == 0 {
+		g.first++
+	}
+	if d.Inputs.Choice >= 5 { //nolint:mnd // The fifth.
+		g.beyondFifth++
+	}
+	for _, p := range j.parts {
+		g.tokens += p.Tokens
+	}
+	g.read += own + shared
+	g.moved += moved
+	g.readAgain += again
+	promised := requests.DefaultLoadFactor*float64(total)/float64(engines) + promisedSlack
+	if float64(len(e.jobs)) > promised {
+		g.over++
+	}
+	g.worst = max(g.worst, float64(len(e.jobs)+1)/promised)
+}
+
+// promisedSlack is how many requests an engine may have beyond the multiple of the mean.
+const promisedSlack = 3
+
+// toRead is what an engine must read of a prompt: tokens of the request's own and of shared
+// parts; moved are shared tokens taken over, again those read though another engine keeps
+// them.
+func (f *simFleet) toRead(e *simEngine, j *job) (own, shared, moved, again int) {
+	source := f.byAddr[j.from]
+	holds := func(e *simEngine, part string) bool {
+		if e == nil {
+			return false
+		}
+		_, ok := e.kept[part]
+		return ok
+	}
+	here, there := true, true
+	for i, p := range j.parts {
+		here = here && holds(e, p.ID)
+		there = there && (here || holds(source, p.ID))
+		switch {
+		case i == len(j.parts)-1:
+			own = p.Tokens
+		case here:
+		case there:
+			moved += p.Tokens
+		default:
+			shared += p.Tokens
+			if f.keptElsewhere(e, p.ID) {
+				again += p.Tokens
+			}
+		}
+	}
+	for _, p := range j.parts[:len(j.parts)-1] {
+		e.keep(p, f.now)
+	}
+	return own, shared, moved, again
+}
+
+// keptElsewhere tells whether another engine has used a part recently.
+func (f *simFleet) keptElsewhere(but *simEngine, part string) bool {
+	return slices.ContainsFunc(f.engines, func(e *simEngine) bool {
+		k, ok := e.kept[part]
+		return e != but && ok && f.now.Sub(k.used) < readAgainWithin
+	})
+}
+
+// keep notes that an engine keeps a part; the parts unused longest give way.
+func (e *simEngine) keep(p requests.Part, now time.Time) {
+	if _, ok := e.kept[p.ID]; !ok {
+		e.tokens += p.Tokens
+	}
+	e.kept[p.ID] = keptPart{p.Tokens, now}
+	for e.tokens > keptTokens {
+		oldest := ""
+		for id, k := range e.kept {
+			if oldest == "" || k.used.Before(e.kept[oldest].used) || k.used.Equal(e.kept[oldest].used) && id < oldest {
+				oldest = id
+			}
+		}
+		e.tokens -= e.kept[oldest].tokens
+		delete(e.kept, oldest)
+	}
+}
+
+// work lets an engine read and make tokens for one step.
+func (f *simFleet) work(e *simEngine) {
+	ms := float64(simStep) / float64(time.Millisecond)
+	budget := readPerMs * ms
+	made := ms / (stepMs + stepMsEach*float64(len(e.jobs)))
+	var ended []*job
+	for _, j := range e.jobs {
+		if j.unread > 0 {
+			part := min(budget, j.unread)
+			j.unread -= part
+			budget -= part
+			continue
+		}
+		if !j.first {
+			j.first = true
+			f.answerBegins(e, j)
+		}
+		j.left -= made
+		if j.left <= 0 {
+			ended = append(ended, j)
+		}
+	}
+	for _, j := range ended {
+		e.jobs = slices.DeleteFunc(e.jobs, func(other *job) bool { return other == j })
+		f.feed(j.host, requests.AttemptEnded{Request: j.id, Attempt: j.attempt, Result: outcome.Answered{Status: 200}, Wanted: true})
+	}
+}
+
+// answerBegins tells a host that the first token has come.
+func (f *simFleet) answerBegins(e *simEngine, j *job) {
+	took := f.now.Sub(f.calls[j.id].arrived)
+	f.feed(j.host, requests.HeaderReceived{
+		Worker: e.worker.ID, Route: j.route, Took: took, Load: requests.Load{Running: len(e.jobs), Slots: engineSlots},
+	})
+	if f.now.Before(f.from) {
+		return
+	}
+	f.figures.waits = append(f.figures.waits, float64(took)/float64(time.Millisecond))
+	if took > j.kind.objective {
+		f.figures.late++
+	}
+}
+
+// replaceEngine has a new engine join and the oldest one leave; all hosts know at once.
+func (f *simFleet) replaceEngine() {
+	old := f.engines[slices.IndexFunc(f.engines, func(e *simEngine) bool { return !e.leaving })]
+	old.leaving = true
+	old.worker.State, old.worker.Seq = registry.Draining, 2
+	next := f.addEngine()
+	for i := range f.hosts {
+		f.feed(i, requests.Registered{From: "r", Workers: []registry.Worker{next.worker, old.worker}})
+	}
+	f.engines = slices.DeleteFunc(f.engines, func(e *simEngine) bool { return e.leaving && len(e.jobs) == 0 && e != old })
+	slices.SortStableFunc(f.engines, func(a, b *simEngine) int { return cmp.Compare(a.worker.Address, b.worker.Address) })
+}
--- a/core/requests/load.go
+++ b/core/requests/load.go
@@ -36,14 +36,16 @@
 	return s.reported[w.tag], s.reportedAsOf
 }
 
-// Loads returns the requests of this host at each worker that has any.
-func (s State) Loads() loads.Digest {
+// Loads returns the requests of this host at each worker that has any, and what it has sent
+// once more to each pool.
+func (s State) Loads(now time.Time) loads.Digest {
 	own := loads.Counts{}
 	for _, w := range s.workers.All() {
 		if w.inFlight > 0 {
 			own[w.tag] += w.inFlight
 		}
 	}
+	s.addRetries(own, now)
 	return loads.Pack(own)
 }
 
--- a/core/requests/requests.go
+++ b/core/requests/requests.go
@@ -19,10 +19,12 @@
 //	cachesource.go    from which engine a prompt's prefix is taken over
 //	load.go           what is known of a worker's load
 //	attempt.go        what follows an attempt
-//	retry.go          how many attempts, out of which budget
+//	retry.go          how many attempts a request has
+//	retrybudget.go    how many a host may send once more, and what others lend it
 //	resend.go         when a declined request returns to the same worker
 //	timeouts.go       when an attempt is given up
 //	workerhealth.go   what an attempt tells of its worker
+//	replaced.go       what is reported of workers whose address has another process
 //	restart.go        what ends where a worker starts again under its id
 //	zones.go          when a zone is unreachable
 //
@@ -113,8 +115,10 @@
 	// addresses tell which workers share one, forgotAt when workers were last forgotten.
 	addresses registry.Addresses
 	forgotAt  time.Time
-	calls     table.Table[ident.Request, call]
-	budgets   table.Table[ident.Service, budget]
+	// replacements are the workers that this host found replaced.
+	replacements Replacements
+	calls        table.Table[ident.Request, call]
+	budgets      table.Table[ident.Service, budget]
 	// headerTimes are how long answers take to begin, by route.
 	headerTimes table.Table[string, headerTimes]
 	// reported are the requests of other hosts at workers, as of reportedAsOf; never
@@ -147,6 +151,8 @@
 	Unknown    uint64
 	// NoBudget counts retries that the budget did not allow.
 	NoBudget uint64
+	// RetriesLent counts those that were sent out of what other hosts left.
+	RetriesLent uint64
 	// Overflowed counts requests that their preferred engine had no room for.
 	Overflowed uint64 `json:"Spilled"`
 	// Waited counts requests that waited for this host to start, WaitedUnserved is the
@@ -238,6 +244,7 @@
 		t.registered(ev)
 	case LoadsReported:
 		t.reported, t.reportedAsOf = ev.Loads.Counts(), ev.AsOf
+		t.lendRetries()
 	case Confirmed:
 		t.confirmed = t.confirmed.Newest(ev.Confirmation)
 	case ProbeEnded:
--- a/core/requests/restart_test.go
+++ b/core/requests/restart_test.go
@@ -45,10 +45,11 @@
 	return w
 }
 
+// countIn is how many requests a digest has at the plain workers of a gateway.
 func countIn(d loads.Digest) int {
 	n := 0
-	for _, count := range d.All() {
-		n += count
+	for _, w := range workers("plain", 2) {
+		n += d.Counts()[loads.TagOf(w.ID)]
 	}
 	return n
 }
@@ -60,10 +61,10 @@
 	for path, repeatable := range map[string]bool{"/safe/x": true, "/unsafe/x": false} {
 		s, d := arrive(t, bornReady(2), request("1", path), start)
 		first := d.(requests.Dispatch)
-		require.Equal(t, 1, countIn(s.Loads()))
+		require.Equal(t, 1, countIn(s.Loads(start)))
 		s, decisions := register(s, startedAgain(first.Worker), start)
 		require.Equal(t, requests.BreakOff{Request: "1", Attempt: first.Attempt}, only(t, decisions))
-		require.Zero(t, countIn(s.Loads()), "the new process has none of it")
+		require.Zero(t, countIn(s.Loads(start)), "the new process has none of it")
 		s, decisions = requests.Reduce(s, requests.AttemptEnded{
 			Request: "1", Attempt: first.Attempt, Result: outcome.Broken{Silent: true}, Wanted: true,
 		}, start)
@@ -71,11 +72,11 @@
 		case requests.Dispatch:
 			require.True(t, repeatable, path)
 			require.NotEqual(t, first.Worker.ID, next.Worker.ID)
-			require.Equal(t, 1, countIn(s.Loads()))
+			require.Equal(t, 1, countIn(s.Loads(start)))
 		case requests.Finish:
 			require.False(t, repeatable, path)
 			require.Equal(t, outcome.Unknown, next.Verdict.Outcome)
-			require.Zero(t, countIn(s.Loads()))
+			require.Zero(t, countIn(s.Loads(start)))
 		}
 		_, decisions = register(s, first.Worker, start)
 		require.Empty(t, decisions, "a late registration of the earlier process")
--- a/core/requests/retry_test.go
+++ b/core/requests/retry_test.go
@@ -4,11 +4,15 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
+	"time"
 
 	"github.com/stretchr/testify/require"
 
+	"github.com/yardhall/yardhall/core/confirmation"
 	"github.com/yardhall/yardhall/core/ident"
+	"github.com/yardhall/yardhall/core/loads"
 	"github.com/yardhall/yardhall/core/outcome"
 	"github.com/yardhall/yardhall/core/requests"
 )
@@ -39,3 +43,70 @@
 	require.LessOrEqual(t, float64(dispatched-total), requests.BudgetUsed*(requests.DefaultRetryShare*total+requests.DefaultRetryExtra/hosts)+1)
 	require.Greater(t, dispatched, total)
 }
+
+// TestLentRetriesStayWithinTheFleetsAllowance has every first attempt of many hosts fail at
+// once and for long, and reports of their spending come late: what all send once more in any
+// window stays within the fleet's allowance, and more of it is used than without lending.
+func TestLentRetriesStayWithinTheFleetsAllowance(t *testing.T) {
+	const (
+		hosts, perSecond, seconds = 60, 120, 40
+		extra, window             = 300.0, 10
+	)
+	run := func(lends bool) (most, total int) {
+		states := make([]requests.State, hosts)
+		for i := range states {
+			states[i] = readyWith(requests.Settings{Zone: "z", RetryExtra: extra}, 8).WithHosts(hosts)
+		}
+		var reports []loads.Digest
+		sent := make([]int, seconds)
+		for tick := range seconds * perSecond {
+			now := start.Add(time.Duration(tick) * time.Second / perSecond)
+			i := tick * 7 % hosts
+			id := ident.Request(fmt.Sprint("r", tick))
+			states[i], _ = requests.Reduce(states[i], requests.Confirmed{Confirmation: confirmation.At(now)}, now)
+			var d requests.Decision
+			states[i], d = arrive(t, states[i], request(string(id), "/safe/x"), now)
+			_, decisions := requests.Reduce(states[i], requests.AttemptEnded{
+				Request: id, Attempt: d.(requests.Dispatch).Attempt, Result: outcome.Declined{}, Wanted: true,
+			}, now)
+			states[i], _ = requests.Reduce(states[i], requests.AttemptEnded{
+				Request: id, Attempt: d.(requests.Dispatch).Attempt, Result: outcome.Declined{}, Wanted: true,
+			}, now)
+			if again, ok := only(t, decisions).(requests.Dispatch); ok {
+				sent[tick/perSecond]++
+				states[i], _ = requests.Reduce(states[i], requests.AttemptEnded{
+					Request: id, Attempt: again.Attempt, Result: outcome.Answered{Status: 200}, Wanted: true,
+				}, now)
+			}
+			if tick%(perSecond/3) == 0 {
+				own := make([]loads.Digest, 0, hosts)
+				for h := range states {
+					own = append(own, states[h].Loads(now))
+				}
+				reports = append(reports, loads.Sum(slices.Values(own)))
+				if late := len(reports) - 3; lends && late >= 0 { // About a second old.
+					for h := range states {
+						states[h], _ = requests.Reduce(states[h], requests.LoadsReported{Loads: reports[late], AsOf: now.Add(-time.Second)}, now)
+					}
+				}
+			}
+		}
+		for from := range seconds - window {
+			sum := 0
+			for _, n := range sent[from : from+window] {
+				sum += n
+			}
+			most = max(most, sum)
+		}
+		for _, n := range sent {
+			total += n
+		}
+		return most, total
+	}
+	_, alone := run(false)
+	most, together := run(true)
+	allowance := requests.BudgetUsed * (requests.DefaultRetryShare*perSecond*window + extra)
+	t.Logf("in all: %d alone, %d with lending, of which %d in %d s, %.0f allowed", alone, together, most, window, allowance)
+	require.LessOrEqual(t, float64(most), allowance)
+	require.Greater(t, together, alone)
+}
--- a/core/requests/workerhealth.go
+++ b/core/requests/workerhealth.go
@@ -33,6 +33,7 @@
 		w, _ = t.workers.Get(c.target)
 	}
 	before := w.healthy(t.now)
+	t.noteReplaced(w, a)
 	w = w.withResult(a, t.now)
 	t.workers = t.workers.With(c.target, w)
 	if after := w.healthy(t.now); after != before {
--- a/peers/forms_test.go
+++ b/peers/forms_test.go
@@ -61,7 +61,14 @@
 	types := host.WireTypes()
 	forms := make([]formtest.Form, 0, len(types))
 	for _, w := range types {
-		forms = append(forms, gobForm("type-"+w.Name, carrier{Value: filled(w.Value)}))
+		name, value := "type-"+w.Name, filled(w.Value)
+		if poll, ok := value.(host.Poll); ok {
+			// The first programs that sent polls did not report replaced workers.
+			forms = append(forms, gobForm(name+"-replaced", carrier{Value: poll}))
+			poll.Replaced = nil
+			value = poll
+		}
+		forms = append(forms, gobForm(name, carrier{Value: value}))
 	}
 	forms = append(forms, gobForm("hello", filled(Hello{})), gobForm("batch", filled(Batch{})), gobForm("ack", filled(Ack{})))
 	all, err := formtest.Check(string(text), *addForms, forms)
