--- a/core/raft/options.go
+++ b/core/raft/options.go
@@ -3,6 +3,7 @@
 package raft
 
 import (
+	"cmp"
 	"time"
 )
 
@@ -30,17 +31,9 @@
 }
 
 func (o Options) withDefaults() Options {
-	if o.Election == 0 {
-		o.Election = DefaultElection
-	}
-	if o.Heartbeat == 0 {
-		o.Heartbeat = DefaultHeartbeat
-	}
-	if o.MaxBatch == 0 {
-		o.MaxBatch = DefaultMaxBatch
-	}
-	if o.Chunk == 0 {
-		o.Chunk = DefaultChunk
-	}
+	o.Election = cmp.Or(o.Election, DefaultElection)
+	o.Heartbeat = cmp.Or(o.Heartbeat, DefaultHeartbeat)
+	o.MaxBatch = cmp.Or(o.MaxBatch, DefaultMaxBatch)
+	o.Chunk = cmp.Or(o.Chunk, DefaultChunk)
 	return o
 }
--- a/core/requests/requests.go
+++ b/core/requests/requests.go
@@ -39,6 +39,7 @@
 package requests
 
 import (
+	"cmp"
 	"iter"
 	"time"
 
@@ -84,21 +85,11 @@
 )
 
 func (s Settings) withDefaults() Settings {
-	if s.KeyLease == 0 {
-		s.KeyLease = DefaultKeyLease
-	}
-	if s.RetryShare == 0 {
-		s.RetryShare = DefaultRetryShare
-	}
-	if s.RetryExtra == 0 {
-		s.RetryExtra = DefaultRetryExtra
-	}
-	if s.LoadFactor == 0 {
-		s.LoadFactor = DefaultLoadFactor
-	}
-	if s.LoadSlack == 0 {
-		s.LoadSlack = DefaultLoadSlack
-	}
+	s.KeyLease = cmp.Or(s.KeyLease, DefaultKeyLease)
+	s.RetryShare = cmp.Or(s.RetryShare, DefaultRetryShare)
+	s.RetryExtra = cmp.Or(s.RetryExtra, DefaultRetryExtra)
+	s.LoadFactor = cmp.Or(s.LoadFactor, DefaultLoadFactor)
+	s.LoadSlack = cmp.Or(s.LoadSlack, DefaultLoadSlack)
 	return s
 }
 
--- a/core/routing/directory.go
+++ b/core/routing/directory.go
@@ -3,6 +3,8 @@
 package routing
 
 import (
+	"cmp"
+
 	"github.com/benbjohnson/immutable"
 
 	"github.com/yardhall/yardhall/core/hash"
@@ -58,9 +60,7 @@
 		return d
 	}
 	bound := d.Bound
-	if bound == 0 {
-		bound = DefaultChats
-	}
+	bound = cmp.Or(bound, DefaultChats)
 	if d.young == nil || d.young.Len() >= bound/2 {
 		d.old = d.young
 		d.young = immutable.NewMap[hash.Key, ChatLocation](keyHasher{})
--- a/core/routing/queue.go
+++ b/core/routing/queue.go
@@ -3,6 +3,7 @@
 package routing
 
 import (
+	"cmp"
 	"slices"
 	"time"
 
@@ -173,9 +174,7 @@
 // weight gives way, so a surge pushes out its own requests first.
 func (g Group) enqueue(req PermitRequest, now time.Time) (Group, Answer) {
 	bound := req.QueueLimit
-	if bound == 0 {
-		bound = defaultQueueLimit
-	}
+	bound = cmp.Or(bound, defaultQueueLimit)
 	r, _ := g.queue.ranks.Get(req.Rank)
 	if r.count < bound {
 		g.queue = g.queue.with(req, now)
--- a/demo/demo.go
+++ b/demo/demo.go
@@ -10,6 +10,7 @@
 package demo
 
 import (
+	"cmp"
 	"context"
 	"fmt"
 	"io"
@@ -91,15 +92,9 @@
 
 // Run makes both runs.
 func Run(ctx context.Context, o Options) (Report, error) {
-	if o.Time == 0 {
-		o.Time = defaultTime
-	}
-	if o.Chats == 0 {
-		o.Chats = defaultChats
-	}
-	if o.Net == 0 {
-		o.Net = 90
-	}
+	o.Time = cmp.Or(o.Time, defaultTime)
+	o.Chats = cmp.Or(o.Chats, defaultChats)
+	o.Net = cmp.Or(o.Net, 90)
 	if o.Out == nil {
 		o.Out = os.Stdout
 	}
--- a/gateway/breakoff_test.go
+++ b/gateway/breakoff_test.go
@@ -3,8 +3,6 @@
 package gateway_test
 
 import (
-	"bufio"
-	"net"
 	"net/http"
 	"testing"
 
@@ -18,23 +16,9 @@
 // as behind a cut, and start again under its id: the caller has its answer long before the
 // deadline, and it does not say that the request did not run.
 func TestWorkerThatStartedAgainHoldsNoRequest(t *testing.T) {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	require.NoError(t, err)
-	t.Cleanup(func() { _ = l.Close() })
-	got := make(chan struct{})
-	go func() {
-		conn, err := l.Accept()
-		if err != nil {
-			return
-		}
-		if _, err := http.ReadRequest(bufio.NewReader(conn)); err == nil {
-			close(got)
-		}
-		<-t.Context().Done()
-		_ = conn.Close()
-	}()
+	address, got, _ := silentWorker(t)
 	b := newBench(t, 0)
-	w := registry.Worker{ID: "w", Pool: "pool", Address: l.Addr().String(), Slots: 1, Seq: 1, Born: 1_790_000_000_000}
+	w := registry.Worker{ID: "w", Pool: "pool", Address: address, Slots: 1, Seq: 1, Born: 1_790_000_000_000}
 	b.core.Decide(requests.Registered{Workers: []registry.Worker{w}})
 	go func() {
 		<-got
--- a/gateway/server_test.go
+++ b/gateway/server_test.go
@@ -327,14 +327,14 @@
 	require.Zero(t, b.runs())
 }
 
-// TestCallerThatLeavesEndsTheWork closes the caller's connection while the
-// worker is at work: the connection to the worker is closed, too.
-func TestCallerThatLeavesEndsTheWork(t *testing.T) {
-	closed := make(chan struct{})
+// silentWorker takes one request and answers nothing. got is closed once it has read the
+// request, closed once its caller has closed the connection.
+func silentWorker(t *testing.T) (address string, got, closed chan struct{}) {
+	t.Helper()
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	require.NoError(t, err)
 	t.Cleanup(func() { _ = l.Close() })
-	got := make(chan struct{})
+	got, closed = make(chan struct{}), make(chan struct{})
 	go func() {
 		conn, err := l.Accept()
 		if err != nil {
@@ -347,14 +347,21 @@
 		_, _ = io.Copy(io.Discard, r)
 		close(closed)
 	}()
+	return l.Addr().String(), got, closed
+}
+
+// TestCallerThatLeavesEndsTheWork closes the caller's connection while the
+// worker is at work: the connection to the worker is closed, too.
+func TestCallerThatLeavesEndsTheWork(t *testing.T) {
+	address, got, closed := silentWorker(t)
 	b := newBench(t, 0)
-	b.core.Decide(requests.Registered{Workers: []registry.Worker{{ID: "slow", Pool: "pool", Address: l.Addr().String(), Slots: 1, Seq: 1}}})
+	b.core.Decide(requests.Registered{Workers: []registry.Worker{{ID: "slow", Pool: "pool", Address: address, Slots: 1, Seq: 1}}})
 	ctx, cancel := context.WithCancel(t.Context())
 	go func() {
 		<-got
 		cancel()
 	}()
-	_, err = http.DefaultTransport.RoundTrip(b.request(ctx, "/unsafe/x", "body"))
+	_, err := http.DefaultTransport.RoundTrip(b.request(ctx, "/unsafe/x", "body"))
 	require.Error(t, err)
 	select {
 	case <-closed:
--- a/peers/server.go
+++ b/peers/server.go
@@ -17,6 +17,7 @@
 package peers
 
 import (
+	"cmp"
 	"crypto/subtle"
 	"crypto/tls"
 	"net"
@@ -101,9 +102,7 @@
 	if o.Counters == nil {
 		o.Counters = &Counters{}
 	}
-	if o.HandshakeTime == 0 {
-		o.HandshakeTime = handshakeTime
-	}
+	o.HandshakeTime = cmp.Or(o.HandshakeTime, handshakeTime)
 	if o.Boots == nil {
 		o.Boots = &Boots{}
 	}
--- a/site/site.go
+++ b/site/site.go
@@ -12,6 +12,7 @@
 package site
 
 import (
+	"cmp"
 	"context"
 	"fmt"
 	"net"
@@ -98,12 +99,8 @@
 	b.Workers = orDefault(b.Workers, b.Zones)
 	b.Replicas = orDefault(b.Replicas, min(3, b.Zones))
 	b.Net = orDefault(b.Net, 1)
-	if b.Multiple == 0 {
-		b.Multiple = 1.5
-	}
-	if b.DrainNotice == 0 {
-		b.DrainNotice = 200 * time.Millisecond
-	}
+	b.Multiple = cmp.Or(b.Multiple, 1.5)
+	b.DrainNotice = cmp.Or(b.DrainNotice, 200*time.Millisecond)
 	return b
 }
 
--- a/targets/client.go
+++ b/targets/client.go
@@ -4,6 +4,7 @@
 
 import (
 	"bytes"
+	"cmp"
 	"context"
 	"encoding/json"
 	"io"
@@ -64,9 +65,7 @@
 	o.DialTimeout = orDefault(o.DialTimeout, time.Second)
 	o.ProbeTimeout = orDefault(o.ProbeTimeout, 800*time.Millisecond)
 	o.StreamStall = orDefault(o.StreamStall, 30*time.Second)
-	if o.MaxAnswer == 0 {
-		o.MaxAnswer = defaultMaxAnswer
-	}
+	o.MaxAnswer = cmp.Or(o.MaxAnswer, defaultMaxAnswer)
 	c := &Client{options: o}
 	c.shared = c.transport()
 	c.fresh = c.transport()
