--- a/soak/checks_test.go
+++ b/soak/checks_test.go
@@ -151,13 +151,13 @@
 }
 
 // cutByStop tells whether a request reached a worker, which answered it whole,
-// and its connection broke in a planned stop of its host that nothing else
-// disturbed.
+// and its connection broke in a planned stop of its host, while nothing else
+// disturbed the host and no cut held the answer back at the worker.
 func (e evidence) cutByStop(r request, ran []run) bool {
 	if r.err == nil || errors.Is(r.err, syscall.ECONNREFUSED) {
 		return false
 	}
-	whole := slices.ContainsFunc(ran, func(one run) bool { return one.whole })
+	whole := slices.ContainsFunc(ran, func(one run) bool { return one.whole && !e.heldAtWorker(r, one) })
 	stopped := false
 	for _, f := range e.faults {
 		if !f.touches(r.entry, r.sent, r.ended) {
@@ -171,6 +171,14 @@
 	return whole && stopped
 }
 
+// heldAtWorker tells whether the worker of a run was cut off, or started again, while the
+// request lasted: what it wrote may have been on its way then, and was lost.
+func (e evidence) heldAtWorker(r request, one run) bool {
+	return slices.ContainsFunc(e.faults, func(f *fault) bool {
+		return f.kind == kindRestart && f.touches(one.node, r.sent, r.ended)
+	})
+}
+
 // revokedBy returns the configuration that took the request's key away long
 // enough before the request was sent.
 func (e evidence) revokedBy(r request) (change, bool) {
--- a/soak/faults_test.go
+++ b/soak/faults_test.go
@@ -49,6 +49,8 @@
 const (
 	kindStop = "planned stop"
 	kindWipe = "lost disk"
+	// kindRestart is a worker that crashes and starts again, perhaps behind a cut.
+	kindRestart = "worker starts again"
 )
 
 // faults draws disturbances from a seed and puts them into effect; they overlap.
--- a/soak/restarts_test.go
+++ b/soak/restarts_test.go
@@ -53,7 +53,7 @@
 }
 
 func (r *restarts) restart(w *soakWorker, down time.Duration, cut, late bool, lateness time.Duration) {
-	end := r.faults.begin("worker starts again", w.node)
+	end := r.faults.begin(kindRestart, w.node)
 	path, body, _ := w.heartbeat()
 	if cut {
 		r.hold(w, true)
--- a/soak/worker_test.go
+++ b/soak/worker_test.go
@@ -24,6 +24,7 @@
 // run is one run of a request at a worker.
 type run struct {
 	worker  string
+	node    node
 	at      time.Time
 	account string
 	// whole is set where the whole answer was written.
@@ -195,7 +196,7 @@
 		return
 	}
 	id := r.Header.Get(names.RequestID)
-	one := &run{worker: w.id, at: time.Now(), account: r.Header.Get(names.Account)}
+	one := &run{worker: w.id, node: w.node, at: time.Now(), account: r.Header.Get(names.Account)}
 	life := w.lives()
 	w.runs.begin(id, one)
 	time.Sleep(workTime)
