--- a/core/registry/address.go
+++ b/core/registry/address.go
@@ -100,8 +100,10 @@
 	return c
 }
 
-// identified returns a heartbeat under the incarnation that its process is known as, and
-// the entry with what it shows; counts is false where the heartbeat is taken for late.
+// identified finds out which process a heartbeat is of: the one known, a later one, one
+// that seems to be earlier, or one that does not say. It returns the heartbeat under the
+// incarnation that its process is known as, and the entry with what it shows; counts is
+// false where the heartbeat is taken for late.
 func (e entry) identified(w Worker) (_ Worker, _ entry, counts bool) {
 	have := e.worker()
 	w.Born = e.claim.incarnationOf(w.Born)
--- a/core/registry/incarnation.go
+++ b/core/registry/incarnation.go
@@ -46,18 +46,16 @@
 }
 
 // Record is what several registries report of one worker, joined. The order in which
-// reports arrive does not matter. It is immutable; the zero value knows nothing.
+// reports arrive does not matter where all say when the worker started. It is immutable;
+// the zero value knows nothing.
 //
-// Programs of before do not pass on when a worker started, so that the same process may be
-// reported with its start by one registry and without by another one. Both are kept, the
-// newest of each.
+// Programs that do not know of starts report the same process without one, while others
+// report it with its start. Both are kept, the newest of each, and Worker decides.
 type Record struct {
+	// dated is the newest report with a start, undated the newest one without.
 	dated, undated Worker
 }
 
-// Known tells whether anything was reported.
-func (r Record) Known() bool { return r.dated.ID != "" || r.undated.ID != "" }
-
 // With returns the record with one more report; changed is false where it says nothing
 // newer.
 func (r Record) With(w Worker) (next Record, changed bool) {
@@ -76,9 +74,9 @@
 	return r, true
 }
 
-// replacedBy returns a record that knows one report only.
-func (r Record) replacedBy(w Worker) Record {
-	r, _ = Record{}.With(w)
+// recordOf returns a record that knows one report only.
+func recordOf(w Worker) Record {
+	r, _ := Record{}.With(w)
 	return r
 }
 
--- a/core/registry/registry.go
+++ b/core/registry/registry.go
@@ -143,7 +143,7 @@
 	old := e.record.Worker()
 	old.Seq = w.Seq
 	if old == w {
-		e.record, e.lastSeen = Record{}.replacedBy(w), now
+		e.record, e.lastSeen = recordOf(w), now
 		r.workers = r.workers.With(w.ID, e)
 		return r, false
 	}
@@ -183,7 +183,7 @@
 
 // with enters a worker in place of what was known of it.
 func (r Registry) with(e entry, w Worker, now time.Time) Registry {
-	e.record = Record{}.replacedBy(w)
+	e.record = recordOf(w)
 	return r.withEntry(w.ID, e, now)
 }
 
