--- a/core/requests/load_test.go
+++ b/core/requests/load_test.go
@@ -14,6 +14,7 @@
 // and engines asked in vain, where each of hundreds of hosts finds that out for itself and
 // keeps to its own part of the retry budget; hardly any are where hosts report it.
 func TestReplacedEnginesAreNotFoundOutByEachHost(t *testing.T) {
+	t.Parallel()
 	l := hallsLoad()
 	l.replaced, l.hotFrom, l.hotTo = 0.2, 7*time.Second, 13*time.Second
 	l.unreported = true
@@ -33,6 +34,7 @@
 // first engine, 0.12 of all tokens are moved, and 0.016 of the requests reach an engine above
 // the bound; here more find their prefix read, and no more go beyond the bound.
 func TestLongPrefixesStayWithTheirEngine(t *testing.T) {
+	t.Parallel()
 	for seed := range uint64(2) {
 		f := newSimFleet(hallsLoad(), seed).run(8 * time.Second)
 		t.Log(f)
@@ -47,6 +49,7 @@
 // quarter of the long prompts be about one subject, which without a spread brings 0.05 of the
 // requests above the bound: until hosts know of each other, its first engine gets all.
 func TestBoundHoldsInASurge(t *testing.T) {
+	t.Parallel()
 	l := hallsLoad()
 	l.burst, l.hotFrom, l.hotTo = 1.7, 6*time.Second, 12*time.Second
 	f := newSimFleet(l, 1).run(8 * time.Second)
