--- a/core/registry/address.go
+++ b/core/registry/address.go
@@ -55,7 +55,7 @@
 }
 
 // WithReplaced takes an observation that another process answered at a worker's address at
-// seenAt, where nothing was heard of the worker since: until its next heartbeat it counts
+// seenAt, where no heartbeat of the worker came since: until its next one it counts
 // as silent.
 func (r Registry) WithReplaced(id ident.Target, born Incarnation, seenAt time.Time) (next Registry, changed bool) {
 	e, known := r.workers.Get(id)
