--- a/site/configure.go
+++ b/site/configure.go
@@ -3,6 +3,7 @@
 package site
 
 import (
+	"cmp"
 	"context"
 	"fmt"
 	"net/http"
@@ -48,7 +49,7 @@
 }
 
 func (s *Site) configureTargets(put func(path string, body any) error) error {
-	slots := orDefault(s.builder.Engine.Slots, 32)
+	slots := cmp.Or(s.builder.Engine.Slots, 32)
 	for i, e := range s.Engines {
 		z := ZoneName(i / s.builder.EnginesPerZone)
 		err := put("targets/"+EngineName(i), config.Target{
--- a/site/site.go
+++ b/site/site.go
@@ -15,7 +15,6 @@
 	"cmp"
 	"context"
 	"fmt"
-	"net"
 	"net/http"
 	"sync"
 	"time"
@@ -24,8 +23,6 @@
 	"github.com/pkg/errors"
 
 	"github.com/yardhall/yardhall/common/keys"
-	"github.com/yardhall/yardhall/core/config"
-	"github.com/yardhall/yardhall/core/host"
 	"github.com/yardhall/yardhall/core/ident"
 	"github.com/yardhall/yardhall/core/raft"
 	"github.com/yardhall/yardhall/operators"
@@ -93,30 +90,20 @@
 )
 
 func (b Builder) withDefaults() Builder {
-	b.Zones = orDefault(b.Zones, 3)
-	b.HostsPerZone = orDefault(b.HostsPerZone, 2)
-	b.EnginesPerZone = orDefault(b.EnginesPerZone, 2)
-	b.Workers = orDefault(b.Workers, b.Zones)
-	b.Replicas = orDefault(b.Replicas, min(3, b.Zones))
-	b.Net = orDefault(b.Net, 1)
+	b.Zones = cmp.Or(b.Zones, 3)
+	b.HostsPerZone = cmp.Or(b.HostsPerZone, 2)
+	b.EnginesPerZone = cmp.Or(b.EnginesPerZone, 2)
+	b.Workers = cmp.Or(b.Workers, b.Zones)
+	b.Replicas = cmp.Or(b.Replicas, min(3, b.Zones))
+	b.Net = cmp.Or(b.Net, 1)
 	b.Multiple = cmp.Or(b.Multiple, 1.5)
 	b.DrainNotice = cmp.Or(b.DrainNotice, 200*time.Millisecond)
 	return b
 }
 
-func orDefault(n, def int) int {
-	if n == 0 {
-		return def
-	}
-	return n
-}
-
 // ip is the loopback address of host h of zone z; targets have h from 100.
 func (b Builder) ip(z, h int) string { return fmt.Sprintf("127.%d.%d.%d", b.Net, z+1, h+1) }
 
-// ZoneName names a zone by its number.
-func ZoneName(z int) ident.Zone { return ident.Zone(fmt.Sprintf("zone-%c", 'a'+z)) }
-
 const targetHosts = 100
 
 // Start starts the site and waits until every host is ready.
@@ -204,42 +191,6 @@
 	}
 }
 
-// CutZone cuts a zone off from the others, or joins it again.
-func (s *Site) CutZone(zone ident.Zone, cut bool) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.cut[zone] = cut
-}
-
-func (s *Site) blocked(a, b ident.Zone) bool {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return a != b && b != "" && (s.cut[a] || s.cut[b])
-}
-
-func (s *Site) zoneOf(id ident.Host) ident.Zone {
-	for z := range s.builder.Zones {
-		for h := range s.builder.HostsPerZone {
-			if HostName(z, h) == id {
-				return ZoneName(z)
-			}
-		}
-	}
-	return ""
-}
-
-func (s *Site) zoneOfAddress(address string) ident.Zone {
-	ip, _, err := net.SplitHostPort(address)
-	if err != nil {
-		return ""
-	}
-	var a, n, z, h int
-	if _, err := fmt.Sscanf(ip, "%d.%d.%d.%d", &a, &n, &z, &h); err != nil {
-		return ""
-	}
-	return ZoneName(z - 1)
-}
-
 // URL is the callers' address of host i.
 func (s *Site) URL(i int) string { return "http://" + s.Hosts[i].Settings.Callers.Listen }
 
@@ -251,70 +202,3 @@
 	}
 	return c
 }
-
-// Leader returns the host that leads now, or nil.
-func (s *Site) Leader() *Host {
-	for _, h := range s.Hosts {
-		if h.cancel != nil && h.Daemon.State().Raft().LeaseHeld(time.Now()) {
-			return h
-		}
-	}
-	return nil
-}
-
-func (s *Site) awaitLeader(ctx context.Context) error {
-	return Await(ctx, startTime, "a leader", func() bool { return s.Leader() != nil })
-}
-
-// AwaitReady waits until all running hosts hold the same configuration and
-// know each other.
-func (s *Site) AwaitReady(ctx context.Context) error {
-	return Await(ctx, startTime, "all hosts ready", func() bool {
-		leader := s.Leader()
-		if leader == nil {
-			return false
-		}
-		version := leader.Daemon.State().Config().Version
-		for _, h := range s.Hosts {
-			if h.cancel != nil && !s.settled(h.Daemon.State(), version) {
-				return false
-			}
-		}
-		return true
-	})
-}
-
-func (s *Site) settled(state host.State, version config.Version) bool {
-	if !state.Ready() || state.Config().Version != version || state.Config().Hosts.Len() < len(s.Hosts) {
-		return false
-	}
-	alive := 0
-	for _, p := range state.Dump(time.Now()).Peers {
-		if p.Alive {
-			alive++
-		}
-	}
-	return alive >= s.running()-1
-}
-
-func (s *Site) running() int {
-	n := 0
-	for _, h := range s.Hosts {
-		if h.cancel != nil {
-			n++
-		}
-	}
-	return n
-}
-
-// Await polls until cond holds.
-func Await(ctx context.Context, limit time.Duration, what string, cond func() bool) error {
-	deadline := time.Now().Add(limit)
-	for !cond() {
-		if time.Now().After(deadline) || ctx.Err() != nil {
-			return errors.Errorf("waited in vain for %s", what)
-		}
-		time.Sleep(startPoll)
-	}
-	return nil
-}
--- a/standin/stream.go
+++ b/standin/stream.go
@@ -3,6 +3,7 @@
 package standin
 
 import (
+	"cmp"
 	"encoding/json"
 	"fmt"
 	"io"
@@ -12,7 +13,7 @@
 	"time"
 )
 
-func tokensOf(req completionRequest) int { return orInt(req.MaxTokens, defaultTokens) }
+func tokensOf(req completionRequest) int { return cmp.Or(req.MaxTokens, defaultTokens) }
 
 // word is the text of token i of the answer to a request.
 func word(id string, i int) string { return fmt.Sprintf("%s.%d ", id, i) }
