gateway, core/crashes: Name requests that are the same in the logs

Cause: the logs of the incident cannot tell whether one request ends all workers or many do, as each arrival has an id of its own. No decision hangs on either yet. The test of probes compares one field more. Conclusion: an end of a worker can now be laid beside the contents that were in progress there.

--- a/core/outcome/outcome.go
+++ b/core/outcome/outcome.go
@@ -39,8 +39,10 @@
 	// NeverSent means that no byte was written to the target.
 	NeverSent struct {
 		Reason string
-		// Silent is true where nobody answered a new connection in time.
-		Silent bool
+		// Silent is true where nobody answered a new connection in time, Refused where it
+		// was refused, as no process listens there.
+		Silent  bool
+		Refused bool
 	}
 	// Declined means that the target said that it did not run the request.
 	Declined struct {
--- a/core/requests/admit.go
+++ b/core/requests/admit.go
@@ -5,6 +5,7 @@
 import (
 	"time"
 
+	"github.com/yardhall/yardhall/core/crashes"
 	"github.com/yardhall/yardhall/core/ident"
 	"github.com/yardhall/yardhall/core/outcome"
 )
@@ -84,6 +85,9 @@
 			c.rank = owner.Rank
 		}
 	}
+	if len(c.req.Digest) > 0 {
+		c.content = crashes.ContentOf(string(c.account), c.req.Digest)
+	}
 	c.pool, _ = t.index.Pool(poolOf(*c))
 	return t.admitDeadline(c)
 }
--- a/core/requests/decision.go
+++ b/core/requests/decision.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/yardhall/yardhall/core/config"
+	"github.com/yardhall/yardhall/core/crashes"
 	"github.com/yardhall/yardhall/core/ident"
 	"github.com/yardhall/yardhall/core/outcome"
 	"github.com/yardhall/yardhall/core/registry"
@@ -24,6 +25,8 @@
 		Route   config.Route
 		// Account is the caller's; empty on a public route.
 		Account ident.Account
+		// Content identifies the request among those that are the same.
+		Content crashes.Content
 		// Rank is the priority to tell the worker; 0 goes first.
 		Rank int
 		// Deadline ends the attempt and the request.
--- a/core/requests/dispatch.go
+++ b/core/requests/dispatch.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/yardhall/yardhall/core/config"
+	"github.com/yardhall/yardhall/core/crashes"
 	"github.com/yardhall/yardhall/core/ident"
 	"github.com/yardhall/yardhall/core/outcome"
 )
@@ -17,6 +18,7 @@
 	route   config.Route
 	pool    config.Pool
 	account ident.Account
+	content crashes.Content
 	rank    int
 	// attempt counts the attempts, sent those by which the request may have reached a
 	// worker.
@@ -63,7 +65,7 @@
 	header, stall := c.responseTimeouts()
 	t.out = append(t.out, Dispatch{
 		Request: c.req.ID, Attempt: c.attempt, Worker: picked.worker.Worker, Route: c.route,
-		Account: c.account, Rank: c.rank, Deadline: c.req.Deadline, Engine: c.pool.Engine,
+		Account: c.account, Content: c.content, Rank: c.rank, Deadline: c.req.Deadline, Engine: c.pool.Engine,
 		CacheFrom: picked.cacheFrom, HeaderTimeout: header, StallTimeout: stall, Pause: pause,
 		Inputs: t.inputs(picked),
 	})
--- a/core/requests/event.go
+++ b/core/requests/event.go
@@ -60,6 +60,8 @@
 	ProbeEnded struct {
 		Worker ident.Target
 		OK     bool
+		// Refused is set where the connection was refused: no process listens there.
+		Refused bool
 	}
 	// Withdrawn reports that the caller of a request that waits has left.
 	Withdrawn struct{ Request ident.Request }
@@ -96,6 +98,9 @@
 	Prompt Prompt
 	// Resumed is set where the caller goes on with a stream that broke off.
 	Resumed bool
+	// Digest is a cryptographic hash of method, host, path, query and body; empty where it
+	// is not known.
+	Digest []byte
 }
 
 // Prompt describes what an engine will read and make.
--- a/daemon/requestlog.go
+++ b/daemon/requestlog.go
@@ -93,7 +93,7 @@
 func tryFields(o gateway.Observation, try gateway.Try) []any {
 	d, in := try.Dispatch, try.Dispatch.Inputs
 	fields := []any{
-		"request", string(o.Request.ID), "route", d.Route.Name, "account", string(d.Account), "try", d.Attempt,
+		"request", string(o.Request.ID), "route", d.Route.Name, "account", string(d.Account), "content", d.Content.String(), "try", d.Attempt,
 		"worker", string(d.Worker.ID), "at", d.Worker.Address, "worker_seq", d.Worker.Seq, "worker_born", d.Worker.Born.String(),
 		"load", in.Load, "load_age_ms", millis(in.LoadAge), "mean", fmt.Sprintf("%.1f", in.Mean),
 		"choice", in.Choice, "of", in.Candidates, "table", in.Number, "table_age_ms", millis(in.ConfigAge),
--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -14,6 +14,7 @@
 	"time"
 
 	"github.com/pkg/errors"
+	"golang.org/x/sys/unix"
 
 	"github.com/yardhall/yardhall/core/outcome"
 	"github.com/yardhall/yardhall/core/requests"
@@ -53,7 +54,7 @@
 	now := x.server.now()
 	conn, err := x.server.pool.get(ctx, x.dispatch.Worker, now)
 	if err != nil {
-		return outcome.NeverSent{Reason: err.Error(), Silent: isTimeout(err) && ctx.Err() == nil}
+		return outcome.NeverSent{Reason: err.Error(), Silent: isTimeout(err) && ctx.Err() == nil, Refused: isRefused(err)}
 	}
 	x.conn = conn
 	left := x.dispatch.Deadline.Sub(x.server.now())
@@ -103,6 +104,9 @@
 	return errors.As(err, &n) && n.Timeout()
 }
 
+// isRefused tells whether no process listens where a connection was to lead.
+func isRefused(err error) bool { return errors.Is(err, unix.ECONNREFUSED) }
+
 // isSilence tells whether nothing came from a worker in the time allowed.
 func isSilence(err error) bool { return errors.Is(err, errHeaderLate) || isTimeout(err) }
 
--- a/gateway/headers.go
+++ b/gateway/headers.go
@@ -3,6 +3,9 @@
 package gateway
 
 import (
+	"crypto/sha256"
+	"encoding/binary"
+	"io"
 	"net/http"
 	"strconv"
 	"strings"
@@ -135,6 +138,17 @@
 	return out
 }
 
+// digest is the hash of what a request consists of, its headers apart.
+func digest(r *http.Request, body []byte) []byte {
+	h := sha256.New()
+	for _, part := range []string{r.Method, r.Host, r.URL.RequestURI()} {
+		_, _ = h.Write(binary.LittleEndian.AppendUint64(nil, uint64(len(part))))
+		_, _ = io.WriteString(h, part)
+	}
+	_, _ = h.Write(body)
+	return h.Sum(nil)
+}
+
 // pair reads two whole numbers joined by a comma; 0 for what is not there.
 func pair(text string) (first, second int) {
 	a, b, _ := strings.Cut(text, ",")
--- a/gateway/probe_test.go
+++ b/gateway/probe_test.go
@@ -35,7 +35,7 @@
 
 // TestConnectionsAreMadeWithoutARequest has the core ask for a connection beside a
 // request: the request is answered, and the core is told whether the connection came
-// up, of a worker that listens and of one that does not.
+// up, of a worker that listens and of one that does not, and that the latter refused it.
 func TestConnectionsAreMadeWithoutARequest(t *testing.T) {
 	b := newBench(t, 1)
 	listening, ok := b.core.state.Worker("w0")
@@ -54,7 +54,8 @@
 		require.NoError(t, err)
 		require.Equal(t, http.StatusOK, resp.StatusCode)
 		require.NoError(t, resp.Body.Close())
-		require.Equal(t, requests.ProbeEnded{Worker: w.ID, OK: w.ID == listening.ID}, <-c.reached)
+		isListening := w.ID == listening.ID
+		require.Equal(t, requests.ProbeEnded{Worker: w.ID, OK: isListening, Refused: !isListening}, <-c.reached)
 		server.Close()
 	}
 }
--- a/gateway/server.go
+++ b/gateway/server.go
@@ -120,6 +120,7 @@
 		return
 	}
 	c := &serverCall{server: s, writer: w, request: r, body: body, begun: begun, relay: relay{w: w, now: s.now, headers: s.headers, lastID: r.Header.Get(s.headers.LastEvent)}}
+	req.Digest = digest(r, body)
 	c.observed.Request = req
 	c.run(req)
 }
@@ -186,5 +187,5 @@
 	if err == nil {
 		s.pool.put(conn, 0, s.now())
 	}
-	s.core.Decide(requests.ProbeEnded{Worker: w.ID, OK: err == nil})
+	s.core.Decide(requests.ProbeEnded{Worker: w.ID, OK: err == nil, Refused: isRefused(err)})
 }
