--- a/core/host/seeded_test.go
+++ b/core/host/seeded_test.go
@@ -71,6 +71,8 @@
 	// do.
 	hold func(seededPacket) time.Duration
 	held []heldPacket
+	// decision, where set, is shown what each host decides on requests.
+	decision func(ident.Host, requests.Decision)
 	// entryStart is how long requests wait for an entry host that starts.
 	entryStart time.Duration
 }
@@ -180,6 +182,9 @@
 			f.reads[e.ID] = e.OK
 		case host.RequestDecision:
 			f.decided = append(f.decided, e.Decision)
+			if f.decision != nil {
+				f.decision(id, e.Decision)
+			}
 		case host.HeartbeatAnswer:
 			f.beats = append(f.beats, e)
 		}
