--- /dev/null
+++ b/core/crashes/evidence.go
@@ -0,0 +1,200 @@
+// Copyright 2026 The Yardhall Authors. Licensed under the Apache License, Version 2.0.
+
+package crashes
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"github.com/yardhall/yardhall/core/ident"
+	"github.com/yardhall/yardhall/core/table"
+)
+
+// A request is held to end workers once EndsToRefuse of them ended under it in a row: each
+// time it had been sent anew after the end before, and no worker has answered it meanwhile.
+// So requests in progress at several workers that are lost at the same moment, as by a cut or
+// a loss of power, count one end however many there are.
+//
+// Those that only shared a worker are told apart in two ways. A worker does not end under a
+// request that it has long begun to answer where another one had just come to it. And an end
+// is explained by one request: the one with the most ends takes those ends from all others.
+//
+// Inputs: the attempts in progress at each end of a worker, as hosts report them.
+const (
+	// maxCrashes bounds the crashes remembered of one request, more than are judged.
+	maxCrashes = 8
+	// maxContents bounds the requests remembered: the ends of some ten full engines with
+	// 64 slots each. Chosen, not measured.
+	maxContents = 1024
+)
+
+// Evidence is what was reported of ends of workers. It is immutable; the zero value is
+// empty.
+type Evidence struct {
+	// byContent holds crashes in the order of their ends; never changed in place.
+	byContent table.Table[Content, []Crash]
+}
+
+// Len is the number of requests remembered.
+func (e Evidence) Len() int { return e.byContent.Len() }
+
+// With adds a crash under a request. One that is known already changes at most when the
+// request was sent to the worker last.
+func (e Evidence) With(content Content, c Crash, now time.Time) Evidence {
+	if content == "" || now.Sub(c.EndedAt) > Remembered {
+		return e
+	}
+	known, _ := e.byContent.Get(content)
+	next := slices.Clone(known)
+	if i := slices.IndexFunc(next, c.isSameEnd); i >= 0 {
+		next[i].Begun = next[i].Begun && c.Begun
+		if c.SentAt.After(next[i].SentAt) {
+			next[i].SentAt = c.SentAt
+		}
+	} else {
+		next = append(next, c)
+	}
+	slices.SortStableFunc(next, func(a, b Crash) int { return a.EndedAt.Compare(b.EndedAt) })
+	next = next[max(0, len(next)-maxCrashes):]
+	if len(known) == 0 && e.byContent.Len() >= maxContents {
+		e = e.withoutOldest()
+	}
+	e.byContent = e.byContent.With(content, next)
+	return e
+}
+
+// Without forgets the crashes of a request before it was answered.
+func (e Evidence) Without(content Content, answeredAt time.Time) Evidence {
+	known, ok := e.byContent.Get(content)
+	if !ok {
+		return e
+	}
+	later := slices.DeleteFunc(slices.Clone(known), func(c Crash) bool { return !c.EndedAt.After(answeredAt) })
+	if len(later) == 0 {
+		e.byContent = e.byContent.Without(content)
+		return e
+	}
+	e.byContent = e.byContent.With(content, later)
+	return e
+}
+
+// Forget drops the requests whose last end is long ago.
+func (e Evidence) Forget(now time.Time) Evidence {
+	for content, known := range e.byContent.All() {
+		if now.Sub(lastEnd(known)) > Remembered {
+			e.byContent = e.byContent.Without(content)
+		}
+	}
+	return e
+}
+
+// withoutOldest drops the request whose last end is the longest ago.
+func (e Evidence) withoutOldest() Evidence {
+	var oldest Content
+	var at time.Time
+	for content, known := range e.byContent.All() {
+		if end := lastEnd(known); oldest == "" || end.Before(at) {
+			oldest, at = content, end
+		}
+	}
+	e.byContent = e.byContent.Without(oldest)
+	return e
+}
+
+func lastEnd(known []Crash) time.Time { return known[len(known)-1].EndedAt }
+
+// isSameEnd tells whether two crashes are of one end of a worker.
+func (c Crash) isSameEnd(other Crash) bool {
+	return c.Worker == other.Worker && c.EndedAt.Sub(other.EndedAt).Abs() < sameEnd
+}
+
+// IsSame tells whether two crashes are of one attempt, as two hosts may report it, or one
+// host twice.
+func (c Crash) IsSame(other Crash) bool {
+	return c.isSameEnd(other) && c.SentAt.Sub(other.SentAt).Abs() < sameEnd
+}
+
+// suspected is a request with the crashes that it may explain.
+type suspected struct {
+	content Content
+	crashes []Crash
+	ends    int
+}
+
+// Judged returns an entry for each request under which endsToWatch workers or more ended in
+// a row.
+func (e Evidence) Judged(now time.Time) []Entry {
+	var out []Entry
+	explained := ends{}
+	for _, s := range e.suspects() {
+		left := explained.without(s.crashes)
+		n := inARow(left)
+		if n < endsToWatch {
+			continue
+		}
+		if n >= EndsToRefuse {
+			explained.add(left)
+		}
+		if at := lastEnd(left); now.Sub(at) <= Remembered {
+			out = append(out, Entry{Content: s.content, Ends: min(n, EndsToRefuse), At: at})
+		}
+	}
+	return out
+}
+
+// suspects are the requests that may have ended several workers, the most suspected first.
+func (e Evidence) suspects() []suspected {
+	fresh := ends{}
+	for _, known := range e.byContent.All() {
+		for _, c := range known {
+			if !c.Begun {
+				fresh.add([]Crash{c})
+			}
+		}
+	}
+	var out []suspected
+	for content, known := range e.byContent.All() {
+		own := slices.DeleteFunc(slices.Clone(known), func(c Crash) bool { return c.Begun && fresh.has(c) })
+		if n := inARow(own); n >= endsToWatch {
+			out = append(out, suspected{content: content, crashes: own, ends: n})
+		}
+	}
+	slices.SortStableFunc(out, func(a, b suspected) int {
+		return cmp.Or(cmp.Compare(b.ends, a.ends), cmp.Compare(len(b.crashes), len(a.crashes)),
+			a.crashes[0].EndedAt.Compare(b.crashes[0].EndedAt), cmp.Compare(a.content, b.content))
+	})
+	return out
+}
+
+// inARow is how many of the crashes, in the order of their ends, came one after the other:
+// the request had been sent anew after the end before.
+func inARow(crashes []Crash) int {
+	n := 0
+	var last time.Time
+	for _, c := range crashes {
+		if n == 0 || c.SentAt.After(last.Add(-transit)) && c.EndedAt.After(last.Add(transit)) {
+			n++
+			last = c.EndedAt
+		}
+	}
+	return n
+}
+
+// ends are ends of workers, by worker.
+type ends map[ident.Target][]Crash
+
+func (e ends) has(c Crash) bool { return slices.ContainsFunc(e[c.Worker], c.isSameEnd) }
+
+func (e ends) add(crashes []Crash) {
+	for _, c := range crashes {
+		if !e.has(c) {
+			e[c.Worker] = append(e[c.Worker], c)
+		}
+	}
+}
+
+// without are the crashes of other ends.
+func (e ends) without(crashes []Crash) []Crash {
+	return slices.DeleteFunc(slices.Clone(crashes), e.has)
+}
--- /dev/null
+++ b/core/crashes/evidence_test.go
@@ -0,0 +1,155 @@
+// Copyright 2026 The Yardhall Authors. Licensed under the Apache License, Version 2.0.
+
+package crashes_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"github.com/yardhall/yardhall/core/crashes"
+	"github.com/yardhall/yardhall/core/ident"
+)
+
+var start = time.Unix(9000, 0)
+
+func content(name string) crashes.Content { return crashes.ContentOf("halls", []byte(name)) }
+
+// crash is the end of a worker, seconds after the start, under a request sent some time
+// before.
+func crash(worker string, seconds, ran float64) crashes.Crash {
+	at := start.Add(time.Duration(seconds * float64(time.Second)))
+	return crashes.Crash{
+		Worker: ident.Target(worker), EndedAt: at, SentAt: at.Add(-time.Duration(ran * float64(time.Second))),
+	}
+}
+
+type reported struct {
+	name  string
+	crash crashes.Crash
+}
+
+func evidenceOf(all ...reported) crashes.Evidence {
+	var e crashes.Evidence
+	for _, r := range all {
+		e = e.With(content(r.name), r.crash, start)
+	}
+	return e
+}
+
+// judged are the ends that are held against each request, by its name.
+func judged(e crashes.Evidence, names ...string) map[string]int {
+	out := map[string]int{}
+	for _, entry := range e.Judged(start.Add(time.Minute)) {
+		for _, name := range names {
+			if content(name) == entry.Content {
+				out[name] = entry.Ends
+			}
+		}
+	}
+	return out
+}
+
+// TestThreeEndsInARow holds a request to end workers once three ended under it, each after
+// it had been sent anew.
+func TestThreeEndsInARow(t *testing.T) {
+	e := evidenceOf(reported{"bad", crash("w1", 1, 0.1)}, reported{"bad", crash("w2", 2, 0.1)})
+	require.Equal(t, map[string]int{"bad": 2}, judged(e, "bad"))
+	e = e.With(content("bad"), crash("w3", 3, 0.1), start)
+	require.Equal(t, map[string]int{"bad": 3}, judged(e, "bad"))
+	require.Empty(t, judged(e.Without(content("bad"), start.Add(3*time.Second)), "bad"), "a worker answered it")
+	late := e.Without(content("bad"), start.Add(1500*time.Millisecond))
+	require.Equal(t, map[string]int{"bad": 2}, judged(late, "bad"), "answered before the last two ends")
+}
+
+// TestEndsAtOneMomentAreOneEnd has a request in progress at many workers when all are lost,
+// as by a cut that looks like their end, and reports of one end come several times.
+func TestEndsAtOneMomentAreOneEnd(t *testing.T) {
+	var e crashes.Evidence
+	for i := range 6 {
+		for _, ran := range []float64{0.01, 0.02, 2} {
+			e = e.With(content("popular"), crash(fmt.Sprint("w", i), 5+float64(i)/100, ran), start)
+		}
+	}
+	require.Empty(t, judged(e, "popular"))
+	again := evidenceOf(
+		reported{"x", crash("w1", 1, 0.1)}, reported{"x", crash("w1", 1.3, 0.4)}, reported{"x", crash("w1", 0.8, 0.1)},
+	)
+	require.Empty(t, judged(again, "x"))
+	overlapping := evidenceOf(reported{"x", crash("w1", 1, 0.5)}, reported{"x", crash("w2", 2, 1.5)}, reported{"x", crash("w3", 3, 2.5)})
+	require.Empty(t, judged(overlapping, "x"), "each was sent before the end before")
+}
+
+// TestWhoSharedWorkersIsNotBlamed lets requests share one, two or all ends with the one that
+// causes them.
+func TestWhoSharedWorkersIsNotBlamed(t *testing.T) {
+	e := evidenceOf(
+		reported{"bad", crash("w1", 1, 0.1)}, reported{"bad", crash("w2", 2, 0.1)}, reported{"bad", crash("w3", 3, 0.1)},
+		reported{"once", crash("w1", 1, 0.3)},
+		reported{"twice", crash("w2", 2, 0.3)}, reported{"twice", crash("w3", 3, 0.3)},
+	)
+	require.Equal(t, map[string]int{"bad": 3}, judged(e, "bad", "once", "twice"))
+
+	for i := range 3 {
+		c := crash(fmt.Sprint("w", i+1), float64(i+1), 0.05)
+		c.Begun = true
+		e = e.With(content("long answered"), c, start)
+	}
+	require.NotContains(t, judged(e, "long answered"), "long answered", "another one had just come to each")
+
+	// One that shares all ends is not told from it at first. The next end tells.
+	for i := range 3 {
+		e = e.With(content("shadow"), crash(fmt.Sprint("w", i+1), float64(i+1), 0.05), start)
+	}
+	e = e.With(content("bad"), crash("w4", 4, 0.1), start)
+	require.Equal(t, map[string]int{"bad": 3}, judged(e, "bad", "shadow"))
+}
+
+// TestRequestThatHadBegunMayEndWorkers has one end workers late, with nothing new beside it.
+func TestRequestThatHadBegunMayEndWorkers(t *testing.T) {
+	var e crashes.Evidence
+	for i := range 3 {
+		c := crash(fmt.Sprint("w", i), float64(2*i), 0.5)
+		c.Begun = true
+		e = e.With(content("late"), c, start)
+	}
+	require.Equal(t, map[string]int{"late": 3}, judged(e, "late"))
+}
+
+// TestEvidenceIsBoundedAndAges reports ends under more requests than are remembered, and
+// lets an hour pass.
+func TestEvidenceIsBoundedAndAges(t *testing.T) {
+	var e crashes.Evidence
+	for i := range 5000 {
+		now := start.Add(time.Duration(i) * 10 * time.Millisecond)
+		e = e.With(content(fmt.Sprint(i)), crashes.Crash{Worker: "w", SentAt: now, EndedAt: now}, now)
+	}
+	require.Equal(t, 1024, e.Len())
+	for i := range 100 {
+		e = e.With(content("bad"), crash("w", float64(60+2*i), 0.1), start.Add(time.Minute))
+	}
+	require.Equal(t, map[string]int{"bad": 3}, judged(e, "bad"))
+	require.Zero(t, e.Forget(start.Add(2*time.Hour)).Len())
+	require.Zero(t, crashes.Evidence{}.With("", crash("w", 1, 0.1), start).Len(), "a request that is not known by content")
+}
+
+// TestEvidenceHangsOnNoOrder brings the same reports in any order, and some twice.
+func TestEvidenceHangsOnNoOrder(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		n := rapid.IntRange(1, 12).Draw(t, "reports")
+		all := make([]reported, 0, n)
+		for range n {
+			all = append(all, reported{
+				rapid.SampledFrom([]string{"a", "b", "c"}).Draw(t, "request"),
+				crash(rapid.SampledFrom([]string{"w1", "w2", "w3"}).Draw(t, "worker"),
+					float64(rapid.IntRange(0, 5).Draw(t, "at")*3), rapid.Float64Range(0, 8).Draw(t, "ran")),
+			})
+		}
+		want := judged(evidenceOf(all...), "a", "b", "c")
+		shuffled := rapid.Permutation(append(all, all[0])).Draw(t, "order")
+		require.Equal(t, want, judged(evidenceOf(shuffled...), "a", "b", "c"))
+	})
+}
--- /dev/null
+++ b/core/crashes/list_test.go
@@ -0,0 +1,94 @@
+// Copyright 2026 The Yardhall Authors. Licensed under the Apache License, Version 2.0.
+
+package crashes_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"github.com/yardhall/yardhall/core/crashes"
+)
+
+func entry(name string, ends int, at time.Time) crashes.Entry {
+	return crashes.Entry{Content: content(name), Ends: ends, At: at}
+}
+
+// TestRefusalEndsAndBeginsAgain follows a request that is refused, let through after ten
+// minutes, ends another worker and is refused again at once; answered, it is let through.
+func TestRefusalEndsAndBeginsAgain(t *testing.T) {
+	refused := func(l crashes.List, now time.Time) bool {
+		until, refused := l.Refused(content("bad"), now)
+		require.True(t, !refused || until.After(now))
+		return refused
+	}
+	var l crashes.List
+	require.Zero(t, l.Key)
+	l = l.With(start, entry("bad", 2, start))
+	require.False(t, refused(l, start))
+	l = l.With(start, entry("bad", 3, start))
+	require.True(t, refused(l, start.Add(9*time.Minute)))
+	later := start.Add(11 * time.Minute)
+	require.False(t, refused(l, later))
+	l = l.With(later, entry("bad", 3, later))
+	require.True(t, refused(l, later.Add(time.Minute)))
+	answered := l.With(later.Add(time.Minute), entry("bad", 0, later.Add(time.Minute)))
+	require.False(t, refused(answered, later.Add(time.Minute)))
+	old := answered.With(later.Add(time.Minute), entry("bad", 3, later))
+	require.Equal(t, answered.Key, old.Key, "what is older than the answer says nothing")
+	require.Zero(t, l.With(later.Add(2*time.Hour)).Len())
+	require.Zero(t, l.With(later.Add(2*time.Hour)).Key)
+	future := crashes.List{}.With(start, entry("bad", 3, start.Add(time.Hour)))
+	require.False(t, refused(future, start.Add(11*time.Minute)), "of a host whose clock is ahead")
+}
+
+// TestListIsBounded fills a list with more requests than it holds: those that are refused
+// stay.
+func TestListIsBounded(t *testing.T) {
+	var l crashes.List
+	for i := range 100 {
+		l = l.With(start, entry(fmt.Sprint("refused ", i), 3, start))
+	}
+	for i := range 1000 {
+		l = l.With(start, entry(fmt.Sprint("watched ", i), 2, start.Add(time.Duration(i)*time.Millisecond)))
+	}
+	require.Equal(t, 128, l.Len())
+	require.Equal(t, 100, l.Settled().Len())
+}
+
+// TestListsJoinInAnyOrder has hosts send their lists to each other in any order, as often as
+// they like, with ages that lack up to 100 ms at each hop: all come to refuse the same.
+func TestListsJoinInAnyOrder(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		const hosts = 4
+		lists := make([]crashes.List, hosts)
+		for range rapid.IntRange(1, 12).Draw(t, "events") {
+			at := start.Add(time.Duration(rapid.IntRange(0, 20).Draw(t, "at")*3) * time.Second)
+			e := entry(rapid.SampledFrom([]string{"a", "b"}).Draw(t, "request"), rapid.SampledFrom([]int{0, 2, 3}).Draw(t, "ends"), at)
+			h := rapid.IntRange(0, hosts-1).Draw(t, "host")
+			lists[h] = lists[h].With(start.Add(time.Minute), e)
+		}
+		send := func(from, to int) {
+			for _, e := range lists[from].Entries() {
+				e.At = e.At.Add(time.Duration(rapid.IntRange(0, 100).Draw(t, "transit")) * time.Millisecond)
+				lists[to] = lists[to].With(start.Add(time.Minute), e)
+			}
+		}
+		for range rapid.IntRange(0, 20).Draw(t, "sent") {
+			send(rapid.IntRange(0, hosts-1).Draw(t, "from"), rapid.IntRange(0, hosts-1).Draw(t, "to"))
+		}
+		for range 2 {
+			for from := range hosts {
+				for to := range hosts {
+					send(from, to)
+				}
+			}
+		}
+		for _, l := range lists {
+			require.Equal(t, lists[0].Key, l.Key)
+		}
+	})
+}
--- a/core/host/clients.go
+++ b/core/host/clients.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/yardhall/yardhall/core/config"
+	"github.com/yardhall/yardhall/core/hash"
 	"github.com/yardhall/yardhall/core/hubs"
 	"github.com/yardhall/yardhall/core/ident"
 	"github.com/yardhall/yardhall/core/loads"
@@ -47,7 +48,9 @@
 	serves bool
 	// fallback is set where the host polls this entry host in place of replicas.
 	fallback bool
-	loads    loads.Digest
+	// crashList names the list of crashes that it holds.
+	crashList hash.Key
+	loads     loads.Digest
 	// host is how the client is reported to others. A hub counts the clients whose primary
 	// hub it is; group are those that the client itself counts as a hub.
 	host    hubs.Host
@@ -73,6 +76,7 @@
 	t.grantLease(from, m)
 	t.relayedHeartbeats(from, m.Beats)
 	t.replacedReceived(from, m.Replaced)
+	t.crashesReceived(from, m)
 	t.replyTo(from, t.clientOf(from, m), m)
 }
 
@@ -81,7 +85,7 @@
 	c := client{
 		version: m.Version, revision: m.Revision, lastPoll: t.now, table: m.Table, serves: m.Serves, loads: m.Loads,
 		boot: m.Boot, host: hubs.Host{Host: from, Zone: m.Zone, Relay: m.Relay}, primary: m.Home, group: m.Group,
-		fallback: m.Neighbour,
+		fallback: m.Neighbour, crashList: m.CrashList,
 	}
 	if m.Epoch != t.settings.Incarnation {
 		c.revision = 0
@@ -139,7 +143,9 @@
 	r := PollReply{
 		Round: m.Round, Version: held,
 		Epoch: t.settings.Incarnation, Since: c.revision, Revision: revision, Workers: workers,
+		CrashList: t.requests.CrashList().Key, CrashEntries: t.crashEntriesFor(c.crashList),
 	}
+	c.crashList = r.CrashList
 	if t.settings.IsReplica() {
 		r = t.replicaReply(r, m)
 	} else {
--- /dev/null
+++ b/core/host/crashes.go
@@ -0,0 +1,182 @@
+// Copyright 2026 The Yardhall Authors. Licensed under the Apache License, Version 2.0.
+
+package host
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/yardhall/yardhall/core/crashes"
+	"github.com/yardhall/yardhall/core/hash"
+	"github.com/yardhall/yardhall/core/ident"
+	"github.com/yardhall/yardhall/core/requests"
+)
+
+// Package requests sees workers end under requests and refuses those that end them, package
+// crashes decides which ones these are. Here is how all hosts come to know: hosts report what
+// they see in polls, at once and some times over; each replica judges for itself, without a
+// leader, and sends its list to all hosts, as hubs pass it on. Lists are joined, so that
+// whoever has started again, was cut off or has lost its disk learns them from any other;
+// replicas keep them on disk for when all have lost power.
+//
+// A program from before it neither reports nor obeys, and passes nothing on: while two
+// versions run, a request is refused by the hosts that know of it.
+
+// crashPollGap is kept between two polls that are sent early because a worker ended: when
+// many end at once, hosts report them together. Chosen, not measured.
+const crashPollGap = 100 * time.Millisecond
+
+// CrashReport reports an attempt that was in progress when its worker's process ended, Age
+// ago, after it had run for Ran. Its fields travel by their names.
+type CrashReport struct {
+	Content crashes.Content
+	Worker  ident.Target
+	Ran     time.Duration
+	Age     time.Duration
+	Begun   bool
+}
+
+// CrashEntry is an entry of a list of crashes, Age old. Its fields travel by their names.
+type CrashEntry struct {
+	Content crashes.Content
+	Ends    int
+	Age     time.Duration
+}
+
+// crashState is what a process of a seeded fleet keeps of crashes, beside the list in force
+// at its requests.
+type crashState struct {
+	// evidence is what a replica was told, clients what a hub passes on to replicas.
+	evidence crashes.Evidence
+	clients  requests.CrashReports
+	// reported counts the crashes that polls have reported.
+	reported uint64
+	// kept names what a replica has put on disk.
+	kept hash.Key
+}
+
+// crashesSeen counts the crashes to be reported.
+func (t *transition) crashesSeen() uint64 {
+	return t.requests.Crashes().Seen + t.seeded.crashes.clients.Seen
+}
+
+// crashReportDue tells whether this host polls early, as it has seen a worker end.
+func (t *transition) crashReportDue() bool {
+	lastPoll := t.seeded.pollAt.Add(-t.pollInterval())
+	return t.crashesSeen() != t.seeded.crashes.reported && t.now.Sub(lastPoll) >= crashPollGap
+}
+
+// crashReport are the crashes seen lately, here or at the clients of this hub.
+func (t *transition) crashReport() []CrashReport {
+	t.seeded.crashes.reported = t.crashesSeen()
+	all := t.requests.Crashes().Lately(t.now)
+	all = append(all, t.seeded.crashes.clients.Lately(t.now)...)
+	out := make([]CrashReport, 0, len(all))
+	for _, r := range all {
+		out = append(out, CrashReport{
+			Content: r.Content, Worker: r.Crash.Worker, Ran: r.Crash.EndedAt.Sub(r.Crash.SentAt),
+			Age: t.now.Sub(r.Crash.EndedAt), Begun: r.Crash.Begun,
+		})
+	}
+	return out
+}
+
+// crashesReceived takes what a client reports.
+func (t *transition) crashesReceived(from ident.Host, m Poll) {
+	t.takeCrashEntries(from, m.CrashEntries)
+	for _, r := range m.Crashes {
+		ended := t.now.Add(-max(0, r.Age))
+		c := crashes.Crash{Worker: r.Worker, SentAt: ended.Add(-max(0, r.Ran)), EndedAt: ended, Begun: r.Begun}
+		if !t.settings.IsReplica() {
+			report := requests.CrashReport{Content: r.Content, Crash: c, SeenAt: t.now}
+			t.seeded.crashes.clients = t.seeded.crashes.clients.With(report, t.now)
+			continue
+		}
+		if e, ok := t.requests.CrashList().Get(r.Content); ok && e.Ends == 0 && !c.EndedAt.After(e.At) {
+			continue
+		}
+		t.seeded.crashes.evidence = t.seeded.crashes.evidence.With(r.Content, c, t.now)
+	}
+	if t.settings.IsReplica() && len(m.Crashes) > 0 {
+		t.takeCrashes(from, t.seeded.crashes.evidence.Judged(t.now))
+	}
+}
+
+// takeCrashEntries takes the list of another host.
+func (t *transition) takeCrashEntries(from ident.Host, entries []CrashEntry) {
+	if len(entries) == 0 {
+		return
+	}
+	taken := make([]crashes.Entry, 0, len(entries))
+	for _, e := range entries {
+		one := crashes.Entry{Content: e.Content, Ends: max(0, e.Ends), At: t.now.Add(-max(0, e.Age))}
+		if one.Ends == 0 {
+			t.seeded.crashes.evidence = t.seeded.crashes.evidence.Without(one.Content, one.At)
+		}
+		taken = append(taken, one)
+	}
+	t.takeCrashes(from, taken)
+}
+
+// takeCrashes joins entries to the list, and logs which requests are refused from now on.
+func (t *transition) takeCrashes(from ident.Host, entries []crashes.Entry) {
+	before := t.requests.CrashList()
+	after := before.With(t.now, entries...)
+	t.requests = t.requests.WithCrashList(after)
+	if before.Key == after.Key {
+		return
+	}
+	for _, e := range entries {
+		was, _ := before.Get(e.Content)
+		if is, _ := after.Get(e.Content); is.Ends != was.Ends {
+			t.note(NoteCrashes, is.Content.String(), fmt.Sprintf("ends=%d before=%d last_ms=%d refused=%t by=%s",
+				is.Ends, was.Ends, t.now.Sub(is.At).Milliseconds(), is.Ends >= crashes.EndsToRefuse, from))
+		}
+	}
+	t.keepCrashes(after)
+}
+
+// keepCrashes puts on a replica's disk which requests are refused, and which no more.
+func (t *transition) keepCrashes(l crashes.List) {
+	kept := l.Settled()
+	if !t.settings.IsReplica() || kept.Key == t.seeded.crashes.kept {
+		return
+	}
+	t.seeded.crashes.kept = kept.Key
+	t.emit(KeepCrashes{Entries: t.crashEntries(kept)})
+}
+
+// crashEntries are the entries of a list as they travel.
+func (t *transition) crashEntries(l crashes.List) []CrashEntry {
+	out := make([]CrashEntry, 0, l.Len())
+	for _, e := range l.Entries() {
+		out = append(out, CrashEntry{Content: e.Content, Ends: e.Ends, Age: t.now.Sub(e.At)})
+	}
+	return out
+}
+
+// crashEntriesFor are the entries for a host that holds the list of a key; none where it
+// holds the same.
+func (t *transition) crashEntriesFor(key hash.Key) []CrashEntry {
+	if l := t.requests.CrashList(); l.Key != key {
+		return t.crashEntries(l)
+	}
+	return nil
+}
+
+// forgetCrashes drops what is long ago.
+func (t *transition) forgetCrashes() {
+	if t.requests.CrashList().Len() == 0 && t.seeded.crashes.evidence.Len() == 0 {
+		return
+	}
+	t.requests = t.requests.WithCrashList(t.requests.CrashList().With(t.now))
+	t.seeded.crashes.evidence = t.seeded.crashes.evidence.Forget(t.now)
+}
+
+// WithCrashes returns the process with the list of crashes read from disk.
+func (s State) WithCrashes(entries []CrashEntry, now time.Time) State {
+	t := transition{State: s, now: now}
+	t.takeCrashEntries(s.settings.ID, entries)
+	t.seeded.crashes.kept = t.requests.CrashList().Settled().Key
+	return t.State
+}
--- a/core/host/crashes_test.go
+++ b/core/host/crashes_test.go
@@ -5,6 +5,7 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"testing"
 	"time"
 
@@ -43,12 +44,11 @@
 // crashWorker is a worker that ends under some requests and comes back after a while as
 // another process.
 type crashWorker struct {
-	worker   registry.Worker
-	starts   int
-	running  []dispatched
-	backAt   time.Time
-	beatAt   time.Time
-	restarts bool
+	worker  registry.Worker
+	starts  int
+	running []dispatched
+	backAt  time.Time
+	beatAt  time.Time
 }
 
 func (w *crashWorker) up() bool { return w.backAt.IsZero() }
@@ -293,12 +293,200 @@
 // hosts, and end each worker that runs it, whether workers come back under their ids or
 // under others. All other requests are served, also those that ends took along.
 func TestRequestThatEndsItsWorkersIsSentNoMore(t *testing.T) {
-	for seed := range uint64(4) {
+	for seed := range uint64(8) {
 		f := newCrashFleet(t, 6, 24, seed)
 		f.sameID = seed%2 == 0
-		f.load(15*time.Second, 400*time.Millisecond, badRequest)
-		require.GreaterOrEqual(t, len(f.ends[badRequest]), 3, "the load that it is about")
-		require.LessOrEqual(t, f.sentSince(badRequest), maxSentOn, "%d ends in all", len(f.ends[badRequest]))
+		f.load(15*time.Second, time.Duration(1+seed/2)*100*time.Millisecond, badRequest)
+		f.requireSentNoMore(badRequest)
 		f.requireOthersServed(badRequest)
 	}
 }
+
+// requireSentNoMore makes sure that a request which ended three workers or more is sent on
+// no more often than allowed.
+func (f *crashFleet) requireSentNoMore(bad string) {
+	f.t.Helper()
+	f.t.Logf("%s: %d ends, %d sent on", bad, len(f.ends[bad]), f.sentSince(bad))
+	require.GreaterOrEqual(f.t, len(f.ends[bad]), 3, "the load that it is about")
+	require.LessOrEqual(f.t, f.sentSince(bad), maxSentOn, "%d ends in all", len(f.ends[bad]))
+}
+
+// entriesOf are the entry hosts, replicasOf the replicas.
+func (f *crashFleet) entriesOf() []ident.Host {
+	return slices.DeleteFunc(slices.Clone(f.order), func(id ident.Host) bool { return f.disks[id] != nil })
+}
+
+func (f *crashFleet) replicasOf() []ident.Host {
+	return slices.DeleteFunc(slices.Clone(f.order), func(id ident.Host) bool { return f.disks[id] == nil })
+}
+
+// restart stops hosts at the same moment and starts them again after a while.
+func (f *crashFleet) restart(away time.Duration, hosts ...ident.Host) {
+	for _, id := range hosts {
+		f.stop(id)
+	}
+	for _, w := range f.workers {
+		w.running = slices.DeleteFunc(w.running, func(d dispatched) bool { return f.down[d.host] })
+	}
+	f.pass(away)
+	for _, id := range hosts {
+		f.start(id)
+	}
+}
+
+// TestLargeFleetLearnsOfAnEndThroughHubs has the request come at any of 60 hosts that poll
+// hubs.
+func TestLargeFleetLearnsOfAnEndThroughHubs(t *testing.T) {
+	f := newCrashFleet(t, 60, 24, 1)
+	f.load(15*time.Second, 300*time.Millisecond, badRequest)
+	f.requireSentNoMore(badRequest)
+	f.requireOthersServed(badRequest)
+	for _, id := range f.entriesOf() {
+		require.NotZero(t, f.states[id].Requests().CrashList().Len(), id)
+	}
+}
+
+// TestRefusalOutlivesItsHosts lets the request come again after those who know of it have
+// started again: entry hosts, replicas, both, all with all power lost, and a replica that has
+// lost its disk beside it.
+func TestRefusalOutlivesItsHosts(t *testing.T) {
+	for name, fault := range map[string]func(*crashFleet){
+		"entry hosts":       func(f *crashFleet) { f.restart(time.Second, f.entriesOf()...) },
+		"replicas":          func(f *crashFleet) { f.restart(time.Second, f.replicasOf()...) },
+		"all, power lost":   func(f *crashFleet) { f.restart(2*time.Second, f.order...) },
+		"a new leader":      func(f *crashFleet) { f.restart(3*time.Second, f.leader()) },
+		"one after another": func(f *crashFleet) { f.rollOver() },
+		"replicas without their files, then entry hosts": func(f *crashFleet) {
+			for _, d := range f.disks {
+				d.crashes = nil
+			}
+			f.restart(time.Second, f.replicasOf()...)
+			f.pass(5 * time.Second)
+			f.restart(time.Second, f.entriesOf()...)
+		},
+		"all, and a disk lost": func(f *crashFleet) {
+			f.disks[replicaName(1)].crashes = nil
+			f.restart(2*time.Second, f.order...)
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			f := newCrashFleet(t, 6, 24, 3)
+			f.load(8*time.Second, 400*time.Millisecond, badRequest)
+			f.pass(time.Second)
+			fault(f)
+			f.pass(5 * time.Second)
+			clear(f.refusedAt)
+			before := len(f.sent[badRequest])
+			f.load(8*time.Second, 400*time.Millisecond, badRequest)
+			require.Equal(t, before, len(f.sent[badRequest]), "nothing has to be learned again")
+			f.requireSentNoMore(badRequest)
+			f.requireOthersServed(badRequest)
+		})
+	}
+}
+
+// rollOver starts each host again, one after the other.
+func (f *crashFleet) rollOver() {
+	for _, id := range slices.Clone(f.order) {
+		f.restart(time.Second, id)
+		f.pass(3 * time.Second)
+	}
+}
+
+// TestHostThatWasCutOffLearnsOfARefusal cuts an entry host off while the request ends
+// workers, and one replica in another run: once back they refuse it as the others do.
+func TestHostThatWasCutOffLearnsOfARefusal(t *testing.T) {
+	for _, cut := range []ident.Host{entryName(2), replicaName(0)} {
+		f := newCrashFleet(t, 6, 24, 5)
+		f.cutOff(cut, true)
+		f.load(8*time.Second, 400*time.Millisecond, badRequest)
+		f.cutOff(cut, false)
+		f.pass(contact)
+		require.NotZero(t, f.states[cut].Requests().CrashList().Len())
+		sent := len(f.sent[badRequest])
+		f.load(5*time.Second, 400*time.Millisecond, badRequest)
+		require.Equal(t, sent, len(f.sent[badRequest]), cut)
+	}
+}
+
+// TestFrozenHostLearnsOfARefusal has an entry host do nothing for eight seconds, in which
+// nothing reaches it, while the request ends workers at others.
+func TestFrozenHostLearnsOfARefusal(t *testing.T) {
+	f := newCrashFleet(t, 6, 24, 6)
+	frozen := f.states[entryName(0)]
+	f.stop(entryName(0))
+	f.load(8*time.Second, 400*time.Millisecond, badRequest)
+	f.states[entryName(0)], f.down[entryName(0)] = frozen, false
+	f.pass(contact)
+	f.arrive(entryName(0), badRequest)
+	f.requireSentNoMore(badRequest)
+	require.NotEmpty(t, f.refusedAt[badRequest])
+}
+
+// withoutCrashes is a message as a program from before sends and reads it.
+func withoutCrashes(m host.Message) host.Message {
+	switch m := m.(type) {
+	case host.Poll:
+		m.Crashes, m.CrashList, m.CrashEntries = nil, 0, nil
+		return m
+	case host.PollReply:
+		m.CrashList, m.CrashEntries = 0, nil
+		return m
+	}
+	return m
+}
+
+// TestTwoVersionsRefuseWhatTheyCan runs an earlier program on a replica and on half of the
+// entry hosts: those that know of the request refuse it, and all others are served by both.
+func TestTwoVersionsRefuseWhatTheyCan(t *testing.T) {
+	f := newCrashFleet(t, 6, 24, 7)
+	f.older = map[ident.Host]bool{replicaName(2): true, entryName(0): true, entryName(1): true, entryName(2): true}
+	f.load(8*time.Second, 400*time.Millisecond, badRequest)
+	f.pass(time.Second)
+	for i := range 6 {
+		before := len(f.refusedAt[badRequest])
+		f.arrive(entryName(i), badRequest)
+		require.Equal(t, i >= 3, len(f.refusedAt[badRequest]) > before, i)
+	}
+	f.requireOthersServed(badRequest)
+}
+
+// TestRequestThatWorkersAnswerIsNotRefused has workers end for reasons of their own under a
+// popular request, which all others answer: it is served throughout.
+func TestRequestThatWorkersAnswerIsNotRefused(t *testing.T) {
+	const popular = "/x/popular"
+	f := newCrashFleet(t, 6, 24, 8)
+	for range 20 {
+		for range 4 {
+			f.arrive(f.anyEntry(), popular)
+			f.pass(4 * seededStep)
+		}
+		for _, w := range f.workers {
+			holds := slices.ContainsFunc(w.running, func(d dispatched) bool { return d.path == popular })
+			if w.up() && holds {
+				f.end(w, "/x/other")
+				break
+			}
+		}
+		f.pass(2 * time.Second)
+	}
+	require.Greater(t, len(f.ends["/x/other"]), 10, "the load that it is about")
+	f.requireOthersServed()
+}
+
+// TestSeveralRequestsEndWorkersAtOnce has three such requests of one caller come beside each
+// other, so that each shares ends with the others.
+func TestSeveralRequestsEndWorkersAtOnce(t *testing.T) {
+	f := newCrashFleet(t, 6, 40, 9)
+	bad := []string{"/only-1/bad-1", "/only-1/bad-2", "/only-1/bad-3"}
+	for range 40 {
+		for _, path := range bad {
+			f.arrive(f.anyEntry(), path)
+		}
+		f.load(400*time.Millisecond, time.Second, "")
+	}
+	for _, path := range bad {
+		f.requireSentNoMore(path)
+	}
+	f.requireOthersServed(bad...)
+}
--- a/core/host/effect.go
+++ b/core/host/effect.go
@@ -66,6 +66,9 @@
 		For     ident.Request
 		To      ident.Host
 	}
+	// KeepCrashes puts the list of crashes on a replica's disk, in place of the one before.
+	// Nothing waits for it.
+	KeepCrashes struct{ Entries []CrashEntry }
 	// KnowHosts tells the transport where hosts listen.
 	KnowHosts struct{ Hosts []config.Host }
 	// RequestDecision carries out a decision of the gateway.
@@ -95,6 +98,7 @@
 func (AnswerWrite) effect()     {}
 func (Note) effect()            {}
 func (LookUp) effect()          {}
+func (KeepCrashes) effect()     {}
 func (KnowHosts) effect()       {}
 func (RequestDecision) effect() {}
 func (AnswerRead) effect()      {}
@@ -121,4 +125,5 @@
 	NoteHub       NoteKind = "hub"
 	NoteZone      NoteKind = "zone contact"
 	NoteInForce   NoteKind = "route table in force"
+	NoteCrashes   NoteKind = "request ends workers"
 )
--- a/core/host/fallback.go
+++ b/core/host/fallback.go
@@ -94,6 +94,7 @@
 	return Poll{
 		Version: t.config.Version, Lead: true, Table: t.tableOverdue(), Epoch: c.epoch, Revision: c.revision,
 		Boot: t.settings.Incarnation, Zone: t.settings.Zone, Neighbour: true,
+		CrashList: t.requests.CrashList().Key, CrashEntries: t.crashEntriesFor(c.crashList),
 	}
 }
 
@@ -104,6 +105,7 @@
 	m.Cut = true
 	t.noteReply(from, m)
 	t.takeRegistrations(from, m)
+	t.takeCrashEntries(from, m.CrashEntries)
 	t.takeTable(m)
 	t.noteNewestTable(m.Version)
 	sent, known := t.takeRound(m.Round)
--- a/core/host/host.go
+++ b/core/host/host.go
@@ -19,6 +19,7 @@
 //	polling.go, pollreply.go     seeded fleets: whom to poll, what a reply changes
 //	clients.go, updates.go       what clients are sent, and how much at once
 //	hub.go, fallback.go          how hubs serve, and whom to poll without replicas
+//	crashes.go                   how requests under which workers end become known
 //	seeded.go, times.go          readiness, and the times of a seeded fleet
 //	write.go, read.go            how writes and reads reach the leader
 //	replica.go                   what a committed entry changes
--- a/core/host/message.go
+++ b/core/host/message.go
@@ -149,6 +149,12 @@
 		Group   []hubs.Host
 		// Replaced are workers at whose address another process answered lately.
 		Replaced []ReplacedWorker
+		// Crashes are requests that were in progress at workers that ended lately.
+		Crashes []CrashReport
+		// CrashList names the list of crashes that the host holds, CrashEntries is that
+		// list where the receiver holds another one.
+		CrashList    hash.Key
+		CrashEntries []CrashEntry
 	}
 	// PollReply replies to a Poll, or is an update with Round 0. Its fields travel by
 	// their names, so they keep them.
@@ -190,6 +196,10 @@
 		Age      time.Duration
 		LoadsAge time.Duration
 		Cut      bool
+		// CrashList names the list of crashes of the sender, CrashEntries is that list where
+		// the client holds another one.
+		CrashList    hash.Key
+		CrashEntries []CrashEntry
 	}
 	// AwaitInForce asks the leader to answer a write once a table, which is committed, is
 	// in force.
--- a/core/host/polling.go
+++ b/core/host/polling.go
@@ -56,15 +56,18 @@
 	lastReply       time.Time
 	lastUsefulReply time.Time
 	lost            bool
+	// crashList names the list of crashes that it held then.
+	crashList hash.Key
 }
 
 // tickPolls polls where that is due.
 func (t *transition) tickPolls() {
-	if !t.settings.Serves || t.now.Before(t.seeded.pollAt) && !t.inForceReportDue() {
+	if !t.settings.Serves || t.now.Before(t.seeded.pollAt) && !t.inForceReportDue() && !t.crashReportDue() {
 		return
 	}
 	t.seeded.pollAt = t.now.Add(t.pollInterval())
 	t.renewHubs()
+	t.forgetCrashes()
 	hosts := t.hostsToPoll()
 	t.pickLeaderContact(hosts)
 	t.noteLostReplicas(hosts)
@@ -74,10 +77,10 @@
 	if t.isHub() {
 		group, grouped = t.groupReport()
 	}
-	inForce, replaced := t.inForceReport(), t.replacedReport()
+	inForce, replaced, crashed := t.inForceReport(), t.replacedReport(), t.crashReport()
 	for _, h := range hosts {
 		m := t.poll(h)
-		m.InForce, m.Replaced = inForce, replaced
+		m.InForce, m.Replaced, m.Crashes = inForce, replaced, crashed
 		m.Beats, m.Group, m.Grouped = registry.Pack(heartbeats[h]), group, grouped
 		t.sendPoll(h, m)
 	}
@@ -163,6 +166,7 @@
 		Boot: t.settings.Incarnation, Zone: t.settings.Zone, Relay: t.relayAddress(),
 		Home: primary != "" && to == primary, HubList: t.seeded.hub.list.Key,
 		NeighbourList: t.seeded.fallback.list.Key,
+		CrashList:     t.requests.CrashList().Key, CrashEntries: t.crashEntriesFor(c.crashList),
 	}
 }
 
--- a/core/host/pollreply.go
+++ b/core/host/pollreply.go
@@ -22,6 +22,7 @@
 	}
 	t.noteReply(from, m)
 	t.keepRegistrations(t.takeRegistrations(from, m))
+	t.takeCrashEntries(from, m.CrashEntries)
 	t.takeHubList(m)
 	t.takeFallbackPeers(m)
 	t.takeTable(m)
@@ -149,7 +150,7 @@
 	if !known || c.lost {
 		t.note(NoteReplica, string(from), "found")
 	}
-	c.lastReply, c.lost = t.now, false
+	c.lastReply, c.lost, c.crashList = t.now, false, m.CrashList
 	if !m.Cut {
 		c.lastUsefulReply = t.now
 		if t.seeded.hub.choice.Has(from) {
--- a/core/host/registrations.go
+++ b/core/host/registrations.go
@@ -99,6 +99,7 @@
 	}
 	t.registry, _ = t.registry.Expire(silence, t.now)
 	t.forgetLeases()
+	t.forgetCrashes()
 	hosts := t.liveEntryHosts()
 	t.nameHubs(hosts)
 	t.nameFallbackPeers(hosts)
--- a/core/host/seeded.go
+++ b/core/host/seeded.go
@@ -66,6 +66,7 @@
 	relays []hubs.Host
 	// replacements are the workers that clients of this hub found replaced.
 	replacements requests.Replacements
+	crashes      crashState
 	// lookedAt is when the registrations were last looked over.
 	lookedAt time.Time
 	// membership is what a replica keeps of the replicas that ask to be taken in.
@@ -121,6 +122,8 @@
 		case requests.WorkerChanged:
 			t.note(NoteWorker, string(d.Worker.ID), fmt.Sprintf("usable=%t state=%s seq=%d born=%s at=%s failures=%d why=%q",
 				d.Healthy, d.Worker.State, d.Worker.Seq, d.Worker.Born, d.Worker.Address, d.Failures, d.Why))
+		case requests.WorkerEnded:
+			t.note(NoteWorker, string(d.Worker), fmt.Sprintf("ended under %d requests of this host", d.Requests))
 		case requests.ZoneChanged:
 			t.note(NoteZone, string(d.Zone), fmt.Sprintf("reached=%t others=%t missed=%s", d.Reachable, d.AllOthers, d.LastFailed))
 		default:
--- a/core/host/seeded_test.go
+++ b/core/host/seeded_test.go
@@ -23,6 +23,9 @@
 type seededDisk struct {
 	identity ident.Host
 	boot     raft.Boot
+	// crashes is the list of crashes as of keptAt.
+	crashes []host.CrashEntry
+	keptAt  time.Time
 }
 
 func (d *seededDisk) write(p raft.Persist) {
@@ -67,6 +70,8 @@
 	beats []host.HeartbeatAnswer
 	// seen, where set, is shown each message that arrives.
 	seen func(seededPacket)
+	// older are hosts that run a program which neither sends nor reads crashes.
+	older map[ident.Host]bool
 	// hold, where set, is how long a message stays on its way; held are those that
 	// do.
 	hold func(seededPacket) time.Duration
@@ -141,6 +146,11 @@
 		var err error
 		state, err = state.WithReplica(d.boot, f.now)
 		require.NoError(f.t, err)
+		aged := slices.Clone(d.crashes)
+		for i := range aged {
+			aged[i].Age += f.now.Sub(d.keptAt)
+		}
+		state = state.WithCrashes(aged, f.now)
 	}
 	f.states[id], f.down[id] = state, false
 }
@@ -176,6 +186,8 @@
 				f.wire = append(f.wire, seededPacket{id, to, m})
 			}
 			f.reduce(id, host.EntriesPersisted{Persisted: raft.Persisted{Index: e.Persist.Index, Term: e.Persist.Term}})
+		case host.KeepCrashes:
+			f.disks[id].crashes, f.disks[id].keptAt = e.Entries, f.now
 		case host.AnswerWrite:
 			f.writes[e.ID] = e
 		case host.AnswerRead:
@@ -225,6 +237,9 @@
 }
 
 func (f *seededFleet) deliver(p seededPacket) {
+	if f.older[p.from] || f.older[p.to] {
+		p.message = withoutCrashes(p.message)
+	}
 	if f.seen != nil {
 		f.seen(p)
 	}
--- a/core/host/updates.go
+++ b/core/host/updates.go
@@ -40,7 +40,7 @@
 	sent := 0
 	for _, id := range t.seeded.clients.KeysAfter(t.seeded.updatedLast) {
 		c, _ := t.seeded.clients.Get(id)
-		if c.live(t.now) && (t.tableDue(c) || t.registrationsDue(c)) {
+		if c.live(t.now) && (t.tableDue(c) || t.registrationsDue(c) || t.crashListDue(c)) {
 			t.replyTo(id, c, Poll{})
 			t.seeded.updatedLast = id
 			sent++
@@ -61,6 +61,9 @@
 	return c.revision < t.registry.Revision() && t.now.Sub(c.updatedAt) >= t.updateGap() && !t.hubsExpected()
 }
 
+// crashListDue tells whether a client is to be sent another list of crashes now.
+func (t *transition) crashListDue(c client) bool { return c.crashList != t.requests.CrashList().Key }
+
 // updateGap is the time kept between two updates of registrations to a client.
 func (t *transition) updateGap() time.Duration {
 	return min(time.Duration(t.seeded.clients.Len())*updateGapPerClient, maxUpdateGap)
--- a/core/host/view.go
+++ b/core/host/view.go
@@ -111,6 +111,17 @@
 	// ConfirmedAt is as of when the route table held was surely the newest.
 	ConfirmedAt time.Time
 	Workers     int
+	// Crashes are the requests under which workers ended.
+	Crashes []DumpCrash
+}
+
+// DumpCrash is a request under which Ends workers ended in a row, the last one at At; with
+// Ends 0 one was answered then.
+type DumpCrash struct {
+	Content string
+	Ends    int
+	At      time.Time
+	Refused bool
 }
 
 // DumpMember is one replica as the leader sees it.
@@ -183,7 +194,7 @@
 		d.Replica = s.dumpReplica(now)
 	}
 	if s.settings.Seeded() {
-		d.Sync = s.dumpSync()
+		d.Sync = s.dumpSync(now)
 	}
 	for id, p := range s.peers.All() {
 		d.Peers = append(d.Peers, DumpPeer{
@@ -223,7 +234,7 @@
 	return r
 }
 
-func (s State) dumpSync() *DumpSync {
+func (s State) dumpSync(now time.Time) *DumpSync {
 	d := &DumpSync{
 		Hosts: s.seeded.hosts, Asks: s.seeded.hub.polledLast, Serves: s.settings.IsReplica() || s.seeded.hub.serves,
 		Askers: s.seeded.clients.Len(), ConfirmedAt: s.requests.Confirmed().AsOf, Workers: s.requests.KnownWorkers(),
@@ -231,6 +242,10 @@
 	for _, h := range s.seeded.hub.list.Hosts {
 		d.Hubs = append(d.Hubs, h.Host)
 	}
+	for _, e := range s.requests.CrashList().Entries() {
+		_, refused := s.requests.CrashList().Refused(e.Content, now)
+		d.Crashes = append(d.Crashes, DumpCrash{Content: e.Content.String(), Ends: e.Ends, At: e.At, Refused: refused})
+	}
 	return d
 }
 
--- a/core/requests/attempt.go
+++ b/core/requests/attempt.go
@@ -15,6 +15,8 @@
 //	broken                    the route is repeatable, and attempts and budget allow it
 //	abandoned                 never
 //
+// and nowhere where workers end under it (crashes.go).
+//
 // So a request that must not run twice goes on only where it is proved that no worker ran
 // it: it was never sent, or declined. The caller's outcome joins those of all attempts.
 
@@ -38,6 +40,9 @@
 	case outcome.Answered:
 		t.answered(c, r)
 	case outcome.NeverSent:
+		if r.Refused {
+			t.connectionRefused(c.target)
+		}
 		t.neverSent(c, r)
 	case outcome.Declined:
 		t.declined(c, r)
@@ -52,6 +57,7 @@
 // request may run again.
 func (t *transition) answered(c call, r outcome.Answered) {
 	c.sent++
+	t.answeredAfterAll(c, r)
 	v := Verdict{Outcome: outcome.Ran, Code: CodeOK}
 	if r.Status >= serverError && c.route.Repeatable() && t.mayRetry(c) {
 		t.retry(c.withCacheHolder(), v)
@@ -73,7 +79,10 @@
 
 // declined tries another worker or, where none is allowed, the same one again.
 func (t *transition) declined(c call, r outcome.Declined) {
-	if !r.Leaving {
+	if r.Leaving {
+		// Another process answers at the address.
+		t.processEnded(c.target, c.life)
+	} else {
 		c.sent++
 	}
 	v := Verdict{Outcome: c.combined, Code: CodeOverloaded, Reason: "the worker declined: " + r.Reason}
@@ -93,6 +102,7 @@
 // broken tries another worker where the request may run again.
 func (t *transition) broken(c call, r outcome.Broken) {
 	c.sent++
+	t.attemptBroke(c, r)
 	v := Verdict{Outcome: c.combined, Code: CodeBroken, Reason: "the worker's answer broke off: " + r.Reason}
 	if !c.route.Repeatable() || !c.paid && !t.mayRetry(c) {
 		t.finish(c.req.ID, v)
--- /dev/null
+++ b/core/requests/crashes_test.go
@@ -0,0 +1,225 @@
+// Copyright 2026 The Yardhall Authors. Licensed under the Apache License, Version 2.0.
+
+package requests_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/yardhall/yardhall/core/crashes"
+	"github.com/yardhall/yardhall/core/ident"
+	"github.com/yardhall/yardhall/core/outcome"
+	"github.com/yardhall/yardhall/core/registry"
+	"github.com/yardhall/yardhall/core/requests"
+)
+
+// known is a request whose content is known.
+func known(id, path string) requests.Request {
+	r := request(id, path)
+	r.Digest = []byte(path)
+	return r
+}
+
+func contentOf(path string) crashes.Content { return crashes.ContentOf("halls", []byte(path)) }
+
+// refusing returns a gateway that holds three ends against a request.
+func refusing(s requests.State, path string) requests.State {
+	return s.WithCrashList(crashes.List{}.With(start, crashes.Entry{Content: contentOf(path), Ends: 3, At: start}))
+}
+
+func reduce(s requests.State, ev requests.Event, now time.Time) (requests.State, []requests.Decision) {
+	return requests.Reduce(s, ev, now)
+}
+
+func probes(decisions []requests.Decision) int {
+	n := 0
+	for _, d := range decisions {
+		if _, ok := d.(requests.ProbeConnection); ok {
+			n++
+		}
+	}
+	return n
+}
+
+// brokenAt sends a request that must not run twice and breaks it off at its worker.
+func brokenAt(t *testing.T, s requests.State, result outcome.Broken, now time.Time) (requests.State, requests.Dispatch, int) {
+	t.Helper()
+	s, d := arrive(t, s, known("1", "/unsafe/bad"), now)
+	sent := d.(requests.Dispatch)
+	require.Equal(t, contentOf("/unsafe/bad"), sent.Content)
+	s, decisions := reduce(s, requests.AttemptEnded{Request: "1", Attempt: 1, Result: result, Wanted: true}, now.Add(time.Second))
+	return s, sent, probes(decisions)
+}
+
+// TestBrokenAttemptIsACrashOnceItsWorkerEnded breaks an attempt off and brings each proof
+// that the worker's process ended, or that it lives.
+func TestBrokenAttemptIsACrashOnceItsWorkerEnded(t *testing.T) {
+	later := start.Add(1100 * time.Millisecond)
+	successor := func(w registry.Worker) registry.Worker {
+		w.ID, w.Seq = "successor", 1
+		return w
+	}
+	for name, c := range map[string]struct {
+		proof func(requests.State, requests.Dispatch) requests.Event
+		crash bool
+	}{
+		"a connection is refused": {func(_ requests.State, d requests.Dispatch) requests.Event {
+			return requests.ProbeEnded{Worker: d.Worker.ID, Refused: true}
+		}, true},
+		"it starts again under its id": {func(_ requests.State, d requests.Dispatch) requests.Event {
+			return requests.Registered{From: "r", Workers: []registry.Worker{startedAgain(d.Worker)}}
+		}, true},
+		"another process has its address": {func(_ requests.State, d requests.Dispatch) requests.Event {
+			return requests.Registered{From: "r", Workers: []registry.Worker{successor(d.Worker)}}
+		}, true},
+		"a connection comes up": {func(_ requests.State, d requests.Dispatch) requests.Event {
+			return requests.ProbeEnded{Worker: d.Worker.ID, OK: true}
+		}, false},
+		"nobody answers": {func(_ requests.State, d requests.Dispatch) requests.Event {
+			return requests.ProbeEnded{Worker: d.Worker.ID}
+		}, false},
+	} {
+		s, sent, asked := brokenAt(t, bornReady(1), outcome.Broken{Reason: "unexpected EOF"}, start)
+		require.Equal(t, 1, asked, name)
+		s, _ = reduce(s, c.proof(s, sent), later)
+		reports := s.Crashes().Lately(later)
+		if !c.crash {
+			require.Empty(t, reports, name)
+			continue
+		}
+		require.Len(t, reports, 1, name)
+		require.Equal(t, contentOf("/unsafe/bad"), reports[0].Content)
+		want := crashes.Crash{Worker: sent.Worker.ID, SentAt: start, EndedAt: start.Add(time.Second)}
+		require.Equal(t, want, reports[0].Crash, name)
+		require.Empty(t, s.Crashes().Lately(later.Add(time.Minute)), "it is not reported for ever")
+	}
+}
+
+// TestOneProbeForAWorkerThatEnds breaks many attempts off at one worker, and a refused
+// connection of a request proves all of them.
+func TestOneProbeForAWorkerThatEnds(t *testing.T) {
+	s, asked := bornReady(1), 0
+	for i := range 20 {
+		s, _ = arrive(t, s, known(fmt.Sprint(i), fmt.Sprint("/unsafe/", i)), start)
+	}
+	for i := range 20 {
+		var decisions []requests.Decision
+		s, decisions = reduce(s, requests.AttemptEnded{Request: ident.Request(fmt.Sprint(i)), Attempt: 1, Result: outcome.Broken{}, Wanted: true}, start)
+		asked += probes(decisions)
+	}
+	require.Equal(t, 1, asked)
+	s, d := arrive(t, s, known("next", "/unsafe/next"), start)
+	s, _ = reduce(s, requests.AttemptEnded{Request: "next", Attempt: d.(requests.Dispatch).Attempt, Result: outcome.NeverSent{Refused: true}, Wanted: true}, start)
+	require.Len(t, s.Crashes().Lately(start), 20)
+}
+
+// TestWhatShowsNoCrash breaks attempts off where a worker ends as planned, where nothing came
+// in time, where the proof comes late, and without a known content.
+func TestWhatShowsNoCrash(t *testing.T) {
+	refuse := func(s requests.State, d requests.Dispatch, now time.Time) []requests.CrashReport {
+		s, _ = reduce(s, requests.ProbeEnded{Worker: d.Worker.ID, Refused: true}, now)
+		return s.Crashes().Lately(now)
+	}
+	s, d, asked := brokenAt(t, bornReady(1), outcome.Broken{Silent: true}, start)
+	require.Zero(t, asked)
+	require.Empty(t, refuse(s, d, start.Add(time.Second)))
+
+	s, d, _ = brokenAt(t, bornReady(1), outcome.Broken{}, start)
+	require.Empty(t, refuse(s, d, start.Add(time.Minute)), "it may have ended for any other reason since")
+
+	s, first := arrive(t, bornReady(1), known("1", "/unsafe/bad"), start)
+	leaving := first.(requests.Dispatch).Worker
+	leaving.State, leaving.Seq = registry.Draining, leaving.Seq+1
+	s, _ = register(s, leaving, start)
+	s, _ = reduce(s, requests.AttemptEnded{Request: "1", Attempt: 1, Result: outcome.Broken{}, Wanted: true}, start)
+	require.Empty(t, refuse(s, first.(requests.Dispatch), start))
+
+	s, first = arrive(t, bornReady(1), request("1", "/unsafe/bad"), start)
+	s, decisions := reduce(s, requests.AttemptEnded{Request: "1", Attempt: 1, Result: outcome.Broken{}, Wanted: true}, start)
+	require.Zero(t, probes(decisions))
+	require.Empty(t, refuse(s, first.(requests.Dispatch), start))
+}
+
+// TestRefusedRequestGoesNowhere takes each way by which a request is sent, once workers are
+// known to end under it.
+func TestRefusedRequestGoesNowhere(t *testing.T) {
+	finished := func(d requests.Decision) requests.Verdict {
+		f, ok := d.(requests.Finish)
+		require.True(t, ok, "%#v", d)
+		return f.Verdict
+	}
+	s := refusing(bornReady(3), "/unsafe/bad")
+	_, d := arrive(t, s, known("1", "/unsafe/bad"), start.Add(time.Second))
+	v := finished(d)
+	require.Equal(t, requests.CodeCrashes, v.Code)
+	require.Equal(t, outcome.NotRun, v.Outcome)
+	require.Equal(t, 10*time.Minute-time.Second, v.RetryAfter)
+
+	other := known("2", "/unsafe/bad")
+	other.Digest = []byte("another body")
+	_, d = arrive(t, s, other, start)
+	require.IsType(t, requests.Dispatch{}, d)
+
+	// It becomes known while an attempt is in progress.
+	for name, c := range map[string]struct {
+		result outcome.Attempt
+		code   requests.Code
+		kind   outcome.Kind
+	}{
+		"broken":     {outcome.Broken{Reason: "unexpected EOF"}, requests.CodeBroken, outcome.Unknown},
+		"never sent": {outcome.NeverSent{Reason: "refused", Refused: true}, requests.CodeCrashes, outcome.NotRun},
+		"declined":   {outcome.Declined{Reason: "full"}, requests.CodeOverloaded, outcome.NotRun},
+		"failed":     {outcome.Answered{Status: 500}, requests.CodeOK, outcome.Ran},
+	} {
+		s, first := arrive(t, bornReady(3), known("1", "/safe/bad"), start)
+		s = refusing(s, "/safe/bad")
+		_, decisions := reduce(s, requests.AttemptEnded{
+			Request: "1", Attempt: first.(requests.Dispatch).Attempt, Result: c.result, Wanted: true,
+		}, start)
+		var v requests.Verdict
+		for _, d := range decisions {
+			require.IsNotType(t, requests.Dispatch{}, d, name)
+			if f, ok := d.(requests.Finish); ok {
+				v = f.Verdict
+			}
+		}
+		require.Equal(t, c.code, v.Code, name)
+		require.Equal(t, c.kind, v.Outcome, name)
+	}
+	s, first := arrive(t, bornReady(3), known("1", "/safe/bad"), start)
+	_, decisions := reduce(refusing(s, "/safe/bad"), requests.HeaderLate{Request: "1", Attempt: first.(requests.Dispatch).Attempt}, start)
+	require.Empty(t, decisions, "an attempt is not given up for another one")
+}
+
+// TestAnswerClearsARequest answers a request that is watched, and one that is refused and
+// still in progress.
+func TestAnswerClearsARequest(t *testing.T) {
+	for _, ends := range []int{2, 3} {
+		s, _ := arrive(t, bornReady(1), known("1", "/unsafe/x"), start)
+		s = s.WithCrashList(crashes.List{}.With(start, crashes.Entry{Content: contentOf("/unsafe/x"), Ends: ends, At: start}))
+		failed, _ := reduce(s, requests.AttemptEnded{Request: "1", Attempt: 1, Result: outcome.Answered{Status: 500}, Wanted: true}, start.Add(2*time.Second))
+		e, _ := failed.CrashList().Get(contentOf("/unsafe/x"))
+		require.Equal(t, ends, e.Ends, "a failure shows nothing")
+		s, _ = reduce(s, requests.AttemptEnded{Request: "1", Attempt: 1, Result: outcome.Answered{Status: 200}, Wanted: true}, start.Add(2*time.Second))
+		e, _ = s.CrashList().Get(contentOf("/unsafe/x"))
+		require.Zero(t, e.Ends)
+		_, d := arrive(t, s, known("2", "/unsafe/x"), start.Add(2*time.Second))
+		require.IsType(t, requests.Dispatch{}, d)
+	}
+}
+
+// TestCrashReportsAreBounded reports more crashes at once than are kept.
+func TestCrashReportsAreBounded(t *testing.T) {
+	var r requests.CrashReports
+	for i := range 1000 {
+		r = r.With(requests.CrashReport{Content: contentOf(fmt.Sprint(i)), SeenAt: start}, start)
+	}
+	require.LessOrEqual(t, len(r.Lately(start)), 256)
+	require.Equal(t, uint64(1000), r.Seen)
+	before := r.Seen
+	require.Equal(t, before, r.With(r.Lately(start)[3], start).Seen, "the same again")
+	require.Empty(t, r.Lately(start.Add(time.Minute)))
+}
--- a/core/requests/decision.go
+++ b/core/requests/decision.go
@@ -71,6 +71,12 @@
 		Failures int
 		Why      string
 	}
+	// WorkerEnded tells, for the log, that a worker's process ended under Requests of this
+	// host.
+	WorkerEnded struct {
+		Worker   ident.Target
+		Requests int
+	}
 	// ZoneChanged tells, for the log, that a zone became unreachable or reachable.
 	ZoneChanged struct {
 		Zone      ident.Zone
@@ -89,6 +95,7 @@
 func (BreakOff) decision()        {}
 func (ProbeConnection) decision() {}
 func (WorkerChanged) decision()   {}
+func (WorkerEnded) decision()     {}
 func (ZoneChanged) decision()     {}
 
 // Inputs are what a decision was made from, for the log.
@@ -137,4 +144,5 @@
 	CodeBroken     Code = "worker_failed"
 	CodeDeadline   Code = "deadline_exceeded"
 	CodeCallerGone Code = "caller_gone"
+	CodeCrashes    Code = "crashes_workers"
 )
--- a/core/requests/dispatch.go
+++ b/core/requests/dispatch.go
@@ -28,7 +28,9 @@
 	target ident.Target
 	tried  []ident.Target
 	// life is the worker's at the present attempt; it grows where the worker starts again.
-	life int
+	// sentAt is when the attempt is sent.
+	life   int
+	sentAt time.Time
 	// resends counts how often it was sent to the same worker once more.
 	resends int
 	// cacheHolder is the first engine that answered without success; empty for none.
@@ -41,6 +43,10 @@
 
 // dispatch sends the call to the best worker, or ends it with v where there is none.
 func (t *transition) dispatch(c call, v Verdict) {
+	if t.isRefused(c) {
+		t.finish(c.req.ID, t.crashVerdict(c))
+		return
+	}
 	picked, ok := t.choose(c)
 	if !ok || !t.now.Before(c.req.Deadline) {
 		v.Outcome = c.combined
@@ -59,7 +65,7 @@
 // send begins the call's next attempt, at the worker picked, after a pause.
 func (t *transition) send(c call, picked choice, pause time.Duration) {
 	c.attempt++
-	c.life = picked.worker.life
+	c.life, c.sentAt = picked.worker.life, t.now.Add(pause)
 	t.addInFlight(picked.worker.ID)
 	t.calls = t.calls.With(c.req.ID, c)
 	header, stall := c.responseTimeouts()
--- a/core/requests/requests.go
+++ b/core/requests/requests.go
@@ -27,6 +27,7 @@
 //	workerhealth.go   what an attempt tells of its worker
 //	replaced.go       what is reported of workers whose address has another process
 //	restart.go        what ends where a worker starts again under its id
+//	crashes.go        what is seen of requests under which workers end, which are refused
 //	zones.go          when a zone is unreachable
 //
 // # Usage
@@ -45,6 +46,7 @@
 
 	"github.com/yardhall/yardhall/core/config"
 	"github.com/yardhall/yardhall/core/confirmation"
+	"github.com/yardhall/yardhall/core/crashes"
 	"github.com/yardhall/yardhall/core/ident"
 	"github.com/yardhall/yardhall/core/loads"
 	"github.com/yardhall/yardhall/core/registry"
@@ -109,6 +111,12 @@
 	forgotAt  time.Time
 	// replacements are the workers that this host found replaced.
 	replacements Replacements
+	// suspects are attempts that broke off, perhaps as their workers ended, crashReports
+	// those of which that is known, crashList what all hosts know of such requests.
+	// suspects is never changed in place.
+	suspects     []suspect
+	crashReports CrashReports
+	crashList    crashes.List
 	calls        table.Table[ident.Request, call]
 	budgets      table.Table[ident.Service, budget]
 	// headerTimes are how long answers take to begin, by route.
--- a/core/requests/retry.go
+++ b/core/requests/retry.go
@@ -18,7 +18,7 @@
 
 // mayRetry tells whether all limits allow one more worker.
 func (t *transition) mayRetry(c call) bool {
-	if c.sent >= max(1, c.route.MaxAttempts) || c.connectsUsedUp() {
+	if c.sent >= max(1, c.route.MaxAttempts) || c.connectsUsedUp() || t.isRefused(c) {
 		return false
 	}
 	return t.budgetAllows(c)
--- a/core/requests/worker.go
+++ b/core/requests/worker.go
@@ -99,6 +99,7 @@
 	t.workers = t.workers.With(r.ID, next)
 	if startedAgain {
 		t.loseAttempts(r.ID, have.life)
+		t.processEnded(r.ID, have.life)
 	}
 	t.settleAddress(have.Address, next)
 }
@@ -129,6 +130,9 @@
 		if displaced := t.addresses.Displaced(w.Worker, t.Worker); displaced != w.displaced {
 			w.displaced = displaced
 			t.workers = t.workers.With(id, w)
+			if displaced {
+				t.processEnded(id, w.life)
+			}
 		}
 	}
 }
--- a/core/requests/zones.go
+++ b/core/requests/zones.go
@@ -154,7 +154,12 @@
 
 // probeEnded takes what came of a probe.
 func (t *transition) probeEnded(ev ProbeEnded) {
-	if w, ok := t.workers.Get(ev.Worker); ok && ev.OK {
+	w, ok := t.workers.Get(ev.Worker)
+	switch {
+	case ok && ev.OK:
 		t.zoneAnswered(w.Zone)
+		t.processLives(w.ID, w.life)
+	case ev.Refused:
+		t.connectionRefused(ev.Worker)
 	}
 }
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -22,6 +22,7 @@
 	"github.com/oklog/run"
 	"github.com/pkg/errors"
 
+	"github.com/yardhall/yardhall/core/crashes"
 	"github.com/yardhall/yardhall/core/host"
 	"github.com/yardhall/yardhall/core/ident"
 	"github.com/yardhall/yardhall/core/raft"
@@ -94,9 +95,15 @@
 			return nil, errors.Wrap(err, "read replicated state")
 		}
 	}
+	if log != nil {
+		state = state.WithCrashes(keptCrashes(s.Host.Data, o.Log, time.Now()), time.Now())
+	}
 	d.loop = newLoop(state, o.Log, d.pool, d.targets)
 	if log != nil {
 		d.loop.disk = newDiskWriter(d.loop, log)
+		d.loop.crashes = newCrashKeeper(o.Log, func(entries []crashes.Entry) error {
+			return storage.KeepCrashes(s.Host.Data, entries, o.WrapFile)
+		})
 	}
 	d.server = peers.NewServer(popts, func(from ident.Host, m host.Message) {
 		d.loop.post(host.Received{From: from, Message: m})
@@ -200,6 +207,7 @@
 		_ = d.loop.disk.log.Close()
 		return err
 	}, func(error) { stop() })
+	g.Add(func() error { d.loop.crashes.run(ctx); return nil }, func(error) { stop() })
 }
 
 // State returns the newest state of the core.
--- a/daemon/effects.go
+++ b/daemon/effects.go
@@ -17,6 +17,8 @@
 		l.pool.Send(e.To, e.Message)
 	case host.Persist:
 		l.disk.queue(e.Persist)
+	case host.KeepCrashes:
+		l.crashes.keep(e.Entries, time.Now())
 	case host.Dispatch:
 		l.toCall(e.Request, e, false)
 	case host.Finish:
--- a/daemon/forms_test.go
+++ b/daemon/forms_test.go
@@ -127,11 +127,13 @@
 		requests.CodeOK, requests.CodeNoRoute, requests.CodeBadKey, requests.CodeNotReady,
 		requests.CodeDraining, requests.CodeStale, requests.CodeDuplicate, requests.CodeNoWorker,
 		requests.CodeOverloaded, requests.CodeBroken, requests.CodeDeadline, requests.CodeCallerGone,
+		requests.CodeCrashes,
 	}
 	notes := []host.NoteKind{
 		host.NoteRole, host.NoteConfig, host.NoteHostUp, host.NoteHostDown, host.NoteOwner, host.NoteTarget,
 		host.NoteReady, host.NoteDrain, host.NoteFallback, host.NoteStateLoad, host.NoteMembers, host.NoteWorker,
 		host.NoteReplica, host.NoteHub, host.NoteZone, host.NoteInForce,
+		host.NoteCrashes,
 	}
 	outcomes := []outcome.Kind{outcome.Ran, outcome.NotRun, outcome.Unknown}
 	lines := slices.Concat(named("code", codes), named("note", notes), named("outcome", outcomes))
--- a/daemon/loop.go
+++ b/daemon/loop.go
@@ -39,6 +39,7 @@
 	pool    *peers.Pool
 	targets *targets.Client
 	disk    *diskWriter
+	crashes *crashKeeper
 	done    chan struct{}
 	reduced *expvar.Int
 	answers *callers.Answers
--- a/peers/forms_test.go
+++ b/peers/forms_test.go
@@ -63,11 +63,18 @@
 	for _, w := range types {
 		name, value := "type-"+w.Name, filled(w.Value)
 		if poll, ok := value.(host.Poll); ok {
-			// The first programs that sent polls did not report replaced workers.
+			// The first programs that sent polls reported neither replaced workers nor crashes.
+			forms = append(forms, gobForm(name+"-crashes", carrier{Value: poll}))
+			poll.Crashes, poll.CrashList, poll.CrashEntries = nil, 0, nil
 			forms = append(forms, gobForm(name+"-replaced", carrier{Value: poll}))
 			poll.Replaced = nil
 			value = poll
 		}
+		if reply, ok := value.(host.PollReply); ok {
+			forms = append(forms, gobForm(name+"-crashes", carrier{Value: reply}))
+			reply.CrashList, reply.CrashEntries = 0, nil
+			value = reply
+		}
 		forms = append(forms, gobForm(name, carrier{Value: value}))
 	}
 	forms = append(forms, gobForm("hello", filled(Hello{})), gobForm("batch", filled(Batch{})), gobForm("ack", filled(Ack{})))
--- /dev/null
+++ b/storage/crashes.go
@@ -0,0 +1,73 @@
+// Copyright 2026 The Yardhall Authors. Licensed under the Apache License, Version 2.0.
+
+package storage
+
+import (
+	"bytes"
+	"os"
+	"path/filepath"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+	"github.com/pkg/errors"
+
+	"github.com/yardhall/yardhall/core/crashes"
+)
+
+// crashesFile stands beside the replicated log, which it is no part of: each replica keeps
+// its own, one that is lost or damaged is learned again from other hosts, and a program from
+// before it passes over it.
+const crashesFile = "crashes.cbor"
+
+// keptCrashes is the content of the file; its fields travel by their names.
+type keptCrashes struct {
+	Format  int
+	Crashes []keptCrash
+}
+
+// keptCrash is an entry of a list of crashes.
+type keptCrash struct {
+	Content []byte
+	Ends    int
+	// At is by the time of day, in Unix milliseconds: no other clock lasts from process to
+	// process.
+	At int64
+}
+
+// KeepCrashes writes the entries of a list of crashes, with times of day, in place of those
+// written before. It returns once they are synced.
+func KeepCrashes(dir string, entries []crashes.Entry, wrap func(File) File) error {
+	content := keptCrashes{Format: formatVersion}
+	for _, e := range entries {
+		content.Crashes = append(content.Crashes, keptCrash{Content: []byte(e.Content), Ends: e.Ends, At: e.At.UnixMilli()})
+	}
+	var b bytes.Buffer
+	if err := appendFrame(&b, content); err != nil {
+		return err
+	}
+	return writeWhole(filepath.Join(dir, crashesFile), b.Bytes(), wrap)
+}
+
+// ReadCrashes reads what KeepCrashes wrote; none where nothing was written.
+func ReadCrashes(dir string) ([]crashes.Entry, error) {
+	data, err := os.ReadFile(filepath.Join(dir, crashesFile))
+	if errors.Is(err, os.ErrNotExist) {
+		return nil, nil
+	}
+	if err != nil {
+		return nil, errors.Wrap(err, "read crashes")
+	}
+	frame, _, whole := cutFrame(data)
+	if !whole {
+		return nil, errors.Wrap(ErrDamaged, crashesFile)
+	}
+	var content keptCrashes
+	if err := cbor.Unmarshal(frame, &content); err != nil {
+		return nil, errors.Wrap(ErrDamaged, crashesFile+": "+err.Error())
+	}
+	out := make([]crashes.Entry, 0, len(content.Crashes))
+	for _, c := range content.Crashes {
+		out = append(out, crashes.Entry{Content: crashes.Content(c.Content), Ends: c.Ends, At: time.UnixMilli(c.At)})
+	}
+	return out, nil
+}
--- a/storage/generation.go
+++ b/storage/generation.go
@@ -92,10 +92,10 @@
 			return err
 		}
 	}
-	if err := l.writeWhole(l.path(l.generation, "log"), log.Bytes()); err != nil {
+	if err := writeWhole(l.path(l.generation, "log"), log.Bytes(), l.options.Wrap); err != nil {
 		return err
 	}
-	if err := l.writeWhole(l.path(l.generation, "snap"), snapshot.Bytes()); err != nil {
+	if err := writeWhole(l.path(l.generation, "snap"), snapshot.Bytes(), l.options.Wrap); err != nil {
 		return err
 	}
 	l.good = int64(log.Len())
@@ -112,14 +112,14 @@
 }
 
 // writeWhole writes a file under another name, syncs it, renames it and syncs
-// the folder.
-func (l *Log) writeWhole(name string, data []byte) error {
+// the folder. wrap, where set, stands between it and the file.
+func writeWhole(name string, data []byte, wrap func(File) File) error {
 	tmp := name + ".tmp"
 	f, err := os.OpenFile(tmp, os.O_CREATE|os.O_TRUNC|os.O_WRONLY, fileMode)
 	if err != nil {
 		return errors.Wrap(err, "create file")
 	}
-	w := l.wrapped(f)
+	w := wrapped(f, wrap)
 	_, err = w.Write(data)
 	if err == nil {
 		err = w.Sync()
@@ -135,7 +135,7 @@
 	if err := os.Rename(tmp, name); err != nil {
 		return errors.Wrap(err, "rename file")
 	}
-	return syncDir(l.dir)
+	return syncDir(filepath.Dir(name))
 }
 
 func syncDir(dir string) error {
--- a/storage/storage.go
+++ b/storage/storage.go
@@ -6,6 +6,7 @@
 //
 //	state-g.snap  the snapshot that generation g begins with
 //	state-g.log   frames written since; one frame per sync
+//	crashes.cbor  the list of crashes, a single frame; no part of the replicated state
 //
 // A frame is its length, its CRC-32C and its CBOR content. The next frame is
 // written only after the last one has been synced, so only the last frame of
@@ -171,15 +172,15 @@
 	if err != nil {
 		return errors.Wrap(err, "open log")
 	}
-	l.file = l.wrapped(f)
+	l.file = wrapped(f, l.options.Wrap)
 	return l.rewind()
 }
 
-func (l *Log) wrapped(f File) File {
-	if l.options.Wrap == nil {
+func wrapped(f File, wrap func(File) File) File {
+	if wrap == nil {
 		return f
 	}
-	return l.options.Wrap(f)
+	return wrap(f)
 }
 
 // rewind cuts the file back to what is known synced.
