common/clock: Count the time for which a machine was suspended

Cause: a machine may be suspended for seconds, which the clock behind time.Now does not count: a host that wakes would serve keys by a lease that has ended, a leader confirm tables, and what is remembered would be younger than it is. Change: leases, ages and deadlines are measured by a clock that adds the time of suspension, read from the system's clock that counts it; timers, contexts and connections get times of their own clock. Without a suspension nothing changes.

--- a/callers/api.go
+++ b/callers/api.go
@@ -21,6 +21,7 @@
 
 	"github.com/labstack/echo/v4"
 
+	"github.com/yardhall/yardhall/common/clock"
 	"github.com/yardhall/yardhall/core/config"
 	"github.com/yardhall/yardhall/core/host"
 	"github.com/yardhall/yardhall/core/ident"
@@ -103,7 +104,7 @@
 // New returns the callers' API.
 func New(d Deps) *API {
 	if d.Now == nil {
-		d.Now = time.Now
+		d.Now = clock.Now
 	}
 	if d.Observe == nil {
 		d.Observe = func(Observation) {}
--- a/callers/serve.go
+++ b/callers/serve.go
@@ -12,6 +12,7 @@
 	"github.com/labstack/echo/v4"
 	"github.com/pkg/errors"
 
+	"github.com/yardhall/yardhall/common/clock"
 	"github.com/yardhall/yardhall/core/host"
 	"github.com/yardhall/yardhall/core/ident"
 	"github.com/yardhall/yardhall/core/outcome"
@@ -81,7 +82,7 @@
 }
 
 func (a *API) follow(c echo.Context, r host.Request, x targets.Exchange, begun time.Time) error {
-	ctx, cancel := context.WithDeadline(c.Request().Context(), r.Deadline)
+	ctx, cancel := context.WithDeadline(c.Request().Context(), clock.Real(r.Deadline))
 	defer cancel()
 	s := &sink{w: c.Response(), api: a, id: r.ID, streamed: x.Streamed, begun: begun}
 	x.Sink = s
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -22,6 +22,7 @@
 	"github.com/oklog/run"
 	"github.com/pkg/errors"
 
+	"github.com/yardhall/yardhall/common/clock"
 	"github.com/yardhall/yardhall/core/crashes"
 	"github.com/yardhall/yardhall/core/host"
 	"github.com/yardhall/yardhall/core/ident"
@@ -89,14 +90,14 @@
 	if err != nil {
 		return nil, err
 	}
-	state := host.New(hs, incarnation, time.Now())
+	state := host.New(hs, incarnation, clock.Now())
 	if log != nil {
-		if state, err = state.WithReplica(boot, time.Now()); err != nil {
+		if state, err = state.WithReplica(boot, clock.Now()); err != nil {
 			return nil, errors.Wrap(err, "read replicated state")
 		}
 	}
 	if log != nil {
-		state = state.WithCrashes(keptCrashes(s.Host.Data, o.Log, time.Now()), time.Now())
+		state = state.WithCrashes(keptCrashes(s.Host.Data, o.Log, time.Now()), clock.Now())
 	}
 	d.loop = newLoop(state, o.Log, d.pool, d.targets)
 	if log != nil {
--- a/daemon/loop.go
+++ b/daemon/loop.go
@@ -12,6 +12,7 @@
 	"github.com/go-logr/logr"
 
 	"github.com/yardhall/yardhall/callers"
+	"github.com/yardhall/yardhall/common/clock"
 	"github.com/yardhall/yardhall/core/host"
 	"github.com/yardhall/yardhall/core/ident"
 	"github.com/yardhall/yardhall/core/requests"
@@ -61,7 +62,7 @@
 
 func newLoop(s host.State, log logr.Logger, pool *peers.Pool, t *targets.Client) *loop {
 	l := &loop{
-		log: log, notes: newNoteLog(log), now: time.Now, events: make(chan host.Event, eventQueue), pool: pool, targets: t,
+		log: log, notes: newNoteLog(log), now: clock.Now, events: make(chan host.Event, eventQueue), pool: pool, targets: t,
 		done: make(chan struct{}), calls: map[ident.Request]chan host.Effect{}, writes: map[string]chan writeAnswer{},
 		reads:    map[string]chan bool{},
 		breakOff: func(requests.BreakOff) {},
--- a/gateway/call.go
+++ b/gateway/call.go
@@ -18,6 +18,7 @@
 	"net/http"
 	"time"
 
+	"github.com/yardhall/yardhall/common/clock"
 	"github.com/yardhall/yardhall/core/config"
 	"github.com/yardhall/yardhall/core/outcome"
 	"github.com/yardhall/yardhall/core/requests"
@@ -59,7 +60,7 @@
 // try makes one try and reports how it ended.
 func (c *serverCall) try(d requests.Dispatch) requests.Event {
 	started := c.server.now()
-	ctx, cancel := context.WithDeadline(c.request.Context(), d.Deadline)
+	ctx, cancel := context.WithDeadline(c.request.Context(), clock.Real(d.Deadline))
 	defer cancel()
 	pauseFor(ctx, d.Pause)
 	x := &exchange{server: c.server, dispatch: d, request: c.request, body: c.body}
--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -16,6 +16,7 @@
 	"github.com/pkg/errors"
 	"golang.org/x/sys/unix"
 
+	"github.com/yardhall/yardhall/common/clock"
 	"github.com/yardhall/yardhall/core/outcome"
 	"github.com/yardhall/yardhall/core/requests"
 )
@@ -62,7 +63,7 @@
 		_ = conn.Close()
 		return outcome.NeverSent{Reason: "no time left"}
 	}
-	_ = conn.SetDeadline(x.dispatch.Deadline)
+	_ = conn.SetDeadline(clock.Real(x.dispatch.Deadline))
 	head := x.head(x.server.headers.toWorker(x.request.Header, x.dispatch, left, lastEvent))
 	x.server.running.begin(x)
 	n, err := conn.Write(append(head, x.body...))
@@ -122,7 +123,7 @@
 	if limit := x.server.now().Add(d); d > 0 && limit.Before(by) {
 		by = limit
 	}
-	_ = x.conn.SetReadDeadline(by)
+	_ = x.conn.SetReadDeadline(clock.Real(by))
 }
 
 // head writes the request line and headers.
--- a/gateway/server.go
+++ b/gateway/server.go
@@ -20,6 +20,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/yardhall/yardhall/common/clock"
 	"github.com/yardhall/yardhall/core/config"
 	"github.com/yardhall/yardhall/core/ident"
 	"github.com/yardhall/yardhall/core/outcome"
@@ -45,7 +46,7 @@
 	Core    Core
 	Pool    *Pool
 	Headers Headers
-	// Now is the clock; nil is time.Now.
+	// Now is the clock; nil is clock.Now.
 	Now func() time.Time
 	// Observe takes each ended request; nil drops it.
 	Observe func(Observation)
@@ -90,7 +91,7 @@
 func NewServer(d Deps) *Server {
 	s := &Server{core: d.Core, pool: d.Pool, headers: d.Headers, now: d.Now, observe: d.Observe}
 	if s.now == nil {
-		s.now = time.Now
+		s.now = clock.Now
 	}
 	if s.observe == nil {
 		s.observe = func(Observation) {}
--- a/operators/operators.go
+++ b/operators/operators.go
@@ -25,6 +25,7 @@
 	"github.com/labstack/echo/v4"
 	"github.com/pkg/errors"
 
+	"github.com/yardhall/yardhall/common/clock"
 	"github.com/yardhall/yardhall/common/keys"
 	"github.com/yardhall/yardhall/core/catalog"
 	"github.com/yardhall/yardhall/core/config"
@@ -72,7 +73,7 @@
 	e.HTTPErrorHandler = onError
 	g := e.Group("/v1", a.authorize)
 	g.GET("/status", a.status)
-	g.GET("/dump", func(c echo.Context) error { return c.JSON(http.StatusOK, a.deps.Core.State().Dump(time.Now())) })
+	g.GET("/dump", func(c echo.Context) error { return c.JSON(http.StatusOK, a.deps.Core.State().Dump(clock.Now())) })
 	g.GET("/counters", echo.WrapHandler(a.deps.Counters))
 	g.GET("/audit", a.audit)
 	g.GET("/backup", a.backup)
--- a/operators/plans.go
+++ b/operators/plans.go
@@ -4,10 +4,10 @@
 
 import (
 	"net/http"
-	"time"
 
 	"github.com/labstack/echo/v4"
 
+	"github.com/yardhall/yardhall/common/clock"
 	"github.com/yardhall/yardhall/core/catalog"
 	"github.com/yardhall/yardhall/core/config"
 	"github.com/yardhall/yardhall/core/ident"
@@ -17,7 +17,7 @@
 // unusable are engines that this host knows to be down or leaving.
 func (a *API) unusable() []ident.Target {
 	var out []ident.Target
-	for _, t := range a.deps.Core.State().Dump(time.Now()).Targets {
+	for _, t := range a.deps.Core.State().Dump(clock.Now()).Targets {
 		if !t.Usable {
 			out = append(out, t.Target)
 		}
--- a/operators/replicas.go
+++ b/operators/replicas.go
@@ -8,6 +8,7 @@
 
 	"github.com/labstack/echo/v4"
 
+	"github.com/yardhall/yardhall/common/clock"
 	"github.com/yardhall/yardhall/core/host"
 	"github.com/yardhall/yardhall/core/ident"
 	"github.com/yardhall/yardhall/core/raft"
@@ -31,13 +32,13 @@
 		return fail(c, http.StatusBadRequest, "invalid", "host is missing or the body is not valid")
 	}
 	s := a.deps.Core.State()
-	if !s.Raft().LeaseHeld(time.Now()) {
+	if !s.Raft().LeaseHeld(clock.Now()) {
 		return fail(c, http.StatusMisdirectedRequest, "not_leader", "ask the leader, "+string(s.Leader()))
 	}
 	a.deps.Core.Post(host.ReplicaChange{Member: raft.Member{ID: r.Host, Voter: r.Voter}, Remove: r.Remove})
 	for deadline := time.Now().Add(writeLimit); time.Now().Before(deadline); time.Sleep(memberPoll) {
 		if memberDone(a.deps.Core.State().Raft(), r) {
-			return c.JSON(http.StatusOK, a.deps.Core.State().Dump(time.Now()).Replica)
+			return c.JSON(http.StatusOK, a.deps.Core.State().Dump(clock.Now()).Replica)
 		}
 	}
 	return fail(c, http.StatusConflict, "not_done",
--- a/operators/status.go
+++ b/operators/status.go
@@ -8,6 +8,7 @@
 
 	"github.com/labstack/echo/v4"
 
+	"github.com/yardhall/yardhall/common/clock"
 	"github.com/yardhall/yardhall/core/catalog"
 	"github.com/yardhall/yardhall/core/config"
 	"github.com/yardhall/yardhall/core/host"
@@ -31,7 +32,7 @@
 // it holds every acknowledged write.
 func (a *API) backup(c echo.Context) error {
 	s := a.deps.Core.State()
-	if !s.Raft().LeaseHeld(time.Now()) {
+	if !s.Raft().LeaseHeld(clock.Now()) {
 		return fail(c, http.StatusMisdirectedRequest, "not_leader", "ask the leader, "+string(s.Leader()))
 	}
 	return c.Blob(http.StatusOK, "application/cbor", s.Catalog().Encode())
@@ -59,7 +60,7 @@
 }
 
 func (a *API) status(c echo.Context) error {
-	return c.JSON(http.StatusOK, StatusOf(a.deps.Core.State(), time.Now()))
+	return c.JSON(http.StatusOK, StatusOf(a.deps.Core.State(), clock.Now()))
 }
 
 // StatusOf summarises the fleet as a process sees it.
--- a/site/await.go
+++ b/site/await.go
@@ -8,6 +8,7 @@
 
 	"github.com/pkg/errors"
 
+	"github.com/yardhall/yardhall/common/clock"
 	"github.com/yardhall/yardhall/core/config"
 	"github.com/yardhall/yardhall/core/host"
 )
@@ -15,7 +16,7 @@
 // Leader returns the host that leads now, or nil.
 func (s *Site) Leader() *Host {
 	for _, h := range s.Hosts {
-		if h.cancel != nil && h.Daemon.State().Raft().LeaseHeld(time.Now()) {
+		if h.cancel != nil && h.Daemon.State().Raft().LeaseHeld(clock.Now()) {
 			return h
 		}
 	}
@@ -49,7 +50,7 @@
 		return false
 	}
 	alive := 0
-	for _, p := range state.Dump(time.Now()).Peers {
+	for _, p := range state.Dump(clock.Now()).Peers {
 		if p.Alive {
 			alive++
 		}
