--- a/core/host/event.go
+++ b/core/host/event.go
@@ -35,10 +35,12 @@
 		Attempt int
 		Result  outcome.Attempt
 	}
-	// Reported is a target's load report, or Failed where it gave none.
+	// Reported is a target's load report, or Failed where it gave none; Refused is set where
+	// no process listens there.
 	Reported struct {
 		Target   ident.Target
 		Failed   bool
+		Refused  bool
 		Boot     uint64
 		Seq      uint64
 		InFlight int
--- a/daemon/effects.go
+++ b/daemon/effects.go
@@ -57,7 +57,7 @@
 		return
 	}
 	l.post(host.Reported{
-		Target: t.ID, Failed: err != nil, Boot: load.Boot, Seq: load.Seq, InFlight: load.InFlight, Leaving: load.Leaving,
+		Target: t.ID, Failed: err != nil, Refused: targets.IsRefused(err), Boot: load.Boot, Seq: load.Seq, InFlight: load.InFlight, Leaving: load.Leaving,
 	})
 }
 
--- a/targets/exchange.go
+++ b/targets/exchange.go
@@ -9,6 +9,7 @@
 	"io"
 	"net/http"
 	"strconv"
+	"syscall"
 	"time"
 
 	"github.com/pkg/errors"
@@ -80,12 +81,15 @@
 	case errors.Is(ctx.Err(), context.Canceled) || errors.Is(err, errCaller):
 		return outcome.Abandoned{Sent: touched}
 	case !touched:
-		return outcome.NeverSent{Reason: short(err)}
+		return outcome.NeverSent{Reason: short(err), Refused: IsRefused(err)}
 	default:
 		return outcome.Broken{Reason: short(err), Begun: begun}
 	}
 }
 
+// IsRefused tells whether no process listens where a connection was to lead.
+func IsRefused(err error) bool { return errors.Is(err, syscall.ECONNREFUSED) }
+
 func short(err error) string {
 	text := errors.Cause(err).Error()
 	return text[:min(len(text), maxReason)]
