core/host, crashes: Refuse requests under which targets of a listed fleet end

Change: what one host sees of ends is an Observer of its own, used by both front doors; hosts of listed fleets report crashes in heartbeats, at once, each judges for itself, and calls are refused on arrival, before a retry and once a place is found. Conclusion: no way of sending is left without the check in either front door.

--- a/core/crashes/list.go
+++ b/core/crashes/list.go
@@ -96,6 +96,15 @@
 	return hash.Of(parts...)
 }
 
+// WithAnswer takes that a worker answered a request after all. Of one that is not listed it
+// says nothing.
+func (l List) WithAnswer(content Content, now time.Time) List {
+	if e, ok := l.byContent.Get(content); ok && e.Ends > 0 {
+		return l.With(now, Entry{Content: content, At: now})
+	}
+	return l
+}
+
 // Settled are the entries that decide what is refused: without those of requests that are
 // only watched.
 func (l List) Settled() List {
--- /dev/null
+++ b/core/crashes/observer_test.go
@@ -0,0 +1,54 @@
+// Copyright 2026 The Yardhall Authors. Licensed under the Apache License, Version 2.0.
+
+package crashes_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/yardhall/yardhall/core/crashes"
+)
+
+// TestSuspectsWaitForProof has attempts break off at two processes of a worker and at another
+// worker: each end and each sign of life is of one process.
+func TestSuspectsWaitForProof(t *testing.T) {
+	suspect := func(name, worker string, life uint64) crashes.Suspect {
+		return crashes.Suspect{Content: content(name), Life: life, Crash: crash(worker, 1, 0.5)}
+	}
+	now := start.Add(time.Second)
+	var o crashes.Observer
+	for _, s := range []crashes.Suspect{suspect("a", "w1", 0), suspect("b", "w1", 0), suspect("c", "w1", 1), suspect("d", "w2", 0)} {
+		o = o.WithSuspect(s, now)
+	}
+	require.True(t, o.Suspects("w1", 1))
+	o = o.WithLife("w1", 1)
+	require.False(t, o.Suspects("w1", 1))
+	o, n := o.WithEnd("w1", 0, now)
+	require.Equal(t, 2, n)
+	require.Len(t, o.Reports().Lately(now), 2)
+	o, n = o.WithEnd("w1", 0, now)
+	require.Zero(t, n)
+	o, n = o.WithEnd("w2", 0, now.Add(time.Minute))
+	require.Zero(t, n, "the proof came too late")
+	require.Empty(t, o.Reports().Lately(now.Add(time.Minute)))
+}
+
+// TestObserverIsBounded breaks off and reports more than is kept.
+func TestObserverIsBounded(t *testing.T) {
+	var o crashes.Observer
+	for i := range 1000 {
+		o = o.WithSuspect(crashes.Suspect{Content: content(fmt.Sprint(i)), Crash: crash("w", 0, 0)}, start)
+	}
+	o, n := o.WithEnd("w", 0, start)
+	require.Equal(t, 256, n)
+	r := o.Reports()
+	for i := range 1000 {
+		r = r.With(crashes.Report{Content: content(fmt.Sprint("more ", i)), SeenAt: start}, start)
+	}
+	require.LessOrEqual(t, len(r.Lately(start)), 256)
+	require.Equal(t, r.Seen, r.With(r.Lately(start)[3], start).Seen, "the same again")
+	require.Empty(t, r.Lately(start.Add(time.Minute)))
+}
--- a/core/host/call.go
+++ b/core/host/call.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/yardhall/yardhall/core/config"
+	"github.com/yardhall/yardhall/core/crashes"
 	"github.com/yardhall/yardhall/core/ident"
 	"github.com/yardhall/yardhall/core/outcome"
 	"github.com/yardhall/yardhall/core/routing"
@@ -64,6 +65,11 @@
 	// final is set where the request must not be sent to yet another group.
 	final bool
 	tried []ident.Target
+	// content identifies the call among those that are the same. boot is the start of its
+	// target, as known when the attempt was sent at sentAt.
+	content crashes.Content
+	boot    uint64
+	sentAt  time.Time
 	// avoid are groups in which a target could not be reached.
 	avoid []routing.GroupID
 	// combined joins the outcomes of the attempts so far.
@@ -90,6 +96,11 @@
 		t.refuse(c, v)
 		return
 	}
+	c.content = contentOf(c)
+	if t.isRefused(c) {
+		t.refuse(c, t.crashVerdict(c))
+		return
+	}
 	t.addAccountInFlight(c.account.ID, 1)
 	t.keepCall(c)
 	if c.req.Once && c.req.IdempotencyKey != "" {
@@ -157,6 +168,12 @@
 		t.finish(c, Verdict{Outcome: c.combined, Code: CodeDeadline, Reason: "the deadline passed before a target was found"})
 		return
 	}
+	if t.isRefused(c) {
+		t.finish(c, t.crashVerdict(c))
+		return
+	}
+	h, _ := t.health.Get(id)
+	c.boot, c.sentAt = h.Boot, t.now
 	c.phase, c.target = phaseRunning, id
 	c.attempt++
 	c.wake = time.Time{}
--- a/core/host/clients.go
+++ b/core/host/clients.go
@@ -76,7 +76,8 @@
 	t.grantLease(from, m)
 	t.relayedHeartbeats(from, m.Beats)
 	t.replacedReceived(from, m.Replaced)
-	t.crashesReceived(from, m)
+	t.takeCrashEntries(from, m.CrashEntries)
+	t.crashesReceived(from, m.Crashes)
 	t.replyTo(from, t.clientOf(from, m), m)
 }
 
--- a/core/host/crashes.go
+++ b/core/host/crashes.go
@@ -9,7 +9,6 @@
 	"github.com/yardhall/yardhall/core/crashes"
 	"github.com/yardhall/yardhall/core/hash"
 	"github.com/yardhall/yardhall/core/ident"
-	"github.com/yardhall/yardhall/core/requests"
 )
 
 // Package requests sees workers end under requests and refuses those that end them, package
@@ -43,12 +42,14 @@
 	Age     time.Duration
 }
 
-// crashState is what a process of a seeded fleet keeps of crashes, beside the list in force
-// at its requests.
+// crashState is what a process keeps of crashes, beside the list in force, which package
+// requests holds.
 type crashState struct {
-	// evidence is what a replica was told, clients what a hub passes on to replicas.
+	// evidence is what a replica, or each host of a listed fleet, was told; clients are what
+	// a hub passes on to replicas, observer what a host of a listed fleet sees itself.
 	evidence crashes.Evidence
-	clients  requests.CrashReports
+	clients  crashes.Reports
+	observer crashes.Observer
 	// reported counts the crashes that polls have reported.
 	reported uint64
 	// kept names what a replica has put on disk.
@@ -57,20 +58,21 @@
 
 // crashesSeen counts the crashes to be reported.
 func (t *transition) crashesSeen() uint64 {
-	return t.requests.Crashes().Seen + t.seeded.crashes.clients.Seen
+	return t.requests.Crashes().Seen + t.crashes.clients.Seen + t.crashes.observer.Reports().Seen
 }
 
 // crashReportDue tells whether this host polls early, as it has seen a worker end.
 func (t *transition) crashReportDue() bool {
 	lastPoll := t.seeded.pollAt.Add(-t.pollInterval())
-	return t.crashesSeen() != t.seeded.crashes.reported && t.now.Sub(lastPoll) >= crashPollGap
+	return t.crashesSeen() != t.crashes.reported && t.now.Sub(lastPoll) >= crashPollGap
 }
 
 // crashReport are the crashes seen lately, here or at the clients of this hub.
 func (t *transition) crashReport() []CrashReport {
-	t.seeded.crashes.reported = t.crashesSeen()
+	t.crashes.reported = t.crashesSeen()
 	all := t.requests.Crashes().Lately(t.now)
-	all = append(all, t.seeded.crashes.clients.Lately(t.now)...)
+	all = append(all, t.crashes.clients.Lately(t.now)...)
+	all = append(all, t.crashes.observer.Reports().Lately(t.now)...)
 	out := make([]CrashReport, 0, len(all))
 	for _, r := range all {
 		out = append(out, CrashReport{
@@ -81,24 +83,27 @@
 	return out
 }
 
-// crashesReceived takes what a client reports.
-func (t *transition) crashesReceived(from ident.Host, m Poll) {
-	t.takeCrashEntries(from, m.CrashEntries)
-	for _, r := range m.Crashes {
+// judgesCrashes tells whether this host decides from evidence: a replica, or any host of a
+// listed fleet, as all hear each other there.
+func (t *transition) judgesCrashes() bool { return t.settings.IsReplica() || !t.settings.Seeded() }
+
+// crashesReceived takes what another host reports: evidence, or on a hub what it passes on.
+func (t *transition) crashesReceived(from ident.Host, reports []CrashReport) {
+	for _, r := range reports {
 		ended := t.now.Add(-max(0, r.Age))
 		c := crashes.Crash{Worker: r.Worker, SentAt: ended.Add(-max(0, r.Ran)), EndedAt: ended, Begun: r.Begun}
-		if !t.settings.IsReplica() {
-			report := requests.CrashReport{Content: r.Content, Crash: c, SeenAt: t.now}
-			t.seeded.crashes.clients = t.seeded.crashes.clients.With(report, t.now)
+		if !t.judgesCrashes() {
+			report := crashes.Report{Content: r.Content, Crash: c, SeenAt: t.now}
+			t.crashes.clients = t.crashes.clients.With(report, t.now)
 			continue
 		}
 		if e, ok := t.requests.CrashList().Get(r.Content); ok && e.Ends == 0 && !c.EndedAt.After(e.At) {
 			continue
 		}
-		t.seeded.crashes.evidence = t.seeded.crashes.evidence.With(r.Content, c, t.now)
+		t.crashes.evidence = t.crashes.evidence.With(r.Content, c, t.now)
 	}
-	if t.settings.IsReplica() && len(m.Crashes) > 0 {
-		t.takeCrashes(from, t.seeded.crashes.evidence.Judged(t.now))
+	if t.judgesCrashes() && len(reports) > 0 {
+		t.takeCrashes(from, t.crashes.evidence.Judged(t.now))
 	}
 }
 
@@ -111,7 +116,7 @@
 	for _, e := range entries {
 		one := crashes.Entry{Content: e.Content, Ends: max(0, e.Ends), At: t.now.Add(-max(0, e.Age))}
 		if one.Ends == 0 {
-			t.seeded.crashes.evidence = t.seeded.crashes.evidence.Without(one.Content, one.At)
+			t.crashes.evidence = t.crashes.evidence.Without(one.Content, one.At)
 		}
 		taken = append(taken, one)
 	}
@@ -139,10 +144,10 @@
 // keepCrashes puts on a replica's disk which requests are refused, and which no more.
 func (t *transition) keepCrashes(l crashes.List) {
 	kept := l.Settled()
-	if !t.settings.IsReplica() || kept.Key == t.seeded.crashes.kept {
+	if !t.settings.IsReplica() || kept.Key == t.crashes.kept {
 		return
 	}
-	t.seeded.crashes.kept = kept.Key
+	t.crashes.kept = kept.Key
 	t.emit(KeepCrashes{Entries: t.crashEntries(kept)})
 }
 
@@ -166,17 +171,17 @@
 
 // forgetCrashes drops what is long ago.
 func (t *transition) forgetCrashes() {
-	if t.requests.CrashList().Len() == 0 && t.seeded.crashes.evidence.Len() == 0 {
+	if t.requests.CrashList().Len() == 0 && t.crashes.evidence.Len() == 0 {
 		return
 	}
 	t.requests = t.requests.WithCrashList(t.requests.CrashList().With(t.now))
-	t.seeded.crashes.evidence = t.seeded.crashes.evidence.Forget(t.now)
+	t.crashes.evidence = t.crashes.evidence.Forget(t.now)
 }
 
 // WithCrashes returns the process with the list of crashes read from disk.
 func (s State) WithCrashes(entries []CrashEntry, now time.Time) State {
 	t := transition{State: s, now: now}
 	t.takeCrashEntries(s.settings.ID, entries)
-	t.seeded.crashes.kept = t.requests.CrashList().Settled().Key
+	t.crashes.kept = t.requests.CrashList().Settled().Key
 	return t.State
 }
--- a/core/host/host.go
+++ b/core/host/host.go
@@ -20,6 +20,7 @@
 //	clients.go, updates.go       what clients are sent, and how much at once
 //	hub.go, fallback.go          how hubs serve, and whom to poll without replicas
 //	crashes.go                   how requests under which workers end become known
+//	listedcrashes.go             the same in listed fleets, where all hosts hear each other
 //	seeded.go, times.go          readiness, and the times of a seeded fleet
 //	write.go, read.go            how writes and reads reach the leader
 //	replica.go                   what a committed entry changes
@@ -106,6 +107,7 @@
 	seeded   seededState
 	registry registry.Registry
 	requests requests.State
+	crashes  crashState
 	reads    table.Table[string, pendingRead]
 	counters Counters
 }
--- a/core/host/message.go
+++ b/core/host/message.go
@@ -256,4 +256,10 @@
 	Leaving []ident.Target
 	// Lost are targets of its own groups that have not answered for long.
 	Lost []ident.Target
+	// Crashes are requests that were in progress at targets that ended lately; CrashList
+	// names the list of crashes that the host holds, CrashEntries is that list where another
+	// host holds another one.
+	Crashes      []CrashReport
+	CrashList    hash.Key
+	CrashEntries []CrashEntry
 }
--- a/core/host/peers.go
+++ b/core/host/peers.go
@@ -34,7 +34,7 @@
 			t.peerDown(id, p)
 		}
 	}
-	if t.now.Before(t.heartbeatAt) {
+	if t.now.Before(t.heartbeatAt) && !t.crashHeartbeatDue() {
 		return
 	}
 	t.heartbeatAt = t.now.Add(heartbeatInterval)
@@ -66,6 +66,7 @@
 		Version: t.config.Version, Draining: t.draining, Serves: t.settings.Serves,
 		Zone: t.settings.Zone, Loads: t.ownLoads(), Leaving: t.leavingSigns(), Lost: t.lostTargets(),
 	}
+	b = t.withCrashes(b)
 	for _, h := range t.knownHosts() {
 		if h.ID != t.settings.ID {
 			t.send(h.ID, PeerHeartbeat{Beat: b})
@@ -93,6 +94,8 @@
 	}
 	t.peers = t.peers.With(from, peer{heartbeat: b, lastHeartbeat: t.now, alive: true})
 	t.gatherLoads()
+	t.takeCrashEntries(from, b.CrashEntries)
+	t.crashesReceived(from, b.Crashes)
 	if !known || !old.alive {
 		t.note(NoteHostUp, string(from), "")
 	}
--- a/core/host/retry.go
+++ b/core/host/retry.go
@@ -30,6 +30,9 @@
 	retryJitter = 100 * time.Millisecond
 	// retryAfter is the advice to callers. Chosen, not measured.
 	retryAfter = time.Second
+	// serverError is the lowest status by which a target says that it failed (RFC 9110,
+	// 15.6).
+	serverError = 500
 )
 
 // attemptEnded decides what follows a try.
@@ -47,13 +50,20 @@
 	}
 	switch r := ev.Result.(type) {
 	case outcome.Answered:
+		if r.Status < serverError {
+			t.requests = t.requests.WithCrashList(t.requests.CrashList().WithAnswer(c.content, t.now))
+		}
 		t.finish(c, Verdict{Outcome: outcome.Ran, Code: CodeOK})
 	case outcome.NeverSent:
+		if r.Refused {
+			t.targetEnded(c.target, c.boot)
+		}
 		c.avoid = append(c.avoid[:len(c.avoid):len(c.avoid)], c.group)
 		t.retry(c, Verdict{Code: CodeNoTarget, Reason: "the target could not be reached: " + r.Reason}, 0)
 	case outcome.Declined:
 		t.retry(c, Verdict{Code: CodeOverloaded, Reason: "the target declined: " + r.Reason}, 0)
 	case outcome.Broken:
+		t.targetBroke(c, r)
 		v := Verdict{Code: CodeBroken, Reason: "the target's answer broke off: " + r.Reason}
 		if c.req.Once || r.Begun {
 			v.Outcome = c.combined
@@ -76,7 +86,7 @@
 func (t *transition) retry(c call, v Verdict, pause time.Duration) {
 	v.Outcome = c.combined
 	v.RetryAfter = retryAfter
-	if c.attempt >= maxTries || t.budget < 1 || !t.now.Add(pause).Before(c.req.Deadline) {
+	if c.attempt >= maxTries || t.isRefused(c) || t.budget < 1 || !t.now.Add(pause).Before(c.req.Deadline) {
 		t.finish(c, v)
 		return
 	}
--- a/core/host/seeded.go
+++ b/core/host/seeded.go
@@ -66,7 +66,6 @@
 	relays []hubs.Host
 	// replacements are the workers that clients of this hub found replaced.
 	replacements requests.Replacements
-	crashes      crashState
 	// lookedAt is when the registrations were last looked over.
 	lookedAt time.Time
 	// membership is what a replica keeps of the replicas that ask to be taken in.
--- a/core/host/targets.go
+++ b/core/host/targets.go
@@ -46,6 +46,7 @@
 }
 
 func (t *transition) reported(ev Reported) {
+	t.targetReported(ev)
 	h, _ := t.health.Get(ev.Target)
 	wasUsable := h.Usable(t.now)
 	if ev.Failed {
--- a/core/host/verdict.go
+++ b/core/host/verdict.go
@@ -54,4 +54,5 @@
 	CodeNotReady      Code = "not_ready"
 	CodeDraining      Code = "draining"
 	CodeCallerGone    Code = "caller_gone"
+	CodeCrashes       Code = "crashes_targets"
 )
--- a/core/requests/dispatch.go
+++ b/core/requests/dispatch.go
@@ -29,7 +29,7 @@
 	tried  []ident.Target
 	// life is the worker's at the present attempt; it grows where the worker starts again.
 	// sentAt is when the attempt is sent.
-	life   int
+	life   uint64
 	sentAt time.Time
 	// resends counts how often it was sent to the same worker once more.
 	resends int
--- a/core/requests/requests.go
+++ b/core/requests/requests.go
@@ -111,14 +111,12 @@
 	forgotAt  time.Time
 	// replacements are the workers that this host found replaced.
 	replacements Replacements
-	// suspects are attempts that broke off, perhaps as their workers ended, crashReports
-	// those of which that is known, crashList what all hosts know of such requests.
-	// suspects is never changed in place.
-	suspects     []suspect
-	crashReports CrashReports
-	crashList    crashes.List
-	calls        table.Table[ident.Request, call]
-	budgets      table.Table[ident.Service, budget]
+	// observer is what this host sees of ends of workers, crashList the requests that end
+	// them, as all hosts know.
+	observer  crashes.Observer
+	crashList crashes.List
+	calls     table.Table[ident.Request, call]
+	budgets   table.Table[ident.Service, budget]
 	// headerTimes are how long answers take to begin, by route.
 	headerTimes table.Table[string, headerTimes]
 	// reported are the requests of other hosts at workers, as of reportedAsOf; never
--- a/core/requests/worker.go
+++ b/core/requests/worker.go
@@ -34,7 +34,7 @@
 	selfReportedAt time.Time
 	// life counts how often the worker started again under its id, startedAgainAt is when
 	// this host last learned of it.
-	life           int
+	life           uint64
 	startedAgainAt time.Time
 	// displaced is set while another process is registered at the address that came there
 	// later, replaced where another worker answers there.
--- a/core/requests/zones.go
+++ b/core/requests/zones.go
@@ -158,7 +158,7 @@
 	switch {
 	case ok && ev.OK:
 		t.zoneAnswered(w.Zone)
-		t.processLives(w.ID, w.life)
+		t.observer = t.observer.WithLife(w.ID, w.life)
 	case ev.Refused:
 		t.connectionRefused(ev.Worker)
 	}
--- a/peers/forms_test.go
+++ b/peers/forms_test.go
@@ -70,6 +70,11 @@
 			poll.Replaced = nil
 			value = poll
 		}
+		if beat, ok := value.(host.PeerHeartbeat); ok {
+			forms = append(forms, gobForm(name+"-crashes", carrier{Value: beat}))
+			beat.Beat.Crashes, beat.Beat.CrashList, beat.Beat.CrashEntries = nil, 0, nil
+			value = beat
+		}
 		if reply, ok := value.(host.PollReply); ok {
 			forms = append(forms, gobForm(name+"-crashes", carrier{Value: reply}))
 			reply.CrashList, reply.CrashEntries = 0, nil
