crashes, soak: End workers under a request in the soak, and take no connection for a sign of life

Cause: in the soak, as behind balancers and proxies, something between host and worker takes connections for a worker that has ended: the probe cleared what it was to prove. Change: only an answer to a request sent later, or a load report of the same start, shows that a process lives; a next process at the address is proof still. Another attempt that breaks off a moment later asks anew. The soak has a caller send a request that ends each worker, through all faults, and checks that it is sent on at most three times by hosts that were not disturbed, and not at all at the end; two restarters of one worker agree.

--- a/core/crashes/observer.go
+++ b/core/crashes/observer.go
@@ -17,6 +17,9 @@
 	// suspectLifetime is how long an attempt that broke off waits for the proof that its
 	// worker ended: the time that one needs to be back and register. Chosen, not measured.
 	suspectLifetime = 8 * time.Second
+	// askInterval is how long proof that was asked for serves all attempts: those that are
+	// in progress when a worker ends break off together. Chosen, not measured.
+	askInterval = 100 * time.Millisecond
 	// maxSuspects bounds those that wait: the requests of a host at a few full engines.
 	maxSuspects = 256
 	// reportLifetime is how long a crash is reported, in some messages one after the other,
@@ -50,9 +53,12 @@
 // Reports are the crashes seen lately.
 func (o Observer) Reports() Reports { return o.reports }
 
-// Suspects tells whether an attempt at a worker's process waits for proof.
-func (o Observer) Suspects(worker ident.Target, life uint64) bool {
-	return slices.ContainsFunc(o.suspects, func(s Suspect) bool { return s.isAt(worker, life) })
+// Asked tells whether an attempt broke off at a worker's process a moment ago, so that proof
+// has been asked for.
+func (o Observer) Asked(worker ident.Target, life uint64, now time.Time) bool {
+	return slices.ContainsFunc(o.suspects, func(s Suspect) bool {
+		return s.isAt(worker, life) && now.Sub(s.Crash.EndedAt) < askInterval
+	})
 }
 
 // WithSuspect adds an attempt that broke off, and drops those that have waited too long.
@@ -83,9 +89,15 @@
 	return o, n
 }
 
-// WithLife takes the proof that a worker's process goes on.
-func (o Observer) WithLife(worker ident.Target, life uint64) Observer {
-	o.suspects = slices.DeleteFunc(slices.Clone(o.suspects), func(s Suspect) bool { return s.isAt(worker, life) })
+// WithLife takes the proof that a worker's process went on until a time: what broke off there
+// before did so for another reason.
+func (o Observer) WithLife(worker ident.Target, life uint64, until time.Time) Observer {
+	if len(o.suspects) == 0 {
+		return o
+	}
+	o.suspects = slices.DeleteFunc(slices.Clone(o.suspects), func(s Suspect) bool {
+		return s.isAt(worker, life) && s.Crash.EndedAt.Before(until)
+	})
 	return o
 }
 
--- a/core/crashes/observer_test.go
+++ b/core/crashes/observer_test.go
@@ -23,9 +23,13 @@
 	for _, s := range []crashes.Suspect{suspect("a", "w1", 0), suspect("b", "w1", 0), suspect("c", "w1", 1), suspect("d", "w2", 0)} {
 		o = o.WithSuspect(s, now)
 	}
-	require.True(t, o.Suspects("w1", 1))
-	o = o.WithLife("w1", 1)
-	require.False(t, o.Suspects("w1", 1))
+	require.True(t, o.Asked("w1", 1, now))
+	require.False(t, o.Asked("w1", 1, now.Add(time.Second)), "another one that breaks off asks anew")
+	require.False(t, o.Asked("w2", 1, now))
+	o = o.WithLife("w1", 1, now)
+	require.True(t, o.Asked("w1", 1, now), "it lived until then")
+	o = o.WithLife("w1", 1, now.Add(time.Millisecond))
+	require.False(t, o.Asked("w1", 1, now))
 	o, n := o.WithEnd("w1", 0, now)
 	require.Equal(t, 2, n)
 	require.Len(t, o.Reports().Lately(now), 2)
--- a/core/host/listedcrashes.go
+++ b/core/host/listedcrashes.go
@@ -14,7 +14,7 @@
 // In a listed fleet a request under which targets end is refused as in one with a route table
 // (package crashes): when it arrives, before a retry, and once a place is found for it. A
 // target's process is known to have ended where a connection to it is refused or its load
-// report names another start. Hosts report crashes and their lists in heartbeats, at once,
+// report names another start, and to live where one names the same. Hosts report crashes and their lists in heartbeats, at once,
 // and each host judges for itself.
 
 // contentOf identifies a call among those that are the same. Its digest is no cryptographic
@@ -51,7 +51,7 @@
 	if c.content == "" || r.Silent || !known || h.IsLeaving(t.now) {
 		return
 	}
-	asked := t.crashes.observer.Suspects(c.target, c.boot)
+	asked := t.crashes.observer.Asked(c.target, c.boot, t.now)
 	t.crashes.observer = t.crashes.observer.WithSuspect(crashes.Suspect{Content: c.content, Life: c.boot, Crash: crashes.Crash{
 		Worker: c.target, SentAt: c.sentAt, EndedAt: t.now, Begun: r.Begun,
 	}}, t.now)
@@ -67,11 +67,11 @@
 	switch {
 	case ev.Refused:
 		t.targetEnded(ev.Target, h.Boot)
-	case ev.Failed:
-	case h.Boot != 0 && ev.Boot > h.Boot:
+	case ev.Failed || h.Boot == 0:
+	case ev.Boot > h.Boot:
 		t.targetEnded(ev.Target, h.Boot)
 	default:
-		t.crashes.observer = t.crashes.observer.WithLife(ev.Target, h.Boot)
+		t.crashes.observer = t.crashes.observer.WithLife(ev.Target, h.Boot, t.now)
 	}
 }
 
--- a/core/requests/crashes.go
+++ b/core/requests/crashes.go
@@ -17,9 +17,10 @@
 //
 // A worker's process is known to have ended where a new connection to it is refused, or
 // another process is registered at its address or under its id; a connection without a
-// request finds out. One that comes up shows that it lives. A worker that had said that it
-// leaves ends as planned, and a zone out of reach refuses for reasons of its own: nothing is
-// held against requests there.
+// request finds out. One that comes up shows little, as something between may take it; an
+// answer to a request sent later shows that the process lives. A worker that had said that
+// it leaves ends as planned, and a zone out of reach refuses for reasons of its own: nothing
+// is held against requests there.
 //
 // Inputs: attempts that broke off, connections refused, registrations, and the list of
 // crashes.
@@ -66,7 +67,7 @@
 	if c.content == "" || r.Silent || !known || isPlanned || !t.reachable(w.Zone) {
 		return
 	}
-	asked := t.observer.Suspects(c.target, c.life)
+	asked := t.observer.Asked(c.target, c.life, t.now)
 	t.observer = t.observer.WithSuspect(crashes.Suspect{Content: c.content, Life: c.life, Crash: crashes.Crash{
 		Worker: c.target, SentAt: c.sentAt, EndedAt: t.now, Begun: r.Begun,
 	}}, t.now)
@@ -95,9 +96,10 @@
 	}
 }
 
-// answeredAfterAll takes an answer to a request under which workers had ended: it does not
-// end all workers that run it.
+// answeredAfterAll takes an answer: the worker's process lives, and if workers had ended under
+// the request, it does not end all that run it.
 func (t *transition) answeredAfterAll(c call, r outcome.Answered) {
+	t.observer = t.observer.WithLife(c.target, c.life, c.sentAt)
 	if r.Status < serverError {
 		t.crashList = t.crashList.WithAnswer(c.content, t.now)
 	}
--- a/core/requests/crashes_test.go
+++ b/core/requests/crashes_test.go
@@ -62,6 +62,9 @@
 		w.ID, w.Seq = "successor", 1
 		return w
 	}
+	again := func(d requests.Dispatch) requests.Event {
+		return requests.Registered{From: "r", Workers: []registry.Worker{startedAgain(d.Worker)}}
+	}
 	for name, c := range map[string]struct {
 		proof func(requests.State, requests.Dispatch) requests.Event
 		crash bool
@@ -69,9 +72,7 @@
 		"a connection is refused": {func(_ requests.State, d requests.Dispatch) requests.Event {
 			return requests.ProbeEnded{Worker: d.Worker.ID, Refused: true}
 		}, true},
-		"it starts again under its id": {func(_ requests.State, d requests.Dispatch) requests.Event {
-			return requests.Registered{From: "r", Workers: []registry.Worker{startedAgain(d.Worker)}}
-		}, true},
+		"it starts again under its id": {func(_ requests.State, d requests.Dispatch) requests.Event { return again(d) }, true},
 		"another process has its address": {func(_ requests.State, d requests.Dispatch) requests.Event {
 			return requests.Registered{From: "r", Workers: []registry.Worker{successor(d.Worker)}}
 		}, true},
@@ -96,6 +97,19 @@
 		require.Equal(t, want, reports[0].Crash, name)
 		require.Empty(t, s.Crashes().Lately(later.Add(time.Minute)), "it is not reported for ever")
 	}
+
+	// Something between takes connections for a worker that has ended; then its next process
+	// is the proof, unless the one before has answered since.
+	for _, answers := range []bool{false, true} {
+		s, sent, _ := brokenAt(t, bornReady(1), outcome.Broken{Reason: "unexpected EOF"}, start)
+		s, _ = reduce(s, requests.ProbeEnded{Worker: sent.Worker.ID, OK: true}, later)
+		if answers {
+			s, _ = arrive(t, s, known("2", "/unsafe/other"), later)
+			s, _ = reduce(s, requests.AttemptEnded{Request: "2", Attempt: 1, Result: outcome.Answered{Status: 200}, Wanted: true}, later)
+		}
+		s, _ = reduce(s, again(sent), later)
+		require.Equal(t, !answers, len(s.Crashes().Lately(later)) == 1)
+	}
 }
 
 // TestOneProbeForAWorkerThatEnds breaks many attempts off at one worker, and a refused
--- a/core/requests/zones.go
+++ b/core/requests/zones.go
@@ -158,7 +158,6 @@
 	switch {
 	case ok && ev.OK:
 		t.zoneAnswered(w.Zone)
-		t.observer = t.observer.WithLife(w.ID, w.life)
 	case ev.Refused:
 		t.connectionRefused(ev.Worker)
 	}
--- a/soak/checks_test.go
+++ b/soak/checks_test.go
@@ -34,7 +34,7 @@
 // broken lists the promises that do not hold, each with the request or the
 // reading that shows it.
 func (e evidence) broken() []string {
-	var out []string
+	out := e.checkBad()
 	for _, r := range e.requests {
 		out = append(out, e.checkRequest(r)...)
 	}
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -62,6 +62,9 @@
 	o.startBeats()
 	require.True(t, eventually(recoverBound, func() bool { return !o.change(controlTimeout).acked.IsZero() }), "the first configuration is taken")
 	c := startCallers(f, o)
+	bad := startBadCaller(c)
+	// An earlier program sends the request on for as long as it comes.
+	bad.on.Store(*earlier == "")
 	x := newFaults(f)
 	settled := make(chan struct{})
 	go func() {
@@ -78,7 +81,11 @@
 		}
 	}
 	e := evidence{fleet: f}
+	bad.on.Store(false)
 	recovered := eventually(recoverBound, func() bool { return recoveredNow(f, o) })
+	if recovered && *earlier == "" {
+		bad.settle()
+	}
 	e.calm = time.Now()
 	if recovered {
 		calmEnd(o, &e)
@@ -154,6 +161,8 @@
 			acked++
 		}
 	}
+	ends := e.fleet.runs.endsSoFar()
+	t.Logf("seed %d: %d workers ended under the bad request", e.fleet.seed, len(ends))
 	t.Logf("seed %d: %d requests %v, %d of %d changes acknowledged, %d readings, %d faults", e.fleet.seed, len(e.requests), counts, acked, len(e.changes), len(e.readings), len(e.faults))
 	if len(broken) == 0 {
 		return
--- a/soak/worker_test.go
+++ b/soak/worker_test.go
@@ -10,6 +10,7 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -35,6 +36,21 @@
 type runs struct {
 	mu   sync.Mutex
 	byID map[string][]*run
+	// ends are when workers ended under the bad request.
+	ends []time.Time
+}
+
+func (r *runs) workerEnded() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.ends = append(r.ends, time.Now())
+}
+
+// endsSoFar are when workers ended under the bad request.
+func (r *runs) endsSoFar() []time.Time {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return slices.Clone(r.ends)
 }
 
 func (r *runs) begin(id string, one *run) {
@@ -123,13 +139,41 @@
 	_ = w.server.Close()
 }
 
-// startAgain starts another process at the same address, as soon as that is free.
+// startAgain starts another process at the same address, as soon as that is free, unless
+// another one has been started meanwhile.
 func (w *soakWorker) startAgain() {
-	for w.start() != nil {
+	for w.isDown() && w.start() != nil {
 		time.Sleep(holdPoll)
 	}
 }
 
+func (w *soakWorker) isDown() bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.down
+}
+
+// endUnder ends the process under the bad request; another one starts a while later.
+func (w *soakWorker) endUnder(life int) {
+	time.Sleep(workTime)
+	if w.lives() != life {
+		return
+	}
+	w.runs.workerEnded()
+	w.crash()
+	go func() {
+		time.Sleep(downAfterEnd)
+		w.startAgain()
+	}()
+}
+
+const (
+	// badBody is the body of the request that ends each worker that begins to run it.
+	badBody = "what no worker outlives"
+	// downAfterEnd is how long a worker is away then.
+	downAfterEnd = 600 * time.Millisecond
+)
+
 func (w *soakWorker) setCut(cut bool) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
@@ -199,6 +243,10 @@
 	one := &run{worker: w.id, node: w.node, at: time.Now(), account: r.Header.Get(names.Account)}
 	life := w.lives()
 	w.runs.begin(id, one)
+	if string(body) == badBody {
+		w.endUnder(life)
+		panic(http.ErrAbortHandler)
+	}
 	time.Sleep(workTime)
 	if fault == faultCutsBefore || w.lives() != life {
 		panic(http.ErrAbortHandler)
