--- a/core/crashes/evidence.go
+++ b/core/crashes/evidence.go
@@ -14,7 +14,9 @@
 // A request is held to end workers once EndsToRefuse of them ended under it in a row: each
 // time it had been sent anew after the end before, and no worker has answered it meanwhile.
 // So requests in progress at several workers that are lost at the same moment, as by a cut or
-// a loss of power, count one end however many there are.
+// a loss of power, count one end however many there are. A request that waits long at its
+// workers and comes often is hardly ever sent anew after an end: of it, one end more counts,
+// each at a moment of its own.
 //
 // Those that only shared a worker are told apart in two ways. A worker does not end under a
 // request that it has long begun to answer where another one had just come to it. And an end
@@ -27,6 +29,9 @@
 	// maxContents bounds the requests remembered: the ends of some ten full engines with
 	// 64 slots each. Chosen, not measured.
 	maxContents = 1024
+	// moment is how far apart two ends are that one cause, as a cut, did not bring about
+	// together: what hosts notice of it, and report, differs by less. Chosen, not measured.
+	moment = 500 * time.Millisecond
 )
 
 // Evidence is what was reported of ends of workers. It is immutable; the zero value is
@@ -129,7 +134,7 @@
 	explained := ends{}
 	for _, s := range e.suspects() {
 		left := explained.without(s.crashes)
-		n := inARow(left)
+		n := counted(left)
 		if n < endsToWatch {
 			continue
 		}
@@ -156,7 +161,7 @@
 	var out []suspected
 	for content, known := range e.byContent.All() {
 		own := slices.DeleteFunc(slices.Clone(known), func(c Crash) bool { return c.Begun && fresh.has(c) })
-		if n := inARow(own); n >= endsToWatch {
+		if n := counted(own); n >= endsToWatch {
 			out = append(out, suspected{content: content, crashes: own, ends: n})
 		}
 	}
@@ -167,6 +172,23 @@
 	return out
 }
 
+// counted is how many ends are held against the request of some crashes.
+func counted(crashes []Crash) int { return max(inARow(crashes), atMoments(crashes)-1) }
+
+// atMoments is how many of the crashes, in the order of their ends, came at moments of their
+// own.
+func atMoments(crashes []Crash) int {
+	n := 0
+	var last time.Time
+	for _, c := range crashes {
+		if n == 0 || c.EndedAt.Sub(last) > moment {
+			n++
+			last = c.EndedAt
+		}
+	}
+	return n
+}
+
 // inARow is how many of the crashes, in the order of their ends, came one after the other:
 // the request had been sent anew after the end before.
 func inARow(crashes []Crash) int {
--- a/core/crashes/evidence_test.go
+++ b/core/crashes/evidence_test.go
@@ -80,7 +80,9 @@
 	)
 	require.Empty(t, judged(again, "x"))
 	overlapping := evidenceOf(reported{"x", crash("w1", 1, 0.5)}, reported{"x", crash("w2", 2, 1.5)}, reported{"x", crash("w3", 3, 2.5)})
-	require.Empty(t, judged(overlapping, "x"), "each was sent before the end before")
+	require.Equal(t, map[string]int{"x": 2}, judged(overlapping, "x"), "each was sent before the end before")
+	overlapping = overlapping.With(content("x"), crash("w4", 4, 3.5), start)
+	require.Equal(t, map[string]int{"x": 3}, judged(overlapping, "x"), "but a fourth one is no chance")
 }
 
 // TestWhoSharedWorkersIsNotBlamed lets requests share one, two or all ends with the one that
--- a/core/host/effect.go
+++ b/core/host/effect.go
@@ -125,5 +125,5 @@
 	NoteHub       NoteKind = "hub"
 	NoteZone      NoteKind = "zone contact"
 	NoteInForce   NoteKind = "route table in force"
-	NoteCrashes   NoteKind = "request ends workers"
+	NoteCrashes   NoteKind = "workers ended under request"
 )
