requests: Let a refused request earn no retries

Cause: a caller that goes on sending a refused request added to its pool's retry budget. Change: it is refused before that; a comment is wrapped.

--- a/core/host/listedcrashes.go
+++ b/core/host/listedcrashes.go
@@ -14,8 +14,8 @@
 // In a listed fleet a request under which targets end is refused as in one with a route table
 // (package crashes): when it arrives, before a retry, and once a place is found for it. A
 // target's process is known to have ended where a connection to it is refused or its load
-// report names another start, and to live where one names the same. Hosts report crashes and their lists in heartbeats, at once,
-// and each host judges for itself.
+// report names another start, and to live where one names the same. Hosts report crashes and
+// their lists in heartbeats, at once, and each host judges for itself.
 
 // contentOf identifies a call among those that are the same. Its digest is no cryptographic
 // one: an account can bring about the refusal of nobody's requests but its own.
--- a/core/requests/admit.go
+++ b/core/requests/admit.go
@@ -56,6 +56,10 @@
 	if !t.admit(&c) {
 		return
 	}
+	if t.isRefused(c) {
+		t.finish(r.ID, t.crashVerdict(c))
+		return
+	}
 	t.earnRetries(c.pool.ID)
 	t.dispatch(c, Verdict{Code: CodeNoWorker, Reason: "no worker is known"})
 }
--- a/core/requests/crashes_test.go
+++ b/core/requests/crashes_test.go
@@ -171,6 +171,10 @@
 	require.Equal(t, requests.CodeCrashes, v.Code)
 	require.Equal(t, outcome.NotRun, v.Outcome)
 	require.Equal(t, 10*time.Minute-time.Second, v.RetryAfter)
+	for i := range 100 {
+		s, _ = arrive(t, s, known(fmt.Sprint("again ", i), "/unsafe/bad"), start)
+	}
+	require.Zero(t, s.Counters().Dispatched)
 
 	other := known("2", "/unsafe/bad")
 	other.Digest = []byte("another body")
