core/host, daemon: Write by the time of day where a machine was suspended

Cause: the clock that counts suspensions is ahead of the time of day by what it counted, and a leader stamped its writes by it: after a suspension keys of calls would have been too old at every replica, for good. Found by asking what compares with times that callers name. Change: the core is told for how long the machine was suspended, and takes that off where a time outlives the process; a log line tells of it.

--- a/common/clock/clock.go
+++ b/common/clock/clock.go
@@ -93,5 +93,9 @@
 	return time.Now().Add(suspended)
 }
 
+// Suspended is for how long the machine was suspended until Now was last called: by so much
+// is Now ahead of the time of day.
+func Suspended() time.Duration { return time.Duration(system.counted.Load()) }
+
 // Real is a time of this clock as timers, contexts and connections take it.
-func Real(t time.Time) time.Time { return t.Add(-time.Duration(system.counted.Load())) }
+func Real(t time.Time) time.Time { return t.Add(-Suspended()) }
--- a/core/host/event.go
+++ b/core/host/event.go
@@ -22,6 +22,9 @@
 type (
 	// Tick lets time pass.
 	Tick struct{}
+	// Suspended reports for how long in sum the machine was suspended since the process
+	// started: by so much is the clock by which events come ahead of the time of day.
+	Suspended struct{ Total time.Duration }
 	// Received delivers a message of another host.
 	Received struct {
 		From    ident.Host
@@ -94,6 +97,7 @@
 )
 
 func (Tick) event()                   {}
+func (Suspended) event()              {}
 func (Received) event()               {}
 func (Arrived) event()                {}
 func (AttemptEnded) event()           {}
--- a/core/host/host.go
+++ b/core/host/host.go
@@ -52,7 +52,9 @@
 	seed     uint64
 	draws    uint64
 	started  time.Time
-	draining bool
+	// suspended is for how long the machine was suspended since.
+	suspended time.Duration
+	draining  bool
 
 	// Replicated state, on replicas only.
 	raft    raft.State
@@ -145,6 +147,8 @@
 	switch ev := ev.(type) {
 	case Tick:
 		t.tick()
+	case Suspended:
+		t.suspended = ev.Total
 	case Received:
 		t.receive(ev.From, ev.Message)
 	case Arrived:
@@ -189,6 +193,10 @@
 	out []Effect
 }
 
+// timeOfDay is the present time by the calendar, for what outlives the process or is compared
+// with times that callers name. It may be set.
+func (t *transition) timeOfDay() time.Time { return t.now.Add(-t.suspended) }
+
 func (t *transition) emit(e Effect) { t.out = append(t.out, e) }
 
 func (t *transition) note(kind NoteKind, object, detail string) {
--- /dev/null
+++ b/core/host/suspended_test.go
@@ -0,0 +1,33 @@
+// Copyright 2026 The Yardhall Authors. Licensed under the Apache License, Version 2.0.
+
+package host_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/yardhall/yardhall/core/host"
+)
+
+// TestWritesBearTheTimeOfDay suspends a leader's machine for an hour: its leases count that
+// hour, and what it writes bears the time of day, by which keys that callers name are fresh
+// or too old at every replica.
+func TestWritesBearTheTimeOfDay(t *testing.T) {
+	f := newSeededFleet(t, 3, 1)
+	f.run(8 * time.Second)
+	require.True(t, f.put(f.leader(), f.table(1, "k"), 3*time.Second))
+	leader := f.leader()
+	day := f.now
+	f.now = f.now.Add(time.Hour)
+	require.False(t, f.states[leader].Raft().LeaseHeld(f.now), "it stood still for an hour")
+	for _, id := range f.order {
+		f.reduce(id, host.Suspended{Total: time.Hour})
+	}
+	f.run(8 * time.Second)
+	require.True(t, f.put(f.leader(), f.table(2, "k"), 3*time.Second))
+	written := f.states[f.leader()].Catalog().Time
+	require.WithinDuration(t, day, written, time.Minute)
+	require.True(t, written.After(day))
+}
--- a/core/host/write.go
+++ b/core/host/write.go
@@ -137,7 +137,7 @@
 
 // propose tells whether the write now stands in this leader's log.
 func (t *transition) propose(w catalog.Write) bool {
-	w.At = t.now
+	w.At = t.timeOfDay()
 	before := t.raft.Log().Last()
 	t.stepRaft(raft.Propose{Data: w.Encode()})
 	return t.raft.Log().Last() > before
--- a/daemon/loop.go
+++ b/daemon/loop.go
@@ -47,6 +47,8 @@
 	delays  *delays
 	pace    pace
 
+	// suspended is for how long the machine was suspended, as the core knows; under reducing.
+	suspended time.Duration
 	// reducing is held while an event is reduced and its effects carried out.
 	reducing sync.Mutex
 	mu       sync.Mutex
@@ -105,7 +107,9 @@
 func (l *loop) reduce(ctx context.Context, ev host.Event) []host.Effect {
 	l.reducing.Lock()
 	defer l.reducing.Unlock()
-	next, effects := host.Reduce(*l.state.Load(), ev, l.now())
+	now := l.now()
+	l.noteSuspension(now)
+	next, effects := host.Reduce(*l.state.Load(), ev, now)
 	l.state.Store(&next)
 	l.reduced.Add(1)
 	var own []host.Effect
@@ -126,6 +130,19 @@
 	return own
 }
 
+// noteSuspension tells the core where the machine has been suspended. The caller holds
+// reducing.
+func (l *loop) noteSuspension(now time.Time) {
+	total := clock.Suspended()
+	if total == l.suspended {
+		return
+	}
+	l.log.Info("the machine was suspended", "ms", (total - l.suspended).Milliseconds(), "in_all_ms", total.Milliseconds())
+	l.suspended = total
+	next, _ := host.Reduce(*l.state.Load(), host.Suspended{Total: total}, now)
+	l.state.Store(&next)
+}
+
 // State returns the newest state of the core, which is immutable.
 func (l *loop) State() host.State { return *l.state.Load() }
 
