core/host: Pass a lost replica's request to be taken in on to the leader

Change: a replica that gets a request from the replica itself passes it on to the leader it knows, once.

--- a/core/host/host.go
+++ b/core/host/host.go
@@ -268,7 +268,7 @@
 	case AwaitInForce:
 		t.awaitInForceReceived(from, m)
 	case Join:
-		t.joinRequested(m)
+		t.joinRequested(from, m)
 	case ReadRequest:
 		t.readRequested(from, m)
 	case ReadReply:
--- a/core/host/membership.go
+++ b/core/host/membership.go
@@ -2,7 +2,11 @@
 
 package host
 
-import "fmt"
+import (
+	"fmt"
+
+	"github.com/yardhall/yardhall/core/ident"
+)
 
 // tickMembers asks to be taken in, and changes the member list, where package membership
 // decides so.
@@ -29,6 +33,12 @@
 	}
 }
 
-func (t *transition) joinRequested(m Join) {
+// joinRequested remembers a request, and passes one of the replica itself on to the leader: a
+// replica whose disk was lost knows the seeds alone, and the leader may be none of them.
+func (t *transition) joinRequested(from ident.Host, m Join) {
 	t.seeded.membership = t.seeded.membership.WithRequest(m.Identity, t.now)
+	leader := t.raft.Leader().Address()
+	if leader != "" && leader != t.settings.ID && from == m.Identity.Address() {
+		t.send(leader, m)
+	}
 }
