--- a/core/host/crashes_test.go
+++ b/core/host/crashes_test.go
@@ -3,6 +3,7 @@
 package host_test
 
 import (
+	"fmt"
 	"slices"
 	"testing"
 	"time"
@@ -235,3 +236,30 @@
 	}
 	f.requireOthersServed(bad...)
 }
+
+// TestReportsThatAreHeldUpCountOnce lets a worker end once for reasons of its own, and holds
+// up all that the hosts report of it for some seconds, so that reports of several polls arrive
+// together, with different ages: each attempt counts one end.
+func TestReportsThatAreHeldUpCountOnce(t *testing.T) {
+	f := newCrashFleet(t, 3, 6, 11)
+	for i := range 60 {
+		f.arrive(entryName(i%3), fmt.Sprint("/x/", i))
+	}
+	release := f.now.Add(6 * time.Second)
+	f.hold = func(p seededPacket) time.Duration {
+		if _, isPoll := p.message.(host.Poll); isPoll {
+			return release.Sub(f.now)
+		}
+		return 0
+	}
+	for _, w := range f.workers {
+		if len(w.running) > 0 {
+			f.end(w, "/x/other")
+			break
+		}
+	}
+	f.pass(10 * time.Second)
+	for _, id := range f.order {
+		require.Zero(t, f.states[id].Requests().CrashList().Len(), id)
+	}
+}
