--- a/core/crashes/crashes.go
+++ b/core/crashes/crashes.go
@@ -27,6 +27,10 @@
 
 // Crash is an attempt at a worker that was in progress when the worker's process ended.
 type Crash struct {
+	// Attempt names the attempt, so that it counts once however often it is reported, and
+	// however late: ages lack the time that a message was held up. Empty where it is not
+	// known.
+	Attempt string
 	Worker  ident.Target
 	SentAt  time.Time
 	EndedAt time.Time
--- a/core/crashes/evidence.go
+++ b/core/crashes/evidence.go
@@ -26,6 +26,9 @@
 const (
 	// maxCrashes bounds the crashes remembered of one request, more than are judged.
 	maxCrashes = 8
+	// maxAttempts bounds the attempts remembered of one request: those that several hosts
+	// have at each of its crashes.
+	maxAttempts = 64
 	// maxContents bounds the requests remembered: the ends of some ten full engines with
 	// 64 slots each. Chosen, not measured.
 	maxContents = 1024
@@ -37,8 +40,14 @@
 // Evidence is what was reported of ends of workers. It is immutable; the zero value is
 // empty.
 type Evidence struct {
-	// byContent holds crashes in the order of their ends; never changed in place.
-	byContent table.Table[Content, []Crash]
+	byContent table.Table[Content, record]
+}
+
+// record are the crashes of a request, in the order of their ends, and the attempts that
+// count among them; never changed in place.
+type record struct {
+	crashes  []Crash
+	attempts []string
 }
 
 // Len is the number of requests remembered.
@@ -51,7 +60,10 @@
 		return e
 	}
 	known, _ := e.byContent.Get(content)
-	next := slices.Clone(known)
+	if c.Attempt != "" && slices.Contains(known.attempts, c.Attempt) {
+		return e
+	}
+	next := slices.Clone(known.crashes)
 	if i := slices.IndexFunc(next, c.isSameEnd); i >= 0 {
 		next[i].Begun = next[i].Begun && c.Begun
 		if c.SentAt.After(next[i].SentAt) {
@@ -62,10 +74,13 @@
 	}
 	slices.SortStableFunc(next, func(a, b Crash) int { return a.EndedAt.Compare(b.EndedAt) })
 	next = next[max(0, len(next)-maxCrashes):]
-	if len(known) == 0 && e.byContent.Len() >= maxContents {
+	if len(known.crashes) == 0 && e.byContent.Len() >= maxContents {
 		e = e.withoutOldest()
 	}
-	e.byContent = e.byContent.With(content, next)
+	attempts := append(slices.Clone(known.attempts), c.Attempt)
+	e.byContent = e.byContent.With(content, record{
+		crashes: next, attempts: attempts[max(0, len(attempts)-maxAttempts):],
+	})
 	return e
 }
 
@@ -75,19 +90,19 @@
 	if !ok {
 		return e
 	}
-	later := slices.DeleteFunc(slices.Clone(known), func(c Crash) bool { return !c.EndedAt.After(answeredAt) })
+	later := slices.DeleteFunc(slices.Clone(known.crashes), func(c Crash) bool { return !c.EndedAt.After(answeredAt) })
 	if len(later) == 0 {
 		e.byContent = e.byContent.Without(content)
 		return e
 	}
-	e.byContent = e.byContent.With(content, later)
+	e.byContent = e.byContent.With(content, record{crashes: later, attempts: known.attempts})
 	return e
 }
 
 // Forget drops the requests whose last end is long ago.
 func (e Evidence) Forget(now time.Time) Evidence {
 	for content, known := range e.byContent.All() {
-		if now.Sub(lastEnd(known)) > Remembered {
+		if now.Sub(lastEnd(known.crashes)) > Remembered {
 			e.byContent = e.byContent.Without(content)
 		}
 	}
@@ -99,7 +114,7 @@
 	var oldest Content
 	var at time.Time
 	for content, known := range e.byContent.All() {
-		if end := lastEnd(known); oldest == "" || end.Before(at) {
+		if end := lastEnd(known.crashes); oldest == "" || end.Before(at) {
 			oldest, at = content, end
 		}
 	}
@@ -107,16 +122,18 @@
 	return e
 }
 
-func lastEnd(known []Crash) time.Time { return known[len(known)-1].EndedAt }
+func lastEnd(crashes []Crash) time.Time { return crashes[len(crashes)-1].EndedAt }
 
 // isSameEnd tells whether two crashes are of one end of a worker.
 func (c Crash) isSameEnd(other Crash) bool {
 	return c.Worker == other.Worker && c.EndedAt.Sub(other.EndedAt).Abs() < sameEnd
 }
 
-// IsSame tells whether two crashes are of one attempt, as two hosts may report it, or one
-// host twice.
-func (c Crash) IsSame(other Crash) bool {
+// isSame tells whether two crashes are of one attempt, as one host reports it some times over.
+func (c Crash) isSame(other Crash) bool {
+	if c.Attempt != "" || other.Attempt != "" {
+		return c.Attempt == other.Attempt
+	}
 	return c.isSameEnd(other) && c.SentAt.Sub(other.SentAt).Abs() < sameEnd
 }
 
@@ -152,7 +169,7 @@
 func (e Evidence) suspects() []suspected {
 	fresh := ends{}
 	for _, known := range e.byContent.All() {
-		for _, c := range known {
+		for _, c := range known.crashes {
 			if !c.Begun {
 				fresh.add([]Crash{c})
 			}
@@ -160,7 +177,7 @@
 	}
 	var out []suspected
 	for content, known := range e.byContent.All() {
-		own := slices.DeleteFunc(slices.Clone(known), func(c Crash) bool { return c.Begun && fresh.has(c) })
+		own := slices.DeleteFunc(slices.Clone(known.crashes), func(c Crash) bool { return c.Begun && fresh.has(c) })
 		if n := counted(own); n >= endsToWatch {
 			out = append(out, suspected{content: content, crashes: own, ends: n})
 		}
--- a/core/crashes/evidence_test.go
+++ b/core/crashes/evidence_test.go
@@ -155,3 +155,17 @@
 		require.Equal(t, want, judged(evidenceOf(shuffled...), "a", "b", "c"))
 	})
 }
+
+// TestAttemptCountsOnce reports one attempt again and again, as if it ended later each time,
+// beside others that it is told from.
+func TestAttemptCountsOnce(t *testing.T) {
+	var e crashes.Evidence
+	for i := range 5 {
+		c := crash("w1", float64(1+2*i), 0.1)
+		c.Attempt = "r1/1"
+		e = e.With(content("held up"), c, start)
+		c.Attempt, c.Worker = fmt.Sprint("r2/", i), ident.Target(fmt.Sprint("w", i))
+		e = e.With(content("sent anew"), c, start)
+	}
+	require.Equal(t, map[string]int{"sent anew": 3}, judged(e, "held up", "sent anew"))
+}
--- a/core/crashes/observer.go
+++ b/core/crashes/observer.go
@@ -108,10 +108,9 @@
 	SeenAt  time.Time
 }
 
-// isSame tells whether two reports are of one attempt: times of other hosts differ a little
-// from message to message.
+// isSame tells whether two reports are of one attempt.
 func (r Report) isSame(other Report) bool {
-	return r.Content == other.Content && r.Crash.IsSame(other.Crash)
+	return r.Content == other.Content && r.Crash.isSame(other.Crash)
 }
 
 // Reports are crashes seen lately. It is immutable; the zero value is empty.
--- a/core/host/crashes.go
+++ b/core/host/crashes.go
@@ -29,6 +29,7 @@
 // ago, after it had run for Ran. Its fields travel by their names.
 type CrashReport struct {
 	Content crashes.Content
+	Attempt string
 	Worker  ident.Target
 	Ran     time.Duration
 	Age     time.Duration
@@ -76,7 +77,7 @@
 	out := make([]CrashReport, 0, len(all))
 	for _, r := range all {
 		out = append(out, CrashReport{
-			Content: r.Content, Worker: r.Crash.Worker, Ran: r.Crash.EndedAt.Sub(r.Crash.SentAt),
+			Content: r.Content, Attempt: r.Crash.Attempt, Worker: r.Crash.Worker, Ran: r.Crash.EndedAt.Sub(r.Crash.SentAt),
 			Age: t.now.Sub(r.Crash.EndedAt), Begun: r.Crash.Begun,
 		})
 	}
@@ -91,7 +92,9 @@
 func (t *transition) crashesReceived(from ident.Host, reports []CrashReport) {
 	for _, r := range reports {
 		ended := t.now.Add(-max(0, r.Age))
-		c := crashes.Crash{Worker: r.Worker, SentAt: ended.Add(-max(0, r.Ran)), EndedAt: ended, Begun: r.Begun}
+		c := crashes.Crash{
+			Attempt: r.Attempt, Worker: r.Worker, SentAt: ended.Add(-max(0, r.Ran)), EndedAt: ended, Begun: r.Begun,
+		}
 		if !t.judgesCrashes() {
 			report := crashes.Report{Content: r.Content, Crash: c, SeenAt: t.now}
 			t.crashes.clients = t.crashes.clients.With(report, t.now)
--- a/core/host/listedcrashes.go
+++ b/core/host/listedcrashes.go
@@ -4,6 +4,7 @@
 
 import (
 	"encoding/binary"
+	"fmt"
 
 	"github.com/yardhall/yardhall/core/crashes"
 	"github.com/yardhall/yardhall/core/ident"
@@ -53,7 +54,7 @@
 	}
 	asked := t.crashes.observer.Asked(c.target, c.boot, t.now)
 	t.crashes.observer = t.crashes.observer.WithSuspect(crashes.Suspect{Content: c.content, Life: c.boot, Crash: crashes.Crash{
-		Worker: c.target, SentAt: c.sentAt, EndedAt: t.now, Begun: r.Begun,
+		Attempt: fmt.Sprintf("%s/%d", c.req.ID, c.attempt), Worker: c.target, SentAt: c.sentAt, EndedAt: t.now, Begun: r.Begun,
 	}}, t.now)
 	if !asked {
 		t.emit(Probe{Target: target})
--- a/core/requests/crashes.go
+++ b/core/requests/crashes.go
@@ -69,7 +69,7 @@
 	}
 	asked := t.observer.Asked(c.target, c.life, t.now)
 	t.observer = t.observer.WithSuspect(crashes.Suspect{Content: c.content, Life: c.life, Crash: crashes.Crash{
-		Worker: c.target, SentAt: c.sentAt, EndedAt: t.now, Begun: r.Begun,
+		Attempt: fmt.Sprintf("%s/%d", c.req.ID, c.attempt), Worker: c.target, SentAt: c.sentAt, EndedAt: t.now, Begun: r.Begun,
 	}}, t.now)
 	switch {
 	case w.life != c.life || w.succeeded():
--- a/core/requests/crashes_test.go
+++ b/core/requests/crashes_test.go
@@ -93,7 +93,7 @@
 		}
 		require.Len(t, reports, 1, name)
 		require.Equal(t, contentOf("/unsafe/bad"), reports[0].Content)
-		want := crashes.Crash{Worker: sent.Worker.ID, SentAt: start, EndedAt: start.Add(time.Second)}
+		want := crashes.Crash{Attempt: "1/1", Worker: sent.Worker.ID, SentAt: start, EndedAt: start.Add(time.Second)}
 		require.Equal(t, want, reports[0].Crash, name)
 		require.Empty(t, s.Crashes().Lately(later.Add(time.Minute)), "it is not reported for ever")
 	}
