--- a/soak/checks_test.go
+++ b/soak/checks_test.go
@@ -124,6 +124,9 @@
 	if r.status == http.StatusOK && r.err == nil && (r.answer != r.expected() || r.gotID != r.id) {
 		say("not the whole answer to its own request: %q under %q", r.answer, r.gotID)
 	}
+	if strings.HasPrefix(r.answer, "crashes_workers") && r.body != badBody {
+		say("refused for ends of workers that it only shared")
+	}
 	if slices.Contains(notRun, r.status) && len(ran) > 0 {
 		say("told that it did not run, but it ran")
 	}
