--- a/core/crashes/evidence.go
+++ b/core/crashes/evidence.go
@@ -18,7 +18,7 @@
 // workers and comes often is hardly ever sent anew after an end: of it, one end more counts,
 // each at a moment of its own.
 //
-// Those that only shared a worker are told apart in two ways. A worker does not end under a
+// Those that only shared a worker are distinguished in two ways. A worker does not end under a
 // request that it has long begun to answer where another one had just come to it. And an end
 // is explained by one request: the one with the most ends takes those ends from all others.
 //
--- a/core/host/crashes.go
+++ b/core/host/crashes.go
@@ -46,7 +46,7 @@
 // crashState is what a process keeps of crashes, beside the list in force, which package
 // requests holds.
 type crashState struct {
-	// evidence is what a replica, or each host of a listed fleet, was told; clients are what
+	// evidence is what was reported to a replica or a host of a listed fleet; clients are what
 	// a hub passes on to replicas, observer what a host of a listed fleet sees itself.
 	evidence crashes.Evidence
 	clients  crashes.Reports
