--- a/commands/yardhall/yardhall.go
+++ b/commands/yardhall/yardhall.go
@@ -33,7 +33,7 @@
 	c := &connection{}
 	for _, cmd := range []subcommands.Command{
 		&statusCommand{c: c}, &getCommand{c: c}, &applyCommand{c: c}, &deleteCommand{c: c},
-		&dumpCommand{c: c}, &explainCommand{c: c}, &replicaCommand{c: c}, &backupCommand{c: c},
+		&dumpCommand{c: c}, &explainCommand{c: c}, &replicaCommand{c: c}, &backupCommand{c: c}, &zoneCommand{c: c},
 	} {
 		commander.Register(cmd, "fleet")
 	}
--- a/core/catalog/catalog.go
+++ b/core/catalog/catalog.go
@@ -22,6 +22,7 @@
 	"github.com/yardhall/yardhall/core/ident"
 	"github.com/yardhall/yardhall/core/plan"
 	"github.com/yardhall/yardhall/core/table"
+	"github.com/yardhall/yardhall/core/zones"
 )
 
 // Bounds of what is remembered.
@@ -55,6 +56,8 @@
 	Time   time.Time
 	Config config.Config
 	Plans  table.Table[ident.Plan, plan.Plan]
+	// Zones are the drained zones.
+	Zones zones.Drained
 
 	deltas   table.Table[uint64, Delta]
 	trail    table.Table[uint64, Audit]
@@ -109,6 +112,8 @@
 		return c.claimRun(cmd)
 	case EndClaim:
 		return c.endClaim(cmd)
+	case ChangeZone:
+		return c.changeZone(w.Actor, cmd)
 	}
 	panic("catalog: command outside the closed set")
 }
@@ -140,6 +145,34 @@
 	return c, Result{Code: OK, Version: cfg.Version}
 }
 
+// changeZone drains a zone or takes it back.
+func (c Catalog) changeZone(actor string, cmd ChangeZone) (Catalog, Result) {
+	if err := cmd.Check(); err != nil {
+		return c, Result{Code: Invalid, Reason: err.Error(), Zones: c.Zones.Revision}
+	}
+	next, outcome := c.Zones.With(cmd.Change)
+	switch outcome {
+	case zones.Overtaken:
+		return c, Result{Code: Overtaken, Reason: "another order for the zone came first", Zones: c.Zones.Revision}
+	case zones.TooMany:
+		return c, Result{Code: Invalid, Reason: "orders for too many zones are remembered", Zones: c.Zones.Revision}
+	case zones.Done:
+	}
+	if next.Revision != c.Zones.Revision {
+		c.Zones = next
+		c = c.audit(actor, zoneAction(cmd.Drained), "zone/"+string(cmd.Zone), "")
+	}
+	return c, Result{Code: OK, Version: c.Config.Version, Zones: c.Zones.Revision}
+}
+
+// zoneAction names an order in the audit trail.
+func zoneAction(drained bool) string {
+	if drained {
+		return "DrainZone"
+	}
+	return "TakeBackZone"
+}
+
 // whole tells whether a change replaces the whole route table.
 func whole(ch config.Change) bool {
 	switch ch.(type) {
--- a/core/catalog/command.go
+++ b/core/catalog/command.go
@@ -13,6 +13,7 @@
 	"github.com/yardhall/yardhall/core/ident"
 	"github.com/yardhall/yardhall/core/outcome"
 	"github.com/yardhall/yardhall/core/pack"
+	"github.com/yardhall/yardhall/core/zones"
 )
 
 // Write is one entry of the replicated log.
@@ -85,6 +86,8 @@
 		Request ident.Request
 		Outcome outcome.Kind
 	}
+	// ChangeZone drains an availability zone or takes it back.
+	ChangeZone struct{ zones.Change }
 )
 
 func (Edit) command()        {}
@@ -94,6 +97,7 @@
 func (EndOrder) command()    {}
 func (ClaimRun) command()    {}
 func (EndClaim) command()    {}
+func (ChangeZone) command()  {}
 
 // Verb is an operator's decision on a plan.
 type Verb string
@@ -119,6 +123,8 @@
 	Token uint64
 	// Claim is the claim that already stands.
 	Claim Claim
+	// Zones is the revision of the drained zones that answers a ChangeZone.
+	Zones uint64
 }
 
 // Code is the kind of a Result.
@@ -131,9 +137,11 @@
 	Conflict    Code = "conflict"
 	NotFound    Code = "not_found"
 	GroundMoved Code = "ground_moved"
-	ClaimTaken  Code = "claim_taken"
-	KeyExpired  Code = "key_expired"
-	KeyReused   Code = "key_reused"
+	// Overtaken says that another order for the zone came first; the order may be sent again.
+	Overtaken  Code = "overtaken"
+	ClaimTaken Code = "claim_taken"
+	KeyExpired Code = "key_expired"
+	KeyReused  Code = "key_reused"
 	// BaseMoved says that a patch does not begin at what is in force; nothing
 	// has changed, and the whole object may be sent.
 	BaseMoved Code = "base_moved"
@@ -178,9 +186,22 @@
 	}
 }
 
+// zoneRecord is a write that changes a zone, as log data. Programs that know nothing of
+// drained zones read past Zone and carry out the command, the end of a claim that nobody
+// holds, which changes nothing: a replica of such a program goes on beside others.
+type zoneRecord struct {
+	Write
+	Zone *zones.Change `cbor:",omitempty"`
+}
+
 // Encode returns the write as log data.
 func (w Write) Encode() []byte {
-	b, err := modes.enc.Marshal(w)
+	record := any(w)
+	if c, ok := w.Command.(ChangeZone); ok {
+		w.Command = EndClaim{}
+		record = zoneRecord{Write: w, Zone: &c.Change}
+	}
+	b, err := modes.enc.Marshal(record)
 	if err != nil {
 		panic(errors.Wrap(err, "catalog: encode a write"))
 	}
@@ -189,14 +210,19 @@
 
 // DecodeWrite reads log data back.
 func DecodeWrite(b []byte) (Write, error) {
-	var w Write
+	var record zoneRecord
 	data, err := pack.Unpack(b)
 	if err != nil {
 		return Write{}, errors.Wrap(err, "decode write")
 	}
-	if err := modes.dec.Unmarshal(data, &w); err != nil {
+	if err := modes.dec.Unmarshal(data, &record); err != nil {
 		return Write{}, errors.Wrap(err, "decode write")
 	}
+	w := record.Write
+	if record.Zone != nil {
+		w.Command = ChangeZone{Change: *record.Zone}
+		return w, nil
+	}
 	if w.Command == nil {
 		return Write{}, errors.New("write without a command")
 	}
--- a/core/catalog/forms_test.go
+++ b/core/catalog/forms_test.go
@@ -37,15 +37,26 @@
 	}
 }
 
-// snapshotForm is a snapshot in which every field holds something. It is compared as the
-// catalog writes it again.
-func snapshotForm(t *testing.T) formtest.Form {
-	t.Helper()
+// filledDocument is a snapshot in which every field holds something.
+func filledDocument() Document {
 	choose := func(reflect.Type) any { return config.PutAccount{} }
 	d := formtest.Filled(reflect.TypeFor[Document](), choose).Interface().(Document)
 	d.Format = documentFormat
+	return d
+}
+
+// withoutZones is what programs stored that knew nothing of drained zones.
+func withoutZones(d Document) Document {
+	d.Zones = nil
+	d.WriteAnswers[0].Zones = 0
+	return d
+}
+
+// snapshotForm is a snapshot. It is compared as the catalog writes it again.
+func snapshotForm(t *testing.T, name string, d Document) formtest.Form {
+	t.Helper()
 	return formtest.Form{
-		Name: "snapshot", Want: d,
+		Name: name, Want: d,
 		Encode: func() ([]byte, error) {
 			b, err := modes.enc.Marshal(d)
 			return pack.Bytes(b), err
@@ -70,7 +81,10 @@
 func TestRecordsOfEarlierProgramsAreRead(t *testing.T) {
 	text, err := os.ReadFile(storedGolden)
 	require.True(t, err == nil || *addForms, "%v", err)
-	forms := []formtest.Form{snapshotForm(t)}
+	forms := []formtest.Form{
+		snapshotForm(t, "snapshot", withoutZones(filledDocument())), snapshotForm(t, "snapshot-zones", filledDocument()),
+		writeForm("write-zone", formtest.Filled(reflect.TypeFor[ChangeZone](), nil).Interface().(ChangeZone), nil),
+	}
 	for i, command := range commandTypes() {
 		if _, ok := command.(Edit); !ok {
 			forms = append(forms, writeForm(fmt.Sprintf("write-%02d", i), command.(Command), nil))
--- a/core/catalog/snapshot.go
+++ b/core/catalog/snapshot.go
@@ -10,6 +10,7 @@
 	"github.com/yardhall/yardhall/core/config"
 	"github.com/yardhall/yardhall/core/pack"
 	"github.com/yardhall/yardhall/core/plan"
+	"github.com/yardhall/yardhall/core/zones"
 )
 
 // Document is a catalog as snapshots store it.
@@ -27,6 +28,8 @@
 	Claims       []Claim
 	WriteIDs     []string
 	WriteAnswers []Result
+	// Zones are the drained zones; absent where there was no order.
+	Zones *zones.Drained `cbor:",omitempty"`
 }
 
 // documentFormat is the version of Document.
@@ -39,6 +42,9 @@
 		Deltas: c.deltas.Values(), Trail: c.trail.Values(),
 		AuditSeq: c.auditSeq, PlanSeq: c.planSeq, Fence: c.fence, LoadFree: c.loadFree,
 	}
+	if c.Zones.Revision > 0 {
+		d.Zones = &c.Zones
+	}
 	for _, key := range c.claimOrder.All() {
 		claim, _ := c.claims.Get(key.table())
 		d.Claims = append(d.Claims, claim)
@@ -75,6 +81,9 @@
 		Time: d.Time, Config: config.FromDocument(d.Config),
 		auditSeq: d.AuditSeq, planSeq: d.PlanSeq, fence: d.Fence, loadFree: d.LoadFree,
 	}
+	if d.Zones != nil {
+		c.Zones = *d.Zones
+	}
 	for _, p := range d.Plans {
 		c.Plans = c.Plans.With(p.ID, p)
 	}
--- a/core/host/clients.go
+++ b/core/host/clients.go
@@ -50,7 +50,11 @@
 	fallback bool
 	// crashList names the list of crashes that it holds.
 	crashList hash.Key
-	loads     loads.Digest
+	// knowsZones is set where its program knows of drained zones, zones is the revision of
+	// them that it holds.
+	knowsZones bool
+	zones      uint64
+	loads      loads.Digest
 	// host is how the client is reported to others. A hub counts the clients whose primary
 	// hub it is; group are those that the client itself counts as a hub.
 	host    hubs.Host
@@ -74,6 +78,7 @@
 		return
 	}
 	t.grantLease(from, m)
+	t.grantZonesLease(from, m)
 	t.relayedHeartbeats(from, m.Beats)
 	t.replacedReceived(from, m.Replaced)
 	t.takeCrashEntries(from, m.CrashEntries)
@@ -86,7 +91,7 @@
 	c := client{
 		version: m.Version, revision: m.Revision, lastPoll: t.now, table: m.Table, serves: m.Serves, loads: m.Loads,
 		boot: m.Boot, host: hubs.Host{Host: from, Zone: m.Zone, Relay: m.Relay}, primary: m.Home, group: m.Group,
-		fallback: m.Neighbour, crashList: m.CrashList,
+		fallback: m.Neighbour, crashList: m.CrashList, knowsZones: m.KnowsZones, zones: m.Zones,
 	}
 	if m.Epoch != t.settings.Incarnation {
 		c.revision = 0
@@ -140,13 +145,17 @@
 	if t.hubsExpected() {
 		workers, revision = nil, c.revision
 	}
+	if !c.knowsZones {
+		workers = t.workersForEarlier(workers)
+	}
 	held := t.heldConfig().Version
 	r := PollReply{
+		Zones: t.heldZones(),
 		Round: m.Round, Version: held,
 		Epoch: t.settings.Incarnation, Since: c.revision, Revision: revision, Workers: workers,
 		CrashList: t.requests.CrashList().Key, CrashEntries: t.crashEntriesFor(c.crashList),
 	}
-	c.crashList = r.CrashList
+	c.crashList, c.zones = r.CrashList, r.Zones.Revision
 	if t.settings.IsReplica() {
 		r = t.replicaReply(r, m)
 	} else {
--- a/core/host/crashes_test.go
+++ b/core/host/crashes_test.go
@@ -12,6 +12,7 @@
 
 	"github.com/yardhall/yardhall/core/host"
 	"github.com/yardhall/yardhall/core/ident"
+	"github.com/yardhall/yardhall/core/zones"
 )
 
 // Seen: workers ended one after the other, each under the same request of one caller, which
@@ -169,14 +170,16 @@
 	require.NotEmpty(t, f.refusedAt[badRequest])
 }
 
-// withoutCrashes is a message as a program from before sends and reads it.
-func withoutCrashes(m host.Message) host.Message {
+// ofEarlierProgram is a message as a program from before sends and reads it.
+func ofEarlierProgram(m host.Message) host.Message {
 	switch m := m.(type) {
 	case host.Poll:
 		m.Crashes, m.CrashList, m.CrashEntries = nil, 0, nil
+		m.KnowsZones, m.Zones, m.ZonesInForce = false, 0, 0
 		return m
 	case host.PollReply:
 		m.CrashList, m.CrashEntries = 0, nil
+		m.Zones = zones.Drained{}
 		return m
 	}
 	return m
--- a/core/host/effect.go
+++ b/core/host/effect.go
@@ -126,4 +126,7 @@
 	NoteZone      NoteKind = "zone contact"
 	NoteInForce   NoteKind = "route table in force"
 	NoteCrashes   NoteKind = "workers ended under request"
+	NoteZoneOrder NoteKind = "zone order"
+	// NoteZonesInForce tells when an order for a zone was acknowledged, and what it waited for.
+	NoteZonesInForce NoteKind = "zone order in force"
 )
--- a/core/host/fallback.go
+++ b/core/host/fallback.go
@@ -92,6 +92,7 @@
 func (t *transition) fallbackPoll(to ident.Host) Poll {
 	c, _ := t.seeded.contacts.Get(to)
 	return Poll{
+		KnowsZones: true, Zones: t.seeded.zones.Revision,
 		Version: t.config.Version, Lead: true, Table: t.tableOverdue(), Epoch: c.epoch, Revision: c.revision,
 		Boot: t.settings.Incarnation, Zone: t.settings.Zone, Neighbour: true,
 		CrashList: t.requests.CrashList().Key, CrashEntries: t.crashEntriesFor(c.crashList),
@@ -107,6 +108,7 @@
 	t.takeRegistrations(from, m)
 	t.takeCrashEntries(from, m.CrashEntries)
 	t.takeTable(m)
+	t.takeZones(from, m.Zones)
 	t.noteNewestTable(m.Version)
 	sent, known := t.takeRound(m.Round)
 	if known && m.Fresh {
--- a/core/host/host.go
+++ b/core/host/host.go
@@ -22,6 +22,7 @@
 //	crashes.go                   how requests under which workers end become known
 //	listedcrashes.go             the same in listed fleets, where all hosts hear each other
 //	seeded.go, times.go          readiness, and the times of a seeded fleet
+//	zones.go                     how drained zones become known, and orders are answered
 //	write.go, read.go            how writes and reads reach the leader
 //	replica.go                   what a committed entry changes
 //	admit.go, call.go, retry.go  listed fleets: callers' requests
--- a/core/host/inforce.go
+++ b/core/host/inforce.go
@@ -37,6 +37,7 @@
 
 func (t *transition) forgetLeases() {
 	t.seeded.inForce = t.seeded.inForce.WithoutEnded(t.inForceSettings(), t.now)
+	t.seeded.zonesInForce = t.seeded.zonesInForce.WithoutEnded(t.inForceSettings(), t.now)
 }
 
 // inForceReportDue tells whether this host polls early, as a leader may wait for its news.
@@ -51,61 +52,95 @@
 	return oldest
 }
 
-// holdAnswer keeps the answer to a write until its table is in force; only a leader knows
-// when that is.
-func (t *transition) holdAnswer(a inforce.Answer) {
-	t.seeded.inForce = t.seeded.inForce.WithAnswer(a, t.now)
+// holdAnswer keeps the answer to a write until its table, or the drained zones, are in
+// force; only a leader knows when that is.
+func (t *transition) holdAnswer(a inforce.Answer, ofZones bool) {
+	if ofZones {
+		t.seeded.zonesInForce = t.seeded.zonesInForce.WithAnswer(a, t.now)
+	} else {
+		t.seeded.inForce = t.seeded.inForce.WithAnswer(a, t.now)
+	}
 	t.releaseAnswers()
 }
 
-// releaseAnswers sends the answers whose tables will be in force in time.
+// releaseAnswers sends the answers whose tables or drained zones will be in force in time.
 func (t *transition) releaseAnswers() {
-	if t.seeded.inForce.Waiting() == 0 || !t.raft.LeaseHeld(t.now) {
+	if !t.raft.LeaseHeld(t.now) {
 		return
 	}
-	next, released := t.seeded.inForce.Release(t.inForceSettings(), t.inForceView(), t.now)
-	t.seeded.inForce = next
+	t.seeded.inForce = t.released(t.seeded.inForce, t.inForceSettings(), NoteInForce)
+	t.seeded.zonesInForce = t.released(t.seeded.zonesInForce, t.zonesSettings(), NoteZonesInForce)
+}
+
+// released sends the answers of one kind that need not wait any more.
+func (t *transition) released(s inforce.State, set inforce.Settings, kind NoteKind) inforce.State {
+	if s.Waiting() == 0 {
+		return s
+	}
+	next, released := s.Release(set, t.inForceView(), t.now)
 	for _, a := range released {
-		t.note(NoteInForce, a.ID, fmt.Sprintf("version=%d after=%s waited_for=%s", a.Version, a.After, a.WaitedFor))
+		t.note(kind, a.ID, fmt.Sprintf("version=%d after=%s waited_for=%s", a.Version, a.After, a.WaitedFor))
 		if a.To == t.settings.ID {
 			t.writeAnswered(a.ID, a.Result)
 			continue
 		}
 		t.send(a.To, WriteAnswered{ID: a.ID, Result: a.Result})
 	}
+	return next
 }
 
 // awaitInForceReceived holds the answer to a write whose table another replica knows to
 // be committed.
 func (t *transition) awaitInForceReceived(from ident.Host, m AwaitInForce) {
-	if t.raft.Role() != raft.Leader || t.catalog.Config.Version < m.Version {
+	held := zonesVersion(t.catalog.Zones.Revision)
+	if t.raft.Role() != raft.Leader || t.catalog.Config.Version < m.Version || held < m.Zones {
+		return
+	}
+	if m.Zones > 0 {
+		t.holdAnswer(inforce.Answer{ID: m.ID, To: from, Version: m.Zones, Result: t.acknowledged()}, true)
 		return
 	}
-	t.holdAnswer(inforce.Answer{ID: m.ID, To: from, Version: m.Version, Result: acknowledged(m.Version)})
+	t.holdAnswer(inforce.Answer{ID: m.ID, To: from, Version: m.Version, Result: t.acknowledged()}, false)
 }
 
-// awaitInForce waits for the table that answers a write, which is committed, to be in
-// force.
+// awaitInForce waits for what answers a write, which is committed, to be in force: its
+// table, or the drained zones.
 func (t *transition) awaitInForce(p pendingWrite) {
+	ofZones := changesZone(p.write)
 	if p.inForce == 0 {
-		p.inForce = t.catalog.Config.Version
+		p.inForce = t.committedVersion(p.write)
 	}
 	p.resend = t.now.Add(resendInterval)
 	t.writes = t.writes.With(p.write.ID, p)
 	if t.raft.Role() == raft.Leader {
-		t.holdAnswer(inforce.Answer{ID: p.write.ID, To: t.settings.ID, Version: p.inForce, Result: acknowledged(p.inForce)})
+		t.holdAnswer(inforce.Answer{ID: p.write.ID, To: t.settings.ID, Version: p.inForce, Result: t.acknowledged()}, ofZones)
 		return
 	}
+	m := AwaitInForce{ID: p.write.ID, Version: p.inForce}
+	if ofZones {
+		m = AwaitInForce{ID: p.write.ID, Zones: p.inForce}
+	}
 	if leader := t.leaderHint(); leader != "" && leader.Address() != t.settings.ID {
-		t.send(leader, AwaitInForce{ID: p.write.ID, Version: p.inForce})
+		t.send(leader, m)
+	}
+}
+
+// committedVersion is the version by which package inforce counts what a write leads to.
+func (t *transition) committedVersion(w catalog.Write) config.Version {
+	if changesZone(w) {
+		return zonesVersion(t.catalog.Zones.Revision)
 	}
+	return t.catalog.Config.Version
 }
 
-// acknowledged is the answer to a write whose table is in force.
-func acknowledged(v config.Version) catalog.Result {
-	return catalog.Result{Code: catalog.OK, Version: v}
+// acknowledged is the answer to a write that is in force.
+func (t *transition) acknowledged() catalog.Result {
+	return catalog.Result{Code: catalog.OK, Version: t.catalog.Config.Version, Zones: t.catalog.Zones.Revision}
 }
 
+// takesForce tells whether a write is answered only once what it leads to is in force.
+func (t *transition) takesForce(w catalog.Write) bool { return t.changesTable(w) || changesZone(w) }
+
 // changesTable tells whether a write changes the route table of a seeded fleet.
 func (t *transition) changesTable(w catalog.Write) bool {
 	edit, _ := w.Command.(catalog.Edit)
--- a/core/host/message.go
+++ b/core/host/message.go
@@ -13,6 +13,7 @@
 	"github.com/yardhall/yardhall/core/loads"
 	"github.com/yardhall/yardhall/core/raft"
 	"github.com/yardhall/yardhall/core/routing"
+	"github.com/yardhall/yardhall/core/zones"
 )
 
 // Message is what hosts send each other. The set is closed.
@@ -155,6 +156,12 @@
 		// list where the receiver holds another one.
 		CrashList    hash.Key
 		CrashEntries []CrashEntry
+		// KnowsZones is set by programs that know of drained zones; Zones is the revision of
+		// them that the host holds, ZonesInForce the oldest one by which it, or any that it
+		// granted a lease, may serve, as package inforce counts them.
+		KnowsZones   bool
+		Zones        uint64
+		ZonesInForce config.Version
 	}
 	// PollReply replies to a Poll, or is an update with Round 0. Its fields travel by
 	// their names, so they keep them.
@@ -200,12 +207,15 @@
 		// the client holds another one.
 		CrashList    hash.Key
 		CrashEntries []CrashEntry
+		// Zones are the drained zones that the sender holds.
+		Zones zones.Drained
 	}
 	// AwaitInForce asks the leader to answer a write once a table, which is committed, is
-	// in force.
+	// in force; with Zones, once drained zones are, as package inforce counts them.
 	AwaitInForce struct {
 		ID      string
 		Version config.Version
+		Zones   config.Version
 	}
 	// Join asks the leader to take a replica in.
 	Join struct{ Identity ident.Host }
--- a/core/host/polling.go
+++ b/core/host/polling.go
@@ -62,7 +62,7 @@
 
 // tickPolls polls where that is due.
 func (t *transition) tickPolls() {
-	if !t.settings.Serves || t.now.Before(t.seeded.pollAt) && !t.inForceReportDue() && !t.crashReportDue() {
+	if !t.settings.Serves || t.now.Before(t.seeded.pollAt) && !t.inForceReportDue() && !t.zonesReportDue() && !t.crashReportDue() {
 		return
 	}
 	t.seeded.pollAt = t.now.Add(t.pollInterval())
@@ -77,16 +77,17 @@
 	if t.isHub() {
 		group, grouped = t.groupReport()
 	}
-	inForce, replaced, crashed := t.inForceReport(), t.replacedReport(), t.crashReport()
+	inForce, zonesInForce := t.inForceReport(), t.zonesReport()
+	replaced, crashed := t.replacedReport(), t.crashReport()
 	for _, h := range hosts {
 		m := t.poll(h)
-		m.InForce, m.Replaced, m.Crashes = inForce, replaced, crashed
+		m.InForce, m.ZonesInForce, m.Replaced, m.Crashes = inForce, zonesInForce, replaced, crashed
 		m.Beats, m.Group, m.Grouped = registry.Pack(heartbeats[h]), group, grouped
 		t.sendPoll(h, m)
 	}
 	for _, h := range t.fallbackPeersToPoll() {
 		m := t.fallbackPoll(h)
-		m.InForce = inForce
+		m.InForce, m.ZonesInForce = inForce, zonesInForce
 		t.sendPoll(h, m)
 	}
 }
@@ -158,6 +159,7 @@
 	isLeaderContact := to == t.seeded.leaderContact
 	pollAll := t.now.Sub(t.seeded.leaderReplyAt) > min(pollAllAfterIntervals*t.pollInterval(), maxLeaderWait)
 	return Poll{
+		KnowsZones: true, Zones: t.seeded.zones.Revision,
 		Version: t.config.Version,
 		Lead:    isLeaderContact || t.seeded.hub.choice.Has(to) || pollAll,
 		Table:   to == t.tableSource() || isLeaderContact && t.tableOverdue(),
--- a/core/host/replica.go
+++ b/core/host/replica.go
@@ -64,6 +64,7 @@
 	// Writes handed over in an older term may be lost; who waits sends again.
 	t.origins = table.Table[string, ident.Host]{}
 	t.seeded.inForce = t.seeded.inForce.WithoutAnswers()
+	t.seeded.zonesInForce = t.seeded.zonesInForce.WithoutAnswers()
 	t.note(NoteRole, string(t.settings.ID), fmt.Sprintf("%s term=%d leader=%s", e.Role, e.Term, e.Leader))
 }
 
@@ -82,11 +83,12 @@
 			panic("host: " + err.Error())
 		}
 		var r catalog.Result
-		table := t.catalog.Config.Gateway.Number
+		table, zonesBefore := t.catalog.Config.Gateway.Number, t.catalog.Zones.Revision
 		t.catalog, r = t.catalog.Apply(w)
 		if table > 0 && t.catalog.Config.Gateway.Number != table {
 			t.seeded.inForce = t.seeded.inForce.WithCommit(t.now)
 		}
+		t.zonesCommitted(zonesBefore)
 		t.answerOrigin(w, r)
 	}
 	if t.catalog.Config.Version != before {
@@ -104,9 +106,9 @@
 	t.origins = t.origins.Without(w.ID)
 	p, own := t.writes.Get(w.ID)
 	switch {
-	case r.Code == catalog.OK && t.changesTable(w) && forwarded:
-		t.holdAnswer(inforce.Answer{ID: w.ID, To: from, Version: t.catalog.Config.Version, Result: r})
-	case r.Code == catalog.OK && t.changesTable(w) && own:
+	case r.Code == catalog.OK && t.takesForce(w) && forwarded:
+		t.holdAnswer(inforce.Answer{ID: w.ID, To: from, Version: t.committedVersion(w), Result: r}, changesZone(w))
+	case r.Code == catalog.OK && t.takesForce(w) && own:
 		t.awaitInForce(p)
 	case forwarded:
 		t.send(from, WriteAnswered{ID: w.ID, Result: r})
@@ -120,7 +122,9 @@
 	if err != nil {
 		panic("host: " + err.Error())
 	}
+	zonesBefore := t.catalog.Zones.Revision
 	t.catalog, t.applied = c, s.Index
+	t.zonesCommitted(zonesBefore)
 	t.seeded.inForce = t.seeded.inForce.WithCommit(t.now)
 	t.useConfig(c.Config)
 	t.note(NoteStateLoad, string(t.settings.ID), fmt.Sprintf("index=%d version=%d", s.Index, c.Config.Version))
--- a/core/host/seeded.go
+++ b/core/host/seeded.go
@@ -14,6 +14,7 @@
 	"github.com/yardhall/yardhall/core/relay"
 	"github.com/yardhall/yardhall/core/requests"
 	"github.com/yardhall/yardhall/core/table"
+	"github.com/yardhall/yardhall/core/zones"
 )
 
 // seededState is what a process of a seeded fleet keeps beside the replicated log and the
@@ -60,6 +61,10 @@
 
 	// inForce is what is known of which tables are in force.
 	inForce inforce.State
+	// zones are the drained zones that an entry host serves by, zonesInForce is what is known
+	// of which ones are in force.
+	zones        zones.Drained
+	zonesInForce inforce.State
 	// relay is what a relay keeps, relays are those that a replica names; never changed in
 	// place.
 	relay  relay.State
--- a/core/host/seeded_test.go
+++ b/core/host/seeded_test.go
@@ -70,7 +70,7 @@
 	beats []host.HeartbeatAnswer
 	// seen, where set, is shown each message that arrives.
 	seen func(seededPacket)
-	// older are hosts that run a program which neither sends nor reads crashes.
+	// older are hosts that run a program which neither sends nor reads crashes and zones.
 	older map[ident.Host]bool
 	// hold, where set, is how long a message stays on its way; held are those that
 	// do.
@@ -238,7 +238,7 @@
 
 func (f *seededFleet) deliver(p seededPacket) {
 	if f.older[p.from] || f.older[p.to] {
-		p.message = withoutCrashes(p.message)
+		p.message = ofEarlierProgram(p.message)
 	}
 	if f.seen != nil {
 		f.seen(p)
--- a/core/host/updates.go
+++ b/core/host/updates.go
@@ -40,7 +40,7 @@
 	sent := 0
 	for _, id := range t.seeded.clients.KeysAfter(t.seeded.updatedLast) {
 		c, _ := t.seeded.clients.Get(id)
-		if c.live(t.now) && (t.tableDue(c) || t.registrationsDue(c) || t.crashListDue(c)) {
+		if c.live(t.now) && (t.tableDue(c) || t.registrationsDue(c) || t.crashListDue(c) || t.zonesDue(c)) {
 			t.replyTo(id, c, Poll{})
 			t.seeded.updatedLast = id
 			sent++
--- a/core/host/view.go
+++ b/core/host/view.go
@@ -63,6 +63,9 @@
 	return s.leader
 }
 
+// Seeded tells whether replicas are found through seeds, and a route table is served.
+func (s State) Seeded() bool { return s.settings.Seeded() }
+
 // Dump is a process's whole state without secrets and prompts.
 type Dump struct {
 	Host        ident.Host
@@ -113,6 +116,9 @@
 	Workers     int
 	// Crashes are the requests under which workers ended.
 	Crashes []DumpCrash
+	// Drained are the drained zones, ZonesRevision how many orders have changed zones.
+	Drained       []ident.Zone
+	ZonesRevision uint64
 }
 
 // DumpCrash is a request under which Ends workers ended in a row, the last one at At; with
@@ -238,6 +244,7 @@
 	d := &DumpSync{
 		Hosts: s.seeded.hosts, Asks: s.seeded.hub.polledLast, Serves: s.settings.IsReplica() || s.seeded.hub.serves,
 		Askers: s.seeded.clients.Len(), ConfirmedAt: s.requests.Confirmed().AsOf, Workers: s.requests.KnownWorkers(),
+		Drained: s.heldZones().List(), ZonesRevision: s.heldZones().Revision,
 	}
 	for _, h := range s.seeded.hub.list.Hosts {
 		d.Hubs = append(d.Hubs, h.Host)
--- a/core/host/write.go
+++ b/core/host/write.go
@@ -31,8 +31,8 @@
 	proposed raft.Term
 	// after is the version that must be held before the write is sent again.
 	after config.Version
-	// inForce is the committed version that answers the write once it is in force; 0
-	// before.
+	// inForce is the committed version, of the table or of the drained zones, that answers
+	// the write once it is in force; 0 before.
 	inForce  config.Version
 	deadline time.Time
 	resend   time.Time
@@ -41,7 +41,7 @@
 // submit sends a write to the leader until it is answered or its time is over.
 func (t *transition) submit(w catalog.Write, deadline time.Time) {
 	t.counters.Writes++
-	t.sendWrite(pendingWrite{write: w, deadline: deadline})
+	t.sendWrite(pendingWrite{write: t.withSeen(w), deadline: deadline})
 }
 
 // overtaken tells whether a write is a route table whose number does not exceed
@@ -168,6 +168,9 @@
 	if !ok {
 		return
 	}
+	if ofEarlierProgram(p, r) {
+		return
+	}
 	if r.Code == catalog.BaseMoved {
 		t.baseMoved(p, r.Version)
 		return
--- a/core/inforce/inforce.go
+++ b/core/inforce/inforce.go
@@ -66,6 +66,13 @@
 	return max(0, s.KeyLease-within+margin)
 }
 
+// WithHold returns the bounds for something that must be in force within a time of its
+// acknowledgement: that is held up for as long as leases need, and at least for hold.
+func (s Settings) WithHold(hold, within time.Duration) Settings {
+	s.Within = min(within, max(s.KeyLease+margin-hold, time.Nanosecond))
+	return s
+}
+
 // View is what the host knows besides.
 type View struct {
 	Self ident.Host
--- a/core/registry/registry.go
+++ b/core/registry/registry.go
@@ -254,6 +254,17 @@
 	return r, changed
 }
 
+// InZone returns the workers of a zone that are not gone.
+func (r Registry) InZone(zone ident.Zone) []Worker {
+	var out []Worker
+	for _, e := range r.workers.All() {
+		if w := e.worker(); w.Zone == zone && w.State != Gone {
+			out = append(out, w)
+		}
+	}
+	return out
+}
+
 // After returns the workers changed after a revision, at most limit of them, and
 // the revision that they lead to.
 func (r Registry) After(revision uint64, limit int) ([]Worker, uint64) {
--- a/core/requests/builder_test.go
+++ b/core/requests/builder_test.go
@@ -84,3 +84,9 @@
 		{ID: "system", Tokens: 500}, {ID: subject, Tokens: 10000}, {ID: "own", Tokens: 300},
 	}}
 }
+
+// confirmedAt returns the state of a host whose table was confirmed as of a time.
+func confirmedAt(s requests.State, asOf time.Time) requests.State {
+	s, _ = requests.Reduce(s, requests.Confirmed{Confirmation: confirmation.At(asOf)}, asOf)
+	return s
+}
--- a/core/requests/choose.go
+++ b/core/requests/choose.go
@@ -11,7 +11,7 @@
 
 // An attempt goes to one of the workers of the request's pool that the request has not
 // tried: to one that is available and whose zone is reachable, or where there is none, to
-// one that may still be alive. Among the candidates the rule of the pool decides: for
+// one that may still be alive; to none of a drained zone (drained.go). Among the candidates the rule of the pool decides: for
 // engines that of engine.go, for plain workers the one below.
 //
 // A plain worker is taken by the share of its slots in use, the lowest first; equals are
@@ -59,48 +59,69 @@
 // choose picks the worker for the call's next attempt; it answers false where there is
 // none.
 func (t *transition) choose(c call) (choice, bool) {
-	found := t.candidates(c)
+	view := t.poolView(c)
+	found := view.candidates()
 	if len(found) == 0 {
 		return choice{}, false
 	}
 	if c.pool.Engine {
-		return t.chooseEngine(c, found), true
+		return t.chooseEngine(c, found, view.meanLoad()), true
 	}
 	return t.choosePlain(c, found), true
 }
 
+// poolView is what a choice needs of the workers of a pool: those that the call has not tried,
+// and how loaded all are.
+type poolView struct {
+	// available workers are in reachable zones; of the others, draining ones are in zones that
+	// are being drained, and maybeAlive ones are left where there is nothing better.
+	available, draining, maybeAlive []candidate
+	// workers is how many of the pool are alive, whether or not this call may go there, load
+	// what they have in requests.
+	workers, load int
+}
+
+// meanLoad is the mean load of the pool's workers, in requests.
+func (v poolView) meanLoad() float64 { return float64(v.load) / float64(max(1, v.workers)) }
+
 // candidates are the workers that may take the call: those that are available, or where
 // there are none, those that may be alive.
-func (t *transition) candidates(c call) []candidate {
-	available, maybeAlive := t.untried(c)
-	if len(available) > 0 {
+func (v poolView) candidates() []candidate {
+	if available := withDraining(v.available, v.draining); len(available) > 0 {
 		return available
 	}
-	return maybeAlive
+	return v.maybeAlive
 }
 
 // hasAvailable tells whether an available worker is left for the call.
 func (t *transition) hasAvailable(c call) bool {
-	available, _ := t.untried(c)
-	return len(available) > 0
+	v := t.poolView(c)
+	return len(v.available)+len(v.draining) > 0
 }
 
-// untried returns the workers of the call's pool that it has not tried: those available
-// in reachable zones, and of the others those that may be alive.
-func (t *transition) untried(c call) (available, maybeAlive []candidate) {
-	available = make([]candidate, 0, t.workers.Len())
+// poolView looks at the workers of the call's pool.
+func (t *transition) poolView(c call) poolView {
+	v := poolView{available: make([]candidate, 0, t.workers.Len())}
 	for id, w := range t.workers.All() {
-		if w.Pool != c.pool.ID || slices.Contains(c.tried, id) {
+		if w.Pool != c.pool.ID || !w.mayHaveLoad() {
 			continue
 		}
 		one := candidate{id: id, key: w.key, zone: w.Zone, load: t.load(w, t.now), slots: w.Slots}
-		if w.available(t.now) && t.reachable(w.Zone) {
-			available = append(available, one)
-		} else if w.maybeAlive() {
-			maybeAlive = append(maybeAlive, one)
+		v.workers++
+		v.load += one.load
+		if t.closed(w.Zone) || slices.Contains(c.tried, id) {
+			continue
+		}
+		switch usable := w.available(t.now) && t.reachable(w.Zone); {
+		case usable && t.drained.Has(w.Zone):
+			v.draining = append(v.draining, one)
+		case usable:
+			v.available = append(v.available, one)
+		case w.maybeAlive() && !t.drained.Has(w.Zone):
+			v.maybeAlive = append(v.maybeAlive, one)
 		}
 	}
-	return available, maybeAlive
+	return v
 }
 
 // choosePlain takes the worker with the lowest share of its slots in use.
--- a/core/requests/decision.go
+++ b/core/requests/decision.go
@@ -145,4 +145,5 @@
 	CodeDeadline   Code = "deadline_exceeded"
 	CodeCallerGone Code = "caller_gone"
 	CodeCrashes    Code = "crashes_workers"
+	CodeDrained    Code = "zones_drained"
 )
--- a/core/requests/dispatch.go
+++ b/core/requests/dispatch.go
@@ -48,6 +48,9 @@
 		return
 	}
 	picked, ok := t.choose(c)
+	if !ok && t.onlyDrained(c) {
+		v.Code, v.Reason, v.RetryAfter = CodeDrained, "all workers of the service are in drained zones", retryAfterDrained
+	}
 	if !ok || !t.now.Before(c.req.Deadline) {
 		v.Outcome = c.combined
 		if v.Outcome == outcome.NotRun && v.RetryAfter == 0 {
--- /dev/null
+++ b/core/requests/drained_test.go
@@ -0,0 +1,161 @@
+// Copyright 2026 The Yardhall Authors. Licensed under the Apache License, Version 2.0.
+
+package requests_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/yardhall/yardhall/core/ident"
+	"github.com/yardhall/yardhall/core/outcome"
+	"github.com/yardhall/yardhall/core/registry"
+	"github.com/yardhall/yardhall/core/requests"
+	"github.com/yardhall/yardhall/core/zones"
+)
+
+// drain is what a host knows after orders to drain zones.
+func drain(names ...ident.Zone) zones.Drained {
+	var d zones.Drained
+	for _, z := range names {
+		d, _ = d.With(zones.Change{Zone: z, Drained: true})
+	}
+	return d
+}
+
+// inZones returns the pool's workers, one in each zone.
+func inZones(pool ident.Service, slots int, names ...ident.Zone) []registry.Worker {
+	out := workers(pool, len(names))
+	for i := range out {
+		out[i].Zone, out[i].Slots = names[i], slots
+	}
+	return out
+}
+
+// drainingHost serves two pools from three zones; the last confirmation that the zones were
+// not drained is of the start.
+func drainingHost(slots int) requests.State {
+	s := ready(0)
+	three := []ident.Zone{"za", "zb", "zc"}
+	s, _ = requests.Reduce(s, requests.Registered{From: "r", Workers: append(
+		inZones("plain", slots, three...), inZones("engines", slots, three...)...)}, start)
+	return s
+}
+
+// TestNothingNewGoesToADrainedZone sends requests of all kinds once a zone's time is over,
+// has attempts declined, broken and failed, and looks where the next ones go.
+func TestNothingNewGoesToADrainedZone(t *testing.T) {
+	ends := map[string]outcome.Attempt{
+		"declined": outcome.Declined{Reason: "full"}, "never sent": outcome.NeverSent{Reason: "refused"},
+		"broken": outcome.Broken{Reason: "reset"}, "failed": outcome.Answered{Status: 500},
+	}
+	for name, end := range ends {
+		for _, path := range []string{"/safe/x", "/unsafe/x", "/once/x", "/resumable/x"} {
+			t.Run(name+path, func(t *testing.T) {
+				s := drainingHost(64).WithDrained(drain("zb"))
+				now := start.Add(requests.DefaultZoneDrain)
+				s = confirmedAt(s, now)
+				for i := range 60 {
+					id := fmt.Sprint("r", i)
+					r := request(id, path)
+					r.Prompt, r.Resumed = prompt(id), i%2 == 0
+					var d requests.Decision
+					s, d = arrive(t, s, r, now)
+					for attempt := 1; ; attempt++ {
+						sent, ok := d.(requests.Dispatch)
+						if !ok {
+							break
+						}
+						require.NotEqual(t, ident.Zone("zb"), sent.Worker.Zone, "attempt %d", attempt)
+						var out []requests.Decision
+						s, out = requests.Reduce(s, requests.AttemptEnded{Request: r.ID, Attempt: sent.Attempt, Result: end, Wanted: true}, now)
+						d = last(out)
+					}
+					now = now.Add(35 * time.Millisecond)
+				}
+			})
+		}
+	}
+}
+
+// last is the last decision on a request.
+func last(decisions []requests.Decision) requests.Decision {
+	for i := len(decisions) - 1; i >= 0; i-- {
+		switch d := decisions[i].(type) {
+		case requests.Dispatch, requests.Finish:
+			return d
+		}
+	}
+	return nil
+}
+
+// TestLastWorkersServeUntilTheZoneIsClosed drains the zones of all workers: the pool is served
+// there until the time is over that began with the last confirmation before the orders, and
+// from then on requests are refused at once as not run.
+func TestLastWorkersServeUntilTheZoneIsClosed(t *testing.T) {
+	learned := start.Add(900 * time.Millisecond)
+	s := drainingHost(64).WithDrained(drain("za", "zb", "zc"))
+	s, d := arrive(t, s, request("within", "/unsafe/x"), learned)
+	require.IsType(t, requests.Dispatch{}, d)
+	closed := start.Add(requests.DefaultZoneDrain - 300*time.Millisecond)
+	// A later confirmation does not move the time.
+	s = confirmedAt(s, closed.Add(-time.Second))
+	s, d = arrive(t, s, request("before", "/unsafe/x"), closed.Add(-time.Millisecond))
+	require.IsType(t, requests.Dispatch{}, d)
+	for _, path := range []string{"/safe/x", "/unsafe/x", "/once/x", "/resumable/x"} {
+		var refused requests.Decision
+		s, refused = arrive(t, s, request("after"+path, path), closed)
+		f, ok := refused.(requests.Finish)
+		require.True(t, ok, "%#v", refused)
+		require.Equal(t, requests.CodeDrained, f.Verdict.Code)
+		require.Equal(t, outcome.NotRun, f.Verdict.Outcome)
+		require.Positive(t, f.Verdict.RetryAfter)
+	}
+	taken, _ := drain("za", "zb", "zc").With(zones.Change{Zone: "zb", Seen: 2})
+	_, d = arrive(t, s.WithDrained(taken), request("again", "/unsafe/x"), closed)
+	require.Equal(t, ident.Zone("zb"), d.(requests.Dispatch).Worker.Zone)
+}
+
+// TestFullWorkersAreHelpedByADrainingZone fills the workers of the other zones: three plain
+// workers with a few slots each, one a zone, are the scarcest pool that users run, and two of
+// them do not take at once what three had. Nothing goes to the zone once its time is over.
+func TestFullWorkersAreHelpedByADrainingZone(t *testing.T) {
+	const slots = 6
+	s := drainingHost(slots).WithDrained(drain("zb"))
+	now := start.Add(200 * time.Millisecond)
+	sent := map[ident.Zone]int{}
+	for i := range 3 * slots {
+		var d requests.Decision
+		s, d = arrive(t, s, request(fmt.Sprint("r", i), "/unsafe/x"), now)
+		sent[d.(requests.Dispatch).Worker.Zone]++
+		if i < 2*slots {
+			require.Zero(t, sent["zb"], "others have slots left")
+		}
+	}
+	require.Equal(t, map[ident.Zone]int{"za": slots, "zb": slots, "zc": slots}, sent)
+	s = confirmedAt(s, start.Add(4*time.Second))
+	_, d := arrive(t, s, request("late", "/unsafe/x"), start.Add(requests.DefaultZoneDrain))
+	require.NotEqual(t, ident.Zone("zb"), d.(requests.Dispatch).Worker.Zone)
+}
+
+// TestPrefixesAreTakenOverFromADrainedZone looks where an engine is told to take a prefix
+// from whose first engine is in a drained zone.
+func TestPrefixesAreTakenOverFromADrainedZone(t *testing.T) {
+	s := drainingHost(64)
+	moved := 0
+	for i := range 40 {
+		r := request(fmt.Sprint("r", i), "/resumable/x")
+		r.Prompt = prompt(fmt.Sprint("subject", i))
+		_, d := arrive(t, s, r, start)
+		before := d.(requests.Dispatch).Worker
+		if before.Zone != "zb" {
+			continue
+		}
+		_, d = arrive(t, s.WithDrained(drain("zb")), r, start)
+		require.Equal(t, before.Address, d.(requests.Dispatch).CacheFrom)
+		moved++
+	}
+	require.Positive(t, moved)
+}
--- a/core/requests/engine.go
+++ b/core/requests/engine.go
@@ -12,6 +12,9 @@
 //
 //	bound = (LoadFactor x mean load + LoadSlack) x (1 - headroom)
 //
+// The mean is that of all engines of the pool, those included that take nothing new as their
+// zone is drained or they leave: the bound is one on the fleet's mean, which falls with them.
+//
 // Headroom, drawn from the request's id, is what a request leaves free of the bound:
 // counts of other hosts' requests are a moment old, and the more hosts there are, the
 // more of them may take the same room at once. So hosts turn from a filling engine little
@@ -44,8 +47,7 @@
 )
 
 // chooseEngine picks an engine for a prompt.
-func (t *transition) chooseEngine(c call, found []candidate) choice {
-	mean := meanLoad(found)
+func (t *transition) chooseEngine(c call, found []candidate, mean float64) choice {
 	bound := t.loadBound(c, mean)
 	rank(found, prefixKey(c))
 	hasRoom := func(w candidate) bool { return float64(w.load+1) <= bound && w.load < w.slots }
@@ -115,14 +117,6 @@
 	return hash.Of(ids...)
 }
 
-func meanLoad(found []candidate) float64 {
-	total := 0
-	for _, w := range found {
-		total += w.load
-	}
-	return float64(total) / float64(len(found))
-}
-
 // leastLoaded returns the index of the most preferred one of the least loaded candidates.
 func leastLoaded(found []candidate) int {
 	at := 0
--- a/core/requests/requests.go
+++ b/core/requests/requests.go
@@ -29,6 +29,7 @@
 //	restart.go        what ends where a worker starts again under its id
 //	crashes.go        what is seen of requests under which workers end, which are refused
 //	zones.go          when a zone is unreachable
+//	drained.go        what becomes of requests where zones are drained
 //
 // # Usage
 //
@@ -51,6 +52,7 @@
 	"github.com/yardhall/yardhall/core/loads"
 	"github.com/yardhall/yardhall/core/registry"
 	"github.com/yardhall/yardhall/core/table"
+	"github.com/yardhall/yardhall/core/zones"
 )
 
 // Settings are the bounds that a host keeps. Zero fields take the defaults of the
@@ -60,6 +62,9 @@
 	// KeyLease is how long a confirmed configuration may be used for requests
 	// with a key; keys taken away stop working within this time.
 	KeyLease time.Duration
+	// ZoneDrain is the time after the acknowledgement of an order to drain a zone in which
+	// nothing more is sent there.
+	ZoneDrain time.Duration
 	// RetryShare is the part of a pool's requests that the fleet may send once more,
 	// RetryExtra a number of requests that it may send once more beyond that.
 	RetryShare float64
@@ -77,6 +82,7 @@
 // test compares.
 const (
 	DefaultKeyLease   = 4 * time.Second
+	DefaultZoneDrain  = 5 * time.Second
 	DefaultRetryShare = 0.2
 	DefaultRetryExtra = 20
 	DefaultLoadFactor = 2.0
@@ -88,6 +94,7 @@
 
 func (s Settings) withDefaults() Settings {
 	s.KeyLease = cmp.Or(s.KeyLease, DefaultKeyLease)
+	s.ZoneDrain = cmp.Or(s.ZoneDrain, DefaultZoneDrain)
 	s.RetryShare = cmp.Or(s.RetryShare, DefaultRetryShare)
 	s.RetryExtra = cmp.Or(s.RetryExtra, DefaultRetryExtra)
 	s.LoadFactor = cmp.Or(s.LoadFactor, DefaultLoadFactor)
@@ -127,6 +134,10 @@
 	// other zones together.
 	zones       table.Table[ident.Zone, reachability]
 	remoteZones reachability
+	// drained are the zones that the operators have drained, drainedFrom is from when on
+	// nothing at all is sent to each of them.
+	drained     zones.Drained
+	drainedFrom table.Table[ident.Zone, time.Time]
 	// hosts is how many entry hosts share the fleet's retry budget.
 	hosts int
 	// closing is set late in a planned stop.
--- a/core/requests/worker.go
+++ b/core/requests/worker.go
@@ -58,6 +58,11 @@
 	return !w.succeeded() && (w.State == registry.Ready || w.State == registry.Silent)
 }
 
+// mayHaveLoad tells whether the worker may be at work on requests.
+func (w worker) mayHaveLoad() bool {
+	return w.maybeAlive() || w.State == registry.Draining && !w.succeeded()
+}
+
 // succeeded tells whether another worker has the address now.
 func (w worker) succeeded() bool { return w.replaced || w.displaced }
 
--- /dev/null
+++ b/core/zones/zones_test.go
@@ -0,0 +1,93 @@
+// Copyright 2026 The Yardhall Authors. Licensed under the Apache License, Version 2.0.
+
+package zones_test
+
+import (
+	"fmt"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"github.com/yardhall/yardhall/core/ident"
+	"github.com/yardhall/yardhall/core/zones"
+)
+
+// maxOrders bounds the orders that are drawn.
+const maxOrders = 40
+
+// TestOrdersAreRemembered draws orders, some of them late, and compares what is drained with
+// a map: an order counts where nothing was ordered since it was received.
+func TestOrdersAreRemembered(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		var held zones.Drained
+		states := append(make([]zones.Drained, 0, maxOrders), held)
+		want := map[ident.Zone]bool{}
+		for range rapid.IntRange(1, maxOrders-1).Draw(t, "orders") {
+			zone := ident.Zone(fmt.Sprint("hall-", rapid.IntRange(0, 4).Draw(t, "zone")))
+			received := states[rapid.IntRange(0, len(states)-1).Draw(t, "received")]
+			c := zones.Change{Zone: zone, Drained: rapid.Bool().Draw(t, "drained"), Seen: received.RevisionOf(zone)}
+			next, outcome := held.With(c)
+			switch {
+			case want[zone] == c.Drained:
+				require.Equal(t, zones.Done, outcome)
+				require.Equal(t, held, next, "an order that is sent again changes nothing")
+			case received.RevisionOf(zone) != held.RevisionOf(zone):
+				require.Equal(t, zones.Overtaken, outcome)
+				require.Equal(t, held, next)
+			default:
+				require.Equal(t, zones.Done, outcome)
+				require.Equal(t, held.Revision+1, next.Revision)
+				want[zone] = c.Drained
+			}
+			held = next
+			states = append(states, held)
+			requireSame(t, want, held)
+		}
+	})
+}
+
+func requireSame(t *rapid.T, want map[ident.Zone]bool, held zones.Drained) {
+	n := 0
+	for zone, drained := range want {
+		require.Equal(t, drained, held.Has(zone), zone)
+		if drained {
+			n++
+		}
+	}
+	require.Len(t, held.List(), n)
+}
+
+// TestNewestStateWins joins states in any order and as often as they are sent.
+func TestNewestStateWins(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		var last zones.Drained
+		states := append(make([]zones.Drained, 0, maxOrders), last)
+		for i := range rapid.IntRange(1, 10).Draw(t, "orders") {
+			zone := ident.Zone(fmt.Sprint("hall-", i%3))
+			last, _ = last.With(zones.Change{Zone: zone, Drained: !last.Has(zone), Seen: last.RevisionOf(zone)})
+			states = append(states, last)
+		}
+		var held zones.Drained
+		revision := uint64(0)
+		for range 30 {
+			held = held.Newest(rapid.SampledFrom(states).Draw(t, "sent"))
+			require.GreaterOrEqual(t, held.Revision, revision, "it never reverts")
+			revision = held.Revision
+		}
+		require.Equal(t, last, held.Newest(last))
+	})
+}
+
+func TestNamesThatAreInventedAreBounded(t *testing.T) {
+	var held zones.Drained
+	outcome := zones.Done
+	for i := 0; outcome == zones.Done; i++ {
+		require.Less(t, i, 1000)
+		held, outcome = held.With(zones.Change{Zone: ident.Zone(fmt.Sprint(i)), Drained: true})
+	}
+	require.Equal(t, zones.TooMany, outcome)
+	_, outcome = held.With(zones.Change{Zone: "0", Drained: false, Seen: held.RevisionOf("0")})
+	require.Equal(t, zones.Done, outcome, "what is known can still be changed")
+	require.Error(t, zones.Change{}.Check())
+}
--- a/operators/operators.go
+++ b/operators/operators.go
@@ -78,6 +78,9 @@
 	g.GET("/audit", a.audit)
 	g.GET("/backup", a.backup)
 	g.POST("/replicas", a.replica)
+	g.GET("/zones", a.zones)
+	g.POST("/zones/:zone/drain", func(c echo.Context) error { return a.changeZone(c, true) })
+	g.POST("/zones/:zone/restore", func(c echo.Context) error { return a.changeZone(c, false) })
 	g.GET("/plans", a.plans)
 	g.POST("/plans", a.makePlan)
 	g.GET("/plans/:id", a.plan)
@@ -242,7 +245,7 @@
 
 func statusOf(code catalog.Code) int {
 	switch code {
-	case catalog.Conflict, catalog.GroundMoved:
+	case catalog.Conflict, catalog.GroundMoved, catalog.Overtaken:
 		return http.StatusPreconditionFailed
 	case catalog.NotFound:
 		return http.StatusNotFound
--- a/peers/forms_test.go
+++ b/peers/forms_test.go
@@ -14,6 +14,7 @@
 
 	"github.com/yardhall/yardhall/core/formtest"
 	"github.com/yardhall/yardhall/core/host"
+	"github.com/yardhall/yardhall/core/zones"
 )
 
 // addForms adds records of types that the golden file lacks; it never replaces one.
@@ -63,7 +64,10 @@
 	for _, w := range types {
 		name, value := "type-"+w.Name, filled(w.Value)
 		if poll, ok := value.(host.Poll); ok {
-			// The first programs that sent polls reported neither replaced workers nor crashes.
+			// The first programs that sent polls reported neither replaced workers nor crashes nor
+			// drained zones.
+			forms = append(forms, gobForm(name+"-zones", carrier{Value: poll}))
+			poll.KnowsZones, poll.Zones, poll.ZonesInForce = false, 0, 0
 			forms = append(forms, gobForm(name+"-crashes", carrier{Value: poll}))
 			poll.Crashes, poll.CrashList, poll.CrashEntries = nil, 0, nil
 			forms = append(forms, gobForm(name+"-replaced", carrier{Value: poll}))
@@ -76,10 +80,22 @@
 			value = beat
 		}
 		if reply, ok := value.(host.PollReply); ok {
+			forms = append(forms, gobForm(name+"-zones", carrier{Value: reply}))
+			reply.Zones = zones.Drained{}
 			forms = append(forms, gobForm(name+"-crashes", carrier{Value: reply}))
 			reply.CrashList, reply.CrashEntries = 0, nil
 			value = reply
 		}
+		if await, ok := value.(host.AwaitInForce); ok {
+			forms = append(forms, gobForm(name+"-zones", carrier{Value: await}))
+			await.Zones = 0
+			value = await
+		}
+		if answered, ok := value.(host.WriteAnswered); ok {
+			forms = append(forms, gobForm(name+"-zones", carrier{Value: answered}))
+			answered.Result.Zones = 0
+			value = answered
+		}
 		forms = append(forms, gobForm(name, carrier{Value: value}))
 	}
 	forms = append(forms, gobForm("hello", filled(Hello{})), gobForm("batch", filled(Batch{})), gobForm("ack", filled(Ack{})))
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -125,6 +125,7 @@
 	KeyLease   time.Duration `ini:"key_lease" default:"4s" doc:"Time for which a confirmed configuration may be used for requests with a key."`
 	InForce    time.Duration `ini:"in_force" default:"2s" doc:"Time after its acknowledgement in which a route table is in force everywhere. An acknowledgement waits for hosts that cannot be reached, at most key_lease less this."`
 	Revoke     time.Duration `ini:"revoke" default:"5s" doc:"Time after the acknowledgement in which keys that were taken away stop working everywhere. Where it is shorter than in_force, it takes its place."`
+	ZoneDrain  time.Duration `ini:"zone_drain" default:"5s" doc:"Time after the acknowledgement of an order to drain a zone in which nothing more is sent to its workers, from any host. Until then a service whose other workers are missing or full is still served there."`
 	Heartbeat  time.Duration `ini:"heartbeat" default:"1200ms" doc:"Time between two heartbeats of a worker."`
 	RetryShare string        `ini:"retry_share" default:"0.2" doc:"Part of a pool's requests that may be sent once more."`
 	RetryExtra string        `ini:"retry_extra" default:"20" doc:"Requests that the whole fleet may send once more beyond that."`
