core/requests, core/registry: Bound what a cold worker gets from all hosts

Cause: workers that start, come back or turn cold bear ColdPerS requests a second from all hosts; nothing knew of that. Change: a worker's cold time travels with its registration, as of when it is sent, and ColdPerS with the pool. Each cold worker is served by few hosts, drawn from names, each at most once in a second; what else would go there goes to the next in order. Earlier programs know no cold workers while two versions run.

--- a/commands/yardhall/routes.go
+++ b/commands/yardhall/routes.go
@@ -77,7 +77,7 @@
 func (s *section) pool() config.Pool {
 	return config.Pool{
 		ID: ident.Service(s.id), MaxConns: s.whole("max_conns"), Engine: s.truth("engine"),
-		CacheTokens: s.whole("cache_tokens"), Moves: s.truth("moves"),
+		CacheTokens: s.whole("cache_tokens"), Moves: s.truth("moves"), ColdPerSecond: s.number("cold_per_second"),
 	}
 }
 
--- a/core/catalog/forms_test.go
+++ b/core/catalog/forms_test.go
@@ -22,14 +22,14 @@
 const storedGolden = "testdata/stored.golden"
 
 // writeForm is the log record of a command, or of an edit with a change.
-func writeForm(name string, command Command, change config.Change) formtest.Form {
+func writeForm(name string, command Command, change config.Change, leftOut ...string) formtest.Form {
 	choose := func(t reflect.Type) any {
 		if t == reflect.TypeFor[config.Change]() {
 			return change
 		}
 		return command
 	}
-	w := formtest.Filled(reflect.TypeFor[Write](), choose).Interface().(Write)
+	w := formtest.Filled(reflect.TypeFor[Write](), choose, leftOut...).Interface().(Write)
 	return formtest.Form{
 		Name: name, Want: w,
 		Encode: func() ([]byte, error) { return w.Encode(), nil },
@@ -37,21 +37,17 @@
 	}
 }
 
-// filledDocument is a snapshot in which every field holds something.
-func filledDocument() Document {
+// added are the fields that came after the first program which stored records.
+var added = []string{"Zones", "ColdPerSecond"}
+
+// filledDocument is a snapshot in which every field holds something, but for those left out.
+func filledDocument(leftOut ...string) Document {
 	choose := func(reflect.Type) any { return config.PutAccount{} }
-	d := formtest.Filled(reflect.TypeFor[Document](), choose).Interface().(Document)
+	d := formtest.Filled(reflect.TypeFor[Document](), choose, leftOut...).Interface().(Document)
 	d.Format = documentFormat
 	return d
 }
 
-// withoutZones is what programs stored that knew nothing of drained zones.
-func withoutZones(d Document) Document {
-	d.Zones = nil
-	d.WriteAnswers[0].Zones = 0
-	return d
-}
-
 // snapshotForm is a snapshot. It is compared as the catalog writes it again.
 func snapshotForm(t *testing.T, name string, d Document) formtest.Form {
 	t.Helper()
@@ -82,7 +78,8 @@
 	text, err := os.ReadFile(storedGolden)
 	require.True(t, err == nil || *addForms, "%v", err)
 	forms := []formtest.Form{
-		snapshotForm(t, "snapshot", withoutZones(filledDocument())), snapshotForm(t, "snapshot-zones", filledDocument()),
+		snapshotForm(t, "snapshot", filledDocument(added...)), snapshotForm(t, "snapshot-zones", filledDocument("ColdPerSecond")),
+		snapshotForm(t, "snapshot-cold", filledDocument()),
 		writeForm("write-zone", formtest.Filled(reflect.TypeFor[ChangeZone](), nil).Interface().(ChangeZone), nil),
 	}
 	for i, command := range commandTypes() {
@@ -91,7 +88,12 @@
 		}
 	}
 	for i, change := range config.Types() {
-		forms = append(forms, writeForm(fmt.Sprintf("edit-%02d", i), Edit{}, change.(config.Change)))
+		name := fmt.Sprintf("edit-%02d", i)
+		forms = append(forms, writeForm(name, Edit{}, change.(config.Change), added...))
+		switch change.(type) {
+		case config.PutRouteTable, config.PatchRouteTable:
+			forms = append(forms, writeForm(name+"-cold", Edit{}, change.(config.Change)))
+		}
 	}
 	all, err := formtest.Check(string(text), *addForms, forms)
 	require.NoError(t, err)
--- a/core/config/forms_test.go
+++ b/core/config/forms_test.go
@@ -24,20 +24,21 @@
 func TestPackedTablesOfEarlierProgramsAreRead(t *testing.T) {
 	text, err := os.ReadFile(packedGolden)
 	require.True(t, err == nil || *addForms, "%v", err)
-	table := formtest.Filled(reflect.TypeFor[config.RouteTable](), nil).Interface().(config.RouteTable)
-	delta := formtest.Filled(reflect.TypeFor[config.RouteTableDelta](), nil).Interface().(config.RouteTableDelta)
-	all, err := formtest.Check(string(text), *addForms, []formtest.Form{
-		{
-			Name: "table", Want: table.WithoutSource(),
+	var forms []formtest.Form
+	for suffix, leftOut := range map[string][]string{"": {"ColdPerSecond"}, "-cold": nil} {
+		table := formtest.Filled(reflect.TypeFor[config.RouteTable](), nil, leftOut...).Interface().(config.RouteTable)
+		delta := formtest.Filled(reflect.TypeFor[config.RouteTableDelta](), nil, leftOut...).Interface().(config.RouteTableDelta)
+		forms = append(forms, formtest.Form{
+			Name: "table" + suffix, Want: table.WithoutSource(),
 			Encode: func() ([]byte, error) { return table.Packed(), nil },
 			Decode: func(record []byte) (any, error) { return config.UnpackRouteTable(record) },
-		},
-		{
-			Name: "delta", Want: delta,
+		}, formtest.Form{
+			Name: "delta" + suffix, Want: delta,
 			Encode: func() ([]byte, error) { return delta.Packed(), nil },
 			Decode: func(record []byte) (any, error) { return config.UnpackRouteTableDelta(record) },
-		},
-	})
+		})
+	}
+	all, err := formtest.Check(string(text), *addForms, forms)
 	require.NoError(t, err)
 	if *addForms {
 		require.NoError(t, os.WriteFile(packedGolden, []byte(all), 0o600))
--- a/core/config/routetable.go
+++ b/core/config/routetable.go
@@ -90,6 +90,9 @@
 	CacheTokens int `json:"cache_tokens,omitempty"`
 	// Moves is true where engines take prefixes over from each other.
 	Moves bool `json:"moves,omitempty"`
+	// ColdPerSecond is how many requests a second a cold worker bears, from all hosts; 0 is
+	// no bound.
+	ColdPerSecond float64 `json:"cold_per_second,omitempty"`
 }
 
 // Limits bound what a caller may send, and how long it may take.
--- a/core/formtest/formtest.go
+++ b/core/formtest/formtest.go
@@ -34,9 +34,11 @@
 type Choose func(reflect.Type) any
 
 // Filled returns a value of a type in which every exported field holds something of its
-// own, other than zero. The same type yields the same value each time.
-func Filled(t reflect.Type, choose Choose) reflect.Value {
-	f := filler{choose: choose}
+// own, other than zero. The same type yields the same value each time. Fields with one of the
+// names left out stay empty, as if the type had none: so a type that has grown yields what it
+// yielded before.
+func Filled(t reflect.Type, choose Choose, leftOut ...string) reflect.Value {
+	f := filler{choose: choose, leftOut: leftOut}
 	v := reflect.New(t).Elem()
 	f.fill(v, 0)
 	return v
@@ -44,8 +46,9 @@
 
 // filler counts the values that it has given out.
 type filler struct {
-	choose Choose
-	last   int
+	choose  Choose
+	leftOut []string
+	last    int
 }
 
 func (f *filler) next() int {
@@ -85,7 +88,9 @@
 		return
 	}
 	for i := range v.NumField() {
-		f.fill(v.Field(i), depth+1)
+		if !slices.Contains(f.leftOut, v.Type().Field(i).Name) {
+			f.fill(v.Field(i), depth+1)
+		}
 	}
 }
 
--- a/core/host/registrations.go
+++ b/core/host/registrations.go
@@ -26,8 +26,8 @@
 	next, changed := t.registry.WithHeartbeat(w, t.now)
 	t.registry = next
 	if changed {
-		t.note(NoteWorker, string(w.ID), fmt.Sprintf("pool=%s state=%s seq=%d at=%s born=%s before=%s",
-			w.Pool, w.State, w.Seq, w.Address, w.Born, before.Born))
+		t.note(NoteWorker, string(w.ID), fmt.Sprintf("pool=%s state=%s seq=%d at=%s cold=%s born=%s before=%s",
+			w.Pool, w.State, w.Seq, w.Address, w.Cold, w.Born, before.Born))
 	}
 }
 
--- a/core/host/updates.go
+++ b/core/host/updates.go
@@ -101,7 +101,7 @@
 	}
 	b, ok := t.seeded.batches.byRevision.Get(after)
 	if !ok || !b.full && b.revision != t.registry.Revision() {
-		workers, revision := t.registry.After(after, batchSize)
+		workers, revision := t.registry.After(after, batchSize, t.now)
 		b = workerBatch{record: registry.Pack(workers), revision: revision, full: len(workers) == batchSize}
 		t.seeded.batches.byRevision = t.seeded.batches.byRevision.With(after, b)
 	}
--- a/core/host/zones.go
+++ b/core/host/zones.go
@@ -86,7 +86,7 @@
 		return packed
 	}
 	for _, o := range held.Orders {
-		workers = append(workers, t.registry.InZone(o.Zone)...)
+		workers = append(workers, t.registry.InZone(o.Zone, t.now)...)
 	}
 	for i, w := range workers {
 		// Each order makes what is told of a worker newer, as hubs may not know of its latest
--- a/core/registry/check.go
+++ b/core/registry/check.go
@@ -6,6 +6,7 @@
 	"slices"
 	"strconv"
 	"strings"
+	"time"
 
 	"github.com/pkg/errors"
 )
@@ -18,6 +19,8 @@
 	maxSlots = 1 << 20
 	// maxBorn is the last millisecond of the year 9999, which is no start of a process.
 	maxBorn Incarnation = 253_402_300_799_999
+	// maxCold is longer than any worker needs to load its weights and warm up.
+	maxCold = time.Hour
 )
 
 // Check tells why a registration names no worker to use; nil where it names one. Of a
@@ -30,6 +33,8 @@
 		return errors.Errorf("the state %d is not known", w.State)
 	case w.Born < 0 || w.Born > maxBorn:
 		return errors.Errorf("the start %d is no time", w.Born)
+	case w.Cold < 0 || w.Cold > maxCold:
+		return errors.Errorf("cold for %s", w.Cold)
 	case w.State == Gone:
 		return nil
 	case w.Pool == "" || len(w.Pool) > maxNameLength:
--- a/core/registry/incarnation_test.go
+++ b/core/registry/incarnation_test.go
@@ -213,7 +213,7 @@
 			}
 		}
 		for i := range registries {
-			reports, _ := registries[i].After(0, 10)
+			reports, _ := registries[i].After(0, 10, start)
 			for _, w := range reports {
 				host, _ = host.With(w)
 			}
--- a/core/registry/registry.go
+++ b/core/registry/registry.go
@@ -6,7 +6,7 @@
 // # Usage
 //
 //	r, changed := r.WithHeartbeat(worker, now)
-//	entries, revision := r.After(seen, limit)
+//	entries, revision := r.After(seen, limit, now)
 //	r = r.Expire(silentAfter, now)
 //
 // Each change gets a revision, so that hosts which follow the registry are sent
@@ -54,6 +54,9 @@
 	Seq uint64 `cbor:"7,keyasint,omitempty"`
 	// Born is the incarnation; 0 where the worker does not say.
 	Born Incarnation `cbor:"8,keyasint,omitempty"`
+	// Cold is how much longer the worker is cold, as of when this is sent: it bears few
+	// requests a second until then. 0 where it is warm, or does not say.
+	Cold time.Duration `cbor:"9,keyasint,omitempty"`
 }
 
 // entry is a worker with the time it was last seen.
@@ -78,6 +81,30 @@
 	maxWorkers = 8192
 )
 
+// coldTolerance is how far the end of a worker's cold time may move without being told of
+// anew: heartbeats are held up by as much. Chosen, not measured.
+const coldTolerance = 500 * time.Millisecond
+
+// coldUntil is when a worker that was seen at a time is warm.
+func (w Worker) coldUntil(seen time.Time) time.Time { return seen.Add(w.Cold) }
+
+// asOf returns the worker as it is sent now; seen is when it said what is known.
+func (w Worker) asOf(seen, now time.Time) Worker {
+	w.Cold = max(0, w.coldUntil(seen).Sub(now))
+	return w
+}
+
+// isAsCold tells whether a heartbeat that comes now tells of no other cold time than the one
+// before.
+func (e entry) isAsCold(w Worker, now time.Time) bool {
+	have := e.worker().coldUntil(e.lastSeen)
+	is := w.coldUntil(now)
+	if !have.After(now) && !is.After(now) {
+		return true
+	}
+	return have.After(now) == is.After(now) && have.Sub(is).Abs() <= coldTolerance
+}
+
 // Registry is the registrations taken here. It is immutable; the zero value is
 // empty.
 type Registry struct {
@@ -141,8 +168,8 @@
 		}
 	}
 	old := e.record.Worker()
-	old.Seq = w.Seq
-	if old == w {
+	old.Seq, old.Cold = w.Seq, w.Cold
+	if old == w && e.isAsCold(w, now) {
 		e.record, e.lastSeen = recordOf(w), now
 		r.workers = r.workers.With(w.ID, e)
 		return r, false
@@ -254,27 +281,27 @@
 	return r, changed
 }
 
-// InZone returns the workers of a zone that are not gone.
-func (r Registry) InZone(zone ident.Zone) []Worker {
+// InZone returns the workers of a zone that are not gone, as of now.
+func (r Registry) InZone(zone ident.Zone, now time.Time) []Worker {
 	var out []Worker
 	for _, e := range r.workers.All() {
 		if w := e.worker(); w.Zone == zone && w.State != Gone {
-			out = append(out, w)
+			out = append(out, w.asOf(e.lastSeen, now))
 		}
 	}
 	return out
 }
 
-// After returns the workers changed after a revision, at most limit of them, and
+// After returns the workers changed after a revision, as of now, at most limit of them, and
 // the revision that they lead to.
-func (r Registry) After(revision uint64, limit int) ([]Worker, uint64) {
+func (r Registry) After(revision uint64, limit int, now time.Time) ([]Worker, uint64) {
 	if revision == r.revision {
 		return nil, r.revision
 	}
 	var out []Worker
 	for at, id := range r.changes.From(revision + 1) {
 		e, _ := r.workers.Get(id)
-		out = append(out, e.worker())
+		out = append(out, e.worker().asOf(e.lastSeen, now))
 		if len(out) == limit {
 			return out, at
 		}
--- a/core/registry/registry_test.go
+++ b/core/registry/registry_test.go
@@ -49,14 +49,14 @@
 	var r registry.Registry
 	r, changed := r.WithHeartbeat(worker(1, registry.Ready), start)
 	require.True(t, changed)
-	_, seen := r.After(0, 10)
+	_, seen := r.After(0, 10, start)
 	r, changed = r.WithHeartbeat(worker(2, registry.Ready), start.Add(time.Second))
 	require.False(t, changed, "a heartbeat that says nothing new is no change")
-	none, _ := r.After(seen, 10)
+	none, _ := r.After(seen, 10, start)
 	require.Empty(t, none)
 	r, changed = r.WithHeartbeat(worker(3, registry.Draining), start.Add(2*time.Second))
 	require.True(t, changed)
-	news, _ := r.After(seen, 10)
+	news, _ := r.After(seen, 10, start)
 	require.Len(t, news, 1)
 	require.Equal(t, registry.Draining, news[0].State)
 }
@@ -99,7 +99,7 @@
 	var seen uint64
 	for range 3 {
 		var part []registry.Worker
-		part, seen = r.After(seen, 3)
+		part, seen = r.After(seen, 3, start)
 		unpacked, err := registry.Unpack(registry.Pack(part))
 		require.NoError(t, err)
 		require.Equal(t, part, unpacked)
--- a/core/requests/choose.go
+++ b/core/requests/choose.go
@@ -54,6 +54,8 @@
 	// is how many there were.
 	position   int
 	candidates int
+	// onlyCold is set where there was none, but for workers that are cold.
+	onlyCold bool
 }
 
 // choose picks the worker for the call's next attempt; it answers false where there is
@@ -62,7 +64,7 @@
 	view := t.poolView(c)
 	found := view.candidates()
 	if len(found) == 0 {
-		return choice{}, false
+		return choice{onlyCold: view.cold > 0}, false
 	}
 	if c.pool.Engine {
 		return t.chooseEngine(c, found, view.meanLoad()), true
@@ -76,6 +78,8 @@
 	// available workers are in reachable zones; of the others, draining ones are in zones that
 	// are being drained, and maybeAlive ones are left where there is nothing better.
 	available, draining, maybeAlive []candidate
+	// cold is how many others this host may send nothing to now, as they are cold.
+	cold int
 	// workers is how many of the pool are alive, whether or not this call may go there, load
 	// what they have in requests.
 	workers, load int
@@ -113,6 +117,8 @@
 			continue
 		}
 		switch usable := w.available(t.now) && t.reachable(w.Zone); {
+		case !t.takesCold(c.pool, w):
+			v.cold++
 		case usable && t.drained.Has(w.Zone):
 			v.draining = append(v.draining, one)
 		case usable:
--- a/core/requests/dispatch.go
+++ b/core/requests/dispatch.go
@@ -48,8 +48,12 @@
 		return
 	}
 	picked, ok := t.choose(c)
-	if !ok && t.onlyDrained(c) {
+	switch {
+	case ok:
+	case t.onlyDrained(c):
 		v.Code, v.Reason, v.RetryAfter = CodeDrained, "all workers of the service are in drained zones", retryAfterDrained
+	case picked.onlyCold && c.attempt == 0:
+		v.Code, v.Reason, v.RetryAfter = CodeOverloaded, "all workers of the service are cold, and have what they bear", retryAfterCold
 	}
 	if !ok || !t.now.Before(c.req.Deadline) {
 		v.Outcome = c.combined
@@ -70,6 +74,7 @@
 	c.attempt++
 	c.life, c.sentAt = picked.worker.life, t.now.Add(pause)
 	t.addInFlight(picked.worker.ID)
+	t.noteColdSend(picked.worker, c.sentAt)
 	t.calls = t.calls.With(c.req.ID, c)
 	header, stall := c.responseTimeouts()
 	t.out = append(t.out, Dispatch{
--- a/core/requests/requests.go
+++ b/core/requests/requests.go
@@ -29,6 +29,7 @@
 //	restart.go        what ends where a worker starts again under its id
 //	crashes.go        what is seen of requests under which workers end, which are refused
 //	zones.go          when a zone is unreachable
+//	cold.go           how much a cold worker gets, from all hosts
 //	drained.go        what becomes of requests where zones are drained
 //
 // # Usage
@@ -58,6 +59,8 @@
 // Settings are the bounds that a host keeps. Zero fields take the defaults of the
 // settings file, but for StartTime.
 type Settings struct {
+	// Host is the name of this host, from which its part in what hosts share is drawn.
+	Host ident.Host
 	Zone ident.Zone
 	// KeyLease is how long a confirmed configuration may be used for requests
 	// with a key; keys taken away stop working within this time.
@@ -138,8 +141,10 @@
 	// nothing at all is sent to each of them.
 	drained     zones.Drained
 	drainedFrom table.Table[ident.Zone, time.Time]
-	// hosts is how many entry hosts share the fleet's retry budget.
-	hosts int
+	// hosts is how many entry hosts share the fleet's retry budget; hostsKnown is set once
+	// that was reported.
+	hosts      int
+	hostsKnown bool
 	// closing is set late in a planned stop.
 	closing  bool
 	counters Counters
@@ -196,7 +201,7 @@
 
 // WithHosts returns the state of one of n entry hosts.
 func (s State) WithHosts(n int) State {
-	s.hosts = max(1, n)
+	s.hosts, s.hostsKnown = max(1, n), true
 	return s
 }
 
--- a/core/requests/worker.go
+++ b/core/requests/worker.go
@@ -42,6 +42,10 @@
 	replaced  bool
 	// fullUntil is how long a worker that declined is passed over.
 	fullUntil time.Time
+	// coldUntil is when the worker is warm, coldSentAt when this host last sent it a request
+	// while it was cold.
+	coldUntil  time.Time
+	coldSentAt time.Time
 }
 
 // available tells whether new work may be sent to the worker: it is healthy and has not
@@ -88,6 +92,7 @@
 	next := have
 	next.record, next.Worker = record, record.Worker()
 	next.reportedBy, next.registeredAt = from, t.now
+	next.coldUntil = t.now.Add(r.Cold)
 	next.key, next.tag = hash.Of(string(r.ID)), loads.TagOf(r.ID)
 	startedAgain := known && startedAgain(have.record, record)
 	if startedAgain {
--- a/daemon/gateway.go
+++ b/daemon/gateway.go
@@ -35,7 +35,7 @@
 func gatewaySettings(s settings.Settings) requests.Settings {
 	g := s.Gateway
 	return requests.Settings{
-		Zone: ident.Zone(s.Host.Zone), KeyLease: g.KeyLease, ZoneDrain: g.ZoneDrain,
+		Host: s.ID(), Zone: ident.Zone(s.Host.Zone), KeyLease: g.KeyLease, ZoneDrain: g.ZoneDrain,
 		RetryShare: settings.Number(g.RetryShare), RetryExtra: settings.Number(g.RetryExtra),
 		LoadFactor: settings.Number(g.LoadFactor), StartTime: host.StartTime(),
 	}
