soak: Drain zones and take them back among the faults

Cause: the soak gave no orders for zones, and all its workers stood in one. Change: workers stand in three zones, which an operator drains one after the other and takes back while all other faults go on; a request that is sent 5 s after such an acknowledgement must not run there until the next order.

--- a/soak/checks_test.go
+++ b/soak/checks_test.go
@@ -23,6 +23,7 @@
 	requests []request
 	changes  []change
 	readings []reading
+	orders   []zoneOrder
 	faults   []*fault
 	// calm is when the last fault had ended and the fleet had recovered.
 	calm time.Time
@@ -143,6 +144,9 @@
 		if c, ok := e.revokedBy(r); ok {
 			say("ran with a key that configuration %d had taken away %s before", c.number, r.sent.Sub(c.acked))
 		}
+		if order, ok := e.drainedAt(r, one); ok {
+			say("ran in %s, drained %s before it was sent", order.zone, r.sent.Sub(order.acked))
+		}
 		if one.worker == e.drained && r.sent.After(e.acked.Add(drainBound)) {
 			say("ran at a worker that had said %s before that it leaves", one.at.Sub(e.acked))
 		}
--- a/soak/operator_test.go
+++ b/soak/operator_test.go
@@ -49,6 +49,7 @@
 	revoked  []string
 	changes  []change
 	readings []reading
+	orders   []zoneOrder
 }
 
 const (
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -66,7 +66,11 @@
 	// An earlier program sends the request on for as long as it comes.
 	bad.on.Store(*earlier == "")
 	x := newFaults(f)
-	settled := make(chan struct{})
+	settled, zonesTakenBack := make(chan struct{}), make(chan struct{})
+	go func() {
+		o.drainZones(settled)
+		close(zonesTakenBack)
+	}()
 	go func() {
 		x.done.Go(func() { newRestarts(x, o).run(*duration) })
 		x.run(*duration)
@@ -80,6 +84,7 @@
 		case <-time.After(changeInterval):
 		}
 	}
+	<-zonesTakenBack
 	e := evidence{fleet: f}
 	bad.on.Store(false)
 	recovered := eventually(recoverBound, func() bool { return recoveredNow(f, o) })
@@ -92,7 +97,7 @@
 	}
 	e.requests = c.end()
 	o.end()
-	e.changes, e.readings, e.faults = o.changes, o.readings, x.list
+	e.changes, e.readings, e.orders, e.faults = o.changes, o.readings, o.orders, x.list
 	report(t, e, recovered)
 }
 
@@ -161,6 +166,11 @@
 			acked++
 		}
 	}
+	for _, order := range e.orders {
+		if !order.acked.IsZero() {
+			counts["orders acknowledged"]++
+		}
+	}
 	ends := e.fleet.runs.endsSoFar()
 	t.Logf("seed %d: %d workers ended under the bad request", e.fleet.seed, len(ends))
 	t.Logf("seed %d: %d requests %v, %d of %d changes acknowledged, %d readings, %d faults", e.fleet.seed, len(e.requests), counts, acked, len(e.changes), len(e.readings), len(e.faults))
--- a/soak/worker_test.go
+++ b/soak/worker_test.go
@@ -298,8 +298,8 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.seq++
-	body = fmt.Sprintf(`{"Service":"pool","Address":%q,"Zone":"z1","Version":"v1","Slots":%d,"State":%q,"ColdLeftMs":0,"Seq":%d,"born":%d}`,
-		w.address, workerSlots, w.state, w.seq, w.born.UnixMilli())
+	body = fmt.Sprintf(`{"Service":"pool","Address":%q,"Zone":%q,"Version":"v1","Slots":%d,"State":%q,"ColdLeftMs":0,"Seq":%d,"born":%d}`,
+		w.address, zoneOf(w.node), workerSlots, w.state, w.seq, w.born.UnixMilli())
 	return "/v1/instances/" + w.id, body, !w.down && !w.cut
 }
 
