--- a/core/host/popular_test.go
+++ b/core/host/popular_test.go
@@ -54,6 +54,7 @@
 	for _, late := range []bool{false, true} {
 		for seed := range uint64(7) {
 			t.Run(fmt.Sprintf("late=%t/%d", late, seed), func(t *testing.T) {
+				t.Parallel()
 				f := newCrashFleet(t, 7, 24, 100+seed)
 				f.proofsLate = late
 				f.loadBeside(20*time.Second, popularBody)
--- a/core/host/zones_test.go
+++ b/core/host/zones_test.go
@@ -146,6 +146,7 @@
 			entries = leaseFleet
 		}
 		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			t.Parallel()
 			r := rand.New(rand.NewPCG(seed, 42))
 			f := startDraining(t, entries)
 			f.run(3 * time.Second)
@@ -346,6 +347,7 @@
 func TestRacingOrdersAreLinearizable(t *testing.T) {
 	for seed := range uint64(20) {
 		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			t.Parallel()
 			r := rand.New(rand.NewPCG(seed, 7))
 			f := startDraining(t, 2)
 			slow := map[ident.Host]time.Duration{}
