core/requests, gateway, daemon: Log what workers ask for when they decline

Cause: a try line did not say what a declining worker asked for, how long ago it last declined, or how the attempt came about, so that three explanations of requests at workers that had asked for a pause could not be told apart. Change: the header of a worker that leaves and its Retry-After are read and kept; try lines say kind, last_resort, declined_ago_ms and backoff_left_ms, and the result what was asked for; counters Declined, Resent, BackoffsAsked. No decision uses any of it yet. Conclusion: an attempt with backoff_left_ms above 0 tells that the host knew; its kind, by which path it went.

--- a/core/outcome/outcome.go
+++ b/core/outcome/outcome.go
@@ -13,6 +13,8 @@
 //   - Unknown: everything else.
 package outcome
 
+import "time"
+
 // Kind is the outcome of a request.
 type Kind string
 
@@ -49,6 +51,8 @@
 		Reason string
 		// Leaving is true where it declined as it is being stopped.
 		Leaving bool
+		// RetryAfter is for how long the target wants nothing more; 0 where it does not say.
+		RetryAfter time.Duration
 	}
 	// Broken means that bytes were sent and the whole answer did not come.
 	Broken struct {
--- a/core/requests/attempt.go
+++ b/core/requests/attempt.go
@@ -79,6 +79,7 @@
 
 // declined tries another worker or, where none is allowed, the same one again.
 func (t *transition) declined(c call, r outcome.Declined) {
+	t.counters.Declined++
 	if r.Leaving {
 		// Another process answers at the address.
 		t.processEnded(c.target, c.life)
--- a/core/requests/choose.go
+++ b/core/requests/choose.go
@@ -66,6 +66,9 @@
 	candidates int
 	// onlyCold is set where there was none, but for workers that are cold.
 	onlyCold bool
+	// kind says how the attempt came about, lastResort that no worker was available.
+	kind       AttemptKind
+	lastResort bool
 }
 
 // choose picks the worker for the call's next attempt; it answers false where there is
@@ -76,10 +79,14 @@
 	if len(found) == 0 {
 		return choice{onlyCold: view.cold > 0}, false
 	}
+	var picked choice
 	if c.pool.Engine {
-		return t.chooseEngine(c, found, view.meanLoad()), true
+		picked = t.chooseEngine(c, found, view.meanLoad())
+	} else {
+		picked = t.choosePlain(c, found)
 	}
-	return t.choosePlain(c, found), true
+	picked.lastResort = len(view.available)+len(view.draining) == 0
+	return picked, true
 }
 
 // poolView is what a choice needs of the workers of a pool: those that the call has not tried,
--- a/core/requests/decision.go
+++ b/core/requests/decision.go
@@ -113,8 +113,26 @@
 	// Candidates is how many there were.
 	Choice     int
 	Candidates int
+	// Kind says how the attempt came about, LastResort that no worker was available.
+	Kind       AttemptKind
+	LastResort bool
+	// DeclinedAgo is the time since the worker last declined a request of this host,
+	// negative where it never did; BackoffLeft is for how much longer it wants nothing.
+	DeclinedAgo time.Duration
+	BackoffLeft time.Duration
 }
 
+// AttemptKind says how an attempt came about.
+type AttemptKind string
+
+// Kinds of attempts.
+const (
+	FirstAttempt AttemptKind = "first"
+	// RetryAttempt goes to another worker, ResendAttempt to the one that declined.
+	RetryAttempt  AttemptKind = "retry"
+	ResendAttempt AttemptKind = "resend"
+)
+
 // Verdict is how a request ended for its caller.
 type Verdict struct {
 	Outcome outcome.Kind
--- a/core/requests/dispatch.go
+++ b/core/requests/dispatch.go
@@ -66,6 +66,10 @@
 	c.target = picked.worker.ID
 	c.tried = append(c.tried[:len(c.tried):len(c.tried)], c.target)
 	t.counters.Dispatched++
+	picked.kind = FirstAttempt
+	if c.attempt > 0 {
+		picked.kind = RetryAttempt
+	}
 	t.send(c, picked, 0)
 }
 
@@ -97,12 +101,20 @@
 	if _, asOf := t.othersLoad(picked.worker); !asOf.IsZero() {
 		in.LoadAge = t.now.Sub(asOf)
 	}
+	in.Kind, in.LastResort = picked.kind, picked.lastResort
+	in.DeclinedAgo, in.BackoffLeft = neverDeclined, picked.worker.backoffLeft(t.now)
+	if at := picked.worker.declinedAt; !at.IsZero() {
+		in.DeclinedAgo = t.now.Sub(at)
+	}
 	return in
 }
 
 // neverConfirmed is the age of a table that was never confirmed, in logs.
 const neverConfirmed = -time.Millisecond
 
+// neverDeclined is the age of a worker's last decline where there is none, in logs.
+const neverDeclined = -time.Millisecond
+
 // finish ends a request.
 func (t *transition) finish(id ident.Request, v Verdict) {
 	t.calls = t.calls.Without(id)
--- a/core/requests/event.go
+++ b/core/requests/event.go
@@ -18,11 +18,14 @@
 type (
 	// Arrived is a caller's request.
 	Arrived struct{ Request Request }
-	// HeaderReceived reports that an answer has begun, and the load that the worker
-	// reported with it; a Load without Slots is no report.
+	// HeaderReceived reports that an answer to an attempt has begun, and what the worker
+	// said of itself with it; a Load without Slots is no report.
 	HeaderReceived struct {
-		Worker ident.Target
-		Load   Load
+		Request ident.Request
+		Attempt int
+		Worker  ident.Target
+		Notice  Notice
+		Load    Load
 		// Route is the request's, Took the time since it was sent to the worker.
 		Route string
 		Took  time.Duration
--- a/core/requests/load.go
+++ b/core/requests/load.go
@@ -115,6 +115,7 @@
 // load: what exceeds this host's requests belongs to other hosts.
 func (t *transition) headerReceived(ev HeaderReceived) {
 	t.learnHeaderTime(ev.Route, ev.Took)
+	t.takeNotice(ev)
 	w, ok := t.workers.Get(ev.Worker)
 	if !ok || ev.Load.Slots == 0 {
 		return
--- a/core/requests/requests.go
+++ b/core/requests/requests.go
@@ -25,6 +25,7 @@
 //	resend.go         when a declined request returns to the same worker
 //	timeouts.go       when an attempt is given up
 //	workerhealth.go   what an attempt tells of its worker
+//	notice.go         what a worker says of itself with its answers
 //	replaced.go       what is reported of workers whose address has another process
 //	restart.go        what ends where a worker starts again under its id
 //	crashes.go        what is seen of requests under which workers end, which are refused
@@ -171,6 +172,12 @@
 	NoBudget uint64
 	// RetriesLent counts those that were sent out of what other hosts left.
 	RetriesLent uint64
+	// Declined counts attempts that workers declined, Resent those that were sent to the
+	// same worker again.
+	Declined uint64
+	Resent   uint64
+	// BackoffsAsked counts how often a worker began to want nothing for a while.
+	BackoffsAsked uint64
 	// Overflowed counts requests that their preferred engine had no room for.
 	Overflowed uint64 `json:"Spilled"`
 	// Waited counts requests that waited for this host to start, WaitedUnserved is the
--- a/core/requests/resend.go
+++ b/core/requests/resend.go
@@ -42,8 +42,9 @@
 	}
 	t.counters.Retried++
 	t.spendRetry(c.pool.ID)
+	t.counters.Resent++
 	c.resends++
-	t.send(c, choice{worker: w, candidates: 1}, pause)
+	t.send(c, choice{worker: w, candidates: 1, kind: ResendAttempt}, pause)
 	return true
 }
 
--- a/core/requests/restart.go
+++ b/core/requests/restart.go
@@ -36,6 +36,7 @@
 	w.startedAgainAt = now
 	w.health, w.inFlight, w.fullUntil, w.replaced = health.Target{}, 0, time.Time{}, false
 	w.selfReported, w.selfReportedAt = 0, time.Time{}
+	w.declinedAt, w.saysLeaving, w.backoffUntil = time.Time{}, false, time.Time{}
 	return w
 }
 
--- a/core/requests/worker.go
+++ b/core/requests/worker.go
@@ -40,8 +40,13 @@
 	// later, replaced where another worker answers there.
 	displaced bool
 	replaced  bool
-	// fullUntil is how long a worker that declined is passed over.
-	fullUntil time.Time
+	// declinedAt is when the worker last declined, fullUntil how long it is passed over then.
+	declinedAt time.Time
+	fullUntil  time.Time
+	// saysLeaving is set once an answer said that the worker leaves, backoffUntil is until
+	// when it wants nothing.
+	saysLeaving  bool
+	backoffUntil time.Time
 	// coldUntil is when the worker is warm, coldSentAt when this host last sent it a request
 	// while it was cold.
 	coldUntil  time.Time
--- a/daemon/requestlog.go
+++ b/daemon/requestlog.go
@@ -96,9 +96,15 @@
 		"request", string(o.Request.ID), "route", d.Route.Name, "account", string(d.Account), "content", d.Content.String(), "try", d.Attempt,
 		"worker", string(d.Worker.ID), "at", d.Worker.Address, "worker_seq", d.Worker.Seq, "worker_born", d.Worker.Born.String(),
 		"load", in.Load, "load_age_ms", millis(in.LoadAge), "mean", fmt.Sprintf("%.1f", in.Mean),
-		"choice", in.Choice, "of", in.Candidates, "table", in.Number, "table_age_ms", millis(in.ConfigAge),
+		"kind", string(in.Kind), "choice", in.Choice, "of", in.Candidates, "table", in.Number, "table_age_ms", millis(in.ConfigAge),
 		"result", resultText(try.Result), "try_ms", millis(try.Took),
 	}
+	if in.LastResort {
+		fields = append(fields, "last_resort", true)
+	}
+	if in.DeclinedAgo >= 0 {
+		fields = append(fields, "declined_ago_ms", millis(in.DeclinedAgo), "backoff_left_ms", millis(in.BackoffLeft))
+	}
 	if d.CacheFrom != "" && in.Choice > 0 {
 		fields = append(fields, "cache_from", d.CacheFrom)
 	}
@@ -115,6 +121,9 @@
 	case outcome.NeverSent:
 		return "never sent: " + a.Reason
 	case outcome.Declined:
+		if a.RetryAfter > 0 {
+			return fmt.Sprintf("declined: %s, retry after %s", a.Reason, a.RetryAfter)
+		}
 		return "declined: " + a.Reason
 	case outcome.Broken:
 		return "broken: " + a.Reason
--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -177,7 +177,9 @@
 	misdirected := resp.StatusCode == http.StatusMisdirectedRequest
 	_, err := readBody(resp)
 	x.end(resp, err == nil && !misdirected)
-	return outcome.Declined{Reason: resp.Status, Leaving: misdirected}
+	return outcome.Declined{
+		Reason: resp.Status, Leaving: misdirected, RetryAfter: x.server.headers.notice(resp, x.server.now()).Backoff,
+	}
 }
 
 // end keeps the connection for another request, or closes it.
@@ -225,7 +227,7 @@
 		_ = x.conn.Close()
 		return nil, outcome.Broken{Reason: err.Error(), Silent: isSilence(err)}
 	}
-	x.server.reportHeader(x.dispatch, resp.Header, x.server.now().Sub(x.sent))
+	x.server.reportHeader(x.dispatch, resp, x.server.now().Sub(x.sent))
 	if notRun(resp, x.server.headers) {
 		return nil, x.declined(resp)
 	}
--- /dev/null
+++ b/gateway/notice_test.go
@@ -0,0 +1,57 @@
+// Copyright 2026 The Yardhall Authors. Licensed under the Apache License, Version 2.0.
+
+package gateway
+
+import (
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/yardhall/yardhall/core/requests"
+)
+
+// TestNoticesOfWorkersAreRead reads what workers say of themselves with their answers.
+func TestNoticesOfWorkersAreRead(t *testing.T) {
+	names := DefaultHeaders()
+	now := time.Date(2026, time.May, 4, 12, 0, 0, 0, time.UTC)
+	backoff := func(d time.Duration) requests.Notice { return requests.Notice{Backoff: d} }
+	tests := map[string]struct {
+		status     int
+		leaving    string
+		retryAfter string
+		want       requests.Notice
+	}{
+		"nothing said":                         {status: 200},
+		"leaves":                               {status: 200, leaving: "1", want: requests.Notice{Leaving: true}},
+		"leaves and fails":                     {status: 500, leaving: "1", want: requests.Notice{Leaving: true}},
+		"does not leave":                       {status: 200, leaving: "0"},
+		"another process answers":              {status: 421, leaving: "1", retryAfter: "3"},
+		"whole seconds":                        {status: 503, retryAfter: "3", want: backoff(3 * time.Second)},
+		"a fraction of a second":               {status: 503, retryAfter: "0.25", want: backoff(250 * time.Millisecond)},
+		"too many requests":                    {status: 429, retryAfter: "2", want: backoff(2 * time.Second)},
+		"a date":                               {status: 503, retryAfter: "Mon, 04 May 2026 12:00:05 GMT", want: backoff(5 * time.Second)},
+		"a date that has passed":               {status: 503, retryAfter: "Mon, 04 May 2026 11:00:00 GMT"},
+		"leaves and wants nothing":             {status: 503, leaving: "1", retryAfter: "1", want: requests.Notice{Leaving: true, Backoff: time.Second}},
+		"advice with a whole answer":           {status: 200, retryAfter: "3"},
+		"no number":                            {status: 503, retryAfter: "soon"},
+		"not a number":                         {status: 503, retryAfter: "NaN"},
+		"a negative number":                    {status: 503, retryAfter: "-3"},
+		"a number beyond all durations":        {status: 503, retryAfter: "1e300", want: backoff(maxBackoff)},
+		"without end":                          {status: 503, retryAfter: "Inf", want: backoff(maxBackoff)},
+		"a date of the far future":             {status: 503, retryAfter: "Fri, 04 May 2929 12:00:00 GMT", want: backoff(maxBackoff)},
+		"declined without saying for how long": {status: 503},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			header := http.Header{}
+			for key, value := range map[string]string{names.Leaving: tt.leaving, "Retry-After": tt.retryAfter} {
+				if value != "" {
+					header.Set(key, value)
+				}
+			}
+			require.Equal(t, tt.want, names.notice(&http.Response{StatusCode: tt.status, Header: header}, now))
+		})
+	}
+}
--- a/gateway/server.go
+++ b/gateway/server.go
@@ -149,10 +149,13 @@
 	return body, 0
 }
 
-// reportHeader hands to the core that an answer has begun, and the worker's report of its
-// load.
-func (s *Server) reportHeader(d requests.Dispatch, h http.Header, took time.Duration) {
-	s.core.Decide(requests.HeaderReceived{Worker: d.Worker.ID, Load: s.headers.load(h), Route: d.Route.Name, Took: took})
+// reportHeader hands to the core that an answer has begun, and what the worker says of
+// itself with it.
+func (s *Server) reportHeader(d requests.Dispatch, resp *http.Response, took time.Duration) {
+	s.core.Decide(requests.HeaderReceived{
+		Request: d.Request, Attempt: d.Attempt, Worker: d.Worker.ID, Notice: s.headers.notice(resp, s.now()),
+		Load: s.headers.load(resp.Header), Route: d.Route.Name, Took: took,
+	})
 }
 
 // givesUp tells whether a try without an answer so far is to end, as the request goes
--- a/gateway/server_test.go
+++ b/gateway/server_test.go
@@ -33,7 +33,7 @@
 func workerNames() standin.WorkerHeaders {
 	return standin.WorkerHeaders{
 		RequestID: names.RequestID, Expect: names.Expect, Instance: names.Instance, NotRun: names.NotRun,
-		Signature: names.Signature, Load: names.Load, LastEvent: names.LastEvent,
+		Leaving: names.Leaving, Signature: names.Signature, Load: names.Load, LastEvent: names.LastEvent,
 	}
 }
 
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -53,7 +53,7 @@
 		_ = x.conn.Close()
 		return nil, outcome.Broken{Reason: err.Error(), Begun: r.begun, Silent: isSilence(err)}
 	}
-	x.server.reportHeader(x.dispatch, resp.Header, x.server.now().Sub(x.sent))
+	x.server.reportHeader(x.dispatch, resp, x.server.now().Sub(x.sent))
 	if notRun(resp, x.server.headers) {
 		return nil, x.declined(resp)
 	}
--- a/standin/worker.go
+++ b/standin/worker.go
@@ -22,6 +22,7 @@
 	Expect    string
 	Instance  string
 	NotRun    string
+	Leaving   string
 	Signature string
 	Load      string
 	LastEvent string
@@ -34,8 +35,10 @@
 const (
 	// Sound answers as it should.
 	Sound WorkerFault = iota
-	// Full declines without running the request.
+	// Full declines without running the request, FullForAWhile says besides that it wants
+	// nothing for WorkerBackoff.
 	Full
+	FullForAWhile
 	// CutHead runs the request and closes without an answer.
 	CutHead
 	// CutBody runs it and closes within the body.
@@ -81,12 +84,16 @@
 	runs     []WorkerRun
 	conns    map[net.Conn]bool
 	opened   int
+	leaving  bool
 	stop     chan struct{}
 }
 
 // WorkerBody is the body of a plain answer.
 const WorkerBody = "the worker's whole answer"
 
+// WorkerBackoff is for how long a worker wants nothing after FullForAWhile.
+const WorkerBackoff = 1500 * time.Millisecond
+
 // WorkerEvents is the number of events in a stream.
 const WorkerEvents = 5
 
@@ -191,8 +198,11 @@
 		return write(conn, "HTTP/1.1 421 Misdirected Request\r\n"+w.names.Instance+": "+w.ID+"\r\nContent-Length: 0\r\n\r\n")
 	}
 	fault := w.take()
-	if fault == Full {
-		return write(conn, "HTTP/1.1 503 Service Unavailable\r\n"+w.names.NotRun+": 1\r\nContent-Length: 0\r\n\r\n")
+	switch fault {
+	case Full:
+		return write(conn, w.declined(""))
+	case FullForAWhile:
+		return write(conn, w.declined(fmt.Sprintf("Retry-After: %g\r\n", WorkerBackoff.Seconds())))
 	}
 	w.mu.Lock()
 	w.runs = append(w.runs, WorkerRun{ID: id, Method: req.Method, Path: req.RequestURI, Body: body, Header: req.Header})
@@ -204,8 +214,30 @@
 }
 
 func (w *Worker) head(status int, id string) string {
-	return fmt.Sprintf("HTTP/1.1 %d %s\r\n%s: %s\r\n%s: stamp-of-%s\r\n%s: 1,0,8\r\n",
-		status, http.StatusText(status), w.names.RequestID, id, w.names.Signature, w.ID, w.names.Load)
+	return fmt.Sprintf("HTTP/1.1 %d %s\r\n%s: %s\r\n%s: stamp-of-%s\r\n%s: 1,0,8\r\n%s",
+		status, http.StatusText(status), w.names.RequestID, id, w.names.Signature, w.ID, w.names.Load, w.leaves())
+}
+
+// declined is the answer to a request that the worker does not run.
+func (w *Worker) declined(more string) string {
+	return "HTTP/1.1 503 Service Unavailable\r\n" + w.names.NotRun + ": 1\r\n" + more + w.leaves() + "Content-Length: 0\r\n\r\n"
+}
+
+// leaves is the header by which the worker says that it leaves, if it does.
+func (w *Worker) leaves() string {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if !w.leaving {
+		return ""
+	}
+	return w.names.Leaving + ": 1\r\n"
+}
+
+// Leave makes the worker say in all its answers that it leaves.
+func (w *Worker) Leave() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.leaving = true
 }
 
 func framed(body string) string {
@@ -243,7 +275,7 @@
 	case Hang:
 		<-w.stop
 		return false
-	case Sound, Full, CutEvent:
+	case Sound, Full, FullForAWhile, CutEvent:
 	}
 	return write(conn, right)
 }
