core/requests: Send nothing to a worker for as long as it wants nothing

Callers saw: a third of the requests of four routes refused while six of nine engines had room; workers that had asked for 3 s without requests got 5 and 7 from one host in that time. Cause: a host read from a declining worker only that it declined, and passed it over for a time of its own, 0.2 s. What the worker asked for was not read. As a worker that declines everything has no requests and answers in a millisecond, it then drew the next ones; and where a route allows one worker, the resend went back to it at once, around even those 0.2 s. Change: a worker gets nothing until the time that it gave is over, on all paths: the choice, the last resort, retries, resends. Where all want nothing, requests are refused at once and callers are told when the first one wants something, urgent ones first; a caller whose request was turned away while others are available comes back at once. Conclusion: obeyed in the choice of workers itself, it holds for each path that asks it.

--- a/core/requests/attempt.go
+++ b/core/requests/attempt.go
@@ -95,7 +95,7 @@
 		return
 	}
 	if v.Outcome == outcome.NotRun {
-		v.RetryAfter = retryAfter
+		v.RetryAfter = t.retryAfterDecline(c)
 	}
 	t.finish(c.req.ID, v)
 }
--- a/core/requests/choose.go
+++ b/core/requests/choose.go
@@ -130,7 +130,7 @@
 		one := candidate{id: id, key: w.key, zone: w.Zone, load: t.load(w, t.now), usual: t.usualLoad(w, t.now), slots: w.Slots}
 		v.workers++
 		v.load += one.load
-		if t.closed(w.Zone) || slices.Contains(c.tried, id) {
+		if t.closed(w.Zone) || slices.Contains(c.tried, id) || w.backoffLeft(t.now) > 0 {
 			continue
 		}
 		switch usable := w.available(t.now) && t.reachable(w.Zone); {
--- a/core/requests/dispatch.go
+++ b/core/requests/dispatch.go
@@ -54,6 +54,8 @@
 		v.Code, v.Reason, v.RetryAfter = CodeDrained, "all workers of the service are in drained zones", retryAfterDrained
 	case picked.onlyCold && c.attempt == 0:
 		v.Code, v.Reason, v.RetryAfter = CodeOverloaded, "all workers of the service are cold, and have what they bear", retryAfterCold
+	case t.leastBackoff(c) > 0:
+		v = t.backoffVerdict(c, v)
 	}
 	if !ok || !t.now.Before(c.req.Deadline) {
 		v.Outcome = c.combined
--- a/core/requests/notice.go
+++ b/core/requests/notice.go
@@ -5,6 +5,27 @@
 import (
 	"fmt"
 	"time"
+
+	"github.com/yardhall/yardhall/core/outcome"
+)
+
+// A worker that declines may say for how long it wants nothing more from this host. Until that
+// time is over it gets nothing: no first attempt, no second one, none as a last resort, and none
+// once more after a pause. The time is the worker's to choose: it knows what it has from all
+// hosts and how long that takes. To a host, a worker that declines everything has no requests
+// and answers at once, and so looks better than those that serve.
+//
+// Where all workers that could take a request want nothing, it is refused at once. Its caller is
+// told to come back when the first of them takes requests again: the most urgent callers first,
+// and those of one rank one after the other, as all at once would be declined again. A caller
+// whose request was declined while others are available comes back at once, as it then goes to
+// one of these.
+//
+// Inputs: what workers say with their answers, the pool's workers, the request's rank.
+const (
+	// returnGap is the time over which callers of one rank return, and the one between ranks.
+	// Chosen, not measured.
+	returnGap = 100 * time.Millisecond
 )
 
 // Notice is what a worker says of itself with an answer. The zero value says nothing.
@@ -27,6 +48,53 @@
 	return w
 }
 
+// leastBackoff is the time until the first of all workers that may take a call wants something;
+// 0 where one does, or there is none.
+func (t *transition) leastBackoff(c call) time.Duration {
+	least := time.Duration(0)
+	for _, w := range t.workers.All() {
+		if w.Pool != c.pool.ID || !w.maybeAlive() || t.closed(w.Zone) {
+			continue
+		}
+		left := w.backoffLeft(t.now)
+		if left == 0 {
+			return 0
+		}
+		if least == 0 || left < least {
+			least = left
+		}
+	}
+	return least
+}
+
+// backoffVerdict ends a call where all workers want nothing.
+func (t *transition) backoffVerdict(c call, v Verdict) Verdict {
+	if c.attempt == 0 {
+		v.Code, v.Reason = CodeOverloaded, "all workers of the service want nothing for now"
+	}
+	if c.combined == outcome.NotRun {
+		v.RetryAfter = t.retryAfterBackoff(c)
+	}
+	return v
+}
+
+// retryAfterBackoff is when the caller of a call may come back where all workers want nothing.
+func (t *transition) retryAfterBackoff(c call) time.Duration {
+	return t.leastBackoff(c) + time.Duration((float64(c.rank)+c.drawn())*float64(returnGap))
+}
+
+// retryAfterDecline is when the caller of a call may come back that its worker declined.
+func (t *transition) retryAfterDecline(c call) time.Duration {
+	w, _ := t.workers.Get(c.target)
+	switch {
+	case w.backoffLeft(t.now) > 0 && t.hasAvailable(c):
+		return retryAfterElsewhere
+	case t.leastBackoff(c) > 0:
+		return t.retryAfterBackoff(c)
+	}
+	return retryAfter
+}
+
 // takeNotice remembers what a worker says of itself, unless its process has ended since.
 func (t *transition) takeNotice(ev HeaderReceived) {
 	w, known := t.workers.Get(ev.Worker)
--- a/core/requests/notice_test.go
+++ b/core/requests/notice_test.go
@@ -91,3 +91,86 @@
 	// Nine seconds hold three times of 3 s; each of three engines declines once in each.
 	require.LessOrEqual(t, refused, 3*3)
 }
+
+// noticed feeds the header of an answer to an attempt, with what its worker says of itself.
+func noticed(s requests.State, d requests.Dispatch, n requests.Notice, now time.Time) requests.State {
+	s, _ = requests.Reduce(s, requests.HeaderReceived{Request: d.Request, Attempt: d.Attempt, Worker: d.Worker.ID, Notice: n, Route: d.Route.Name}, now)
+	return s
+}
+
+// turnAway has the worker of an attempt decline it and ask for a pause.
+func turnAway(t *testing.T, s requests.State, d requests.Dispatch, backoff time.Duration, now time.Time) (requests.State, requests.Decision) {
+	t.Helper()
+	return decline(t, noticed(s, d, requests.Notice{Backoff: backoff}, now), d, now)
+}
+
+// turnAllAway has three workers decline one request each and ask for 1, 2 and 3 s; only the
+// callers of those whose service has other workers come back at once.
+func turnAllAway(t *testing.T, path string) requests.State {
+	t.Helper()
+	s := withObjective()
+	for n := range 3 {
+		next, d := arrive(t, s, request(fmt.Sprint("r-", n), path), start)
+		after, end := turnAway(t, next, d.(requests.Dispatch), time.Duration(n+1)*time.Second, start)
+		v := end.(requests.Finish).Verdict
+		require.Equal(t, outcome.NotRun, v.Outcome)
+		if n < 2 {
+			require.LessOrEqual(t, v.RetryAfter, 50*time.Millisecond, "others are available")
+		} else {
+			require.GreaterOrEqual(t, v.RetryAfter, time.Second, "the first one takes requests after a second")
+		}
+		s = after
+	}
+	return s
+}
+
+func TestRequestIsRefusedAtOnceWhereAllWorkersWantNothing(t *testing.T) {
+	for _, path := range []string{"/safe/x", "/unsafe/x", "/once/x", "/resumable/x"} {
+		s := turnAllAway(t, path)
+		s, d := arrive(t, s, request("refused", path), start.Add(600*time.Millisecond))
+		v := d.(requests.Finish).Verdict
+		require.Equal(t, requests.CodeOverloaded, v.Code)
+		require.Equal(t, outcome.NotRun, v.Outcome)
+		require.GreaterOrEqual(t, v.RetryAfter, 400*time.Millisecond)
+		require.Less(t, v.RetryAfter, 1400*time.Millisecond)
+		_, d = arrive(t, s, request("served", path), start.Add(time.Second))
+		require.IsType(t, requests.Dispatch{}, d)
+	}
+}
+
+// TestMostUrgentCallersReturnFirst refuses the requests of an account of rank 4 and of a public
+// route of rank 0.
+func TestMostUrgentCallersReturnFirst(t *testing.T) {
+	s := turnAllAway(t, "/safe/x")
+	for i := range 20 {
+		_, d := arrive(t, s, request(fmt.Sprint("ranked-", i), "/safe/x"), start)
+		r := request(fmt.Sprint("urgent-", i), "/safe/deeper/x")
+		r.KeyHash = ""
+		_, urgent := arrive(t, s, r, start)
+		require.Less(t, urgent.(requests.Finish).Verdict.RetryAfter, d.(requests.Finish).Verdict.RetryAfter)
+	}
+}
+
+// TestRequestGoesToNoOtherWorkerThatWantsNothing ends an attempt where the workers left want
+// nothing. The caller comes back before they want something, as the worker that failed may take
+// the request by then.
+func TestRequestGoesToNoOtherWorkerThatWantsNothing(t *testing.T) {
+	results := []outcome.Attempt{outcome.Declined{Reason: "full"}, outcome.NeverSent{Reason: "refused", Refused: true}}
+	for _, result := range results {
+		s := ready(3)
+		for n := range 2 {
+			next, d := arrive(t, s, request(fmt.Sprint("r-", n), "/unsafe/x"), start)
+			sent := d.(requests.Dispatch)
+			next = noticed(next, sent, requests.Notice{Backoff: time.Second}, start)
+			s, _ = requests.Reduce(next, requests.AttemptEnded{Request: sent.Request, Attempt: sent.Attempt, Result: outcome.Declined{}, Wanted: false}, start)
+		}
+		s, d := arrive(t, s, request("last", "/unsafe/x"), start)
+		_, decisions := requests.Reduce(s, requests.AttemptEnded{
+			Request: "last", Attempt: d.(requests.Dispatch).Attempt, Result: result, Wanted: true,
+		}, start)
+		v := only(t, decisions).(requests.Finish).Verdict
+		require.Equal(t, outcome.NotRun, v.Outcome)
+		require.Positive(t, v.RetryAfter)
+		require.Less(t, v.RetryAfter, time.Second)
+	}
+}
--- a/core/requests/resend.go
+++ b/core/requests/resend.go
@@ -31,7 +31,7 @@
 // resend sends a declined request to the same worker once more, and tells whether it did.
 func (t *transition) resend(c call) bool {
 	w, ok := t.workers.Get(c.target)
-	if !ok || !w.healthy(t.now) || t.closed(w.Zone) || w.cold(t.now) || c.resends >= maxResends || t.isRefused(c) {
+	if !ok || !w.healthy(t.now) || w.backoffLeft(t.now) > 0 || t.closed(w.Zone) || w.cold(t.now) || c.resends >= maxResends || t.isRefused(c) {
 		return false
 	}
 	usual := t.usualHeaderTime(c)
--- a/core/requests/worker.go
+++ b/core/requests/worker.go
@@ -53,9 +53,11 @@
 	coldSentAt time.Time
 }
 
-// available tells whether new work may be sent to the worker: it is healthy and has not
-// just declined.
-func (w worker) available(now time.Time) bool { return w.healthy(now) && !now.Before(w.fullUntil) }
+// available tells whether new work may be sent to the worker: it is healthy, has not just
+// declined, and wants something.
+func (w worker) available(now time.Time) bool {
+	return w.healthy(now) && !now.Before(w.fullUntil) && w.backoffLeft(now) == 0
+}
 
 // healthy tells whether the worker is registered as ready and not ejected.
 func (w worker) healthy(now time.Time) bool {
--- a/gateway/headers.go
+++ b/gateway/headers.go
@@ -178,7 +178,7 @@
 	switch resp.StatusCode {
 	case http.StatusMisdirectedRequest:
 		return requests.Notice{}
-	case http.StatusServiceUnavailable, http.StatusTooManyRequests:
+	case http.StatusServiceUnavailable:
 		return requests.Notice{Leaving: h.leaving(resp.Header), Backoff: retryAfter(resp.Header, now)}
 	}
 	return requests.Notice{Leaving: h.leaving(resp.Header)}
