core/requests, gateway: Decide again when a pause has ended

Callers saw: nothing by this alone; a worker that had asked for no requests, left, or stood in a drained zone could still get a request up to a second later. Cause: a declined request was sent to its worker by a decision made before the pause, whatever was learned in between: the class of the incident, a decision that outlives what it was made from. Change: a pause is a decision of its own, and its end an event at which the worker is looked at again. A pausing request is at no worker: it is not counted there, nor broken off there. Conclusion: everything that is sent is decided in the moment in which it is sent.

--- a/core/requests/attempt.go
+++ b/core/requests/attempt.go
@@ -94,6 +94,12 @@
 	if !r.Leaving && t.resend(c) {
 		return
 	}
+	t.finishDeclined(c, v)
+}
+
+// finishDeclined ends a call that a worker declined and that goes nowhere else.
+func (t *transition) finishDeclined(c call, v Verdict) {
+	v.Outcome = c.combined
 	if v.Outcome == outcome.NotRun {
 		v.RetryAfter = t.retryAfterDecline(c)
 	}
--- a/core/requests/decision.go
+++ b/core/requests/decision.go
@@ -40,11 +40,16 @@
 		// StallTimeout bounds the pause between events; 0 is up to the deadline.
 		HeaderTimeout time.Duration
 		StallTimeout  time.Duration
-		// Pause is kept before the request is sent.
-		Pause time.Duration
 		// Inputs are what decided.
 		Inputs Inputs
 	}
+	// Pause asks for a PauseEnded after a time, which yields the request's next decision.
+	Pause struct {
+		Request ident.Request
+		// Worker is where the request goes if nothing speaks against that by then.
+		Worker ident.Target
+		For    time.Duration
+	}
 	// Wait keeps a request until a later event yields its next decision.
 	Wait struct{ Request ident.Request }
 	// Finish ends a request.
@@ -89,6 +94,7 @@
 )
 
 func (Dispatch) decision()        {}
+func (Pause) decision()           {}
 func (Wait) decision()            {}
 func (Finish) decision()          {}
 func (GiveUp) decision()          {}
--- a/core/requests/dispatch.go
+++ b/core/requests/dispatch.go
@@ -31,8 +31,10 @@
 	// sentAt is when the attempt is sent.
 	life   uint64
 	sentAt time.Time
-	// resends counts how often it was sent to the same worker once more.
+	// resends counts how often it was sent to the same worker once more; pausing is set while
+	// it waits for that, and is at no worker.
 	resends int
+	pausing bool
 	// cacheHolder is the first engine that answered without success; empty for none.
 	cacheHolder ident.Target
 	// paid is set where the retry budget has already been charged for the next attempt.
@@ -72,13 +74,13 @@
 	if c.attempt > 0 {
 		picked.kind = RetryAttempt
 	}
-	t.send(c, picked, 0)
+	t.send(c, picked)
 }
 
-// send begins the call's next attempt, at the worker picked, after a pause.
-func (t *transition) send(c call, picked choice, pause time.Duration) {
+// send begins the call's next attempt, at the worker picked.
+func (t *transition) send(c call, picked choice) {
 	c.attempt++
-	c.life, c.sentAt = picked.worker.life, t.now.Add(pause)
+	c.life, c.sentAt = picked.worker.life, t.now
 	t.addInFlight(picked.worker.ID)
 	t.noteColdSend(picked.worker, c.sentAt)
 	t.calls = t.calls.With(c.req.ID, c)
@@ -86,7 +88,7 @@
 	t.out = append(t.out, Dispatch{
 		Request: c.req.ID, Attempt: c.attempt, Worker: picked.worker.Worker, Route: c.route,
 		Account: c.account, Content: c.content, Rank: c.rank, Deadline: c.req.Deadline, Engine: c.pool.Engine,
-		CacheFrom: picked.cacheFrom, HeaderTimeout: header, StallTimeout: stall, Pause: pause,
+		CacheFrom: picked.cacheFrom, HeaderTimeout: header, StallTimeout: stall,
 		Inputs: t.inputs(picked),
 	})
 }
--- a/core/requests/event.go
+++ b/core/requests/event.go
@@ -45,6 +45,12 @@
 		// Wanted is false where the caller has the answer or has left.
 		Wanted bool
 	}
+	// PauseEnded reports that the time of a Pause is over.
+	PauseEnded struct {
+		Request ident.Request
+		// Wanted is false where the caller has left.
+		Wanted bool
+	}
 	// Expired reports that a request's time is over.
 	Expired struct{ Request ident.Request }
 	// Registered are workers' registrations, as a replica or hub reports them.
@@ -78,6 +84,7 @@
 func (HeaderReceived) event() {}
 func (HeaderLate) event()     {}
 func (AttemptEnded) event()   {}
+func (PauseEnded) event()     {}
 func (Expired) event()        {}
 func (Registered) event()     {}
 func (LoadsReported) event()  {}
--- a/core/requests/load.go
+++ b/core/requests/load.go
@@ -105,7 +105,7 @@
 // endInFlight takes the call's attempt out of the count, unless its worker has started
 // again since.
 func (t *transition) endInFlight(c call) {
-	if w, ok := t.workers.Get(c.target); ok && w.life == c.life {
+	if w, ok := t.workers.Get(c.target); ok && w.life == c.life && !c.pausing {
 		w.inFlight = max(0, w.inFlight-1)
 		t.workers = t.workers.With(c.target, w)
 	}
--- a/core/requests/notice_test.go
+++ b/core/requests/notice_test.go
@@ -69,12 +69,16 @@
 		r := request(fmt.Sprint("r-", i), "/once/x")
 		r.Prompt = prompt(fmt.Sprint("subject-", i%30))
 		next, d := arrive(t, s, r, now)
+		at := now
 		for s = next; ; {
+			if pause, ok := d.(requests.Pause); ok {
+				at = at.Add(pause.For)
+				s, d = afterPause(t, s, pause.Request, at)
+			}
 			sent, ok := d.(requests.Dispatch)
 			if !ok {
 				break
 			}
-			at := now.Add(sent.Pause)
 			notice, result := engines.take(sent.Worker.ID, at)
 			s, _ = requests.Reduce(s, requests.HeaderReceived{
 				Request: sent.Request, Attempt: sent.Attempt, Worker: sent.Worker.ID, Notice: notice, Route: sent.Route.Name, Took: 20 * time.Millisecond,
--- a/core/requests/plainfleet_test.go
+++ b/core/requests/plainfleet_test.go
@@ -59,6 +59,8 @@
 	request requests.Request
 	host    int
 	attempt int
+	// pausing is set while the request is at no worker.
+	pausing bool
 	arrived time.Time
 	ends    time.Time
 }
@@ -162,8 +164,10 @@
 		switch d := d.(type) {
 		case requests.Dispatch:
 			f.later = append(f.later, plainJob{
-				request: requests.Request{ID: d.Request, Path: string(d.Worker.ID)}, host: host, attempt: d.Attempt, ends: f.now.Add(d.Pause),
+				request: requests.Request{ID: d.Request, Path: string(d.Worker.ID)}, host: host, attempt: d.Attempt, ends: f.now,
 			})
+		case requests.Pause:
+			f.later = append(f.later, plainJob{request: requests.Request{ID: d.Request}, host: host, pausing: true, ends: f.now.Add(d.For)})
 		case requests.Finish:
 			if d.Verdict.Code != requests.CodeOK {
 				f.figures.refused++
@@ -181,6 +185,10 @@
 			f.later = append(f.later, j)
 			continue
 		}
+		if j.pausing {
+			f.feed(j.host, requests.PauseEnded{Request: j.request.ID, Wanted: true})
+			continue
+		}
 		var w int
 		_, _ = fmt.Sscanf(j.request.Path, "plain-%d", &w)
 		j.arrived = f.arrived[j.request.ID]
--- a/core/requests/requests.go
+++ b/core/requests/requests.go
@@ -263,6 +263,8 @@
 		t.headerLate(ev)
 	case AttemptEnded:
 		t.attemptEnded(ev)
+	case PauseEnded:
+		t.pauseEnded(ev)
 	case Expired:
 		t.expired(ev.Request)
 	case Registered:
--- a/core/requests/resend.go
+++ b/core/requests/resend.go
@@ -5,7 +5,7 @@
 import "time"
 
 // A declined request that may go to no other worker is sent to the same one again after a
-// pause: a worker with few slots and short work has a free one a moment later, and the
+// pause, at the end of which it is decided anew whether the worker takes it: a worker with few slots and short work has a free one a moment later, and the
 // caller, sent away, would come back later than that. It is sent while the worker is
 // healthy, the answer can still begin within the route's objective, and the retry budget
 // allows it.
@@ -28,10 +28,10 @@
 	resendBits = 8
 )
 
-// resend sends a declined request to the same worker once more, and tells whether it did.
+// resend lets a declined request pause before it is sent to the same worker once more, and
+// tells whether it does.
 func (t *transition) resend(c call) bool {
-	w, ok := t.workers.Get(c.target)
-	if !ok || !w.healthy(t.now) || w.backoffLeft(t.now) > 0 || t.closed(w.Zone) || w.cold(t.now) || c.resends >= maxResends || t.isRefused(c) {
+	if _, ok := t.resendWorker(c); !ok || c.resends >= maxResends {
 		return false
 	}
 	usual := t.usualHeaderTime(c)
@@ -42,12 +42,41 @@
 	}
 	t.counters.Retried++
 	t.spendRetry(c.pool.ID)
-	t.counters.Resent++
 	c.resends++
-	t.send(c, choice{worker: w, candidates: 1, kind: ResendAttempt}, pause)
+	c.pausing = true
+	t.calls = t.calls.With(c.req.ID, c)
+	t.out = append(t.out, Pause{Request: c.req.ID, Worker: c.target, For: pause})
 	return true
 }
 
+// resendWorker is the worker that declined a call, where the call may be sent there again.
+func (t *transition) resendWorker(c call) (worker, bool) {
+	w, ok := t.workers.Get(c.target)
+	return w, ok && w.healthy(t.now) && w.backoffLeft(t.now) == 0 && !t.closed(w.Zone) && !w.cold(t.now) && !t.isRefused(c)
+}
+
+// pauseEnded sends a request to its worker once more. What was learned during the pause counts:
+// a worker that wants nothing by now, leaves, or stands in a drained zone gets nothing.
+func (t *transition) pauseEnded(ev PauseEnded) {
+	c, ok := t.calls.Get(ev.Request)
+	if !ok || !c.pausing {
+		return
+	}
+	c.pausing = false
+	w, ok := t.resendWorker(c)
+	switch {
+	case !ev.Wanted:
+		t.finish(c.req.ID, Verdict{Outcome: c.combined, Code: CodeCallerGone, Reason: "the caller left"})
+	case !t.now.Before(c.req.Deadline):
+		t.finish(c.req.ID, Verdict{Outcome: c.combined, Code: CodeDeadline, Reason: "the deadline has passed"})
+	case !ok:
+		t.finishDeclined(c, Verdict{Code: CodeOverloaded, Reason: "the worker declined, and takes nothing more"})
+	default:
+		t.counters.Resent++
+		t.send(c, choice{worker: w, candidates: 1, kind: ResendAttempt})
+	}
+}
+
 // usualHeaderTime is how long most answers of the call's route take to begin.
 func (t *transition) usualHeaderTime(c call) time.Duration {
 	h, _ := t.headerTimes.Get(c.route.Name)
--- a/core/requests/resend_test.go
+++ b/core/requests/resend_test.go
@@ -10,7 +10,10 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/yardhall/yardhall/core/config"
+	"github.com/yardhall/yardhall/core/ident"
+	"github.com/yardhall/yardhall/core/loads"
 	"github.com/yardhall/yardhall/core/outcome"
+	"github.com/yardhall/yardhall/core/registry"
 	"github.com/yardhall/yardhall/core/requests"
 )
 
@@ -33,6 +36,13 @@
 	return s, only(t, decisions)
 }
 
+// afterPause ends a request's pause and returns what follows.
+func afterPause(t *testing.T, s requests.State, id ident.Request, now time.Time) (requests.State, requests.Decision) {
+	t.Helper()
+	s, decisions := requests.Reduce(s, requests.PauseEnded{Request: id, Wanted: true}, now)
+	return s, only(t, decisions)
+}
+
 // TestDeclinedRequestComesBackToItsWorker lets the only worker that a request may go
 // to decline again and again: it is sent there a few times after pauses, within its
 // objective, and is then promised not to have run.
@@ -43,7 +53,6 @@
 	}
 	s, d := arrive(t, s, request("1", "/unsafe/x"), start)
 	first, now := d.(requests.Dispatch), start
-	require.Zero(t, first.Pause)
 	sent := first
 	for n := range 10 {
 		s, d = decline(t, s, sent, now)
@@ -54,12 +63,15 @@
 			require.True(t, s.Idle())
 			return
 		}
+		pause := d.(requests.Pause)
+		require.Equal(t, first.Worker.ID, pause.Worker)
+		require.GreaterOrEqual(t, pause.For, 10*time.Millisecond)
+		require.LessOrEqual(t, pause.For, 30*time.Millisecond)
+		now = now.Add(pause.For)
+		require.Less(t, now.Sub(start), objective)
+		s, d = afterPause(t, s, pause.Request, now)
 		sent = d.(requests.Dispatch)
 		require.Equal(t, first.Worker.ID, sent.Worker.ID)
-		require.GreaterOrEqual(t, sent.Pause, 10*time.Millisecond)
-		require.LessOrEqual(t, sent.Pause, 30*time.Millisecond)
-		now = now.Add(sent.Pause)
-		require.Less(t, now.Sub(start), objective)
 	}
 	require.Fail(t, "the request never ends")
 }
@@ -80,10 +92,98 @@
 	for i := range 200 {
 		s, d = arrive(t, s, request(fmt.Sprint("budget-", i), "/unsafe/x"), start)
 		s, d = decline(t, s, d.(requests.Dispatch), start)
-		if _, ok := d.(requests.Dispatch); ok {
+		if _, ok := d.(requests.Pause); ok {
 			resent++
 		}
 	}
 	require.Positive(t, resent)
 	require.LessOrEqual(t, float64(resent), requests.BudgetUsed*(requests.DefaultRetryExtra+requests.DefaultRetryShare*200))
 }
+
+// wantNothing has a worker decline another request and ask for a pause.
+func wantNothing(t *testing.T, s requests.State, id ident.Target, now time.Time) requests.State {
+	t.Helper()
+	for i := range 1000 {
+		next, d := arrive(t, s, request(fmt.Sprint("other-", i), "/once/x"), now)
+		if sent := d.(requests.Dispatch); sent.Worker.ID == id {
+			return noticed(next, sent, requests.Notice{Backoff: time.Second}, now)
+		}
+	}
+	require.Fail(t, "the worker is never chosen")
+	return s
+}
+
+// TestWhatIsLearnedDuringAPauseCounts pauses a declined request, and lets its worker say that it
+// wants nothing, its process leave, and its zone's time end meanwhile.
+//
+// The worker was chosen before the pause, and the request then sent whatever had been learned in
+// between: up to a second later, where a route's objective is long.
+func TestWhatIsLearnedDuringAPauseCounts(t *testing.T) {
+	arrival := start.Add(requests.DefaultZoneDrain - 400*time.Millisecond)
+	end := arrival.Add(300 * time.Millisecond)
+	tests := map[string]struct {
+		before, during func(s requests.State, w registry.Worker) requests.State
+	}{
+		"it wants nothing": {during: func(s requests.State, w registry.Worker) requests.State {
+			return wantNothing(t, s, w.ID, end.Add(-time.Millisecond))
+		}},
+		"it leaves": {during: func(s requests.State, w registry.Worker) requests.State {
+			w.State, w.Seq = registry.Draining, 2
+			s, _ = requests.Reduce(s, requests.Registered{From: "r", Workers: []registry.Worker{w}}, end)
+			return s
+		}},
+		"its zone's time ends": {before: func(s requests.State, _ registry.Worker) requests.State {
+			return s.WithDrained(drain("z"))
+		}},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			s := withObjective()
+			if tt.before != nil {
+				s = tt.before(s, registry.Worker{})
+			}
+			s, d := arrive(t, confirmedAt(s, arrival), request("1", "/once/x"), arrival)
+			sent := d.(requests.Dispatch)
+			s, d = decline(t, s, sent, arrival)
+			require.IsType(t, requests.Pause{}, d)
+			if tt.during != nil {
+				s = tt.during(s, sent.Worker)
+			}
+			_, d = afterPause(t, s, "1", end)
+			require.IsType(t, requests.Finish{}, d)
+			require.Equal(t, outcome.NotRun, d.(requests.Finish).Verdict.Outcome)
+			require.Positive(t, d.(requests.Finish).Verdict.RetryAfter)
+		})
+	}
+}
+
+// TestCallerThatLeavesDuringAPauseIsSentNowhere has the caller leave, and the deadline pass.
+func TestCallerThatLeavesDuringAPauseIsSentNowhere(t *testing.T) {
+	s, d := arrive(t, withObjective(), request("1", "/once/x"), start)
+	s, _ = decline(t, s, d.(requests.Dispatch), start)
+	left, decisions := requests.Reduce(s, requests.PauseEnded{Request: "1"}, start)
+	require.Equal(t, requests.CodeCallerGone, only(t, decisions).(requests.Finish).Verdict.Code)
+	require.True(t, left.Idle())
+	late, d := afterPause(t, s, "1", start.Add(time.Second))
+	require.Equal(t, requests.CodeDeadline, d.(requests.Finish).Verdict.Code)
+	require.Equal(t, outcome.NotRun, d.(requests.Finish).Verdict.Outcome)
+	require.True(t, late.Idle())
+}
+
+// TestPausingRequestIsAtNoWorker counts requests at workers while one pauses and its worker
+// starts again.
+func TestPausingRequestIsAtNoWorker(t *testing.T) {
+	s, d := arrive(t, withObjective(), request("1", "/once/x"), start)
+	sent := d.(requests.Dispatch)
+	s, _ = decline(t, s, sent, start)
+	require.Zero(t, s.Loads(start).Counts()[loads.TagOf(sent.Worker.ID)])
+	w := sent.Worker
+	w.Seq, w.Born = 2, 7
+	s, decisions := requests.Reduce(s, requests.Registered{From: "r", Workers: []registry.Worker{w}}, start)
+	for _, decision := range decisions {
+		require.IsType(t, requests.WorkerChanged{}, decision, "nothing is to be broken off")
+	}
+	s, d = afterPause(t, s, "1", start)
+	require.IsType(t, requests.Dispatch{}, d)
+	require.Equal(t, 1, s.Loads(start).Counts()[loads.TagOf(sent.Worker.ID)])
+}
--- a/core/requests/restart.go
+++ b/core/requests/restart.go
@@ -48,7 +48,7 @@
 // loseAttempts breaks off the attempts at an earlier process of a worker.
 func (t *transition) loseAttempts(id ident.Target, life uint64) {
 	for request, c := range t.calls.All() {
-		if c.target == id && c.life == life {
+		if c.target == id && c.life == life && !c.pausing {
 			t.out = append(t.out, BreakOff{Request: request, Attempt: c.attempt})
 		}
 	}
--- a/core/requests/timeouts_test.go
+++ b/core/requests/timeouts_test.go
@@ -77,7 +77,7 @@
 	pause := func(s requests.State) time.Duration {
 		s, d := arrive(t, s, request("now", "/unsafe/x"), start)
 		_, d = decline(t, s, d.(requests.Dispatch), start)
-		return d.(requests.Dispatch).Pause
+		return d.(requests.Pause).For
 	}
 	taught := func(head time.Duration) requests.State {
 		s := withObjective()
--- a/gateway/call.go
+++ b/gateway/call.go
@@ -44,6 +44,9 @@
 		case requests.Wait:
 			next = c.server.core.Await(c.request.Context(), d.Request)
 			c.observed.Waited = c.server.now().Sub(c.begun)
+		case requests.Pause:
+			pauseFor(c.request.Context(), d.For)
+			next = c.server.nextDecision(requests.PauseEnded{Request: d.Request, Wanted: c.request.Context().Err() == nil})
 		case requests.Dispatch:
 			next = c.server.nextDecision(c.try(d))
 		case requests.Finish:
@@ -62,7 +65,6 @@
 	started := c.server.now()
 	ctx, cancel := context.WithDeadline(c.request.Context(), clock.Real(d.Deadline))
 	defer cancel()
-	pauseFor(ctx, d.Pause)
 	x := &exchange{server: c.server, dispatch: d, request: c.request, body: c.body}
 	defer c.server.running.end(x)
 	var result outcome.Attempt
--- a/gateway/server.go
+++ b/gateway/server.go
@@ -177,7 +177,7 @@
 		switch d := d.(type) {
 		case requests.ProbeConnection:
 			go s.probe(d.Worker)
-		case requests.Dispatch, requests.Wait, requests.Finish:
+		case requests.Dispatch, requests.Pause, requests.Wait, requests.Finish:
 			next = d
 		}
 	}
--- a/standin/worker.go
+++ b/standin/worker.go
@@ -84,6 +84,7 @@
 	runs     []WorkerRun
 	conns    map[net.Conn]bool
 	opened   int
+	asked    int
 	leaving  bool
 	stop     chan struct{}
 }
@@ -125,6 +126,13 @@
 	return append([]WorkerRun(nil), w.runs...)
 }
 
+// Asked counts the requests received so far, whether or not they ran.
+func (w *Worker) Asked() int {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.asked
+}
+
 // Opened counts the connections taken so far.
 func (w *Worker) Opened() int {
 	w.mu.Lock()
@@ -183,6 +191,7 @@
 func (w *Worker) take() WorkerFault {
 	w.mu.Lock()
 	defer w.mu.Unlock()
+	w.asked++
 	if len(w.faults) == 0 {
 		return Sound
 	}
