core/requests, gateway: Learn usual times from answers that ran only

Callers saw: resends that followed a decline within milliseconds, declined again. Cause: the time until a decline, a millisecond, was taken for the time until answers begin, from which the pause before a resend comes; the more a worker declined, the sooner it was asked again. Change: declines teach no time.

--- a/core/requests/event.go
+++ b/core/requests/event.go
@@ -24,8 +24,10 @@
 		Request ident.Request
 		Attempt int
 		Worker  ident.Target
-		Notice  Notice
-		Load    Load
+		// Declined is set where the answer says that the request has not run.
+		Declined bool
+		Notice   Notice
+		Load     Load
 		// Route is the request's, Took the time since it was sent to the worker.
 		Route string
 		Took  time.Duration
--- a/core/requests/load.go
+++ b/core/requests/load.go
@@ -114,7 +114,9 @@
 // headerReceived takes the time until an answer began, and the worker's report of its
 // load: what exceeds this host's requests belongs to other hosts.
 func (t *transition) headerReceived(ev HeaderReceived) {
-	t.learnHeaderTime(ev.Route, ev.Took)
+	if !ev.Declined {
+		t.learnHeaderTime(ev.Route, ev.Took)
+	}
 	t.takeNotice(ev)
 	w, ok := t.workers.Get(ev.Worker)
 	if !ok || ev.Load.Slots == 0 {
--- a/core/requests/timeouts_test.go
+++ b/core/requests/timeouts_test.go
@@ -86,6 +86,18 @@
 		}
 		return s
 	}
+	declining := func(s requests.State) requests.State {
+		for i := range 40 {
+			next, d := arrive(t, s, request(fmt.Sprint("declined-", i), "/unsafe/x"), start)
+			sent := d.(requests.Dispatch)
+			next, _ = requests.Reduce(next, requests.HeaderReceived{
+				Request: sent.Request, Attempt: sent.Attempt, Worker: sent.Worker.ID, Declined: true, Route: sent.Route.Name, Took: time.Millisecond,
+			}, start)
+			s, _ = requests.Reduce(next, requests.AttemptEnded{Request: sent.Request, Attempt: sent.Attempt, Result: outcome.Declined{}}, start)
+		}
+		return s
+	}
+	require.Equal(t, pause(taught(30*time.Millisecond)), pause(declining(taught(30*time.Millisecond))), "declines teach nothing")
 	fast, slow := pause(taught(10*time.Millisecond)), pause(taught(30*time.Millisecond))
 	require.Less(t, fast, slow)
 	require.Less(t, slow, 60*time.Millisecond)
--- a/gateway/server.go
+++ b/gateway/server.go
@@ -153,7 +153,8 @@
 // itself with it.
 func (s *Server) reportHeader(d requests.Dispatch, resp *http.Response, took time.Duration) {
 	s.core.Decide(requests.HeaderReceived{
-		Request: d.Request, Attempt: d.Attempt, Worker: d.Worker.ID, Notice: s.headers.notice(resp, s.now()),
+		Request: d.Request, Attempt: d.Attempt, Worker: d.Worker.ID,
+		Declined: notRun(resp, s.headers), Notice: s.headers.notice(resp, s.now()),
 		Load: s.headers.load(resp.Header), Route: d.Route.Name, Took: took,
 	})
 }
--- a/gateway/server_test.go
+++ b/gateway/server_test.go
@@ -85,6 +85,7 @@
 			{Host: "a.example", Prefix: "/safe/", Kind: config.RouteSafe, Timeout: second, MaxAttempts: 2, Shares: shares},
 			{Host: "a.example", Prefix: "/unsafe/", Kind: config.RouteUnsafe, Timeout: second, MaxAttempts: 2, Shares: shares},
 			{Host: "a.example", Prefix: "/short/", Kind: config.RouteUnsafe, Timeout: second / 8, MaxAttempts: 1, Shares: shares},
+			{Host: "a.example", Prefix: "/patient/", Kind: config.RouteUnsafe, Timeout: second, Objective: second, MaxAttempts: 1, Shares: shares},
 			{Host: "a.example", Prefix: "/stream/once/", Kind: config.RouteStream, Timeout: second, MaxAttempts: 2, Shares: shares},
 			{Host: "a.example", Prefix: "/stream/again/", Kind: config.RouteStream, Resumable: true, Timeout: second, MaxAttempts: 2, Shares: shares},
 		},
