core/requests: Send nothing new to a worker whose answers say that it leaves

Callers saw: requests at workers about to end, where their registrations had not arrived. Cause: only registrations told a host that a worker leaves; they may be late, lost with their replica, or behind a cut, while the worker says so with each answer. Change: one answer is enough; the worker gets nothing new until another process runs under its id, whatever is registered. It counts as leaving for crashes, load and memory too. Conclusion: DRAIN holds by what the host itself was told.

--- a/core/requests/crashes.go
+++ b/core/requests/crashes.go
@@ -69,7 +69,7 @@
 // whether its worker ended.
 func (t *transition) attemptBroke(c call, r outcome.Broken) {
 	w, known := t.workers.Get(c.target)
-	isPlanned := w.State == registry.Draining || w.State == registry.Gone
+	isPlanned := w.leaving() || w.State == registry.Gone
 	if c.content == "" || r.Silent || !known || isPlanned || !t.reachable(w.Zone) {
 		return
 	}
--- a/core/requests/notice.go
+++ b/core/requests/notice.go
@@ -21,6 +21,10 @@
 // seeds: 0.007, 0.017 and 0.017 of all were refused without the rule, 0.006, 0.017 and 0.008 with it,
 // and 0.020, 0.042 and 0.027 where such a worker gets nothing.
 //
+// A worker that leaves says so with each answer, and gets nothing new from then on, whatever is
+// registered: its heartbeats may be late, or go to replicas that this host can't reach, and a
+// worker does not change its mind. Only another process under its id may take requests again.
+//
 // Where all workers that could take a request want nothing, it is refused at once. Its caller is
 // told to come back when the first of them takes requests again: the most urgent callers first,
 // and those of one rank one after the other, as all at once would be declined again. A caller
--- a/core/requests/notice_test.go
+++ b/core/requests/notice_test.go
@@ -12,6 +12,7 @@
 	"github.com/yardhall/yardhall/core/config"
 	"github.com/yardhall/yardhall/core/ident"
 	"github.com/yardhall/yardhall/core/outcome"
+	"github.com/yardhall/yardhall/core/registry"
 	"github.com/yardhall/yardhall/core/requests"
 )
 
@@ -199,3 +200,101 @@
 	require.IsType(t, requests.Dispatch{}, d)
 	require.True(t, d.(requests.Dispatch).Inputs.LastResort)
 }
+
+// TestWorkerThatSaysItLeavesGetsNothingNew has one of two workers say with an answer that it
+// leaves, while replicas go on reporting it as ready. New requests, requests whose first worker
+// failed them, and those that have no other worker go elsewhere or are refused.
+func TestWorkerThatSaysItLeavesGetsNothingNew(t *testing.T) {
+	ends := map[string]outcome.Attempt{
+		"declined": outcome.Declined{Reason: "full"}, "never sent": outcome.NeverSent{Reason: "refused"},
+		"broken": outcome.Broken{Reason: "reset"}, "failed": outcome.Answered{Status: 500}, "answered": outcome.Answered{Status: 200},
+	}
+	for name, end := range ends {
+		for _, path := range []string{"/safe/x", "/unsafe/x", "/once/x", "/resumable/x"} {
+			t.Run(name+path, func(t *testing.T) {
+				s := ready(2)
+				s, d := arrive(t, s, request("first", path), start)
+				leaving := d.(requests.Dispatch)
+				s = noticed(s, leaving, requests.Notice{Leaving: true}, start)
+				s, _ = requests.Reduce(s, requests.AttemptEnded{Request: "first", Attempt: 1, Result: end, Wanted: false}, start)
+				now := start.Add(300 * time.Millisecond)
+				s = confirmedAt(s, now)
+				heartbeat := leaving.Worker
+				for seq := range uint64(40) {
+					heartbeat.Seq = 2 + seq
+					s, _ = requests.Reduce(s, requests.Registered{From: "r", Workers: []registry.Worker{heartbeat}}, now)
+					next, d := arrive(t, s, request(fmt.Sprint("r-", seq), path), now)
+					requireNever(t, next, d, leaving.Worker.ID, end, now)
+				}
+			})
+		}
+	}
+}
+
+// requireNever ends the attempts of a request until it ends, none of them at a worker.
+func requireNever(t *testing.T, s requests.State, d requests.Decision, id ident.Target, end outcome.Attempt, now time.Time) {
+	t.Helper()
+	for range 10 {
+		switch next := d.(type) {
+		case requests.Finish:
+			return
+		case requests.Pause:
+			require.NotEqual(t, id, next.Worker)
+			s, d = afterPause(t, s, next.Request, now)
+		case requests.Dispatch:
+			require.NotEqual(t, id, next.Worker.ID)
+			var decisions []requests.Decision
+			s, decisions = requests.Reduce(s, requests.AttemptEnded{Request: next.Request, Attempt: next.Attempt, Result: end, Wanted: true}, now)
+			d = lastOf(t, decisions)
+		}
+	}
+	require.Fail(t, "the request never ends")
+}
+
+// lastOf is the decision on a request among others on its worker.
+func lastOf(t *testing.T, decisions []requests.Decision) requests.Decision {
+	t.Helper()
+	for _, d := range decisions {
+		switch d.(type) {
+		case requests.Dispatch, requests.Pause, requests.Finish:
+			return d
+		}
+	}
+	require.Fail(t, "nothing was decided on the request")
+	return nil
+}
+
+// TestOnlyWorkerThatLeavesRefusesAtOnce and takes requests again as another process.
+func TestOnlyWorkerThatLeavesRefusesAtOnce(t *testing.T) {
+	s := ready(1)
+	s, d := arrive(t, s, request("first", "/unsafe/x"), start)
+	leaving := d.(requests.Dispatch)
+	s = noticed(s, leaving, requests.Notice{Leaving: true}, start)
+	_, d = arrive(t, s, request("second", "/unsafe/x"), start)
+	require.Equal(t, outcome.NotRun, d.(requests.Finish).Verdict.Outcome)
+
+	silent := leaving.Worker
+	silent.Seq, silent.State = 2, registry.Silent
+	s, _ = requests.Reduce(s, requests.Registered{From: "r", Workers: []registry.Worker{silent}}, start)
+	later := start.Add(2 * time.Minute)
+	s, _ = requests.Reduce(confirmedAt(s, later), requests.Registered{From: "r"}, later)
+	late := leaving.Worker
+	late.Seq = 3
+	s, _ = requests.Reduce(s, requests.Registered{From: "r", Workers: []registry.Worker{late}}, later)
+	_, d = arrive(t, s, request("third", "/unsafe/x"), later)
+	require.IsType(t, requests.Finish{}, d, "a late heartbeat brings nobody back")
+
+	s = ready(0)
+	first := workers("plain", 1)[0]
+	first.Born = 5
+	s, _ = requests.Reduce(s, requests.Registered{From: "r", Workers: []registry.Worker{first}}, start)
+	s, d = arrive(t, s, request("first", "/unsafe/x"), start)
+	s = noticed(s, d.(requests.Dispatch), requests.Notice{Leaving: true, Backoff: time.Minute}, start)
+	first.Born, first.Seq = 6, 2
+	s, _ = requests.Reduce(s, requests.Registered{From: "r", Workers: []registry.Worker{first}}, start)
+	s, d = arrive(t, s, request("fourth", "/unsafe/x"), start)
+	require.IsType(t, requests.Dispatch{}, d, "another process takes requests")
+	s = noticed(s, requests.Dispatch{Request: "first", Attempt: 1, Worker: first}, requests.Notice{Leaving: true}, start)
+	_, d = arrive(t, s, request("fifth", "/unsafe/x"), start)
+	require.IsType(t, requests.Dispatch{}, d, "what the earlier process said is not its successor's")
+}
--- a/core/requests/worker.go
+++ b/core/requests/worker.go
@@ -61,17 +61,22 @@
 
 // healthy tells whether the worker is registered as ready and not ejected.
 func (w worker) healthy(now time.Time) bool {
-	return w.State == registry.Ready && !w.succeeded() && w.health.Usable(now)
+	return w.State == registry.Ready && !w.succeeded() && !w.saysLeaving && w.health.Usable(now)
 }
 
 // maybeAlive tells whether work may be sent there where nothing better is left.
 func (w worker) maybeAlive() bool {
-	return !w.succeeded() && (w.State == registry.Ready || w.State == registry.Silent)
+	return !w.succeeded() && !w.saysLeaving && (w.State == registry.Ready || w.State == registry.Silent)
 }
 
 // mayHaveLoad tells whether the worker may be at work on requests.
 func (w worker) mayHaveLoad() bool {
-	return w.maybeAlive() || w.State == registry.Draining && !w.succeeded()
+	return w.maybeAlive() || w.leaving() && !w.succeeded()
+}
+
+// leaving tells whether the worker has said that it leaves, and has not ended yet.
+func (w worker) leaving() bool {
+	return w.State == registry.Draining || w.saysLeaving && w.State != registry.Gone
 }
 
 // succeeded tells whether another worker has the address now.
@@ -110,7 +115,7 @@
 	}
 	if !known || have.State != next.State || startedAgain {
 		t.out = append(t.out, WorkerChanged{
-			Worker: next.Worker, Healthy: next.State == registry.Ready, Why: why(startedAgain, from),
+			Worker: next.Worker, Healthy: next.State == registry.Ready && !next.saysLeaving, Why: why(startedAgain, from),
 		})
 	}
 	t.workers = t.workers.With(r.ID, next)
@@ -154,6 +159,15 @@
 	}
 }
 
+// lastState is the worker's state for as long as it is remembered: one that leaves is as good as
+// gone once nothing is heard of it, so that a late heartbeat does not bring it back.
+func (w worker) lastState() registry.State {
+	if w.saysLeaving && w.State == registry.Silent {
+		return registry.Gone
+	}
+	return w.State
+}
+
 // forgetInterval is the time between two looks for workers to forget: a fraction of the
 // times for which they are remembered.
 const forgetInterval = 10 * time.Second
@@ -165,7 +179,7 @@
 	}
 	t.forgotAt = t.now
 	for id, w := range t.workers.All() {
-		if w.inFlight == 0 && registry.Over(w.State, t.now.Sub(w.registeredAt)) {
+		if w.inFlight == 0 && registry.Over(w.lastState(), t.now.Sub(w.registeredAt)) {
 			t.workers = t.workers.Without(id)
 			t.addresses = t.addresses.Without(w.Address, id)
 		}
--- a/gateway/declines_test.go
+++ b/gateway/declines_test.go
@@ -69,3 +69,34 @@
 		require.Greater(t, after, standin.WorkerBackoff.Seconds()/2, "when the worker wants something")
 	}
 }
+
+// TestWorkerThatSaysItLeavesIsAskedNothing has one of two workers leave: its answer is delivered
+// whole, and the other one serves all that follows. Once both leave, requests are refused at once.
+func TestWorkerThatSaysItLeavesIsAskedNothing(t *testing.T) {
+	for _, path := range []string{"/safe/x", "/unsafe/x", "/stream/once/x", "/stream/again/x"} {
+		t.Run(path, func(t *testing.T) {
+			b := newBench(t, 2)
+			leaving, other := b.workers[0], b.workers[1]
+			leaving.Leave()
+			calls := 0
+			for ; leaving.Asked() == 0; calls++ {
+				status, _, _, err := b.call(path, "body")
+				require.NoError(t, err)
+				require.Equal(t, http.StatusOK, status)
+			}
+			for range 30 {
+				status, _, _, err := b.call(path, "body")
+				require.NoError(t, err)
+				require.Equal(t, http.StatusOK, status)
+			}
+			require.Equal(t, 1, leaving.Asked())
+			require.Equal(t, calls+29, other.Asked())
+			other.Leave()
+			for range 5 {
+				_, _, _, err := b.call(path, "body")
+				require.NoError(t, err)
+			}
+			require.Equal(t, calls+30, other.Asked())
+		})
+	}
+}
