core/host: Count a worker's end for each request that it ran in a test

Cause: TestSeveralRequestsEndWorkersAtOnce, known red, counted an end only for the request that brought it about, and asked for three of these before a request may be refused. The trace of seed 9: bad-3 ends two workers by itself, and is in progress at a third one, which ends under bad-1 at the same moment (33.9 s, sent there by another host 0.1 s before). Three workers in a row ended under it, and that is what it is refused for. Change: an end counts for each bad request that the worker ran. That is as strict: three are still asked for, and what is sent on counts from the third one, which now comes earlier. Seven seeds in place of one. Conclusion: the refusal was right, the check's count was not.

--- a/core/host/crashes_test.go
+++ b/core/host/crashes_test.go
@@ -227,20 +227,23 @@
 }
 
 // TestSeveralRequestsEndWorkersAtOnce has three such requests of one caller come beside each
-// other, so that each shares ends with the others.
+// other, so that each shares ends with the others: an end counts for each request that the
+// worker ran.
 func TestSeveralRequestsEndWorkersAtOnce(t *testing.T) {
-	f := newCrashFleet(t, 6, 40, 9)
-	bad := []string{"/only-1/bad-1", "/only-1/bad-2", "/only-1/bad-3"}
-	for range 40 {
+	for _, seed := range []uint64{9, 0, 1, 2, 3, 4, 5} {
+		f := newCrashFleet(t, 6, 40, seed)
+		bad := []string{"/only-1/bad-1", "/only-1/bad-2", "/only-1/bad-3"}
+		for range 40 {
+			for _, path := range bad {
+				f.arrive(f.anyEntry(), path)
+			}
+			f.load(400*time.Millisecond, time.Second, "")
+		}
 		for _, path := range bad {
-			f.arrive(f.anyEntry(), path)
+			f.requireSentNoMore(path)
 		}
-		f.load(400*time.Millisecond, time.Second, "")
-	}
-	for _, path := range bad {
-		f.requireSentNoMore(path)
+		f.requireOthersServed(bad...)
 	}
-	f.requireOthersServed(bad...)
 }
 
 // TestReportsThatAreHeldUpCountOnce lets a worker end once for reasons of its own, and holds
--- a/core/host/crashfleet_test.go
+++ b/core/host/crashfleet_test.go
@@ -50,7 +50,7 @@
 	// waits is how long bad requests wait at workers.
 	waits time.Duration
 	// ends are when workers ended, sent when bad requests were sent to one that ran, by
-	// path.
+	// path; an end counts for each bad request that the worker ran.
 	ends, sent map[string][]time.Time
 	// refusedAt are when requests were refused although a worker was there, by path.
 	refusedAt map[string][]time.Time
@@ -155,9 +155,17 @@
 
 // end ends a worker's process, and all that it runs.
 func (f *crashFleet) end(w *crashWorker, path string) {
-	f.ends[path] = append(f.ends[path], f.now)
 	lost := w.running
 	w.running, w.backAt = nil, f.now.Add(workerBack)
+	under := map[string]bool{path: true}
+	for _, d := range lost {
+		under[d.path] = under[d.path] || isBad(d.path)
+	}
+	for ended, counts := range under {
+		if counts {
+			f.ends[ended] = append(f.ends[ended], f.now)
+		}
+	}
 	for _, d := range lost {
 		f.ended(d, outcome.Broken{Reason: "unexpected EOF"})
 		if !isBad(d.path) {
