core/requests: Spread short prompts over a few engines of each host where engines are crowded

Callers saw: where a zone is drained, 0.04 of the requests at engines above the bound on their load. Cause: a third of the engines idle lowers the mean that bounds the others, to less than two deviations of a random load above theirs; hosts act on counts 0.6 s old, as old as requests are, so that no choice by these counts is better than random. Change: where the bound is that near, each host sends prompts that share little to a few engines drawn from its name, the least loaded of them: its own requests there it counts exactly, and few others send there.

--- a/core/requests/engine.go
+++ b/core/requests/engine.go
@@ -19,6 +19,8 @@
 // so it goes by these: by the pool's mean most of them would seem full, and the few others
 // would get what all turn away.
 //
+// Where engines are crowded, prompts that share little go by another rule: crowded.go.
+//
 // Headroom, drawn from the request's id, is what a request leaves free of the bound:
 // counts of other hosts' requests are a moment old, and the more hosts there are, the
 // more of them may take the same room at once. So hosts turn from a filling engine little
@@ -59,7 +61,10 @@
 		return w.usual+1 <= usualBound && float64(w.load) <= full && w.load < w.slots
 	}
 	at := -1
-	if prefersOwnZone(c) {
+	if isCrowded(meanOf(found), full) && sharesLittle(c) {
+		at = t.leastOfOwn(c, found)
+	}
+	if at < 0 && prefersOwnZone(c) {
 		at = first(found, func(w candidate) bool { return w.zone == t.settings.Zone && hasRoom(w) })
 	}
 	if at < 0 {
--- a/core/requests/fleet_test.go
+++ b/core/requests/fleet_test.go
@@ -225,9 +225,9 @@
 	}
 	for i := range l.hosts {
 		zone := ident.Zone(fmt.Sprint("z", i%l.zones))
-		s := requests.New(requests.Settings{Zone: zone, RetryExtra: 630}).WithConfig(f.table()).WithHosts(l.hosts)
+		s := requests.New(requests.Settings{Host: ident.Host(fmt.Sprint("h", i)), Zone: zone, RetryExtra: 630}).WithConfig(f.table()).WithHosts(l.hosts)
 		s, _ = requests.Reduce(s, requests.Registered{From: "r", Workers: all}, f.now)
-		s, _ = requests.Reduce(s, requests.Confirmed{Confirmation: confirmation.At(f.now.Add(24 * time.Hour))}, f.now)
+		s, _ = requests.Reduce(s, requests.Confirmed{Confirmation: confirmation.At(f.now)}, f.now)
 		f.hosts = append(f.hosts, s)
 	}
 	return f
@@ -291,6 +291,7 @@
 		return
 	}
 	for i := range f.hosts {
+		f.feed(i, requests.Confirmed{Confirmation: confirmation.At(f.now)})
 		f.hosts[i] = f.hosts[i].WithDrained(drain(f.load.drained))
 	}
 }
--- a/core/requests/load_test.go
+++ b/core/requests/load_test.go
@@ -51,15 +51,18 @@
 // bound on the users' deployment.
 func TestBoundHoldsWhileAZoneIsDrained(t *testing.T) {
 	t.Parallel()
-	for seed := range uint64(2) {
+	for seed := range uint64(4) {
 		l := pickersLoad()
-		calm := newSimFleet(l, seed).run(8 * time.Second)
-		t.Log("calm:", calm)
 		l.drained, l.hotFrom = "z1", 5*time.Second
 		f := newSimFleet(l, seed).run(8 * time.Second)
 		t.Log("drained:", f)
 		require.Less(t, f.share(f.over), 0.03)
 		require.Less(t, float64(f.late), 0.01*float64(f.requests))
+		l.burst, l.hotTo = 1.4, 10*time.Second
+		f = newSimFleet(l, seed).run(5 * time.Second)
+		t.Log("drained in a surge:", f)
+		require.Less(t, f.share(f.over), 0.03)
+		require.Less(t, float64(f.late), 0.01*float64(f.requests))
 	}
 }
 
--- a/core/requests/requests.go
+++ b/core/requests/requests.go
@@ -16,6 +16,7 @@
 //	start.go          which requests wait for a host that starts
 //	choose.go         which workers are candidates, and which plain worker is taken
 //	engine.go         which engine is taken, and the bound on its load
+//	crowded.go        which engine is taken where some take nothing new
 //	spread.go         over how many engines a surging prefix is spread
 //	cachesource.go    from which engine a prompt's prefix is taken over
 //	load.go           what is known of a worker's load
