soak: Let workers ask for pauses and say that they leave

Cause: no soak had workers that say what they want, so that none could see it passed over. Change: half of the declines ask for 0.3 to 3 s without requests, and one worker after the other says with its answers that it leaves while its heartbeats call it ready. Checked at the workers, for each host.

--- a/soak/checks_test.go
+++ b/soak/checks_test.go
@@ -39,6 +39,7 @@
 	for _, r := range e.requests {
 		out = append(out, e.checkRequest(r)...)
 	}
+	out = append(out, e.checkNotices()...)
 	out = append(out, e.checkReadings()...)
 	out = append(out, e.checkHistory()...)
 	return append(out, e.checkReverts()...)
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -73,6 +73,7 @@
 	}()
 	go func() {
 		x.done.Go(func() { newRestarts(x, o).run(*duration) })
+		x.done.Go(func() { newRestarts(x, o).leave(*duration) })
 		x.run(*duration)
 		close(settled)
 	}()
--- a/soak/worker_test.go
+++ b/soak/worker_test.go
@@ -38,6 +38,15 @@
 	byID map[string][]*run
 	// ends are when workers ended under the bad request.
 	ends []time.Time
+	// notices are what workers said of themselves, one for each request that arrived.
+	notices []notice
+}
+
+// noticesSoFar are what workers said of themselves.
+func (r *runs) noticesSoFar() []notice {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return slices.Clone(r.notices)
 }
 
 func (r *runs) workerEnded() {
@@ -86,8 +95,11 @@
 	random  *rand.Rand
 	// faulty is the part of requests that go wrong at the worker.
 	faulty float64
-	seq    int
-	state  string
+	// wishes draw what it says when it declines; leaving is set while it says that it leaves.
+	wishes  *rand.Rand
+	leaving bool
+	seq     int
+	state   string
 	// listen is where it listens, server its present process, which started at born; life
 	// counts the starts. down and cut are set while it sends no heartbeats.
 	listen string
@@ -108,7 +120,7 @@
 func startWorker(t *testing.T, r *runs, n node, listen, advertised string, seed uint64) *soakWorker {
 	w := &soakWorker{
 		id: fmt.Sprintf("i-%02d-%d", n, seed), node: n, address: advertised, runs: r, listen: listen,
-		random: rand.New(rand.NewPCG(seed, uint64(n))), state: "ready",
+		random: rand.New(rand.NewPCG(seed, uint64(n))), wishes: newWishes(seed, n), state: "ready",
 	}
 	require.NoError(t, w.start())
 	t.Cleanup(w.crash)
@@ -125,7 +137,7 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.life++
-	w.server, w.born, w.seq, w.down = server, time.Now(), 0, false
+	w.server, w.born, w.seq, w.down, w.leaving = server, time.Now(), 0, false, false
 	go func() { _ = server.Serve(l) }()
 	return nil
 }
@@ -234,12 +246,14 @@
 		return
 	}
 	fault := w.draw()
+	id := r.Header.Get(names.RequestID)
 	if fault == faultFull {
+		w.tell(out, id, w.wish())
 		out.Header().Set(names.NotRun, "1")
 		out.WriteHeader(http.StatusServiceUnavailable)
 		return
 	}
-	id := r.Header.Get(names.RequestID)
+	w.tell(out, id, 0)
 	one := &run{worker: w.id, node: w.node, at: time.Now(), account: r.Header.Get(names.Account)}
 	life := w.lives()
 	w.runs.begin(id, one)
