--- a/daemon/stop.go
+++ b/daemon/stop.go
@@ -1,14 +1,5 @@
 // Copyright 2026 The Yardhall Authors. Licensed under the Apache License, Version 2.0.
 
-// Package daemon puts one yardhall process together: the core, its event loop,
-// the ports and the disk.
-//
-// # Usage
-//
-//	d, err := daemon.New(settings, daemon.Options{Log: log})
-//	err = d.Run(ctx) // until ctx ends: then a planned stop
-//
-// Each part is an actor of an oklog/run group.
 package daemon
 
 import (
--- a/gateway/answer.go
+++ b/gateway/answer.go
@@ -1,16 +1,5 @@
 // Copyright 2026 The Yardhall Authors. Licensed under the Apache License, Version 2.0.
 
-// Package gateway is the entry for requests of the route table: it takes them
-// over HTTP, sends each to the worker that the core picks, over kept
-// connections that carry one request at a time, and gives the worker's answer
-// back unchanged.
-//
-// # Usage
-//
-//	s := gateway.NewServer(gateway.Deps{Core: core, Pool: pool, Headers: gateway.DefaultHeaders()})
-//	http.Serve(listener, s)
-//
-// Nothing is sent twice below the core: each try is one Dispatch.
 package gateway
 
 import (
