--- a/core/outcome/outcome.go
+++ b/core/outcome/outcome.go
@@ -51,7 +51,7 @@
 		Reason string
 		// Leaving is true where it declined as it is being stopped.
 		Leaving bool
-		// RetryAfter is for how long the target wants nothing more; 0 where it does not say.
+		// RetryAfter is when the target may be asked again, as it says; 0 for no advice.
 		RetryAfter time.Duration
 	}
 	// Broken means that bytes were sent and the whole answer did not come.
--- a/core/requests/crowded.go
+++ b/core/requests/crowded.go
@@ -11,42 +11,31 @@
 )
 
 // Engines are crowded where the bound on their load is less than crowdedDeviations of a random
-// load above their mean: some of the pool take nothing new, as their zone is drained or they want
-// nothing, and the others have the work of all. Hosts that act on counts half a second old, each
-// by itself, load engines at random at best, and then too many of the requests reach an engine
-// above the bound.
+// load above their mean: some of the pool take nothing new, as their zone is drained or they back
+// off, and the others serve the requests of all. Counts of other hosts are about as old as requests
+// are, so that hosts which decide by them load engines at random at best.
 //
-// So each host then sends prompts that share little to a few engines of its own, drawn from its
-// name: to the one of them with the least load. It counts its own requests exactly, and as few
-// other hosts send to the same engines, these get the requests of each of them evenly. The load
-// compared is the mean of the usual and the latest one: by the latest alone the few hosts of an
-// engine turn to it together, by the usual alone an engine that more hosts have drawn is found out
-// seconds late. Prompts that share much stay with the engine that has read them.
+// Each host then sends prompts that share little to a few engines drawn from its name, and to the
+// least loaded of these. Its own requests there it counts exactly, and few other hosts use the same
+// engines, so that their loads vary less than random ones. Loads are compared by the mean of the
+// usual and the latest one: the latest alone makes the hosts of an engine turn to it together, and
+// the usual one alone shows seconds late that many hosts have drawn it. Prompts that share much stay
+// with the engine that has read them.
 //
-// Cold engines are among those of each host that may send them a request (cold.go): they bear
-// nearly what a warm one gets, and would otherwise wait for the few prompts that prefer them at
-// just these hosts. Measured as below, with 39 engines replaced within five seconds by ones that
-// are cold for three: 0.027, 0.027 and 0.025 without them, 0.021, 0.017 and 0.016 with them; cold for
-// six, 0.036, 0.029 and 0.027, and 0.021, 0.023 and 0.025.
+// A host also uses the cold engines that it may send the request to (cold.go), as they bear nearly
+// as much as warm ones get.
 //
-// Inputs: load estimates in requests (load.go), the host's name, how many entry hosts there are,
-// the prompt's parts in tokens. Measured with 72 simulated hosts before 90 engines, a third of them
-// drained, four seeds: 0.015, 0.022, 0.013 and 0.024 of the requests reach an engine above the
-// bound, 0.034, 0.048, 0.037 and 0.057 without the rule; in a surge of 1.4 0.023 to 0.029, and 0.046
-// to 0.052. Comparing only the latest load gave 0.020 to 0.031 where both gave 0.012 to 0.017, only
-// the usual one 0.028 and 0.048. It costs, while engines are crowded, 0.023 to 0.030 of all tokens
-// read again instead of 0.009, and 0.23 moved instead of 0.13.
+// Inputs: load estimates in requests (load.go), the host's name, the number of entry hosts, the
+// prompt's parts in tokens.
 const (
-	// crowdedDeviations is below what engines have where all take work, 3 and more by the bound's
-	// slack, and above the 1.8 to 2 of two thirds of them.
+	// crowdedDeviations is a number of standard deviations of a Poisson distribution.
 	crowdedDeviations = 2.1
-	// hostsPerEngine is how many hosts send to an engine on average, fewestOwn how many engines
-	// of its own a host has at least. Three each gave 0.012 to 0.017 above, two 0.028 to 0.055,
-	// four 0.018 to 0.026.
+	// hostsPerEngine is how many hosts use an engine on average, fewestOwn how many engines a
+	// host uses at least.
 	hostsPerEngine = 3.5
 	fewestOwn      = 3
-	// shortShared is the number of shared tokens below which a prompt counts as sharing little:
-	// an engine reads them in less than a tenth of a second.
+	// shortShared is the number of shared tokens, in tokens, below which a prompt is cheap to
+	// read anywhere.
 	shortShared = 4096
 )
 
--- a/core/requests/decision.go
+++ b/core/requests/decision.go
@@ -123,7 +123,7 @@
 	Kind       AttemptKind
 	LastResort bool
 	// DeclinedAgo is the time since the worker last declined a request of this host,
-	// negative where it never did; BackoffLeft is for how much longer it wants nothing.
+	// negative where it never did; BackoffLeft is what is left of its backoff.
 	DeclinedAgo time.Duration
 	BackoffLeft time.Duration
 }
--- a/core/requests/drained.go
+++ b/core/requests/drained.go
@@ -18,12 +18,8 @@
 // prefixes that they hold to others, as the prompts that they served now go elsewhere and would
 // all be read again.
 //
-// All at once would bring the others half as much again as they have before any host knows how
-// that is spread, and all prefixes of the zone in the same second. Measured with 72 simulated
-// hosts before 90 engines in a surge of 1.4, a third of them drained, four seeds: 0.013, 0.025,
-// 0.032 and 0.038 of the requests reach an engine above the bound where the work moves at once,
-// 0.023, 0.028, 0.025 and 0.029 within 2 s, 0.031, 0.018, 0.021 and 0.027 within 4 s; 0.024 to
-// 0.040 of all tokens are read again, 0.015 to 0.024, 0.009 to 0.017.
+// All at once would load the others before any host knows how, and move all prefixes of the zone in
+// the same second.
 //
 // A pool whose other workers are missing, or have no slot left, is still served by workers of
 // the zone while the time lasts: its work moves over in seconds and not at once, and new
--- a/core/requests/headertimes.go
+++ b/core/requests/headertimes.go
@@ -6,8 +6,8 @@
 
 // Each host learns for each route how long answers take to begin, in the way in which
 // RFC 6298 estimates round-trip times: a smoothed time and a smoothed deviation. Pauses
-// before a resend follow it. An answer that declines does not count: a worker that is full says
-// so at once, and the pauses would shrink to nothing just where it needs them.
+// before a resend follow it. Declines do not count: they come at once, and the pauses would shrink
+// where workers need them.
 const (
 	// timeGain and deviationGain are the weights of a new time (RFC 6298: 1/8, 1/4).
 	timeGain      = 0.125
--- a/core/requests/notice_test.go
+++ b/core/requests/notice_test.go
@@ -16,8 +16,8 @@
 	"github.com/yardhall/yardhall/core/requests"
 )
 
-// decliningEngines are engines that decline all that they get within a time, and say each
-// time for how long they want nothing more.
+// decliningEngines are engines that decline all that they get within a time, and ask each time for
+// a backoff.
 type decliningEngines struct {
 	ids      map[ident.Target]bool
 	from, to time.Time
@@ -39,7 +39,7 @@
 	return requests.Notice{Backoff: e.backoff}, outcome.Declined{Reason: "full", RetryAfter: e.backoff}
 }
 
-// TestWorkersThatWantNothingGetNothing tells of three engines of nine, one a zone, that
+// TestWorkersThatBackOffGetNothing tells of three engines of nine, one a zone, that
 // declined all that they got for nine seconds and asked each host for 3 s without requests.
 // Hosts sent them 5 and 7 requests within such a time, and refused a third of their callers.
 //
@@ -48,7 +48,7 @@
 // that it then looked like the least loaded one; and where a route allows one worker only, the
 // same request went to the same engine up to three times more. Lines of both kinds of attempts,
 // with what the engine had asked for before, proved that.
-func TestWorkersThatWantNothingGetNothing(t *testing.T) {
+func TestWorkersThatBackOffGetNothing(t *testing.T) {
 	g := table()
 	for i := range g.Routes {
 		g.Routes[i].Objective, g.Routes[i].MaxAttempts = config.Duration(500*time.Millisecond), 1
@@ -129,7 +129,7 @@
 	return s
 }
 
-func TestRequestIsRefusedAtOnceWhereAllWorkersWantNothing(t *testing.T) {
+func TestRequestIsRefusedAtOnceWhereAllWorkersBackOff(t *testing.T) {
 	for _, path := range []string{"/safe/x", "/unsafe/x", "/once/x", "/resumable/x"} {
 		s := turnAllAway(t, path)
 		s, d := arrive(t, s, request("refused", path), start.Add(600*time.Millisecond))
@@ -156,10 +156,10 @@
 	}
 }
 
-// TestRequestGoesToNoOtherWorkerThatWantsNothing ends an attempt where the workers left want
+// TestRequestGoesToNoOtherWorkerThatBacksOff ends an attempt where the workers left want
 // nothing. The caller comes back before they want something, as the worker that failed may take
 // the request by then.
-func TestRequestGoesToNoOtherWorkerThatWantsNothing(t *testing.T) {
+func TestRequestGoesToNoOtherWorkerThatBacksOff(t *testing.T) {
 	results := []outcome.Attempt{outcome.Declined{Reason: "full"}, outcome.NeverSent{Reason: "refused", Refused: true}}
 	for _, result := range results {
 		s := ready(3)
--- a/core/requests/requests.go
+++ b/core/requests/requests.go
@@ -177,7 +177,7 @@
 	// same worker again.
 	Declined uint64
 	Resent   uint64
-	// BackoffsAsked counts how often a worker began to want nothing for a while.
+	// BackoffsAsked counts the backoffs that workers asked for.
 	BackoffsAsked uint64
 	// Overflowed counts requests that their preferred engine had no room for.
 	Overflowed uint64 `json:"Spilled"`
--- a/core/requests/resend.go
+++ b/core/requests/resend.go
@@ -4,11 +4,11 @@
 
 import "time"
 
-// A declined request that may go to no other worker is sent to the same one again after a
-// pause, at the end of which it is decided anew whether the worker takes it: a worker with few slots and short work has a free one a moment later, and the
-// caller, sent away, would come back later than that. It is sent while the worker is
-// healthy, the answer can still begin within the route's objective, and the retry budget
-// allows it.
+// A declined request that may go to no other worker is sent to the same one again after a pause:
+// a worker with few slots and short work has a free one a moment later, and the caller, sent away,
+// would come back later than that. It is sent if the worker is healthy and does not back off, the
+// answer can still begin within the route's objective, and the retry budget allows it. The
+// worker is looked at again at the end of the pause.
 //
 // Inputs: the usual time until answers of the route begin, the objective, when the request
 // arrived, the worker's health, the retry budget. Measured with three workers of six slots
@@ -55,8 +55,8 @@
 	return w, ok && w.healthy(t.now) && w.backoffLeft(t.now) == 0 && !t.closed(w.Zone) && !w.cold(t.now) && !t.isRefused(c)
 }
 
-// pauseEnded sends a request to its worker once more. What was learned during the pause counts:
-// a worker that wants nothing by now, leaves, or stands in a drained zone gets nothing.
+// pauseEnded sends a request to its worker once more, unless the worker has asked for a backoff,
+// left, or been drained during the pause.
 func (t *transition) pauseEnded(ev PauseEnded) {
 	c, ok := t.calls.Get(ev.Request)
 	if !ok || !c.pausing {
@@ -70,7 +70,7 @@
 	case !t.now.Before(c.req.Deadline):
 		t.finish(c.req.ID, Verdict{Outcome: c.combined, Code: CodeDeadline, Reason: "the deadline has passed"})
 	case !ok:
-		t.finishDeclined(c, Verdict{Code: CodeOverloaded, Reason: "the worker declined, and takes nothing more"})
+		t.finishDeclined(c, Verdict{Code: CodeOverloaded, Reason: "the worker declined, and is not available after the pause"})
 	default:
 		t.counters.Resent++
 		t.send(c, choice{worker: w, candidates: 1, kind: ResendAttempt})
--- a/core/requests/resend_test.go
+++ b/core/requests/resend_test.go
@@ -100,8 +100,8 @@
 	require.LessOrEqual(t, float64(resent), requests.BudgetUsed*(requests.DefaultRetryExtra+requests.DefaultRetryShare*200))
 }
 
-// wantNothing has a worker decline another request and ask for a pause.
-func wantNothing(t *testing.T, s requests.State, id ident.Target, now time.Time) requests.State {
+// askForBackoff has a worker decline another request and ask for a pause.
+func askForBackoff(t *testing.T, s requests.State, id ident.Target, now time.Time) requests.State {
 	t.Helper()
 	for i := range 1000 {
 		next, d := arrive(t, s, request(fmt.Sprint("other-", i), "/once/x"), now)
@@ -113,8 +113,8 @@
 	return s
 }
 
-// TestWhatIsLearnedDuringAPauseCounts pauses a declined request, and lets its worker say that it
-// wants nothing, its process leave, and its zone's time end meanwhile.
+// TestWhatIsLearnedDuringAPauseCounts pauses a declined request, and lets its worker ask for a
+// backoff, leave, and its zone's time end meanwhile.
 //
 // The worker was chosen before the pause, and the request then sent whatever had been learned in
 // between: up to a second later, where a route's objective is long.
@@ -124,8 +124,8 @@
 	tests := map[string]struct {
 		before, during func(s requests.State, w registry.Worker) requests.State
 	}{
-		"it wants nothing": {during: func(s requests.State, w registry.Worker) requests.State {
-			return wantNothing(t, s, w.ID, end.Add(-time.Millisecond))
+		"it asks for a backoff": {during: func(s requests.State, w registry.Worker) requests.State {
+			return askForBackoff(t, s, w.ID, end.Add(-time.Millisecond))
 		}},
 		"it leaves": {during: func(s requests.State, w registry.Worker) requests.State {
 			w.State, w.Seq = registry.Draining, 2
--- a/core/requests/worker.go
+++ b/core/requests/worker.go
@@ -43,8 +43,8 @@
 	// declinedAt is when the worker last declined, fullUntil how long it is passed over then.
 	declinedAt time.Time
 	fullUntil  time.Time
-	// saysLeaving is set once an answer said that the worker leaves, backoffUntil is until
-	// when it wants nothing.
+	// saysLeaving is set once an answer said that the worker leaves, backoffUntil is the end of
+	// the backoff that it asked for.
 	saysLeaving  bool
 	backoffUntil time.Time
 	// coldUntil is when the worker is warm, coldSentAt when this host last sent it a request
@@ -54,7 +54,7 @@
 }
 
 // available tells whether new work may be sent to the worker: it is healthy, has not just
-// declined, and wants something.
+// declined, and does not back off.
 func (w worker) available(now time.Time) bool {
 	return w.healthy(now) && !now.Before(w.fullUntil) && w.backoffLeft(now) == 0
 }
--- a/gateway/declines_test.go
+++ b/gateway/declines_test.go
@@ -14,9 +14,9 @@
 	"github.com/yardhall/yardhall/standin"
 )
 
-// TestWorkerThatWantsNothingIsAskedNothing has one of two workers turn a request away. The other
+// TestWorkerThatBacksOffIsAskedNothing has one of two workers turn a request away. The other
 // one serves all that follows, plain requests and streams, until the time is over.
-func TestWorkerThatWantsNothingIsAskedNothing(t *testing.T) {
+func TestWorkerThatBacksOffIsAskedNothing(t *testing.T) {
 	b := newBench(t, 2)
 	turned, other := b.workers[0], b.workers[1]
 	turned.Next(standin.FullForAWhile)
@@ -35,9 +35,9 @@
 	require.Positive(t, len(other.Runs()))
 }
 
-// TestPausingRequestIsNotSentToAWorkerThatWantsNothing lets many requests pause that the only
+// TestPausingRequestIsNotSentToAWorkerThatBacksOff lets many requests pause that the only
 // worker declined, and the worker ask for a time without requests meanwhile.
-func TestPausingRequestIsNotSentToAWorkerThatWantsNothing(t *testing.T) {
+func TestPausingRequestIsNotSentToAWorkerThatBacksOff(t *testing.T) {
 	const callers = 8
 	b := newBench(t, 1)
 	for range callers {
--- a/gateway/notice.go
+++ b/gateway/notice.go
@@ -10,8 +10,8 @@
 	"github.com/yardhall/yardhall/core/requests"
 )
 
-// maxBackoff bounds for how long a worker may turn a host away by one answer. One that
-// wants nothing for longer is asked again, so that a wrong number does not lose it for good.
+// maxBackoff bounds what one answer may ask for, so that a wrong number does not lose a worker for
+// good.
 const maxBackoff = time.Hour
 
 // notice reads what a worker says of itself with an answer. What another process at its
--- a/gateway/notice_test.go
+++ b/gateway/notice_test.go
@@ -33,7 +33,7 @@
 		"too many requests":                    {status: 429, retryAfter: "2", want: requests.Notice{Reluctance: 2 * time.Second}},
 		"a date":                               {status: 503, retryAfter: "Mon, 04 May 2026 12:00:05 GMT", want: backoff(5 * time.Second)},
 		"a date that has passed":               {status: 503, retryAfter: "Mon, 04 May 2026 11:00:00 GMT"},
-		"leaves and wants nothing":             {status: 503, leaving: "1", retryAfter: "1", want: requests.Notice{Leaving: true, Backoff: time.Second}},
+		"leaves and backs off":                 {status: 503, leaving: "1", retryAfter: "1", want: requests.Notice{Leaving: true, Backoff: time.Second}},
 		"advice with a whole answer":           {status: 200, retryAfter: "3"},
 		"no number":                            {status: 503, retryAfter: "soon"},
 		"not a number":                         {status: 503, retryAfter: "NaN"},
--- a/soak/declines_test.go
+++ b/soak/declines_test.go
@@ -22,7 +22,7 @@
 	worker  node
 	life    int
 	at      time.Time
-	// backoff is for how long it wants nothing, 0 for no wish; leaving is set where it said
+	// backoff is what it asked for, 0 for none; leaving is set where it said
 	// that it leaves.
 	backoff time.Duration
 	leaving bool
@@ -33,8 +33,8 @@
 	// had sent before, mostArrivals how many may come later.
 	underWay     = 500 * time.Millisecond
 	mostArrivals = 2
-	// minBackoff and maxBackoff bound for how long a worker wants nothing; half of the
-	// requests that are declined say nothing of it.
+	// minBackoff and maxBackoff bound the backoffs that workers ask for; half of the
+	// declines ask for none.
 	minBackoff   = 300 * time.Millisecond
 	maxBackoff   = 3 * time.Second
 	backoffShare = 0.5
@@ -47,18 +47,18 @@
 // workersSpeak tells whether workers say what they want: an earlier program does not read it.
 func workersSpeak() bool { return *earlier == "" }
 
-// wish draws for how long a worker that declines wants nothing; 0 for no wish.
-func (w *soakWorker) wish() time.Duration {
+// drawBackoff draws the backoff that a worker that declines asks for; 0 for none.
+func (w *soakWorker) drawBackoff() time.Duration {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	if !workersSpeak() || w.wishes.Float64() >= backoffShare {
+	if !workersSpeak() || w.backoffs.Float64() >= backoffShare {
 		return 0
 	}
-	return minBackoff + time.Duration(w.wishes.Int64N(int64(maxBackoff-minBackoff)))
+	return minBackoff + time.Duration(w.backoffs.Int64N(int64(maxBackoff-minBackoff)))
 }
 
-// newWishes draws apart from the worker's faults, so that these stay those of their seeds.
-func newWishes(seed uint64, n node) *rand.Rand { return rand.New(rand.NewPCG(seed, uint64(n)+1000)) }
+// newBackoffs draws apart from the worker's faults, so that these stay those of their seeds.
+func newBackoffs(seed uint64, n node) *rand.Rand { return rand.New(rand.NewPCG(seed, uint64(n)+1000)) }
 
 func (w *soakWorker) setLeaving(leaving bool) {
 	w.mu.Lock()
@@ -99,7 +99,7 @@
 }
 
 // checkNotices checks what hosts did after a worker had told them something: nothing reached it
-// while it wanted nothing, and nothing that a caller sent well after an answer that said that it
+// within its backoff, and nothing that a caller sent well after an answer that said that it
 // leaves.
 func (e evidence) checkNotices() (out []string) {
 	byID := map[string]request{}
--- a/soak/worker_test.go
+++ b/soak/worker_test.go
@@ -95,11 +95,11 @@
 	random  *rand.Rand
 	// faulty is the part of requests that go wrong at the worker.
 	faulty float64
-	// wishes draw what it says when it declines; leaving is set while it says that it leaves.
-	wishes  *rand.Rand
-	leaving bool
-	seq     int
-	state   string
+	// backoffs draw those that it asks for; leaving is set while it says that it leaves.
+	backoffs *rand.Rand
+	leaving  bool
+	seq      int
+	state    string
 	// listen is where it listens, server its present process, which started at born; life
 	// counts the starts. down and cut are set while it sends no heartbeats.
 	listen string
@@ -120,7 +120,7 @@
 func startWorker(t *testing.T, r *runs, n node, listen, advertised string, seed uint64) *soakWorker {
 	w := &soakWorker{
 		id: fmt.Sprintf("i-%02d-%d", n, seed), node: n, address: advertised, runs: r, listen: listen,
-		random: rand.New(rand.NewPCG(seed, uint64(n))), wishes: newWishes(seed, n), state: "ready",
+		random: rand.New(rand.NewPCG(seed, uint64(n))), backoffs: newBackoffs(seed, n), state: "ready",
 	}
 	require.NoError(t, w.start())
 	t.Cleanup(w.crash)
@@ -248,7 +248,7 @@
 	fault := w.draw()
 	id := r.Header.Get(names.RequestID)
 	if fault == faultFull {
-		w.tell(out, id, w.wish())
+		w.tell(out, id, w.drawBackoff())
 		out.Header().Set(names.NotRun, "1")
 		out.WriteHeader(http.StatusServiceUnavailable)
 		return
--- a/standin/worker.go
+++ b/standin/worker.go
@@ -35,8 +35,8 @@
 const (
 	// Sound answers as it should.
 	Sound WorkerFault = iota
-	// Full declines without running the request, FullForAWhile says besides that it wants
-	// nothing for WorkerBackoff.
+	// Full declines without running the request, FullForAWhile asks besides for a backoff of
+	// WorkerBackoff.
 	Full
 	FullForAWhile
 	// CutHead runs the request and closes without an answer.
@@ -92,7 +92,7 @@
 // WorkerBody is the body of a plain answer.
 const WorkerBody = "the worker's whole answer"
 
-// WorkerBackoff is for how long a worker wants nothing after FullForAWhile.
+// WorkerBackoff is what a worker asks for with FullForAWhile.
 const WorkerBackoff = 1500 * time.Millisecond
 
 // WorkerEvents is the number of events in a stream.
