core/requests: Keep a backoff that a worker asked for before its registration arrived

Cause: a worker that had started again under its id asked for a backoff, and its registration, 0.1 to 0.7 s later, ended it as the wish of the process before. Change: a start ends only backoffs that were asked for longer ago than a registration takes. Conclusion: whoever asked, the backoff is obeyed; a wish of the earlier process is obeyed for its time at most.

--- a/core/requests/notice.go
+++ b/core/requests/notice.go
@@ -25,10 +25,17 @@
 // do not return together. A caller whose request was declined while other workers are available
 // returns at once.
 //
+// A worker that starts again may ask for a backoff before its registration tells of the start. So a
+// start ends only backoffs that were asked for longer ago than a registration takes.
+//
 // Inputs: what workers say with their answers, the pool's workers, the request's rank.
 
-// returnGap is the time over which callers of one rank return, and the time between ranks.
-const returnGap = 100 * time.Millisecond
+const (
+	// returnGap is the time over which callers of one rank return, and the time between ranks.
+	returnGap = 100 * time.Millisecond
+	// registrationDelay is how late a registration may tell of a worker's start.
+	registrationDelay = 5 * time.Second
+)
 
 // Notice is what a worker says of itself with an answer. The zero value says nothing.
 type Notice struct {
@@ -55,7 +62,9 @@
 func (w worker) withNotice(n Notice, now time.Time) worker {
 	w.saysLeaving = w.saysLeaving || n.Leaving
 	w.fullUntil = latest(w.fullUntil, now.Add(n.Reluctance))
-	w.backoffUntil = latest(w.backoffUntil, now.Add(n.Backoff))
+	if n.Backoff > 0 {
+		w.backoffAskedAt, w.backoffUntil = now, latest(w.backoffUntil, now.Add(n.Backoff))
+	}
 	return w
 }
 
--- a/core/requests/restart.go
+++ b/core/requests/restart.go
@@ -36,7 +36,10 @@
 	w.startedAgainAt = now
 	w.health, w.inFlight, w.fullUntil, w.replaced = health.Target{}, 0, time.Time{}, false
 	w.selfReported, w.selfReportedAt = 0, time.Time{}
-	w.declinedAt, w.saysLeaving, w.backoffUntil = time.Time{}, false, time.Time{}
+	w.declinedAt, w.saysLeaving = time.Time{}, false
+	if now.Sub(w.backoffAskedAt) > registrationDelay {
+		w.backoffUntil = time.Time{}
+	}
 	return w
 }
 
--- a/core/requests/worker.go
+++ b/core/requests/worker.go
@@ -44,9 +44,10 @@
 	declinedAt time.Time
 	fullUntil  time.Time
 	// saysLeaving is set once an answer said that the worker leaves, backoffUntil is the end of
-	// the backoff that it asked for.
-	saysLeaving  bool
-	backoffUntil time.Time
+	// the backoff that it asked for at backoffAskedAt.
+	saysLeaving    bool
+	backoffUntil   time.Time
+	backoffAskedAt time.Time
 	// coldUntil is when the worker is warm, coldSentAt when this host last sent it a request
 	// while it was cold.
 	coldUntil  time.Time
