--- a/standin/worker.go
+++ b/standin/worker.go
@@ -207,10 +207,10 @@
 		return write(conn, "HTTP/1.1 421 Misdirected Request\r\n"+w.names.Instance+": "+w.ID+"\r\nContent-Length: 0\r\n\r\n")
 	}
 	fault := w.take()
-	switch fault {
-	case Full:
+	if fault == Full {
 		return write(conn, w.declined(""))
-	case FullForAWhile:
+	}
+	if fault == FullForAWhile {
 		return write(conn, w.declined(fmt.Sprintf("Retry-After: %g\r\n", WorkerBackoff.Seconds())))
 	}
 	w.mu.Lock()
