--- a/gateway/declines_test.go
+++ b/gateway/declines_test.go
@@ -100,3 +100,18 @@
 		})
 	}
 }
+
+// TestBackoffInAnAnswerWithoutIDIsObeyed has something before a worker turn a request away in its
+// name: the answer names no request and does not say that it has not run.
+func TestBackoffInAnAnswerWithoutIDIsObeyed(t *testing.T) {
+	b := newBench(t, 1)
+	b.next(standin.Overloaded)
+	status, _, _, err := b.call("/unsafe/x", "body")
+	require.NoError(t, err)
+	require.Equal(t, http.StatusBadGateway, status, "it may have run")
+	status, _, header, err := b.call("/unsafe/x", "body")
+	require.NoError(t, err)
+	require.Equal(t, http.StatusServiceUnavailable, status)
+	require.NotEmpty(t, header.Get("Retry-After"))
+	require.Equal(t, 1, b.workers[0].Asked())
+}
--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -158,6 +158,8 @@
 			return resp, nil
 		}
 		if id == "" {
+			// It answers no request, but says what the worker needs.
+			x.server.reportHeader(x.dispatch, resp, 0)
 			return nil, errors.New("an answer without id")
 		}
 		if _, err := io.Copy(io.Discard, io.LimitReader(resp.Body, maxAnswer)); err != nil {
--- a/gateway/notice.go
+++ b/gateway/notice.go
@@ -4,16 +4,12 @@
 
 import (
 	"net/http"
-	"strconv"
 	"time"
 
+	"github.com/yardhall/yardhall/common/retryafter"
 	"github.com/yardhall/yardhall/core/requests"
 )
 
-// maxBackoff bounds what one answer may ask for, so that a wrong number does not lose a worker for
-// good.
-const maxBackoff = time.Hour
-
 // notice reads what a worker says of itself with an answer. What another process at its
 // address says is not the worker's.
 func (h Headers) notice(resp *http.Response, now time.Time) requests.Notice {
@@ -21,9 +17,9 @@
 	case http.StatusMisdirectedRequest:
 		return requests.Notice{}
 	case http.StatusTooManyRequests:
-		return requests.Notice{Leaving: h.leaving(resp.Header), Reluctance: retryAfter(resp.Header, now)}
+		return requests.Notice{Leaving: h.leaving(resp.Header), Reluctance: retryafter.Of(resp.Header, now)}
 	case http.StatusServiceUnavailable:
-		return requests.Notice{Leaving: h.leaving(resp.Header), Backoff: retryAfter(resp.Header, now)}
+		return requests.Notice{Leaving: h.leaving(resp.Header), Backoff: retryafter.Of(resp.Header, now)}
 	}
 	return requests.Notice{Leaving: h.leaving(resp.Header)}
 }
@@ -33,24 +29,3 @@
 	said := in.Get(h.Leaving)
 	return said != "" && said != "0"
 }
-
-// retryAfter reads a Retry-After (RFC 9110, 10.2.3): seconds, of which fractions are taken
-// too, or a date; 0 for anything else.
-func retryAfter(in http.Header, now time.Time) time.Duration {
-	text := in.Get("Retry-After")
-	if seconds, err := strconv.ParseFloat(text, 64); err == nil {
-		return boundedBackoff(seconds)
-	}
-	if at, err := http.ParseTime(text); err == nil {
-		return boundedBackoff(at.Sub(now).Seconds())
-	}
-	return 0
-}
-
-// boundedBackoff is a time in seconds as a duration; 0 where it is none.
-func boundedBackoff(seconds float64) time.Duration {
-	if !(seconds > 0) {
-		return 0
-	}
-	return time.Duration(min(seconds, maxBackoff.Seconds()) * float64(time.Second))
-}
--- a/gateway/notice_test.go
+++ b/gateway/notice_test.go
@@ -29,18 +29,9 @@
 		"does not leave":                       {status: 200, leaving: "0"},
 		"another process answers":              {status: 421, leaving: "1", retryAfter: "3"},
 		"whole seconds":                        {status: 503, retryAfter: "3", want: backoff(3 * time.Second)},
-		"a fraction of a second":               {status: 503, retryAfter: "0.25", want: backoff(250 * time.Millisecond)},
 		"too many requests":                    {status: 429, retryAfter: "2", want: requests.Notice{Reluctance: 2 * time.Second}},
-		"a date":                               {status: 503, retryAfter: "Mon, 04 May 2026 12:00:05 GMT", want: backoff(5 * time.Second)},
-		"a date that has passed":               {status: 503, retryAfter: "Mon, 04 May 2026 11:00:00 GMT"},
 		"leaves and backs off":                 {status: 503, leaving: "1", retryAfter: "1", want: requests.Notice{Leaving: true, Backoff: time.Second}},
 		"advice with a whole answer":           {status: 200, retryAfter: "3"},
-		"no number":                            {status: 503, retryAfter: "soon"},
-		"not a number":                         {status: 503, retryAfter: "NaN"},
-		"a negative number":                    {status: 503, retryAfter: "-3"},
-		"a number beyond all durations":        {status: 503, retryAfter: "1e300", want: backoff(maxBackoff)},
-		"without end":                          {status: 503, retryAfter: "Inf", want: backoff(maxBackoff)},
-		"a date of the far future":             {status: 503, retryAfter: "Fri, 04 May 2929 12:00:00 GMT", want: backoff(maxBackoff)},
 		"declined without saying for how long": {status: 503},
 	}
 	for name, tt := range tests {
--- a/standin/worker.go
+++ b/standin/worker.go
@@ -4,14 +4,10 @@
 
 import (
 	"bufio"
-	"fmt"
 	"io"
 	"net"
 	"net/http"
-	"strconv"
-	"strings"
 	"sync"
-	"time"
 
 	"github.com/pkg/errors"
 )
@@ -61,6 +57,9 @@
 	Hang
 	// CutEvent ends a stream within its third event.
 	CutEvent
+	// Overloaded answers as a proxy before the worker might: neither an id nor a word on
+	// whether the request has run, but a time as with FullForAWhile.
+	Overloaded
 )
 
 // WorkerRun is one request that a worker ran.
@@ -89,15 +88,6 @@
 	stop     chan struct{}
 }
 
-// WorkerBody is the body of a plain answer.
-const WorkerBody = "the worker's whole answer"
-
-// WorkerBackoff is what a worker asks for with FullForAWhile.
-const WorkerBackoff = 1500 * time.Millisecond
-
-// WorkerEvents is the number of events in a stream.
-const WorkerEvents = 5
-
 // StartWorker serves on address.
 func StartWorker(address, id string, names WorkerHeaders) (*Worker, error) {
 	l, err := net.Listen("tcp", address)
@@ -199,123 +189,3 @@
 	w.faults = w.faults[1:]
 	return f
 }
-
-// answer serves one request and tells whether the connection goes on.
-func (w *Worker) answer(conn net.Conn, req *http.Request, body string) bool {
-	id := req.Header.Get(w.names.RequestID)
-	if expect := req.Header.Get(w.names.Expect); expect != "" && expect != w.ID {
-		return write(conn, "HTTP/1.1 421 Misdirected Request\r\n"+w.names.Instance+": "+w.ID+"\r\nContent-Length: 0\r\n\r\n")
-	}
-	fault := w.take()
-	if fault == Full {
-		return write(conn, w.declined(""))
-	}
-	if fault == FullForAWhile {
-		return write(conn, w.declined(fmt.Sprintf("Retry-After: %g\r\n", WorkerBackoff.Seconds())))
-	}
-	w.mu.Lock()
-	w.runs = append(w.runs, WorkerRun{ID: id, Method: req.Method, Path: req.RequestURI, Body: body, Header: req.Header})
-	w.mu.Unlock()
-	if strings.Contains(req.URL.Path, "/stream/") && (fault == Sound || fault == CutEvent) {
-		return w.stream(conn, req, id, fault)
-	}
-	return w.plain(conn, id, fault)
-}
-
-func (w *Worker) head(status int, id string) string {
-	return fmt.Sprintf("HTTP/1.1 %d %s\r\n%s: %s\r\n%s: stamp-of-%s\r\n%s: 1,0,8\r\n%s",
-		status, http.StatusText(status), w.names.RequestID, id, w.names.Signature, w.ID, w.names.Load, w.leaves())
-}
-
-// declined is the answer to a request that the worker does not run.
-func (w *Worker) declined(more string) string {
-	return "HTTP/1.1 503 Service Unavailable\r\n" + w.names.NotRun + ": 1\r\n" + more + w.leaves() + "Content-Length: 0\r\n\r\n"
-}
-
-// leaves is the header by which the worker says that it leaves, if it does.
-func (w *Worker) leaves() string {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	if !w.leaving {
-		return ""
-	}
-	return w.names.Leaving + ": 1\r\n"
-}
-
-// Leave makes the worker say in all its answers that it leaves.
-func (w *Worker) Leave() {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	w.leaving = true
-}
-
-func framed(body string) string {
-	return "Content-Length: " + strconv.Itoa(len(body)) + "\r\n\r\n" + body
-}
-
-func (w *Worker) plain(conn net.Conn, id string, fault WorkerFault) bool {
-	other := w.head(http.StatusOK, "another-request") + framed("an answer to another request")
-	right := w.head(http.StatusOK, id) + framed(WorkerBody)
-	switch fault {
-	case CutHead:
-		return false
-	case CutBody:
-		return write(conn, w.head(http.StatusOK, id)+"Content-Length: 900\r\n\r\n"+WorkerBody) && false
-	case ResetUnframed:
-		write(conn, w.head(http.StatusOK, id)+"\r\nhalf")
-		// What was sent arrives first, as a worker that resets midway would.
-		time.Sleep(resetPause)
-		if tcp, ok := conn.(*net.TCPConn); ok {
-			_ = tcp.SetLinger(0)
-		}
-		return false
-	case Unframed:
-		return write(conn, w.head(http.StatusOK, id)+"\r\n"+WorkerBody) && false
-	case Extra:
-		return write(conn, right+other)
-	case LateFirst:
-		return write(conn, other+right)
-	case WrongID:
-		return write(conn, other)
-	case Failing:
-		return write(conn, w.head(http.StatusInternalServerError, id)+framed("failed"))
-	case Unsigned:
-		return write(conn, "HTTP/1.1 200 OK\r\n"+w.names.RequestID+": "+id+"\r\n"+framed(WorkerBody))
-	case Hang:
-		<-w.stop
-		return false
-	case Sound, Full, FullForAWhile, CutEvent:
-	}
-	return write(conn, right)
-}
-
-// resetPause lets the bytes before a reset arrive.
-const resetPause = 20 * time.Millisecond
-
-// WorkerEvent is one event of a stream.
-func WorkerEvent(n int) string { return fmt.Sprintf("id: %d\ndata: event %d\n\n", n, n) }
-
-func (w *Worker) stream(conn net.Conn, req *http.Request, id string, fault WorkerFault) bool {
-	first, _ := strconv.Atoi(req.Header.Get(w.names.LastEvent))
-	if !write(conn, w.head(http.StatusOK, id)+"Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n") {
-		return false
-	}
-	for n := first + 1; n <= WorkerEvents; n++ {
-		event := WorkerEvent(n)
-		if fault == CutEvent && n == first+3 {
-			write(conn, chunk(event[:len(event)/2]))
-			return false
-		}
-		if !write(conn, chunk(event)) {
-			return false
-		}
-	}
-	return write(conn, "0\r\n\r\n")
-}
-
-func chunk(data string) string { return fmt.Sprintf("%x\r\n%s\r\n", len(data), data) }
-
-func write(conn net.Conn, text string) bool {
-	_, err := io.WriteString(conn, text)
-	return err == nil
-}
