core/host, targets: Obey the backoff that targets of listed fleets ask for

Cause: a target that declined taught a host nothing: it kept the fewest requests and so got the next ones, and the contract had no way to say for how long. Change: Retry-After beside X-Yardhall-Declined. Workers and engines that this host picks itself are passed over; owners of groups are asked for a permit of another engine, and one that comes for it all the same is given back. Where all back off, requests are refused at once with the least time left. The dump has one more key.

--- a/core/health/health.go
+++ b/core/health/health.go
@@ -76,6 +76,8 @@
 	ReportSeq uint64
 	// Boot is the start of the target as reported; a new one clears signs.
 	Boot uint64
+	// BackoffUntil is the end of the backoff that the target asked this host for.
+	BackoffUntil time.Time
 }
 
 // Usable tells whether new work may be sent at now.
@@ -107,6 +109,18 @@
 // SaysLeaving tells whether the target itself reported to this host that it is leaving.
 func (t Target) SaysLeaving(now time.Time) bool { return now.Before(t.LeavingUntil) }
 
+// BackoffLeft is what is left of the target's backoff. It concerns this host alone, so that it does
+// not make the target unusable.
+func (t Target) BackoffLeft(now time.Time) time.Duration { return max(0, t.BackoffUntil.Sub(now)) }
+
+// WithBackoff records that the target asked for a backoff.
+func (t Target) WithBackoff(d time.Duration, now time.Time) Target {
+	if until := now.Add(d); until.After(t.BackoffUntil) {
+		t.BackoffUntil = until
+	}
+	return t
+}
+
 // Ejected tells whether failures alone keep new work away.
 func (t Target) Ejected(now time.Time) bool { return !t.IsLeaving(now) && now.Before(t.EjectedUntil) }
 
--- a/core/host/claim_test.go
+++ b/core/host/claim_test.go
@@ -24,15 +24,18 @@
 	out []host.Effect
 }
 
-func newRouter(t *testing.T) *router {
+func newRouter(t *testing.T) *router { return newRouterWith(t) }
+
+// newRouterWith is newRouter with more in its configuration.
+func newRouterWith(t *testing.T, more ...config.Change) *router {
 	var cfg config.Config
-	for _, ch := range []config.Change{
+	for _, ch := range append([]config.Change{
 		config.PutService{Service: config.Service{ID: "floor", Kind: config.KindPlain, OnceRoutes: []string{"/once"}}},
 		config.PutTarget{Target: config.Target{ID: "w1", Service: "floor", Zone: "z0", Address: "127.0.0.1:1", Slots: 4}},
 		config.PutTarget{Target: config.Target{ID: "w2", Service: "floor", Zone: "z0", Address: "127.0.0.1:2", Slots: 4}},
 		config.PutAccount{Account: config.Account{ID: "a", KeyHash: keyOf("a"), MaxInFlight: 2}},
 		config.PutHost{Host: config.Host{ID: "h", Zone: "z0", Address: "127.0.0.1:3", Serves: true}},
-	} {
+	}, more...) {
 		cfg = must(cfg, ch)
 	}
 	r := &router{t: t, now: time.Unix(1_000_000, 0)}
--- a/core/host/host.go
+++ b/core/host/host.go
@@ -26,6 +26,7 @@
 //	write.go, read.go            how writes and reads reach the leader
 //	replica.go                   what a committed entry changes
 //	admit.go, call.go, retry.go  listed fleets: callers' requests
+//	backoff.go                   targets that asked this host for no requests
 //	place.go, owner.go           permits of engine groups, on both sides
 //	claim.go                     the right to run once
 //	orders.go, repair.go         fenced orders, and replacing lost engines
--- a/core/host/listedcrashes_test.go
+++ b/core/host/listedcrashes_test.go
@@ -58,6 +58,9 @@
 	sent     []time.Time
 	verdicts map[ident.Request]host.Verdict
 	count    int
+	// decline, where set, tells for how long a target asks a host for no requests as it declines;
+	// 0 where it takes the request.
+	decline func(target ident.Target, at ident.Host) time.Duration
 }
 
 func newListedFleet(t *testing.T, hosts, targets int) *listedFleet {
@@ -121,6 +124,12 @@
 		f.reduce(at, host.AttemptEnded{Request: d.Request, Attempt: d.Attempt, Result: outcome.NeverSent{Reason: "refused", Refused: true}})
 		return
 	}
+	if f.decline != nil {
+		if backoff := f.decline(d.Target.ID, at); backoff > 0 {
+			f.reduce(at, host.AttemptEnded{Request: d.Request, Attempt: d.Attempt, Result: outcome.Declined{Reason: "busy", RetryAfter: backoff}})
+			return
+		}
+	}
 	a := listedAttempt{host: d, at: at, bad: d.Request[0] == 'b', due: f.now.Add(400 * time.Millisecond)}
 	if a.bad {
 		a.due = f.now.Add(crashAfter)
--- a/core/host/place.go
+++ b/core/host/place.go
@@ -3,6 +3,7 @@
 package host
 
 import (
+	"cmp"
 	"slices"
 
 	"github.com/yardhall/yardhall/core/config"
@@ -27,7 +28,7 @@
 
 func (t *transition) noTarget(c call) Verdict {
 	return Verdict{
-		Outcome: c.combined, Code: CodeNoTarget, RetryAfter: retryAfter,
+		Outcome: c.combined, Code: CodeNoTarget, RetryAfter: cmp.Or(t.leastBackoff(c), retryAfter),
 		Reason: "no target can take the request now",
 	}
 }
@@ -98,7 +99,7 @@
 	t.send(c.owner, RequestPermit{
 		Group: c.group, Place: c.permit, Account: c.account.ID, Class: c.class.ID, Model: c.req.Model,
 		Chat: c.req.Chat, Work: c.req.Work, Within: c.req.Deadline.Sub(t.now),
-		Exclude: c.tried, Final: c.final,
+		Exclude: t.excluded(c), Final: c.final,
 	})
 }
 
@@ -113,6 +114,11 @@
 			t.releaseUnwanted(from, m, c, ok)
 			return
 		}
+		if !t.canUse(a.Target) {
+			t.send(from, ReleasePermit{Place: m.Place})
+			t.requestPermit(c)
+			return
+		}
 		t.dispatch(c, a.Target)
 	case routing.Queued:
 		if waiting {
@@ -193,10 +199,9 @@
 			continue
 		}
 		for _, target := range p.targets {
-			h, _ := t.health.Get(target.ID)
 			n, _ := t.inFlight.Get(target.ID)
 			tried := slices.Contains(c.tried, target.ID)
-			if h.Usable(t.now) && target.HasModel(c.req.Model) && !tried && n < t.localShare(target) {
+			if t.canUse(target.ID) && target.HasModel(c.req.Model) && !tried && n < t.localShare(target) {
 				out = append(out, target)
 			}
 		}
@@ -217,8 +222,7 @@
 	var bestCost int
 	for _, p := range t.layout.services[c.service.ID] {
 		for _, target := range p.targets {
-			h, _ := t.health.Get(target.ID)
-			if !h.Usable(t.now) || slices.Contains(c.tried, target.ID) {
+			if !t.canUse(target.ID) || slices.Contains(c.tried, target.ID) {
 				continue
 			}
 			if cost := t.plainCost(target); !found || cost < bestCost {
--- a/core/host/retry.go
+++ b/core/host/retry.go
@@ -3,6 +3,7 @@
 package host
 
 import (
+	"fmt"
 	"math/rand/v2"
 	"time"
 
@@ -111,9 +112,14 @@
 	case outcome.Answered:
 		t.setHealth(id, h.WithResult(true, t.now), was)
 	case outcome.Declined:
+		if a.RetryAfter > 0 {
+			h = h.WithBackoff(a.RetryAfter, t.now)
+			t.note(NoteTarget, string(id), fmt.Sprintf("declined, asked for a backoff of %s", a.RetryAfter))
+		}
 		if a.Leaving {
-			t.setHealth(id, h.WithLeaving(true, t.now), was)
+			h = h.WithLeaving(true, t.now)
 		}
+		t.setHealth(id, h, was)
 	case outcome.NeverSent, outcome.Broken:
 		t.setHealth(id, h.WithResult(false, t.now), was)
 	case outcome.Abandoned:
--- a/targets/exchange.go
+++ b/targets/exchange.go
@@ -14,6 +14,8 @@
 
 	"github.com/pkg/errors"
 
+	"github.com/yardhall/yardhall/common/clock"
+	"github.com/yardhall/yardhall/common/retryafter"
 	"github.com/yardhall/yardhall/core/ident"
 	"github.com/yardhall/yardhall/core/outcome"
 )
@@ -63,7 +65,9 @@
 		return outcome.Broken{Reason: "the answer carries the id of another request"}
 	}
 	if reason := resp.Header.Get(HeaderDeclined); reason != "" {
-		return outcome.Declined{Reason: reason, Leaving: reason == DeclinedLeaving}
+		return outcome.Declined{
+			Reason: reason, Leaving: reason == DeclinedLeaving, RetryAfter: retryafter.Of(resp.Header, clock.Now()),
+		}
 	}
 	if x.Streamed && resp.StatusCode == http.StatusOK {
 		result := c.stream(ctx, x, resp, stall)
--- a/targets/targets_test.go
+++ b/targets/targets_test.go
@@ -8,6 +8,7 @@
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptest"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -107,3 +108,19 @@
 		}
 	}
 }
+
+// TestDecliningTargetIsTakenAtItsWord reads for how long a target asks for no requests.
+func TestDecliningTargetIsTakenAtItsWord(t *testing.T) {
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		w.Header().Set(targets.HeaderRequestID, r.Header.Get(targets.HeaderRequestID))
+		w.Header().Set(targets.HeaderDeclined, "busy")
+		w.Header().Set("Retry-After", "2.5")
+		w.WriteHeader(http.StatusServiceUnavailable)
+	}))
+	t.Cleanup(server.Close)
+	c := targets.NewClient(targets.Options{})
+	result := c.Do(t.Context(), targets.Exchange{
+		Request: "r", Target: targets.Endpoint{Address: server.Listener.Addr().String()}, Method: http.MethodPost, Path: "/x", Sink: discard{},
+	})
+	require.Equal(t, outcome.Declined{Reason: "busy", RetryAfter: 2500 * time.Millisecond}, result)
+}
