--- a/core/health/health.go
+++ b/core/health/health.go
@@ -76,7 +76,7 @@
 	ReportSeq uint64
 	// Boot is the start of the target as reported; a new one clears signs.
 	Boot uint64
-	// BackoffUntil is the end of the backoff that the target asked this host for.
+	// BackoffUntil is the end of the backoff that the target requested of this host.
 	BackoffUntil time.Time
 }
 
@@ -113,7 +113,7 @@
 // not make the target unusable.
 func (t Target) BackoffLeft(now time.Time) time.Duration { return max(0, t.BackoffUntil.Sub(now)) }
 
-// WithBackoff records that the target asked for a backoff.
+// WithBackoff records that the target requested a backoff.
 func (t Target) WithBackoff(d time.Duration, now time.Time) Target {
 	if until := now.Add(d); until.After(t.BackoffUntil) {
 		t.BackoffUntil = until
--- a/core/host/backoff.go
+++ b/core/host/backoff.go
@@ -11,9 +11,9 @@
 	"github.com/yardhall/yardhall/core/routing"
 )
 
-// In listed fleets too, a target that declines may ask for a backoff: no requests from this host for
+// In listed fleets too, a target that declines may request a backoff: no requests from this host for
 // a time. Workers of plain services, and engines that this host picks by its own view, are passed
-// over. Owners of engine groups do not know of it, as it is this host's: they are asked for another
+// over. Owners of engine groups do not know of it, as it is this host's: they get requests for another
 // engine, and a permit that comes for this one is given back.
 //
 // Inputs: what targets say as they decline.
--- /dev/null
+++ b/core/host/drawfault_test.go
@@ -0,0 +1,50 @@
+// Copyright 2026 The Yardhall Authors. Licensed under the Apache License, Version 2.0.
+
+package host_test
+
+import (
+	"math/rand/v2"
+	"time"
+
+	"github.com/yardhall/yardhall/core/ident"
+)
+
+// leaderFaults are the faults that may be drawn for the leader.
+type leaderFaults struct{ cut, stop bool }
+
+// drawFault brings about one of the faults that are drawn: entry hosts with slow links, cut off,
+// stopped and started again, and the leader's.
+func (f *seededFleet) drawFault(r *rand.Rand, entries int, slow map[ident.Host]time.Duration, faults leaderFaults) {
+	id := entryName(r.IntN(entries))
+	switch r.IntN(30) {
+	case 0:
+		slow[id] = time.Duration(r.IntN(6000)) * time.Millisecond
+	case 1:
+		delete(slow, id)
+	case 2:
+		f.cutOff(id, r.IntN(2) == 0)
+	case 3:
+		f.stop(id)
+	case 4:
+		f.start(id)
+	case 5:
+		f.disturbLeader(faults)
+	}
+}
+
+func (f *seededFleet) disturbLeader(faults leaderFaults) {
+	leader := f.leader()
+	if leader == "" {
+		return
+	}
+	if faults.cut {
+		f.cutOff(leader, true)
+		f.run(2 * time.Second)
+		f.cutOff(leader, false)
+	}
+	if faults.stop {
+		f.stop(leader)
+		f.run(time.Second)
+		f.start(leader)
+	}
+}
--- a/core/host/host.go
+++ b/core/host/host.go
@@ -26,7 +26,7 @@
 //	write.go, read.go            how writes and reads reach the leader
 //	replica.go                   what a committed entry changes
 //	admit.go, call.go, retry.go  listed fleets: callers' requests
-//	backoff.go                   targets that asked this host for no requests
+//	backoff.go                   targets that requested a backoff of this host
 //	place.go, owner.go           permits of engine groups, on both sides
 //	claim.go                     the right to run once
 //	orders.go, repair.go         fenced orders, and replacing lost engines
@@ -287,16 +287,3 @@
 		t.stepRaft(raft.Receive{From: m.From, Message: m.Message})
 	}
 }
-
-func (t *transition) drain() {
-	if t.draining {
-		return
-	}
-	t.draining = true
-	t.note(NoteDrain, string(t.settings.ID), "")
-	if !t.settings.Seeded() {
-		t.sendHeartbeats()
-		t.ownersChanged()
-	}
-	t.stepRaft(raft.HandOver{})
-}
--- a/core/host/inforce_test.go
+++ b/core/host/inforce_test.go
@@ -187,25 +187,7 @@
 			pending := map[uint64]string{}
 			number := uint64(1)
 			for step := range 160 {
-				id := entryName(r.IntN(entries))
-				switch r.IntN(30) {
-				case 0:
-					slow[id] = time.Duration(r.IntN(6000)) * time.Millisecond
-				case 1:
-					delete(slow, id)
-				case 2:
-					f.cutOff(id, r.IntN(2) == 0)
-				case 3:
-					f.stop(id)
-				case 4:
-					f.start(id)
-				case 5:
-					if leader := f.leader(); seed%2 == 0 && leader != "" {
-						f.cutOff(leader, true)
-						f.run(2 * time.Second)
-						f.cutOff(leader, false)
-					}
-				}
+				f.drawFault(r, entries, slow, leaderFaults{cut: seed%2 == 0})
 				if step%20 == 0 {
 					number++
 					at := replicaName(r.IntN(3))
--- a/core/host/retry.go
+++ b/core/host/retry.go
@@ -114,7 +114,7 @@
 	case outcome.Declined:
 		if a.RetryAfter > 0 {
 			h = h.WithBackoff(a.RetryAfter, t.now)
-			t.note(NoteTarget, string(id), fmt.Sprintf("declined, asked for a backoff of %s", a.RetryAfter))
+			t.note(NoteTarget, string(id), fmt.Sprintf("declined, requested a backoff of %s", a.RetryAfter))
 		}
 		if a.Leaving {
 			h = h.WithLeaving(true, t.now)
--- a/core/host/zones_test.go
+++ b/core/host/zones_test.go
@@ -157,7 +157,7 @@
 			slow := map[ident.Host]time.Duration{}
 			f.hold = func(p seededPacket) time.Duration { return slow[p.from] + slow[p.to] }
 			for step := range 240 {
-				f.disturbOrders(r, entries, slow, seed)
+				f.drawFault(r, entries, slow, leaderFaults{cut: seed%3 == 0, stop: seed%3 == 1})
 				if step%12 == 0 {
 					seq++
 					f.beatIn(replicaName(r.IntN(3)), "w", "hall-a", seq)
@@ -179,35 +179,6 @@
 	}
 }
 
-// disturbOrders brings about one of the faults that are drawn.
-func (f *seededFleet) disturbOrders(r *rand.Rand, entries int, slow map[ident.Host]time.Duration, seed uint64) {
-	id := entryName(r.IntN(entries))
-	switch r.IntN(30) {
-	case 0:
-		slow[id] = time.Duration(r.IntN(6000)) * time.Millisecond
-	case 1:
-		delete(slow, id)
-	case 2:
-		f.cutOff(id, r.IntN(2) == 0)
-	case 3:
-		f.stop(id)
-	case 4:
-		f.start(id)
-	case 5:
-		leader := f.leader()
-		if seed%3 == 0 && leader != "" {
-			f.cutOff(leader, true)
-			f.run(2 * time.Second)
-			f.cutOff(leader, false)
-		}
-		if seed%3 == 1 && leader != "" {
-			f.stop(leader)
-			f.run(time.Second)
-			f.start(leader)
-		}
-	}
-}
-
 // TestOrdersOutliveTheirFleet drains a zone, then kills the leader, loses a disk, changes the
 // route table, takes all power and replaces a replica: the zone stays drained until an order
 // takes it back.
--- a/core/outcome/outcome.go
+++ b/core/outcome/outcome.go
@@ -51,7 +51,7 @@
 		Reason string
 		// Leaving is true where it declined as it is being stopped.
 		Leaving bool
-		// RetryAfter is when the target may be asked again, as it says; 0 for no advice.
+		// RetryAfter is when the target may be tried again, as it says; 0 for no advice.
 		RetryAfter time.Duration
 	}
 	// Broken means that bytes were sent and the whole answer did not come.
--- a/core/requests/crowded.go
+++ b/core/requests/crowded.go
@@ -34,8 +34,7 @@
 	// host uses at least.
 	hostsPerEngine = 3.5
 	fewestOwn      = 3
-	// shortShared is the number of shared tokens, in tokens, below which a prompt is cheap to
-	// read anywhere.
+	// shortShared is a number of tokens: a prompt that shares fewer is cheap to read anywhere.
 	shortShared = 4096
 )
 
--- a/core/requests/notice.go
+++ b/core/requests/notice.go
@@ -9,7 +9,7 @@
 	"github.com/yardhall/yardhall/core/outcome"
 )
 
-// A worker that declines may ask for a backoff: no requests from this host for a time. It is
+// A worker that declines may request a backoff: no requests from this host for a time. It is
 // obeyed on every path: first attempts, retries, resends and the last resort. A worker that declines
 // everything has no load and answers at once, so that it would look better than those that serve.
 //
@@ -20,13 +20,13 @@
 // may be late, or reach replicas that this host cannot. Only another process under its id is used
 // again.
 //
-// Where all workers of a pool back off, requests are refused at once. Callers are told when the
-// first worker is available again, the most urgent ones first, and spread over a while so that they
-// do not return together. A caller whose request was declined while other workers are available
+// Where all workers of a pool back off, requests are refused at once. Retry-After
+// is the time until the first worker is available again; the most urgent callers return first, and
+// those of one rank spread over a while. A caller whose request was declined while other workers are available
 // returns at once.
 //
-// A worker that starts again may ask for a backoff before its registration tells of the start. So a
-// start ends only backoffs that were asked for longer ago than a registration takes.
+// A worker that starts again may request a backoff before its registration tells of the start. So a
+// start ends only backoffs that were requested longer ago than a registration takes.
 //
 // Inputs: what workers say with their answers, the pool's workers, the request's rank.
 
@@ -63,7 +63,7 @@
 	w.saysLeaving = w.saysLeaving || n.Leaving
 	w.fullUntil = latest(w.fullUntil, now.Add(n.Reluctance))
 	if n.Backoff > 0 {
-		w.backoffAskedAt, w.backoffUntil = now, latest(w.backoffUntil, now.Add(n.Backoff))
+		w.backoffRequestedAt, w.backoffUntil = now, latest(w.backoffUntil, now.Add(n.Backoff))
 	}
 	return w
 }
@@ -90,7 +90,7 @@
 // backoffVerdict ends a call where all workers back off.
 func (t *transition) backoffVerdict(c call, v Verdict) Verdict {
 	if c.attempt == 0 {
-		v.Code, v.Reason = CodeOverloaded, "all workers of the service asked for a backoff"
+		v.Code, v.Reason = CodeOverloaded, "all workers of the service requested a backoff"
 	}
 	if c.combined == outcome.NotRun {
 		v.RetryAfter = t.retryAfterBackoff(c)
@@ -128,8 +128,8 @@
 		t.noticed(next, "its answer says that it leaves")
 	}
 	if ev.Notice.Backoff > 0 && w.backoffLeft(t.now) == 0 {
-		t.counters.BackoffsAsked++
-		t.noticed(next, fmt.Sprintf("declined, asked for a backoff of %s", ev.Notice.Backoff))
+		t.counters.Backoffs++
+		t.noticed(next, fmt.Sprintf("declined, requested a backoff of %s", ev.Notice.Backoff))
 	}
 }
 
--- a/core/requests/requests.go
+++ b/core/requests/requests.go
@@ -177,8 +177,8 @@
 	// same worker again.
 	Declined uint64
 	Resent   uint64
-	// BackoffsAsked counts the backoffs that workers asked for.
-	BackoffsAsked uint64
+	// Backoffs counts the backoffs that workers requested.
+	Backoffs uint64
 	// Overflowed counts requests that their preferred engine had no room for.
 	Overflowed uint64 `json:"Spilled"`
 	// Waited counts requests that waited for this host to start, WaitedUnserved is the
--- a/core/requests/resend.go
+++ b/core/requests/resend.go
@@ -55,7 +55,7 @@
 	return w, ok && w.healthy(t.now) && w.backoffLeft(t.now) == 0 && !t.closed(w.Zone) && !w.cold(t.now) && !t.isRefused(c)
 }
 
-// pauseEnded sends a request to its worker once more, unless the worker has asked for a backoff,
+// pauseEnded sends a request to its worker once more, unless the worker has requested a backoff,
 // left, or been drained during the pause.
 func (t *transition) pauseEnded(ev PauseEnded) {
 	c, ok := t.calls.Get(ev.Request)
--- a/core/requests/restart.go
+++ b/core/requests/restart.go
@@ -37,7 +37,7 @@
 	w.health, w.inFlight, w.fullUntil, w.replaced = health.Target{}, 0, time.Time{}, false
 	w.selfReported, w.selfReportedAt = 0, time.Time{}
 	w.declinedAt, w.saysLeaving = time.Time{}, false
-	if now.Sub(w.backoffAskedAt) > registrationDelay {
+	if now.Sub(w.backoffRequestedAt) > registrationDelay {
 		w.backoffUntil = time.Time{}
 	}
 	return w
--- a/core/requests/worker.go
+++ b/core/requests/worker.go
@@ -44,10 +44,10 @@
 	declinedAt time.Time
 	fullUntil  time.Time
 	// saysLeaving is set once an answer said that the worker leaves, backoffUntil is the end of
-	// the backoff that it asked for at backoffAskedAt.
-	saysLeaving    bool
-	backoffUntil   time.Time
-	backoffAskedAt time.Time
+	// the backoff that it requested at backoffRequestedAt.
+	saysLeaving        bool
+	backoffUntil       time.Time
+	backoffRequestedAt time.Time
 	// coldUntil is when the worker is warm, coldSentAt when this host last sent it a request
 	// while it was cold.
 	coldUntil  time.Time
@@ -160,8 +160,8 @@
 	}
 }
 
-// lastState is the worker's state for as long as it is remembered: one that leaves is as good as
-// gone once nothing is heard of it, so that a late heartbeat does not bring it back.
+// lastState is the state by which the worker is forgotten. One that leaves is kept for as long as
+// one that is gone, so that a late heartbeat does not make it available again.
 func (w worker) lastState() registry.State {
 	if w.saysLeaving && w.State == registry.Silent {
 		return registry.Gone
