soak: Check backoffs and leaving workers in mixed fleets too

Cause: fleets that were mixed with an earlier program left both checks out, so that nothing showed what hosts of this program do beside it. Change: workers say what they want there too; hosts that run the earlier program at a time are left out of the check for it.

--- a/soak/declines_test.go
+++ b/soak/declines_test.go
@@ -44,14 +44,11 @@
 	maxLeaveGap = 5 * time.Second
 )
 
-// workersSpeak tells whether workers say what they want: an earlier program does not read it.
-func workersSpeak() bool { return *earlier == "" }
-
 // drawBackoff draws the backoff that a worker that declines asks for; 0 for none.
 func (w *soakWorker) drawBackoff() time.Duration {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	if !workersSpeak() || w.backoffs.Float64() >= backoffShare {
+	if w.backoffs.Float64() >= backoffShare {
 		return 0
 	}
 	return minBackoff + time.Duration(w.backoffs.Int64N(int64(maxBackoff-minBackoff)))
@@ -86,9 +83,10 @@
 // start again as another process. Its heartbeats go on as those of a worker that is ready.
 func (r *restarts) leave(d time.Duration) {
 	random := rand.New(rand.NewPCG(r.faults.fleet.seed, 97))
-	for until := time.Now().Add(d); workersSpeak() && time.Now().Before(until); {
+	some := r.restarted()
+	for until := time.Now().Add(d); time.Now().Before(until) && len(some) > 0; {
 		time.Sleep(minLeaveGap + time.Duration(random.Int64N(int64(maxLeaveGap-minLeaveGap))))
-		w := r.faults.fleet.workers[random.IntN(len(r.faults.fleet.workers))]
+		w := some[random.IntN(len(some))]
 		if w.isDown() {
 			continue
 		}
@@ -98,22 +96,22 @@
 	}
 }
 
-// checkNotices checks what hosts did after a worker had told them something: nothing reached it
-// within its backoff, and nothing that a caller sent well after an answer that said that it
-// leaves.
+// checkNotices checks what hosts did after an answer: nothing reached the worker within its backoff,
+// and nothing that a caller sent well after an answer that said that it leaves. An earlier program
+// reads neither, so that its hosts are left out.
 func (e evidence) checkNotices() (out []string) {
 	byID := map[string]request{}
 	for _, r := range e.requests {
 		byID[r.id] = r
 	}
 	type path struct {
-		entry, worker node
-		life          int
+		entry, worker  node
+		hostLife, life int
 	}
 	told := map[path][]notice{}
 	for _, n := range e.fleet.runs.noticesSoFar() {
-		if r, ok := byID[n.request]; ok {
-			p := path{r.entry, n.worker, n.life}
+		if r, ok := byID[n.request]; ok && e.fleet.program(r.entry, r.life-1) == *binary {
+			p := path{r.entry, n.worker, r.life, n.life}
 			told[p] = append(told[p], n)
 		}
 	}
--- a/soak/restarts_test.go
+++ b/soak/restarts_test.go
@@ -33,14 +33,20 @@
 	return &restarts{faults: x, operator: o, random: rand.New(rand.NewPCG(x.fleet.seed, 98))}
 }
 
-// run restarts one worker after the other for a time. An earlier program takes what a worker
-// that has started again says for late, also that it leaves; so a fleet that is mixed with
-// one keeps half of its workers, among them the one that leaves at the end.
-func (r *restarts) run(d time.Duration) {
+// restarted are the workers that start again. An earlier program takes what such a worker says for
+// late, also that it leaves; so a fleet that is mixed with one keeps half of its workers, among
+// them the one that leaves at the end.
+func (r *restarts) restarted() []*soakWorker {
 	some := r.faults.fleet.workers
 	if *earlier != "" {
 		some = some[len(some)/2:]
 	}
+	return some
+}
+
+// run restarts one worker after the other for a time.
+func (r *restarts) run(d time.Duration) {
+	some := r.restarted()
 	for until := time.Now().Add(d); time.Now().Before(until) && len(some) > 0; {
 		time.Sleep(r.between(minRestartGap, maxRestartGap))
 		w := some[r.random.IntN(len(some))]
