--- a/core/ident/ident.go
+++ b/core/ident/ident.go
@@ -28,6 +28,8 @@
 	Target string
 	// Service names a plain service or a model pool.
 	Service string
+	// Version names the version of a target's software; empty if the target does not report it.
+	Version string
 	// Model names a model as callers write it, version included.
 	Model string
 	// Class names a priority class.
