core/requests: Keep known workers packed, and choose engines by one scan

Cause: each host held each of the fleet's targets at 1.2 KB of live heap: a full worker, of which 700 bytes say nothing of a target never used here, a pool member with a copy of what decisions need, and an index by address made of tables.

Change: a worker of which only the registration is known is a packed member of its pool; the full one is kept while it says more, and dropped a minute after its last use. Addresses are indexed by hash. An engine is chosen by one scan that keeps the first 16 of the rendezvous order; the list of all candidates is built only where these do not tell.

--- a/core/health/health.go
+++ b/core/health/health.go
@@ -96,6 +96,17 @@
 	return t.Failures == 0 && !t.LastGood.IsZero() && now.Sub(t.LastGood) < successLifetime
 }
 
+// IsForgettable reports whether the last result and every state that it led to ended long ago, and
+// nothing else is known of the target.
+func (t Target) IsForgettable(now time.Time, after time.Duration) bool {
+	for _, until := range []time.Time{t.EjectedUntil, t.LastGood, t.LeavingUntil, t.LeavingReportedUntil, t.BackoffUntil} {
+		if now.Sub(until) <= after {
+			return false
+		}
+	}
+	return t.Listing == Unlisted && t.ReportSeq == 0 && t.Boot == 0
+}
+
 // IsLeaving reports whether the target is leaving, by its own report, another host's or the
 // platform's list.
 func (t Target) IsLeaving(now time.Time) bool {
--- a/core/loads/loads.go
+++ b/core/loads/loads.go
@@ -32,7 +32,10 @@
 )
 
 // TagOf returns the tag of a worker.
-func TagOf(id ident.Target) Tag { return Tag(hash.Of(string(id)) & tagMask) }
+func TagOf(id ident.Target) Tag { return TagOfKey(hash.Of(string(id))) }
+
+// TagOfKey returns the tag of the worker whose id has a hash.
+func TagOfKey(key hash.Key) Tag { return Tag(key & tagMask) }
 
 // Counts are the numbers of requests in flight by worker.
 type Counts map[Tag]int
--- a/core/registry/address.go
+++ b/core/registry/address.go
@@ -7,7 +7,6 @@
 	"time"
 
 	"github.com/yardhall/yardhall/core/ident"
-	"github.com/yardhall/yardhall/core/table"
 )
 
 // An address belongs to the process that started last there, where both say when they
@@ -142,48 +141,12 @@
 	return w, e, true
 }
 
-// Addresses tells, for a host that gets reports of several registries, which processes
-// were registered at each address, in the order in which they came. It is immutable; the
-// zero value is empty.
-type Addresses struct {
-	at table.Table[string, []ident.Target]
-}
-
-// With adds a worker at an address.
-func (a Addresses) With(address string, id ident.Target) Addresses {
-	here, _ := a.at.Get(address)
-	if address == "" || slices.Contains(here, id) {
-		return a
-	}
-	a.at = a.at.With(address, append(slices.Clone(here), id))
-	return a
-}
-
-// Without takes a worker out at an address.
-func (a Addresses) Without(address string, id ident.Target) Addresses {
-	here, ok := a.at.Get(address)
-	if !ok {
-		return a
-	}
-	here = slices.DeleteFunc(slices.Clone(here), func(other ident.Target) bool { return other == id })
-	if len(here) == 0 {
-		a.at = a.at.Without(address)
-		return a
-	}
-	a.at = a.at.With(address, here)
-	return a
-}
-
-// At are the workers at an address. The list must not be changed.
-func (a Addresses) At(address string) []ident.Target {
-	here, _ := a.at.Get(address)
-	return here
-}
-
-// Displaced reports whether a live process registered later at the worker's address.
-func (a Addresses) Displaced(w Worker, get func(ident.Target) (Worker, bool)) bool {
-	own := slices.Index(a.At(w.Address), w.ID)
-	for i, id := range a.At(w.Address) {
+// Displaced reports, for a host that gets reports of several registries, whether a live process
+// registered later at a worker's address. here are the workers registered there, in the order in
+// which they came.
+func Displaced(w Worker, here []ident.Target, get func(ident.Target) (Worker, bool)) bool {
+	own := slices.Index(here, w.ID)
+	for i, id := range here {
 		other, ok := get(id)
 		alive := other.State == Ready || other.State == Draining
 		if id == w.ID || !ok || !alive || other.Address != w.Address {
--- a/core/registry/incarnation.go
+++ b/core/registry/incarnation.go
@@ -79,12 +79,23 @@
 	return r, true
 }
 
-// recordOf returns a record with a single report.
-func recordOf(w Worker) Record {
+// RecordOf returns a record with a single report.
+func RecordOf(w Worker) Record {
 	r, _ := Record{}.With(w)
 	return r
 }
 
+// Only returns the report of a record that has a single one.
+func (r Record) Only() (Worker, bool) {
+	switch {
+	case r.undated == nil:
+		return r.dated, r.dated.ID != ""
+	case r.dated.ID == "":
+		return *r.undated, true
+	}
+	return Worker{}, false
+}
+
 // Worker returns the worker by its newest report.
 func (r Record) Worker() Worker {
 	switch {
--- a/core/registry/registry.go
+++ b/core/registry/registry.go
@@ -138,7 +138,7 @@
 	old := e.record.Worker()
 	old.Seq, old.Cold = w.Seq, w.Cold
 	if old == w && e.isAsCold(w, now) {
-		e.record, e.lastSeen = recordOf(w), now
+		e.record, e.lastSeen = RecordOf(w), now
 		r.workers = r.workers.With(w.ID, e)
 		return r, false
 	}
@@ -177,7 +177,7 @@
 
 // with replaces a worker's record.
 func (r Registry) with(e entry, w Worker, now time.Time) Registry {
-	e.record = recordOf(w)
+	e.record = RecordOf(w)
 	return r.withEntry(w.ID, e, now)
 }
 
--- a/core/requests/cachesource.go
+++ b/core/requests/cachesource.go
@@ -18,15 +18,23 @@
 // Inputs: the pool's workers, their health, and how this request's attempts ended.
 
 // cacheSource returns the address of the engine that most likely has the prompt's shared parts
-// cached; empty if there is none.
-func (t *transition) cacheSource(c call, picked worker) string {
+// cached; empty if there is none. first are the first engines in the rendezvous order, as far as
+// known.
+func (t *transition) cacheSource(c call, picked worker, first []candidate) string {
+	for _, e := range first {
+		if w := e.member.worker(t.workers.base); w.ID != picked.ID && t.canServeCache(c, &w) {
+			return w.Address
+		}
+	}
 	key, bestAddress, bestScore := prefixKey(c), "", uint64(0)
 	for m := range t.workers.Pool(c.pool.ID).All() {
 		score := hash.Mix(key, m.key)
-		if bestAddress != "" && score <= bestScore || m.id == picked.ID || !t.canServeCache(c, m.worker) {
+		if bestAddress != "" && score <= bestScore {
 			continue
 		}
-		bestAddress, bestScore = m.Address, score
+		if w := m.worker(t.workers.base); w.ID != picked.ID && t.canServeCache(c, &w) {
+			bestAddress, bestScore = w.Address, score
+		}
 	}
 	return bestAddress
 }
--- a/core/requests/choose.go
+++ b/core/requests/choose.go
@@ -5,6 +5,7 @@
 import (
 	"math"
 	"slices"
+	"unique"
 
 	"github.com/yardhall/yardhall/core/hash"
 	"github.com/yardhall/yardhall/core/ident"
@@ -36,10 +37,10 @@
 // candidate holds what a choice needs of one worker. It is small, as each choice scans every
 // worker of the pool.
 type candidate struct {
-	id   ident.Target
-	key  hash.Key
-	zone ident.Zone
-	load int
+	member *member
+	key    hash.Key
+	zone   ident.Zone
+	load   int
 	// smoothedLoad is the load with other hosts' requests averaged over time.
 	smoothedLoad float64
 	slots        int
@@ -70,6 +71,9 @@
 
 // chooseWorker returns the worker for the call's next attempt. It reports false if there is none.
 func (t *transition) chooseWorker(c call) (choice, bool) {
+	if picked, ok := t.scanForEngine(c); ok {
+		return picked, true
+	}
 	view := t.poolView(c)
 	candidates := view.candidates()
 	if len(candidates) == 0 {
@@ -115,57 +119,115 @@
 	return len(v.available)+len(v.draining) > 0
 }
 
+// memberClass is what a call may do with a member of its pool.
+type memberClass uint8
+
+const (
+	// unused members have no load and take none.
+	unused memberClass = iota
+	// excluded members may have load, but the call may not use them.
+	excluded
+	// coldSkipped members are cold, and this host may send them nothing at present.
+	coldSkipped
+	// shiftedAway members are in a zone being drained that the call avoids.
+	shiftedAway
+	// lastResort members may be alive.
+	lastResort
+	available
+)
+
 // poolView classifies the workers of the call's pool.
 func (t *transition) poolView(c call) poolView {
 	members := t.workers.Pool(c.pool.ID)
 	v := poolView{available: make([]candidate, 0, members.Len())}
-	estimate, openZones := t.loadEstimate(t.now), t.openZones()
+	estimate, open := t.loadEstimate(t.now), t.openZones()
 	for m := range members.All() {
-		if m.isAvailable(t.now) && len(c.tried) == 0 && slices.Contains(openZones, m.zone) {
-			v.add(&v.available, estimate.candidate(m))
-			continue
-		}
-		w := m.worker
-		if !w.mayHaveLoad() {
+		current, class := t.classify(c, m, estimate, open)
+		if class == unused {
 			continue
 		}
-		current := estimate.candidate(m)
-		current.coldLimited = t.isColdLimited(c.pool, w)
 		v.alive++
 		v.totalLoad += current.load
-		if t.isZoneClosed(w.Zone) || slices.Contains(c.tried, m.id) || w.backoffLeft(t.now) > 0 {
-			continue
-		}
-		switch usable := w.available(t.now) && t.isZoneReachable(w.Zone); {
-		case !t.mayUseCold(c.pool, w):
+		switch class {
+		case coldSkipped:
 			v.coldSkipped++
-		case usable && t.drainedZones.IsDrained(w.Zone) && t.isShiftedAway(c, w.Zone):
+		case shiftedAway:
 			v.draining = append(v.draining, current)
-		case usable:
-			v.available = append(v.available, current)
-		case w.mayBeAlive() && !t.drainedZones.IsDrained(w.Zone):
+		case lastResort:
 			v.lastResort = append(v.lastResort, current)
+		case available:
+			v.available = append(v.available, current)
+		case unused, excluded:
 		}
 	}
 	return v
 }
 
-// add counts a worker's load and adds the worker to one of the view's lists.
-func (v *poolView) add(to *[]candidate, current candidate) {
-	v.alive++
-	v.totalLoad += current.load
-	*to = append(*to, current)
+// classify returns a member of the call's pool with its load, and its class.
+func (t *transition) classify(c call, m *member, estimate loadEstimate, open openZones) (candidate, memberClass) {
+	if m.isAvailable(t.now) && len(c.tried) == 0 && open.has(m.placement) {
+		return estimate.candidate(m), available
+	}
+	w := m.worker(t.workers.base)
+	if !w.mayHaveLoad() {
+		return candidate{}, unused
+	}
+	current := estimate.candidate(m)
+	current.coldLimited = t.isColdLimited(c.pool, &w)
+	if t.isZoneClosed(w.Zone) || slices.Contains(c.tried, w.ID) || w.backoffLeft(t.now) > 0 {
+		return current, excluded
+	}
+	switch usable := w.available(t.now) && t.isZoneReachable(w.Zone); {
+	case !t.mayUseCold(c.pool, &w):
+		return current, coldSkipped
+	case usable && t.drainedZones.IsDrained(w.Zone) && t.isShiftedAway(c, w.Zone):
+		return current, shiftedAway
+	case usable:
+		return current, available
+	case w.mayBeAlive() && !t.drainedZones.IsDrained(w.Zone):
+		return current, lastResort
+	}
+	return current, excluded
+}
+
+// openZones holds the zones that are reachable and not drained. It remembers the placements last
+// looked up, as there are few and comparing two is cheap.
+type openZones struct {
+	zones []ident.Zone
+	known *[placementsKnown]knownPlacement
+}
+
+// placementsKnown is the number of placements remembered by an openZones.
+const placementsKnown = 16
+
+// knownPlacement says whether the zone of a placement is open.
+type knownPlacement struct {
+	placement unique.Handle[placement]
+	isOpen    bool
+}
+
+// has reports whether the zone of a placement is open.
+func (o openZones) has(p unique.Handle[placement]) bool {
+	for i := range o.known {
+		if o.known[i].placement == p {
+			return o.known[i].isOpen
+		}
+	}
+	isOpen := slices.Contains(o.zones, p.Value().zone)
+	copy(o.known[1:], o.known[:placementsKnown-1])
+	o.known[0] = knownPlacement{placement: p, isOpen: isOpen}
+	return isOpen
 }
 
 // openZones returns the zones of workers that are reachable and not drained.
-func (t *transition) openZones() []ident.Zone {
-	var out []ident.Zone
+func (t *transition) openZones() openZones {
+	o := openZones{known: &[placementsKnown]knownPlacement{}}
 	for zone := range t.workers.Zones() {
 		if t.isZoneReachable(zone) && !t.drainedZones.IsDrained(zone) {
-			out = append(out, zone)
+			o.zones = append(o.zones, zone)
 		}
 	}
-	return out
+	return o
 }
 
 // choosePlain draws one of the workers by weight.
@@ -235,6 +297,6 @@
 			position++
 		}
 	}
-	w, _ := t.workers.Get(candidates[index].id)
+	w, _ := t.workers.Get(candidates[index].member.idOf())
 	return choice{worker: w, position: position, candidates: len(candidates)}
 }
--- a/core/requests/drained.go
+++ b/core/requests/drained.go
@@ -96,7 +96,7 @@
 	if c.attempt > 0 || t.drainedZones.Revision == 0 {
 		return false
 	}
-	for w := range t.workers.Pool(c.pool.ID).All() {
+	for w := range t.workers.Workers(c.pool.ID) {
 		if w.State == registry.Ready && t.drainedZones.IsDrained(w.Zone) {
 			return true
 		}
--- a/core/requests/engine.go
+++ b/core/requests/engine.go
@@ -47,9 +47,7 @@
 	smoothedBound := t.loadBound(meanLoadOf(candidates)) * (1 - t.headroom(c))
 	scoreCandidates(candidates, prefixKey(c))
 	bound := t.loadBound(mean)
-	hasRoom := func(w candidate) bool {
-		return w.smoothedLoad+1 <= smoothedBound && float64(w.load) <= bound && w.load < w.slots
-	}
+	hasRoom := func(w candidate) bool { return w.hasRoom(smoothedBound, bound) }
 	index := -1
 	if isNearSaturation(meanLoadOf(candidates), bound) && hasCheapPrefix(c) {
 		index = t.leastLoadedInSubset(c, candidates)
@@ -66,13 +64,23 @@
 	if index < 0 {
 		index = leastLoaded(candidates)
 	}
-	picked := t.choiceOf(candidates, index)
+	return t.completeEngineChoice(c, t.choiceOf(candidates, index), mean, nil)
+}
+
+// hasRoom reports whether an engine's loads are within the bounds and a slot is free.
+func (w candidate) hasRoom(smoothedBound, bound float64) bool {
+	return w.smoothedLoad+1 <= smoothedBound && float64(w.load) <= bound && w.load < w.slots
+}
+
+// completeEngineChoice counts a choice and adds the source of its prefix. first are the first engines
+// in the rendezvous order, in any state; nil if they are not known.
+func (t *transition) completeEngineChoice(c call, picked choice, mean float64, first []candidate) choice {
 	picked.meanLoad = mean
 	if picked.position > 0 {
 		t.counters.Overflowed++
 	}
 	if c.pool.Moves && len(c.req.Prompt.Parts) > 1 {
-		picked.cacheFrom = t.cacheSource(c, picked.worker)
+		picked.cacheFrom = t.cacheSource(c, picked.worker, first)
 	}
 	return picked
 }
--- a/core/requests/load.go
+++ b/core/requests/load.go
@@ -33,6 +33,7 @@
 	weight := 1 - math.Exp(-ev.AsOf.Sub(t.reportedAsOf).Seconds()/smoothingTime.Seconds())
 	t.smoothedLoads = smoothed(t.smoothedLoads, reported, min(1, max(0, weight)))
 	t.reportedLoads, t.reportedAsOf = reported, ev.AsOf
+	t.loadedTags = tagFilterOf(t.smoothedLoads)
 }
 
 // smoothed returns the moving average after new counts, which enter it with the given weight.
@@ -49,6 +50,26 @@
 	return next
 }
 
+// tagFilter tells which tags may be among the reported or smoothed loads, by a part of their bits. In
+// a large fleet most workers have no requests, and a look into it is far cheaper than one into a map.
+type tagFilter [tagFilterBits / 64]uint64
+
+// tagFilterBits is several times the number of workers in use in the largest fleet.
+const tagFilterBits = 1 << 16
+
+// tagFilterOf returns the filter of the smoothed loads, which include all reported ones.
+func tagFilterOf(smoothed map[loads.Tag]float64) *tagFilter {
+	var f tagFilter
+	for tag := range smoothed {
+		f[tag%tagFilterBits/64] |= 1 << (tag % 64)
+	}
+	return &f
+}
+
+func (f *tagFilter) mayHave(tag loads.Tag) bool {
+	return f != nil && f[tag%tagFilterBits/64]&(1<<(tag%64)) != 0
+}
+
 // minSmoothedLoad is the number of requests below which an average is dropped.
 const minSmoothedLoad = 0.01
 
@@ -56,6 +77,7 @@
 type loadEstimate struct {
 	reported loads.Counts
 	smoothed map[loads.Tag]float64
+	loaded   *tagFilter
 	asOf     time.Time
 	now      time.Time
 	// fresh is set if the reported loads are not older than reportTTL.
@@ -64,7 +86,7 @@
 
 func (s State) loadEstimate(now time.Time) loadEstimate {
 	return loadEstimate{
-		reported: s.reportedLoads, smoothed: s.smoothedLoads, asOf: s.reportedAsOf, now: now,
+		reported: s.reportedLoads, smoothed: s.smoothedLoads, loaded: s.loadedTags, asOf: s.reportedAsOf, now: now,
 		fresh: now.Sub(s.reportedAsOf) <= reportTTL,
 	}
 }
@@ -72,24 +94,37 @@
 // candidate returns a member of a pool with its load, and with other hosts' requests averaged over
 // time.
 func (l loadEstimate) candidate(m *member) candidate {
-	c := candidate{id: m.id, key: m.key, zone: m.zone, slots: m.slots, load: m.inFlight, smoothedLoad: float64(m.inFlight)}
-	if l.fresh {
-		c.smoothedLoad += l.smoothed[m.tag]
+	p, tag := m.placement.Value(), loads.TagOfKey(m.key)
+	mayBeLoaded := l.fresh && l.loaded.mayHave(tag)
+	c := candidate{member: m, key: m.key, zone: p.zone, slots: p.slots}
+	if m.full != nil {
+		c.load, c.smoothedLoad = m.full.inFlight, float64(m.full.inFlight)
+	}
+	if mayBeLoaded {
+		c.smoothedLoad += l.smoothed[tag]
 	}
 	switch {
-	case m.selfReportedAt.After(l.asOf):
-		if l.now.Sub(m.selfReportedAt) <= reportTTL {
-			c.load += m.selfReported
+	case m.full != nil && m.full.selfReportedAt.After(l.asOf):
+		if l.now.Sub(m.full.selfReportedAt) <= reportTTL {
+			c.load += m.full.selfReported
 		}
-	case l.fresh:
-		c.load += l.reported[m.tag]
+	case mayBeLoaded:
+		c.load += l.reported[tag]
 	}
 	return c
 }
 
+// reportedLoad returns the requests of other hosts at a member whose own report is not known.
+func (l loadEstimate) reportedLoad(m *member) int {
+	if tag := loads.TagOfKey(m.key); l.fresh && l.loaded.mayHave(tag) {
+		return l.reported[tag]
+	}
+	return 0
+}
+
 // load estimates the requests that a worker has from all hosts.
 func (s State) load(w *worker, now time.Time) int {
-	m := newMember(w.ID, w)
+	m := packWorker(w, s.workers.base, "")
 	return s.loadEstimate(now).candidate(&m).load
 }
 
--- a/core/requests/notice.go
+++ b/core/requests/notice.go
@@ -72,7 +72,7 @@
 // if one has no backoff or there is none.
 func (t *transition) shortestBackoff(c call) time.Duration {
 	least := time.Duration(0)
-	for w := range t.workers.Pool(c.pool.ID).All() {
+	for w := range t.workers.Workers(c.pool.ID) {
 		if !w.mayBeAlive() || t.isZoneClosed(w.Zone) {
 			continue
 		}
--- a/core/requests/requests.go
+++ b/core/requests/requests.go
@@ -117,7 +117,7 @@
 	newerTableKnown bool
 	workers         workerSet
 	// addresses indexes workers by address, to find those that share one.
-	addresses        registry.Addresses
+	addresses        addressIndex
 	workersRemovedAt time.Time
 	// foundReplaced holds the workers that this host found to be replaced.
 	foundReplaced Replacements
@@ -137,6 +137,8 @@
 	reportedAsOf  time.Time
 	// smoothedLoads is a moving average of reportedLoads. Never modified in place.
 	smoothedLoads map[loads.Tag]float64
+	// loadedTags filters the tags of smoothedLoads. Never modified in place.
+	loadedTags *tagFilter
 	// reachabilityByZone holds the workers of each other zone that recently failed to respond,
 	// otherZones those of all other zones together.
 	reachabilityByZone table.Table[ident.Zone, reachability]
--- a/core/requests/spread.go
+++ b/core/requests/spread.go
@@ -24,7 +24,7 @@
 // first; nil if the first one alone is enough.
 func spreadSet(candidates []candidate, mean, bound float64) []int {
 	first := highestScored(candidates, func(candidate) bool { return true })
-	if float64(candidates[first].load)-mean <= spreadFraction*bound {
+	if !isSurging(candidates[first], mean, bound) {
 		return nil
 	}
 	order := make([]int, len(candidates))
@@ -42,6 +42,11 @@
 	return order
 }
 
+// isSurging reports whether the first engine of a prefix has more load than one prefix may use.
+func isSurging(first candidate, mean, bound float64) bool {
+	return float64(first.load)-mean > spreadFraction*bound
+}
+
 // pickFromSpread returns the engine of the set drawn by the request's id, or the next one with
 // room; -1 if none has room.
 func (t *transition) pickFromSpread(c call, engines []int, hasRoom func(i int) bool) int {
--- a/core/requests/start.go
+++ b/core/requests/start.go
@@ -67,7 +67,7 @@
 
 // hasHealthyWorker reports whether a healthy worker of a pool is known.
 func (s State) hasHealthyWorker(pool ident.Service, now time.Time) bool {
-	for w := range s.workers.Pool(pool).All() {
+	for w := range s.workers.Workers(pool) {
 		if w.healthy(now) {
 			return true
 		}
--- a/core/requests/worker.go
+++ b/core/requests/worker.go
@@ -139,7 +139,7 @@
 // updateAddress indexes a worker's address, and updates which workers there and at its previous
 // address are displaced.
 func (t *transition) updateAddress(before string, w worker) {
-	t.addresses = t.addresses.With(w.Address, w.ID)
+	t.addresses = t.addresses.With(w.Address, t.workers.find(w.ID).idOf())
 	if before != w.Address {
 		t.addresses = t.addresses.Without(before, w.ID)
 		t.updateDisplaced(before)
@@ -149,9 +149,13 @@
 
 // updateDisplaced updates which workers at an address are displaced by a later process there.
 func (t *transition) updateDisplaced(address string) {
-	for _, id := range t.addresses.At(address) {
-		w, _ := t.workers.Get(id)
-		if displaced := t.addresses.Displaced(w.Worker, t.Worker); displaced != w.displaced {
+	here := t.addresses.At(address)
+	for _, id := range here {
+		w, known := t.workers.Get(id)
+		if !known || w.Address != address {
+			continue
+		}
+		if displaced := registry.Displaced(w.Worker, here, t.Worker); displaced != w.displaced {
 			w.displaced = displaced
 			t.workers = t.workers.With(id, w)
 			if displaced {
@@ -187,4 +191,9 @@
 			t.addresses = t.addresses.Without(w.Address, id)
 		}
 	}
+	for _, w := range t.workers.Unpacked() {
+		if settled := w.withoutExpired(t.now); settled != *w {
+			t.workers = t.workers.With(w.ID, settled)
+		}
+	}
 }
--- a/core/requests/workerset.go
+++ b/core/requests/workerset.go
@@ -5,43 +5,73 @@
 import (
 	"cmp"
 	"iter"
-	"slices"
 	"time"
 
-	"github.com/yardhall/yardhall/core/hash"
-	"github.com/yardhall/yardhall/core/health"
 	"github.com/yardhall/yardhall/core/ident"
-	"github.com/yardhall/yardhall/core/loads"
-	"github.com/yardhall/yardhall/core/registry"
 	"github.com/yardhall/yardhall/core/table"
 )
 
-// workerSet holds the known workers. Each pool also has a list of its members, as decisions scan
-// whole pools, and the workers in use are held apart, as reports of loads need no others. It is
-// immutable; the zero value is empty. The workers that it yields must not be changed.
+// workerSet holds the known workers, packed as members of their pools, as decisions scan whole
+// pools. The workers in use are held apart too, as reports of loads need no others. It is immutable;
+// the zero value is empty.
 type workerSet struct {
-	byID  table.Table[ident.Target, *worker]
 	pools table.Table[ident.Service, memberList]
 	// zones counts the workers of each zone.
 	zones table.Table[ident.Zone, int]
-	// inUse holds the workers that have requests of this host.
+	// inUse holds the workers that have requests of this host. They must not be changed.
 	inUse table.Table[ident.Target, *worker]
+	// base is the time from which members count; zero until there is one.
+	base time.Time
+	size int
+}
+
+// find returns a worker's packed member, or nil.
+func (s workerSet) find(id ident.Target) *member {
+	for _, members := range s.pools.All() {
+		if m := members.get(id); m != nil {
+			return m
+		}
+	}
+	return nil
 }
 
 // Get returns a worker.
 func (s workerSet) Get(id ident.Target) (worker, bool) {
-	w, ok := s.byID.Get(id)
-	if !ok {
+	m := s.find(id)
+	if m == nil {
 		return worker{}, false
 	}
-	return *w, true
+	return m.worker(s.base), true
 }
 
 // Len returns the number of workers.
-func (s workerSet) Len() int { return s.byID.Len() }
+func (s workerSet) Len() int { return s.size }
+
+// All yields the workers pool by pool, in the order of their ids.
+func (s workerSet) All() iter.Seq2[ident.Target, worker] {
+	return func(yield func(ident.Target, worker) bool) {
+		for _, members := range s.pools.All() {
+			for m := range members.All() {
+				if w := m.worker(s.base); !yield(w.ID, w) {
+					return
+				}
+			}
+		}
+	}
+}
 
-// All yields the workers in the order of their ids.
-func (s workerSet) All() iter.Seq2[ident.Target, *worker] { return s.byID.All() }
+// Unpacked returns the workers of which more than the registration is known. They must not be changed.
+func (s workerSet) Unpacked() []*worker {
+	var out []*worker
+	for _, members := range s.pools.All() {
+		for m := range members.All() {
+			if m.full != nil {
+				out = append(out, m.full)
+			}
+		}
+	}
+	return out
+}
 
 // Pool returns the members of a pool.
 func (s workerSet) Pool(pool ident.Service) memberList {
@@ -49,6 +79,17 @@
 	return members
 }
 
+// Workers yields the workers of a pool.
+func (s workerSet) Workers(pool ident.Service) iter.Seq[*worker] {
+	return func(yield func(*worker) bool) {
+		for m := range s.Pool(pool).All() {
+			if w := m.worker(s.base); !yield(&w) {
+				return
+			}
+		}
+	}
+}
+
 // Zones yields the zones of the workers.
 func (s workerSet) Zones() iter.Seq[ident.Zone] {
 	return func(yield func(ident.Zone) bool) {
@@ -65,18 +106,23 @@
 
 // With returns the set with a worker added or replaced.
 func (s workerSet) With(id ident.Target, w worker) workerSet {
-	previous, known := s.byID.Get(id)
-	if known && previous.Pool != w.Pool {
-		s.pools = s.pools.With(previous.Pool, s.Pool(previous.Pool).without(id))
-	}
-	if known && previous.Zone != w.Zone {
-		s = s.withZoneCount(previous.Zone, -1)
-	}
-	if !known || previous.Zone != w.Zone {
-		s = s.withZoneCount(w.Zone, 1)
+	if s.base.IsZero() {
+		s.base = w.registeredAt
+	}
+	names := ""
+	if m := s.find(id); m != nil {
+		names = m.names
+		previous := m.placement.Value()
+		if previous.pool != w.Pool {
+			s = s.withoutMember(previous.pool, id)
+		}
+		s = s.withZoneCount(previous.zone, -1)
+		s.size--
 	}
-	s.byID = s.byID.With(id, &w)
-	s.pools = s.pools.With(w.Pool, s.Pool(w.Pool).with(newMember(id, &w)))
+	s = s.withZoneCount(w.Zone, 1)
+	s.size++
+	m := packWorker(&w, s.base, names)
+	s.pools = s.pools.With(m.placement.Value().pool, s.Pool(w.Pool).with(m))
 	switch {
 	case w.inFlight > 0:
 		s.inUse = s.inUse.With(id, &w)
@@ -88,13 +134,23 @@
 
 // Without returns the set without a worker.
 func (s workerSet) Without(id ident.Target) workerSet {
-	previous, ok := s.byID.Get(id)
-	if !ok {
+	m := s.find(id)
+	if m == nil {
 		return s
 	}
-	s.pools = s.pools.With(previous.Pool, s.Pool(previous.Pool).without(id))
-	s.byID, s.inUse = s.byID.Without(id), s.inUse.Without(id)
-	return s.withZoneCount(previous.Zone, -1)
+	previous := m.placement.Value()
+	s.inUse = s.inUse.Without(id)
+	s.size--
+	return s.withoutMember(previous.pool, id).withZoneCount(previous.zone, -1)
+}
+
+func (s workerSet) withoutMember(pool ident.Service, id ident.Target) workerSet {
+	if members := s.Pool(pool).without(id); members.Len() > 0 {
+		s.pools = s.pools.With(pool, members)
+	} else {
+		s.pools = s.pools.Without(pool)
+	}
+	return s
 }
 
 // withZoneCount adds to the number of workers of a zone.
@@ -108,116 +164,25 @@
 	return s
 }
 
-// member is a worker of a pool with what most decisions need of it, so that scanning a pool of
-// thousands reads little memory.
-type member struct {
-	*worker
-	id       ident.Target
-	key      hash.Key
-	tag      loads.Tag
-	zone     ident.Zone
-	slots    int
-	inFlight int
-	// selfReportedAt is when the worker last reported its load.
-	selfReportedAt time.Time
-	// isOrdinary is set if the worker is available from usableFrom on, provided that its zone is
-	// reachable and not drained.
-	isOrdinary bool
-	usableFrom time.Time
-}
+// memberList holds the members of a pool, ordered by id. It is immutable; the zero value is empty.
+type memberList struct{ members pagedList[member] }
 
-func newMember(id ident.Target, w *worker) member {
-	m := member{
-		worker: w, id: id, key: w.key, tag: w.tag, zone: w.Zone, slots: w.Slots,
-		inFlight: w.inFlight, selfReportedAt: w.selfReportedAt, usableFrom: w.avoidUntil,
-	}
-	h := w.health
-	for _, until := range []time.Time{w.backoffUntil, w.coldUntil, h.EjectedUntil, h.LeavingUntil, h.LeavingReportedUntil} {
-		if until.After(m.usableFrom) {
-			m.usableFrom = until
-		}
-	}
-	m.isOrdinary = w.State == registry.Ready && !w.addressTaken() && !w.reportedLeaving && h.Listing == health.Unlisted
-	return m
-}
-
-// isAvailable reports whether the worker is known to be available in a zone that is reachable and
-// not drained, without a look at the worker itself.
-func (m member) isAvailable(now time.Time) bool { return m.isOrdinary && !now.Before(m.usableFrom) }
+// Len returns the number of members.
+func (l memberList) Len() int { return l.members.Len() }
 
-// maxPageSize is the number of members above which a page is split. Each change copies a page and
-// the list of pages.
-const maxPageSize = 64
+// All yields the members in the order of their ids. They must not be changed.
+func (l memberList) All() iter.Seq[*member] { return l.members.All() }
 
-// memberList holds the members of a pool in pages, ordered by id. It is immutable; the zero value
-// is empty.
-type memberList struct {
-	pages [][]member
-	size  int
+func byID(id ident.Target) func(*member) int {
+	return func(m *member) int { return cmp.Compare(m.idOf(), id) }
 }
 
-// Len returns the number of members.
-func (l memberList) Len() int { return l.size }
-
-// All yields the members in the order of their ids.
-func (l memberList) All() iter.Seq[*member] {
-	return func(yield func(*member) bool) {
-		for _, page := range l.pages {
-			for i := range page {
-				if !yield(&page[i]) {
-					return
-				}
-			}
-		}
-	}
-}
-
-// find returns the page that holds a member or is where to add it, and its place there.
-func (l memberList) find(id ident.Target) (page, place int, found bool) {
-	page, found = slices.BinarySearchFunc(l.pages, id, func(p []member, id ident.Target) int { return cmp.Compare(p[0].id, id) })
-	if found {
-		return page, 0, true
-	}
-	page = max(0, page-1)
-	if len(l.pages) == 0 {
-		return 0, 0, false
-	}
-	place, found = slices.BinarySearchFunc(l.pages[page], id, func(m member, id ident.Target) int { return cmp.Compare(m.id, id) })
-	return page, place, found
-}
+func (l memberList) get(id ident.Target) *member { return l.members.Get(byID(id)) }
 
 func (l memberList) with(m member) memberList {
-	page, place, found := l.find(m.id)
-	l.pages = slices.Clone(l.pages)
-	if len(l.pages) == 0 {
-		l.pages = [][]member{nil}
-	}
-	changed := slices.Clone(l.pages[page])
-	if found {
-		changed[place] = m
-		l.pages[page] = changed
-		return l
-	}
-	l.size++
-	changed = slices.Concat(changed[:place], []member{m}, changed[place:])
-	l.pages[page] = changed
-	if half := len(changed) / 2; len(changed) > maxPageSize {
-		l.pages[page] = slices.Clone(changed[:half])
-		l.pages = slices.Insert(l.pages, page+1, slices.Clone(changed[half:]))
-	}
-	return l
+	return memberList{members: l.members.With(m, byID(m.idOf()))}
 }
 
 func (l memberList) without(id ident.Target) memberList {
-	page, place, found := l.find(id)
-	if !found {
-		return l
-	}
-	l.size--
-	l.pages = slices.Clone(l.pages)
-	l.pages[page] = slices.Delete(slices.Clone(l.pages[page]), place, place+1)
-	if len(l.pages[page]) == 0 {
-		l.pages = slices.Delete(l.pages, page, page+1)
-	}
-	return l
+	return memberList{members: l.members.Without(byID(id))}
 }
--- a/core/requests/workerset_test.go
+++ b/core/requests/workerset_test.go
@@ -36,6 +36,9 @@
 					},
 					inFlight: rapid.IntRange(0, 1).Draw(r, "inFlight"),
 				}
+				if rapid.Bool().Draw(r, "isOnlyRegistered") {
+					w.record, w.inFlight = registry.RecordOf(w.Worker), 0
+				}
 				set, want[id] = set.With(id, w), w
 			}
 			if rapid.IntRange(0, 49).Draw(r, "compare") == 0 {
@@ -63,8 +66,8 @@
 	for _, pool := range []ident.Service{"a", "b"} {
 		var ids []ident.Target
 		for m := range set.Pool(pool).All() {
-			ids = append(ids, m.id)
-			require.Equal(t, want[m.id], *m.worker)
+			ids = append(ids, m.idOf())
+			require.Equal(t, want[m.idOf()], m.worker(set.base))
 		}
 		require.Equal(t, pools[pool], ids)
 		require.Equal(t, len(ids), set.Pool(pool).Len())
--- a/core/requests/zones.go
+++ b/core/requests/zones.go
@@ -125,7 +125,7 @@
 	t.out = append(t.out, ZoneChanged{Zone: zone, Reachable: true})
 	for id, w := range t.workers.All() {
 		if w.Zone == zone && w.health.Ejected(t.now) {
-			next := *w
+			next := w
 			next.health = health.Target{}
 			t.workers = t.workers.With(id, next)
 		}
@@ -181,7 +181,7 @@
 	var best registry.Worker
 	bestScore := uint64(0)
 	for _, w := range t.workers.All() {
-		if w.State != registry.Ready || w.addressTaken() || !fits(w) {
+		if w.State != registry.Ready || w.addressTaken() || !fits(&w) {
 			continue
 		}
 		if score := hash.Mix(requestKey(r.ID), w.key); best.ID == "" || score > bestScore {
