--- a/core/canary/judge_test.go
+++ b/core/canary/judge_test.go
@@ -50,8 +50,8 @@
 // tally sums the results of simulated rollouts.
 type tally struct {
 	rejected, undecided, complete int
-	// exposed is the most requests that a version got, late the most bad answers known at a judgement
-	// that did not reject it.
+	// exposed is the most requests that a version got that was reverted, late the most bad answers known
+	// at a judgement that did not reject it.
 	exposed, late int
 }
 
@@ -76,14 +76,14 @@
 			for k, rate := range rates {
 				for seed := range runs {
 					r := simulate(rate, f, tr, uint64(seed))
-					n := tally{exposed: r.exposed, late: r.before}
+					n := tally{late: r.before}
 					switch {
 					case r.isBad:
-						n.rejected = 1
+						n.rejected, n.exposed = 1, r.exposed
 					case r.rollout.Phase == rollouts.Complete:
 						n.complete = 1
 					default:
-						n.undecided = 1
+						n.undecided, n.exposed = 1, r.exposed
 					}
 					results[i][k] = results[i][k].plus(n)
 				}
