soak: Prepare rollouts of good and bad versions among the faults

Cause: the soak knows no versions.

Change: with -rollouts an operator rolls versions out between two sets of workers, and exposure, ends and the states read back are checked by what callers and workers saw. Without the flag the soak is as before.

--- a/soak/checks_test.go
+++ b/soak/checks_test.go
@@ -25,6 +25,9 @@
 	readings []reading
 	orders   []zoneOrder
 	faults   []*fault
+	rollouts []versionRollout
+	// good is the rollout of a good version with nothing disturbed.
+	good versionRollout
 	// calm is when the last fault had ended and the fleet had recovered.
 	calm time.Time
 	// drained is the worker that said that it leaves; acked when that was heard.
@@ -40,6 +43,7 @@
 		out = append(out, e.checkRequest(r)...)
 	}
 	out = append(out, e.checkNotices()...)
+	out = append(out, e.checkRollouts()...)
 	out = append(out, e.checkReadings()...)
 	out = append(out, e.checkHistory()...)
 	return append(out, e.checkReverts()...)
--- a/soak/fleet_test.go
+++ b/soak/fleet_test.go
@@ -52,6 +52,8 @@
 	hosts   map[node]*process
 	runs    *runs
 	workers []*soakWorker
+	// others are a second set of workers, retired at first, for rollouts.
+	others []*soakWorker
 }
 
 const firstWorker = 101
@@ -112,9 +114,14 @@
 		f.writeSettings(n, true)
 	}
 	for i := range s.workers {
-		n := node(firstWorker + i)
-		startProxy(t, f.network, n, f.shown(n, workerPort), f.real(n, workerPort))
-		f.workers = append(f.workers, startWorker(t, f.runs, n, f.real(n, workerPort), f.shown(n, workerPort), seed))
+		f.workers = append(f.workers, f.startWorker(node(firstWorker+i)))
+	}
+	for i := range s.workers {
+		if *withRollouts {
+			w := f.startWorker(node(firstOther + i))
+			w.retire()
+			f.others = append(f.others, w)
+		}
 	}
 	t.Cleanup(f.stopAll)
 	for n := range f.hosts {
@@ -123,6 +130,11 @@
 	return f
 }
 
+func (f *fleet) startWorker(n node) *soakWorker {
+	startProxy(f.t, f.network, n, f.shown(n, workerPort), f.real(n, workerPort))
+	return startWorker(f.t, f.runs, n, f.real(n, workerPort), f.shown(n, workerPort), f.seed)
+}
+
 // writeSettings writes a host's settings; found is set at the very first start.
 func (f *fleet) writeSettings(n node, found bool) {
 	var text strings.Builder
@@ -144,6 +156,9 @@
 		fmt.Fprintf(&text, "hubs_above = %d\n", f.shape.hubs)
 	}
 	fmt.Fprintf(&text, "[gateway]\ndrain_time = %s\nretry_extra = 200\n", drainTime)
+	if *withRollouts {
+		fmt.Fprintf(&text, "rollout_share = %g\nrollout_slack = %d\nrollout_revert = %s\n", rolloutShare, rolloutSlack, rolloutRevert)
+	}
 	if f.isReplica(n) {
 		fmt.Fprintf(&text, "control = %s\n", f.real(n, controlPort))
 	} else {
--- a/soak/operator_test.go
+++ b/soak/operator_test.go
@@ -11,6 +11,7 @@
 	"io"
 	"math/rand/v2"
 	"net/http"
+	"slices"
 	"strings"
 	"sync"
 	"time"
@@ -229,7 +230,7 @@
 
 // startBeats keeps the workers registered.
 func (o *operator) startBeats() {
-	for _, w := range o.fleet.workers {
+	for _, w := range slices.Concat(o.fleet.workers, o.fleet.others) {
 		o.each(beatInterval, func() { o.beat(w) })
 	}
 	o.each(readInterval, o.read)
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -66,7 +66,14 @@
 	// An earlier program sends the request on for as long as it comes.
 	bad.on.Store(*earlier == "")
 	x := newFaults(f)
-	settled, zonesTakenBack := make(chan struct{}), make(chan struct{})
+	settled, zonesTakenBack, rolled := make(chan struct{}), make(chan struct{}), make(chan struct{})
+	versions := newRoller(o)
+	go func() {
+		if *withRollouts {
+			versions.run(settled)
+		}
+		close(rolled)
+	}()
 	go func() {
 		o.drainZones(settled)
 		close(zonesTakenBack)
@@ -86,6 +93,7 @@
 		}
 	}
 	<-zonesTakenBack
+	<-rolled
 	e := evidence{fleet: f}
 	bad.on.Store(false)
 	recovered := eventually(recoverBound, func() bool { return recoveredNow(f, o) })
@@ -94,10 +102,11 @@
 	}
 	e.calm = time.Now()
 	if recovered {
-		calmEnd(o, &e)
+		calmEnd(o, &e, versions)
 	}
 	e.requests = c.end()
 	o.end()
+	e.rollouts = versions.rollouts
 	e.changes, e.readings, e.orders, e.faults = o.changes, o.readings, o.orders, x.list
 	report(t, e, recovered)
 }
@@ -131,10 +140,13 @@
 	return true
 }
 
-// calmEnd makes a worker leave and changes the configuration with nothing
-// disturbed.
-func calmEnd(o *operator, e *evidence) {
-	leaving := o.fleet.workers[0]
+// calmEnd rolls a good version out, which must complete, makes a worker leave and changes the
+// configuration with nothing disturbed.
+func calmEnd(o *operator, e *evidence, versions *roller) {
+	if *withRollouts {
+		e.good = versions.roll(0, false)
+	}
+	leaving := versions.current[0]
 	leaving.setState("draining")
 	if o.beat(leaving) {
 		e.drained, e.acked = leaving.id, time.Now()
--- a/soak/worker_test.go
+++ b/soak/worker_test.go
@@ -28,6 +28,9 @@
 	node    node
 	at      time.Time
 	account string
+	// version is that of the worker's software; isBad is set if the answer is bad because of it.
+	version string
+	isBad   bool
 	// whole is set where the whole answer was written.
 	whole bool
 }
@@ -108,6 +111,12 @@
 	life   int
 	down   bool
 	cut    bool
+	// version is that of the worker's software, of whose answers the part bad fails or is slow. A
+	// retired worker does not start.
+	version string
+	bad     float64
+	isSlow  bool
+	retired bool
 }
 
 const (
@@ -120,7 +129,7 @@
 func startWorker(t *testing.T, r *runs, n node, listen, advertised string, seed uint64) *soakWorker {
 	w := &soakWorker{
 		id: fmt.Sprintf("i-%02d-%d", n, seed), node: n, address: advertised, runs: r, listen: listen,
-		random: rand.New(rand.NewPCG(seed, uint64(n))), backoffs: newBackoffs(seed, n), state: "ready",
+		random: rand.New(rand.NewPCG(seed, uint64(n))), backoffs: newBackoffs(seed, n), state: "ready", version: versionName(1),
 	}
 	require.NoError(t, w.start())
 	t.Cleanup(w.crash)
@@ -154,7 +163,7 @@
 // startAgain starts another process at the same address, as soon as that is free, unless
 // another one has been started meanwhile.
 func (w *soakWorker) startAgain() {
-	for w.isDown() && w.start() != nil {
+	for w.isDown() && !w.isRetired() && w.start() != nil {
 		time.Sleep(holdPoll)
 	}
 }
@@ -254,25 +263,29 @@
 		return
 	}
 	w.tell(out, id, 0)
-	one := &run{worker: w.id, node: w.node, at: time.Now(), account: r.Header.Get(names.Account)}
+	isFailed, slower := w.drawBad()
+	one := &run{
+		worker: w.id, node: w.node, at: time.Now(), account: r.Header.Get(names.Account),
+		version: w.versionNow(), isBad: isFailed || slower > 1,
+	}
 	life := w.lives()
 	w.runs.begin(id, one)
 	if string(body) == badBody {
 		w.endUnder(life)
 		panic(http.ErrAbortHandler)
 	}
-	time.Sleep(workTime)
+	time.Sleep(slower * workTime)
 	if fault == faultCutsBefore || w.lives() != life {
 		panic(http.ErrAbortHandler)
 	}
 	out.Header().Set(names.RequestID, id)
 	out.Header().Set(names.Signature, "stamp-of-"+w.id)
-	if fault == faultFails {
+	if fault == faultFails || isFailed {
 		out.WriteHeader(http.StatusInternalServerError)
 		return
 	}
 	if strings.HasPrefix(r.URL.Path, "/stream/") || strings.HasPrefix(r.URL.Path, "/once/") {
-		w.stream(out, r, id, fault)
+		w.stream(out, r, id, fault, slower*eventPause)
 	} else {
 		text := expectedAnswer(id, string(body))
 		out.Header().Set("Content-Length", strconv.Itoa(len(text)))
@@ -287,7 +300,7 @@
 	}
 }
 
-func (w *soakWorker) stream(out http.ResponseWriter, r *http.Request, id string, fault int) {
+func (w *soakWorker) stream(out http.ResponseWriter, r *http.Request, id string, fault int, pause time.Duration) {
 	out.Header().Set("Content-Type", "text/event-stream")
 	first, _ := strconv.Atoi(r.Header.Get(platform.Headers().LastEventID))
 	control := http.NewResponseController(out)
@@ -302,7 +315,7 @@
 			panic(http.ErrAbortHandler)
 		}
 		_ = control.Flush()
-		time.Sleep(eventPause)
+		time.Sleep(pause)
 	}
 }
 
@@ -312,8 +325,8 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.seq++
-	body = fmt.Sprintf(`{"Service":"pool","Address":%q,"Zone":%q,"Version":"v1","Slots":%d,"State":%q,"ColdLeftMs":0,"Seq":%d,"born":%d}`,
-		w.address, zoneOf(w.node), workerSlots, w.state, w.seq, w.born.UnixMilli())
+	body = fmt.Sprintf(`{"Service":"pool","Address":%q,"Zone":%q,"Version":%q,"Slots":%d,"State":%q,"ColdLeftMs":0,"Seq":%d,"born":%d}`,
+		w.address, zoneOf(w.node), w.version, workerSlots, w.state, w.seq, w.born.UnixMilli())
 	return "/v1/instances/" + w.id, body, !w.down && !w.cut
 }
 
