core/requests: Choose the version of each request's target

Cause: nothing kept requests from targets of a version that is not in force.

Change: while rollouts are configured, attempts go to the current version, and the share of first attempts that a running rollout names to the new one, drawn by request id. Retries and resends go to the current version, and in Drain to the new one. Nothing goes to a version being rolled out once the newest confirmation is older than RolloutLease. Requests, answers and their pace are counted as evidence. A request that a target of the new version declined goes on at the current one even if its route allows one attempt: it was not run.

Tests: rollouts_test.go, rolloutfleet_test.go, evidence_test.go, and TestScanPicksTheSameEngine with versions.

--- a/core/outcome/outcome.go
+++ b/core/outcome/outcome.go
@@ -38,6 +38,9 @@
 		// CachedTokens is the number of prompt tokens served from the prefix cache.
 		CachedTokens int
 		PromptTokens int
+		// Pace is the mean pause between the events of a stream, or the time until the header of
+		// another response; 0 if it is unknown.
+		Pace time.Duration
 	}
 	// NeverSent means that no byte was written to the target.
 	NeverSent struct {
--- a/core/requests/attempt.go
+++ b/core/requests/attempt.go
@@ -11,7 +11,8 @@
 //	how the attempt ended     the request is sent to another worker if
 //	answered                  the answer is a server error and the route is repeatable
 //	never sent                fewer than maxConnectFailures connections have failed
-//	declined                  attempts and retry budget allow it; else see resend.go
+//	declined                  attempts and retry budget allow it; else see resend.go. After a
+//	                          rollout's new version declined, the retry budget alone decides
 //	interrupted               the route is repeatable, and attempts and retry budget allow it
 //	abandoned                 never
 //
@@ -32,6 +33,7 @@
 	}
 	t.removeInFlight(c)
 	t.updateHealth(c, ev.Result)
+	t.recordAnswerEvidence(c, ev)
 	c.combinedOutcome = outcome.Combine(c.combinedOutcome, outcome.Of(ev.Result))
 	if !ev.CallerWaiting {
 		t.finish(c.req.ID, Verdict{Outcome: c.combinedOutcome, Code: CodeCallerGone, Reason: "the caller left"})
@@ -87,7 +89,7 @@
 		c.reachedWorkers++
 	}
 	v := Verdict{Outcome: c.combinedOutcome, Code: CodeOverloaded, Reason: "the worker declined: " + r.Reason}
-	if t.mayRetry(c) {
+	if t.mayRetry(c) || t.mayLeaveVersion(c) {
 		t.retry(c.withCacheSource(), v)
 		return
 	}
--- a/core/requests/choose.go
+++ b/core/requests/choose.go
@@ -5,7 +5,6 @@
 import (
 	"math"
 	"slices"
-	"unique"
 
 	"github.com/yardhall/yardhall/core/hash"
 	"github.com/yardhall/yardhall/core/ident"
@@ -71,12 +70,32 @@
 
 // chooseWorker returns the worker for the call's next attempt. It reports false if there is none.
 func (t *transition) chooseWorker(c call) (choice, bool) {
-	if picked, ok := t.scanForEngine(c); ok {
+	versions := t.versionsFor(c)
+	if !versions.usesNext {
+		return t.chooseAmong(c, versions.current, true)
+	}
+	if picked, ok := t.chooseAmong(c, versions.next, false); ok {
+		return picked, true
+	}
+	picked, ok := t.chooseAmong(c, versions.current, !versions.draining)
+	if ok || !versions.draining {
+		return picked, ok
+	}
+	if picked, ok = t.chooseAmong(c, versions.next, true); ok {
 		return picked, true
 	}
-	view := t.poolView(c)
+	return t.chooseAmong(c, versions.current, true)
+}
+
+// chooseAmong returns the worker for the call's next attempt among those that a filter allows. Those
+// that only may be alive are used if mayUseLastResort is set.
+func (t *transition) chooseAmong(c call, f versionFilter, mayUseLastResort bool) (choice, bool) {
+	if picked, ok := t.scanForEngine(c, f); ok {
+		return picked, true
+	}
+	view := t.poolView(c, f)
 	candidates := view.candidates()
-	if len(candidates) == 0 {
+	if len(candidates) == 0 || !view.hasAvailable() && !mayUseLastResort {
 		return choice{onlyCold: view.coldSkipped > 0}, false
 	}
 	var picked choice
@@ -85,7 +104,7 @@
 	} else {
 		picked = t.choosePlain(c, candidates)
 	}
-	picked.lastResort = len(view.available)+len(view.draining) == 0
+	picked.lastResort = !view.hasAvailable()
 	return picked, true
 }
 
@@ -113,10 +132,13 @@
 	return v.lastResort
 }
 
+// hasAvailable reports whether an available worker is left.
+func (v poolView) hasAvailable() bool { return len(v.available)+len(v.draining) > 0 }
+
 // hasAvailable reports whether an available worker is left for the call.
 func (t *transition) hasAvailable(c call) bool {
-	v := t.poolView(c)
-	return len(v.available)+len(v.draining) > 0
+	versions := t.versionsFor(c)
+	return versions.usesNext && t.poolView(c, versions.next).hasAvailable() || t.poolView(c, versions.current).hasAvailable()
 }
 
 // memberClass is what a call may do with a member of its pool.
@@ -136,13 +158,13 @@
 	available
 )
 
-// poolView classifies the workers of the call's pool.
-func (t *transition) poolView(c call) poolView {
+// poolView classifies the workers of the call's pool; those that f does not allow are excluded.
+func (t *transition) poolView(c call, f versionFilter) poolView {
 	members := t.workers.Pool(c.pool.ID)
 	v := poolView{available: make([]candidate, 0, members.Len())}
 	estimate, open := t.loadEstimate(t.now), t.openZones()
 	for m := range members.All() {
-		current, class := t.classify(c, m, estimate, open)
+		current, class := t.classify(c, m, f, estimate, open)
 		if class == unused {
 			continue
 		}
@@ -164,8 +186,9 @@
 }
 
 // classify returns a member of the call's pool with its load, and its class.
-func (t *transition) classify(c call, m *member, estimate loadEstimate, open openZones) (candidate, memberClass) {
-	if m.isAvailable(t.now) && len(c.tried) == 0 && open.has(m.placement) {
+func (t *transition) classify(c call, m *member, f versionFilter, estimate loadEstimate, open openZones) (candidate, memberClass) {
+	allowed := f.allows(m)
+	if allowed && m.isAvailable(t.now) && len(c.tried) == 0 && open.has(m.placement) {
 		return estimate.candidate(m), available
 	}
 	w := m.worker(t.workers.base)
@@ -174,7 +197,7 @@
 	}
 	current := estimate.candidate(m)
 	current.coldLimited = t.isColdLimited(c.pool, &w)
-	if t.isZoneClosed(w.Zone) || slices.Contains(c.tried, w.ID) || w.backoffLeft(t.now) > 0 {
+	if !allowed || t.isZoneClosed(w.Zone) || slices.Contains(c.tried, w.ID) || w.backoffLeft(t.now) > 0 {
 		return current, excluded
 	}
 	switch usable := w.available(t.now) && t.isZoneReachable(w.Zone); {
@@ -190,46 +213,6 @@
 	return current, excluded
 }
 
-// openZones holds the zones that are reachable and not drained. It remembers the placements last
-// looked up, as there are few and comparing two is cheap.
-type openZones struct {
-	zones []ident.Zone
-	known *[placementsKnown]knownPlacement
-}
-
-// placementsKnown is the number of placements remembered by an openZones.
-const placementsKnown = 16
-
-// knownPlacement says whether the zone of a placement is open.
-type knownPlacement struct {
-	placement unique.Handle[placement]
-	isOpen    bool
-}
-
-// has reports whether the zone of a placement is open.
-func (o openZones) has(p unique.Handle[placement]) bool {
-	for i := range o.known {
-		if o.known[i].placement == p {
-			return o.known[i].isOpen
-		}
-	}
-	isOpen := slices.Contains(o.zones, p.Value().zone)
-	copy(o.known[1:], o.known[:placementsKnown-1])
-	o.known[0] = knownPlacement{placement: p, isOpen: isOpen}
-	return isOpen
-}
-
-// openZones returns the zones of workers that are reachable and not drained.
-func (t *transition) openZones() openZones {
-	o := openZones{known: &[placementsKnown]knownPlacement{}}
-	for zone := range t.workers.Zones() {
-		if t.isZoneReachable(zone) && !t.drainedZones.IsDrained(zone) {
-			o.zones = append(o.zones, zone)
-		}
-	}
-	return o
-}
-
 // choosePlain draws one of the workers by weight.
 func (t *transition) choosePlain(c call, candidates []candidate) choice {
 	scoreCandidates(candidates, requestKey(c.req.ID))
--- a/core/requests/dispatch.go
+++ b/core/requests/dispatch.go
@@ -5,6 +5,7 @@
 import (
 	"time"
 
+	"github.com/yardhall/yardhall/core/canary"
 	"github.com/yardhall/yardhall/core/config"
 	"github.com/yardhall/yardhall/core/crashes"
 	"github.com/yardhall/yardhall/core/ident"
@@ -38,6 +39,10 @@
 	cacheSource ident.Target
 	// retryCharged is set if the retry budget has already been charged for the next attempt.
 	retryCharged bool
+	// drawn is set if the first attempt was drawn for a version being rolled out; side is the version
+	// that the current attempt counts for, zero if no rollout runs.
+	drawn bool
+	side  canary.Side
 	// combinedOutcome combines the outcomes of the attempts so far.
 	combinedOutcome outcome.Kind
 }
@@ -48,6 +53,9 @@
 		t.finish(c.req.ID, t.crashVerdictFor(c))
 		return
 	}
+	if c.attempt == 0 {
+		c.drawn = t.isDrawn(c)
+	}
 	picked, ok := t.chooseWorker(c)
 	switch {
 	case ok:
@@ -80,15 +88,18 @@
 func (t *transition) send(c call, picked choice) {
 	c.attempt++
 	c.incarnation, c.sentAt = picked.worker.incarnation, t.now
+	c = t.withSide(c, &picked.worker)
 	t.addInFlight(picked.worker.ID)
 	t.recordColdSend(picked.worker, c.sentAt)
 	t.calls = t.calls.With(c.req.ID, c)
 	header, eventGap := c.responseTimeouts()
+	inputs := t.decisionInputs(picked)
+	inputs.Rollout = c.drawn
 	t.out = append(t.out, Dispatch{
 		Request: c.req.ID, Attempt: c.attempt, Worker: picked.worker.Worker, Route: c.route,
 		Account: c.account, Content: c.content, Rank: c.rank, Deadline: c.req.Deadline, Engine: c.pool.Engine,
 		CacheFrom: picked.cacheFrom, HeaderTimeout: header, StallTimeout: eventGap,
-		Inputs: t.decisionInputs(picked),
+		Inputs: inputs,
 	})
 }
 
--- a/core/requests/drained.go
+++ b/core/requests/drained.go
@@ -96,8 +96,9 @@
 	if c.attempt > 0 || t.drainedZones.Revision == 0 {
 		return false
 	}
+	versions := t.versionsFor(c)
 	for w := range t.workers.Workers(c.pool.ID) {
-		if w.State == registry.Ready && t.drainedZones.IsDrained(w.Zone) {
+		if w.State == registry.Ready && t.drainedZones.IsDrained(w.Zone) && versions.allow(w) {
 			return true
 		}
 	}
--- a/core/requests/enginescan.go
+++ b/core/requests/enginescan.go
@@ -64,14 +64,14 @@
 	alive, totalLoad         int
 }
 
-// scanForEngine picks the engine that chooseEngine would pick; ok is false if only chooseEngine can
-// tell.
-func (t *transition) scanForEngine(c call) (picked choice, ok bool) {
+// scanForEngine picks the engine that chooseEngine would pick among those that f allows; ok is false if
+// only chooseEngine can tell.
+func (t *transition) scanForEngine(c call, f versionFilter) (picked choice, ok bool) {
 	if !c.pool.Engine || len(c.tried) > 0 {
 		return choice{}, false
 	}
 	var scan engineScan
-	t.scanEngines(c, &scan)
+	t.scanEngines(c, f, &scan)
 	if scan.available == 0 {
 		return choice{}, false
 	}
@@ -118,7 +118,7 @@
 
 // scanEngines fills a scan of the call's pool. Engines of which only the registration is known are
 // nearly all of a large pool, so they are judged without unpacking them.
-func (t *transition) scanEngines(c call, e *engineScan) {
+func (t *transition) scanEngines(c call, f versionFilter, e *engineScan) {
 	key, estimate, open := prefixKey(c), t.loadEstimate(t.now), t.openZones()
 	for _, page := range t.workers.Pool(c.pool.ID).members.pages {
 		for i := range page {
@@ -127,14 +127,14 @@
 			if score > e.all.least() {
 				e.all.keep(&candidate{member: m, score: score})
 			}
-			if m.full == nil && m.state == registry.Ready && open.has(m.placement) {
+			if m.full == nil && m.state == registry.Ready && open.has(m.placement) && f.allows(m) {
 				e.count(estimate.reportedLoad(m))
 				if score > e.first.least() || score > e.own.least() {
 					t.keepScanned(e, estimate.candidate(m), score)
 				}
 				continue
 			}
-			current, class := t.classify(c, m, estimate, open)
+			current, class := t.classify(c, m, f, estimate, open)
 			switch class {
 			case unused:
 			case available:
--- a/core/requests/member.go
+++ b/core/requests/member.go
@@ -23,6 +23,7 @@
 	zone       ident.Zone
 	slots      int
 	reportedBy ident.Host
+	version    ident.Version
 }
 
 // member is a worker of a pool, packed so that scanning a pool of thousands reads little memory.
@@ -53,7 +54,7 @@
 	m := member{
 		names: names, key: w.key, seq: w.Seq, born: w.Born, idLength: uint16(len(w.ID)), state: w.State, //nolint:gosec // Ids are bounded by package registry.
 		placement: unique.Make(placement{
-			pool: w.Pool, zone: w.Zone, slots: w.Slots, reportedBy: w.reportedBy,
+			pool: w.Pool, zone: w.Zone, slots: w.Slots, reportedBy: w.reportedBy, version: w.Version,
 		}),
 	}
 	if !w.registeredAt.IsZero() {
@@ -85,6 +86,7 @@
 	w := worker{
 		Worker: registry.Worker{
 			ID: m.idOf(), Pool: p.pool, Zone: p.zone, Address: m.names[m.idLength:], Slots: p.slots, State: m.state, Seq: m.seq, Born: m.born,
+			Version: p.version,
 		},
 		key: m.key, tag: loads.TagOfKey(m.key), reportedBy: p.reportedBy,
 	}
--- a/core/requests/notice.go
+++ b/core/requests/notice.go
@@ -71,9 +71,9 @@
 // shortestBackoff returns the time until the first worker that may take the call is available; 0
 // if one has no backoff or there is none.
 func (t *transition) shortestBackoff(c call) time.Duration {
-	least := time.Duration(0)
+	least, versions := time.Duration(0), t.versionsFor(c)
 	for w := range t.workers.Workers(c.pool.ID) {
-		if !w.mayBeAlive() || t.isZoneClosed(w.Zone) {
+		if !w.mayBeAlive() || t.isZoneClosed(w.Zone) || !versions.allow(w) {
 			continue
 		}
 		left := w.backoffLeft(t.now)
--- a/core/requests/requests.go
+++ b/core/requests/requests.go
@@ -33,6 +33,8 @@
 //	zones.go          when a zone is unreachable
 //	cold.go           how many requests a cold worker gets from all hosts
 //	drained.go        how traffic is moved out of drained zones
+//	rollouts.go       which version of a service's workers an attempt goes to
+//	evidence.go       what is counted of the answers of both versions in a rollout
 //
 // # Usage
 //
@@ -44,67 +46,21 @@
 package requests
 
 import (
-	"cmp"
 	"iter"
 	"time"
 
+	"github.com/yardhall/yardhall/core/canary"
 	"github.com/yardhall/yardhall/core/config"
 	"github.com/yardhall/yardhall/core/confirmation"
 	"github.com/yardhall/yardhall/core/crashes"
 	"github.com/yardhall/yardhall/core/ident"
 	"github.com/yardhall/yardhall/core/loads"
 	"github.com/yardhall/yardhall/core/registry"
+	"github.com/yardhall/yardhall/core/rollouts"
 	"github.com/yardhall/yardhall/core/table"
 	"github.com/yardhall/yardhall/core/zones"
 )
 
-// Settings configure a host. Zero fields take the defaults of the settings file, except
-// StartupTimeout.
-type Settings struct {
-	// Host is this host's name. It seeds the deterministic selections that differ between hosts.
-	Host ident.Host
-	Zone ident.Zone
-	// KeyLease is how long a confirmed route table may be used for requests with a key. A revoked
-	// key stops working within this time.
-	KeyLease time.Duration
-	// ZoneDrain is the time after the acknowledgement of a drain order from which nothing more is
-	// sent to the zone.
-	ZoneDrain time.Duration
-	// RetryShare is the fraction of a pool's requests that the fleet may retry; RetryExtra is a
-	// number of retries allowed in addition.
-	RetryShare float64
-	RetryExtra float64
-	// An engine's load is bounded by LoadFactor times the mean load of its pool plus LoadSlack
-	// requests.
-	LoadFactor float64
-	LoadSlack  float64
-	// StartupTimeout is how long requests may wait for a starting host to become able to serve; 0
-	// means that they do not wait.
-	StartupTimeout time.Duration
-}
-
-// Defaults of Settings. All but DefaultLoadSlack are also those of the settings file; a test
-// compares them.
-const (
-	DefaultKeyLease   = 4 * time.Second
-	DefaultZoneDrain  = 5 * time.Second
-	DefaultRetryShare = 0.2
-	DefaultRetryExtra = 20
-	DefaultLoadFactor = 2.0
-	// DefaultLoadSlack, in requests, lets engines keep their prefixes when the mean load is low.
-	DefaultLoadSlack = 2.5
-)
-
-func (s Settings) withDefaults() Settings {
-	s.KeyLease = cmp.Or(s.KeyLease, DefaultKeyLease)
-	s.ZoneDrain = cmp.Or(s.ZoneDrain, DefaultZoneDrain)
-	s.RetryShare = cmp.Or(s.RetryShare, DefaultRetryShare)
-	s.RetryExtra = cmp.Or(s.RetryExtra, DefaultRetryExtra)
-	s.LoadFactor = cmp.Or(s.LoadFactor, DefaultLoadFactor)
-	s.LoadSlack = cmp.Or(s.LoadSlack, DefaultLoadSlack)
-	return s
-}
-
 // State holds what one host knows for handling requests. It is immutable; Reduce returns the next
 // one. The zero State refuses everything as not ready.
 type State struct {
@@ -156,6 +112,12 @@
 	// closing is set late in a planned stop; new requests are then refused.
 	closing  bool
 	counters Counters
+	// rollouts holds the current version of each service and its newest rollout.
+	rollouts rollouts.State
+	// evidence counts the requests and answers of running rollouts since it was last taken;
+	// brokenOffAt is when an answer of each worker that broke off was last counted.
+	evidence    canary.Evidence
+	brokenOffAt table.Table[ident.Target, time.Time]
 	// startedAt is when the host started; zero if requests do not wait for the start. waiting
 	// holds the requests that do.
 	startedAt time.Time
--- a/core/requests/resend.go
+++ b/core/requests/resend.go
@@ -29,7 +29,7 @@
 // pauseForResend pauses a declined request before it is resent to the same worker. It reports
 // whether the request is to be resent.
 func (t *transition) pauseForResend(c call) bool {
-	if _, ok := t.resendableWorker(c); !ok || c.resends >= maxResends {
+	if _, ok := t.resendableWorker(c); !ok || c.resends >= maxResends || t.mustLeaveVersion(c) {
 		return false
 	}
 	expected := t.expectedHeaderTime(c)
@@ -55,7 +55,7 @@
 }
 
 // handlePauseEnded resends a request to its worker, unless the worker became unavailable during the
-// pause.
+// pause. If requests have stopped going to the worker's version since, another worker gets it.
 func (t *transition) handlePauseEnded(ev PauseEnded) {
 	c, ok := t.calls.Get(ev.Request)
 	if !ok || !c.pausing {
@@ -68,6 +68,9 @@
 		t.finish(c.req.ID, Verdict{Outcome: c.combinedOutcome, Code: CodeCallerGone, Reason: "the caller left"})
 	case !t.now.Before(c.req.Deadline):
 		t.finish(c.req.ID, Verdict{Outcome: c.combinedOutcome, Code: CodeDeadline, Reason: "the deadline has passed"})
+	case t.mustLeaveVersion(c):
+		t.counters.Resent++
+		t.dispatch(c, Verdict{Code: CodeOverloaded, Reason: "the worker declined and its version gets no more requests"})
 	case !ok:
 		t.finishDeclined(c, Verdict{Code: CodeOverloaded, Reason: "the worker declined and is no longer available after the pause"})
 	default:
--- a/core/requests/start.go
+++ b/core/requests/start.go
@@ -65,10 +65,11 @@
 	return true
 }
 
-// hasHealthyWorker reports whether a healthy worker of a pool is known.
+// hasHealthyWorker reports whether a healthy worker of a pool is known that any request may be sent to.
 func (s State) hasHealthyWorker(pool ident.Service, now time.Time) bool {
+	versions := s.versionsOfRetries(pool, now)
 	for w := range s.workers.Workers(pool) {
-		if w.healthy(now) {
+		if w.healthy(now) && versions.allow(w) {
 			return true
 		}
 	}
--- a/core/requests/worker.go
+++ b/core/requests/worker.go
@@ -97,7 +97,7 @@
 	// Workers that are gone are kept, so that an older registration from another replica does not
 	// make them available again.
 	if r.State == registry.Gone && known {
-		r.Pool, r.Address, r.Zone, r.Slots = previous.Pool, previous.Address, previous.Zone, previous.Slots
+		r.Pool, r.Address, r.Zone, r.Slots, r.Version = previous.Pool, previous.Address, previous.Zone, previous.Slots, previous.Version
 	}
 	record, newer := previous.record.With(r)
 	if !newer {
