gateway: Measure the pace of answers

Cause: a version that is several times slower can only be told from the pace of its answers, which nothing measured.

Change: an answer reports the mean pause between the events of its stream after the first, from three events on, or the time to the header of a plain response. The pause before the second event is left out, as engines may send the first one before they have read the prompt.

--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -233,7 +233,8 @@
 		_ = x.conn.Close()
 		return nil, outcome.Interrupted{Reason: err.Error(), TimedOut: isResponseTimeout(err)}
 	}
-	x.server.reportHeader(x.dispatch, resp, x.server.now().Sub(x.sentAt))
+	took := x.server.now().Sub(x.sentAt)
+	x.server.reportHeader(x.dispatch, resp, took)
 	if reportsNotRun(resp, x.server.headers) {
 		return nil, x.finishDeclined(resp)
 	}
@@ -245,5 +246,5 @@
 	if resp.Header.Get(x.server.headers.Signature) == "" || resp.Header.Get("Content-Encoding") != "" {
 		return nil, outcome.Interrupted{Reason: "response without a worker's signature"}
 	}
-	return &response{status: resp.StatusCode, header: resp.Header, body: body}, outcome.Answered{Status: resp.StatusCode}
+	return &response{status: resp.StatusCode, header: resp.Header, body: body}, outcome.Answered{Status: resp.StatusCode, Pace: took}
 }
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -61,7 +61,7 @@
 	if resp.StatusCode != http.StatusOK || !signed {
 		return x.handleNonStream(resp, signed, r)
 	}
-	err = r.copyEvents(resp, func() { x.setReadTimeout(x.dispatch.StallTimeout) })
+	pace, err := r.copyEvents(resp, func() { x.setReadTimeout(x.dispatch.StallTimeout) })
 	x.releaseConn(resp, err == nil)
 	if err != nil {
 		return nil, outcome.Interrupted{Reason: err.Error(), AnswerStarted: r.headerSent}
@@ -69,7 +69,7 @@
 	if !r.headerSent {
 		r.sendHeader(resp)
 	}
-	return nil, outcome.Answered{Status: resp.StatusCode}
+	return nil, outcome.Answered{Status: resp.StatusCode, Pace: pace}
 }
 
 // handleNonStream reads a response that is not a signed 200, whose body is not a stream. It
@@ -89,30 +89,32 @@
 	r.w.WriteHeader(resp.StatusCode)
 }
 
-// copyEvents forwards complete events until the response ends. It calls beforeRead before
-// each read.
-func (r *eventRelay) copyEvents(resp *http.Response, beforeRead func()) error {
+// copyEvents forwards complete events until the response ends, and returns their pace. It calls
+// beforeRead before each read.
+func (r *eventRelay) copyEvents(resp *http.Response, beforeRead func()) (time.Duration, error) {
 	var buffered []byte
+	var pace eventPace
 	chunk := make([]byte, readChunkSize)
 	for {
 		beforeRead()
 		n, err := resp.Body.Read(chunk)
 		buffered = append(buffered, chunk[:n]...)
 		if end := completeEventsLen(buffered); end > 0 {
+			pace = pace.with(bytes.Count(buffered[:end], eventEnd), r.now())
 			if werr := r.writeEvents(resp, buffered[:end]); werr != nil {
-				return werr
+				return 0, werr
 			}
 			buffered = append(buffered[:0], buffered[end:]...)
 		}
 		switch {
 		case errors.Is(err, io.EOF) && len(buffered) > 0:
-			return errors.New("stream ended within an event")
+			return 0, errors.New("stream ended within an event")
 		case errors.Is(err, io.EOF):
-			return nil
+			return pace.mean(), nil
 		case err != nil:
-			return errors.Wrap(err, "read stream")
+			return 0, errors.Wrap(err, "read stream")
 		case len(buffered) > maxEventBytes:
-			return errors.New("stream event exceeds the size limit")
+			return 0, errors.New("stream event exceeds the size limit")
 		}
 	}
 }
