core/requests: Test refusals, resumed streams and memory with versions

Cause: no test showed that readiness, backoffs, drained zones and the last resort go by the current version, nor that versions keep workers packed: without the version in the packed member all tests passed.

Change: TestRefusalsFollowTheCurrentVersion, TestResumedStreamsGoToTheCurrentVersion; the fleet of TestUnusedWorkersTakeLittleMemory has versions. The draw no longer looks at the lease, as the choice of the version does.

--- a/core/requests/memory_test.go
+++ b/core/requests/memory_test.go
@@ -55,6 +55,7 @@
 			list = append(list, registry.Worker{
 				ID: ident.Target(fmt.Sprintf("i-%08x", i*2654435761%(1<<32))), Pool: "pool", Zone: ident.Zone(fmt.Sprint("hall-", string(rune('a'+i%5)))),
 				Address: fmt.Sprintf("10.%d.%d.%d:8682", i%5, i/250, i%250), Slots: 64, Seq: 7, Born: registry.Incarnation(1_778_033_126_000 + i),
+				Version: ident.Version(fmt.Sprint("v", i%2)),
 			})
 		}
 		s, _ = requests.Reduce(s, requests.Registered{From: ident.Host(fmt.Sprint("hub-", from/batch%2)), Workers: list}, start)
--- a/core/requests/rollouts.go
+++ b/core/requests/rollouts.go
@@ -182,7 +182,7 @@
 func (t *transition) isDrawn(c call) bool {
 	e, ok := t.rolloutOf(c.pool.ID)
 	r := e.Rollout
-	if !ok || !r.IsRunning() || c.req.Resumed && r.Phase != rollouts.Drain || !t.confirmed.Valid(t.settings.RolloutLease, t.now) {
+	if !ok || !r.IsRunning() || c.req.Resumed && r.Phase != rollouts.Drain {
 		return false
 	}
 	drawn := hash.Mix(hash.Key(r.Order), requestKey(c.req.ID)) % rollouts.AllRequests
--- a/core/requests/rollouts_test.go
+++ b/core/requests/rollouts_test.go
@@ -33,7 +33,7 @@
 		e.Current = "v2"
 	}
 	plain := e
-	plain.Service = "plain"
+	plain.Service, e.Rollout.Order = "plain", 2
 	return rollouts.State{Revision: uint64(phase) + 1, Entries: []rollouts.Entry{e, plain}}
 }
 
@@ -92,6 +92,16 @@
 	}
 }
 
+// TestResumedStreamsGoToTheCurrentVersion guards against callers that resume a stream which the new
+// version broke off, and get to that version again.
+func TestResumedStreamsGoToTheCurrentVersion(t *testing.T) {
+	s := rolloutHost(4).WithRollouts(inPhase(rollouts.Shift, 1000))
+	r := request("1", "/resumable/x")
+	r.Resumed = true
+	_, d := arrive(t, s, r, start)
+	require.Equal(t, ident.Version("v1"), d.(requests.Dispatch).Worker.Version)
+}
+
 // TestTrialUsesFewTargets guards against a trial whose targets have less load than they will have
 // afterwards, so that faults under load do not show.
 func TestTrialUsesFewTargets(t *testing.T) {
@@ -202,3 +212,42 @@
 	successor.ID, successor.Version, successor.Seq = "successor", "v2", 1
 	require.Equal(t, map[ident.Target]int{old.ID: 50}, register(successor))
 }
+
+// TestRefusalsFollowTheCurrentVersion guards against a host that takes targets of a version not in
+// force for a reason to be ready, to have callers return at once, or to blame a drained zone, and that
+// prefers them to a target of the current version that may be alive.
+func TestRefusalsFollowTheCurrentVersion(t *testing.T) {
+	with := func(change func(w *registry.Worker)) requests.State {
+		s := readyWith(requests.Settings{Zone: "z", RolloutShare: 0.1}, 0).WithRollouts(inPhase(rollouts.Reverted, 0))
+		list := versioned(1, "v1", "v2")
+		for i := range list {
+			change(&list[i])
+		}
+		s, _ = requests.Reduce(s, requests.Registered{From: "r", Workers: list}, start)
+		return s
+	}
+	silent := with(func(w *registry.Worker) {
+		if w.Version == "v1" {
+			w.State = registry.Silent
+		}
+	})
+	require.False(t, silent.HasHealthyWorkers(start))
+	for _, path := range []string{"/safe/x", "/once/x"} {
+		_, d := arrive(t, silent, request("1", path), start)
+		require.Equal(t, ident.Version("v1"), d.(requests.Dispatch).Worker.Version)
+		require.True(t, d.(requests.Dispatch).Inputs.LastResort)
+		s := with(func(*registry.Worker) {})
+		s, d = arrive(t, s, request("1", path), start)
+		s = withNotice(s, d.(requests.Dispatch), requests.Notice{Backoff: time.Second}, start)
+		_, d = arrive(t, s, request("2", path), start)
+		require.Equal(t, requests.CodeOverloaded, d.(requests.Finish).Verdict.Code)
+		require.GreaterOrEqual(t, d.(requests.Finish).Verdict.RetryAfter, time.Second)
+	}
+	s := with(func(w *registry.Worker) {
+		if w.Zone = "y"; w.Version == "v1" {
+			w.State = registry.Gone
+		}
+	}).WithDrainedZones(drain("y"))
+	_, d := arrive(t, s, request("1", "/safe/x"), start)
+	require.Equal(t, requests.CodeNoWorker, d.(requests.Finish).Verdict.Code)
+}
