--- a/core/host/settings.go
+++ b/core/host/settings.go
@@ -9,6 +9,7 @@
 	"github.com/yardhall/yardhall/core/ident"
 	"github.com/yardhall/yardhall/core/raft"
 	"github.com/yardhall/yardhall/core/requests"
+	"github.com/yardhall/yardhall/core/rollouts"
 )
 
 // Settings configure a process.
@@ -48,6 +49,8 @@
 	// InForceWithin is the time after its acknowledgement within which all hosts apply a route
 	// table; 0 is the default.
 	InForceWithin time.Duration
+	// Rollouts bound the rollouts of target versions; the zero value disables them.
+	Rollouts rollouts.Limits
 	// Requests are the settings of core/requests.
 	Requests requests.Settings
 }
--- a/core/registry/forms_test.go
+++ b/core/registry/forms_test.go
@@ -16,16 +16,19 @@
 )
 
 // Lists of one worker, each field filled: as the program packed it that first sent
-// registrations, with the start of the worker's process, and with its cold time.
+// registrations, with the start of the worker's process, with its cold time, and with its version.
 const (
-	packedWorkers         = "0081a701627331026273320362733304627334050506060707"
-	packedWorkersWithBorn = "0081a8016273310262733203627333046273340505060607070808"
-	packedWorkersWithCold = "0081a90162733102627332036273330462733405050606070708080909"
+	packedWorkers            = "0081a701627331026273320362733304627334050506060707"
+	packedWorkersWithBorn    = "0081a8016273310262733203627333046273340505060607070808"
+	packedWorkersWithCold    = "0081a90162733102627332036273330462733405050606070708080909"
+	packedWorkersWithVersion = "0081aa01627331026273320362733304627334050506060707080809090a63733130"
 )
 
 func TestPackedWorkersOfEarlierProgramsAreRead(t *testing.T) {
 	want := formtest.Filled(reflect.TypeFor[[]registry.Worker](), nil).Interface().([]registry.Worker)
-	require.Equal(t, want, unpacked(t, packedWorkersWithCold), "packed today: %x", registry.Pack(want))
+	require.Equal(t, want, unpacked(t, packedWorkersWithVersion), "packed today: %x", registry.Pack(want))
+	want[0].Version = ""
+	require.Equal(t, want, unpacked(t, packedWorkersWithCold))
 	want[0].Cold = 0
 	require.Equal(t, want, unpacked(t, packedWorkersWithBorn))
 	want[0].Born = 0
--- a/core/registry/registry.go
+++ b/core/registry/registry.go
@@ -57,6 +57,8 @@
 	// Cold is how much longer the worker is cold, as of when this is sent: it sustains few requests
 	// a second until then. 0 if it is warm or does not report it.
 	Cold time.Duration `cbor:"9,keyasint,omitempty"`
+	// Version is the version of the worker's software; empty if the worker does not report it.
+	Version ident.Version `cbor:"10,keyasint,omitempty"`
 }
 
 // entry is a worker with the time it was last seen.
--- a/core/requests/decision.go
+++ b/core/requests/decision.go
@@ -126,6 +126,8 @@
 	// it never did; BackoffLeft is the remaining time of its backoff.
 	DeclinedAgo time.Duration
 	BackoffLeft time.Duration
+	// Rollout is set if the request was drawn for the version that is being rolled out.
+	Rollout bool
 }
 
 // AttemptKind is the reason for an attempt.
--- a/core/requests/requests.go
+++ b/core/requests/requests.go
@@ -81,6 +81,10 @@
 	// StartupTimeout is how long requests may wait for a starting host to become able to serve; 0
 	// means that they do not wait.
 	StartupTimeout time.Duration
+	// RolloutShare is the largest share of requests that a bad version may get; 0 disables rollouts.
+	// RolloutLease is how long a confirmation permits requests to a version being rolled out.
+	RolloutShare float64
+	RolloutLease time.Duration
 }
 
 // Defaults of Settings. All but DefaultLoadSlack are also those of the settings file; a test
