core/host: Confirm reads of the rollouts as well as of the route table

Cause: a confirmed read compares the version of the route table only. A replica that has not applied an acknowledged order could show the rollouts as of before it.

Change: the leader's reply carries the revision of the rollouts, and a read is answered once the replica holds that revision too. From earlier versions it is 0, which any replica holds.

--- a/core/host/message.go
+++ b/core/host/message.go
@@ -247,6 +247,8 @@
 	ReadReply struct {
 		ID      string
 		Version config.Version
+		// Rollouts is the revision of the rollouts; 0 from earlier versions.
+		Rollouts uint64
 	}
 )
 
--- a/core/host/read.go
+++ b/core/host/read.go
@@ -9,16 +9,18 @@
 	"github.com/yardhall/yardhall/core/ident"
 )
 
-// pendingRead waits until the leader has confirmed a version and this replica holds it.
+// pendingRead waits until the leader has confirmed a version of the route table and a revision of the
+// rollouts, and this replica holds both.
 type pendingRead struct {
 	deadline  time.Time
 	resendAt  time.Time
 	confirmed bool
 	version   config.Version
+	rollouts  uint64
 }
 
-// A read of the route table is answered once the leader has confirmed, after the read arrived,
-// which version is the newest, and this replica holds that version.
+// A read of the route table or of the rollouts is answered once the leader has confirmed, after the
+// read arrived, which version and revision are the newest, and this replica holds them.
 
 // readResendInterval is the pause before an unanswered request is resent.
 const readResendInterval = 200 * time.Millisecond
@@ -38,7 +40,7 @@
 	p.resendAt = t.now.Add(readResendInterval)
 	t.reads = t.reads.With(id, p)
 	if t.raft.LeaseHeld(t.now) {
-		t.handleReadReply(ReadReply{ID: id, Version: t.catalog.Config.Version})
+		t.handleReadReply(t.readReply(id))
 		return
 	}
 	if leader := t.raft.Leader(); leader != "" && leader != t.settings.replicaID() {
@@ -48,10 +50,14 @@
 
 func (t *transition) handleReadRequest(from ident.Host, m ReadRequest) {
 	if t.raft.LeaseHeld(t.now) {
-		t.send(from, ReadReply{ID: m.ID, Version: t.catalog.Config.Version})
+		t.send(from, t.readReply(m.ID))
 	}
 }
 
+func (t *transition) readReply(id string) ReadReply {
+	return ReadReply{ID: id, Version: t.catalog.Config.Version, Rollouts: t.Rollouts().Revision}
+}
+
 // handleReadReply records the version that the leader confirmed. The read is answered once this
 // replica holds it.
 func (t *transition) handleReadReply(m ReadReply) {
@@ -59,7 +65,7 @@
 	if !ok {
 		return
 	}
-	p.confirmed, p.version = true, m.Version
+	p.confirmed, p.version, p.rollouts = true, m.Version, m.Rollouts
 	t.reads = t.reads.With(m.ID, p)
 	t.answerReads()
 }
@@ -67,7 +73,7 @@
 // answerReads answers the reads whose confirmed version this replica holds.
 func (t *transition) answerReads() {
 	for id, p := range t.reads.All() {
-		if p.confirmed && t.catalog.Config.Version >= p.version {
+		if p.confirmed && t.catalog.Config.Version >= p.version && t.Rollouts().Revision >= p.rollouts {
 			t.reads = t.reads.Without(id)
 			t.emit(AnswerRead{ID: id, Current: true})
 		}
--- a/peers/forms_test.go
+++ b/peers/forms_test.go
@@ -112,6 +112,11 @@
 			join.Zone = ""
 			value = join
 		}
+		if reply, ok := value.(host.ReadReply); ok {
+			forms = append(forms, gobForm(name+"-rollouts", carrier{Value: reply}))
+			reply.Rollouts = 0
+			value = reply
+		}
 		if await, ok := value.(host.AwaitInForce); ok {
 			forms = append(forms, gobForm(name+"-zones", carrier{Value: await}))
 			await.Zones = 0
