settings, platform, operators: Add the calls and settings of rollouts

Cause: rollouts of a target version have to be ordered, watched and reverted.

Change: [gateway] rollout_share, rollout_slack and rollout_revert, checked; the template fills them from ExposureShare, ExposureSlack and RollbackMs, and writes none of them where a bound is absent. The platform's POST /v1/rollouts and GET /v1/rollouts/SERVICE, the operators' calls with a revert, and `yardhall rollout start|status|revert`. They exist only where rollout_share is set. Reads are confirmed by the leader first. Orders answered with 400 are counted and logged; requests drawn for a new version and their failed attempts are counted; lines on requests name the version of the worker and whether the request was drawn.

Tests: each status of the page with a fake core (platform, operators), malformed orders, unconfirmed reads, calls without the setting, the command's calls and exit codes, settings and template, the daemon's settings, lines and counters.

--- a/commands/yardhall/connection.go
+++ b/commands/yardhall/connection.go
@@ -16,6 +16,7 @@
 	"github.com/google/subcommands"
 	"github.com/pkg/errors"
 
+	"github.com/yardhall/yardhall/core/catalog"
 	"github.com/yardhall/yardhall/operators"
 )
 
@@ -73,7 +74,7 @@
 		return subcommands.ExitFailure
 	}
 	switch {
-	case ce.Status == http.StatusPreconditionFailed:
+	case ce.Status == http.StatusPreconditionFailed, ce.Detail.Code == string(catalog.Conflict):
 		return exitConflict
 	case ce.Detail.Code == "unknown":
 		return exitUnknown
--- a/commands/yardhall/yardhall.go
+++ b/commands/yardhall/yardhall.go
@@ -34,6 +34,7 @@
 	for _, cmd := range []subcommands.Command{
 		&statusCommand{c: c}, &getCommand{c: c}, &applyCommand{c: c}, &deleteCommand{c: c},
 		&dumpCommand{c: c}, &explainCommand{c: c}, &replicaCommand{c: c}, &backupCommand{c: c}, &zoneCommand{c: c},
+		&rolloutCommand{c: c},
 	} {
 		commander.Register(cmd, "fleet")
 	}
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -121,6 +121,7 @@
 		Incarnation: incarnation, MaxChatsPerGroup: s.Host.Chats, Seeds: s.SeedHosts(), Voters: 2*s.Replicas.Losses + 1,
 		WorkerTimeout: host.WorkerTimeout(s.Gateway.Heartbeat), Requests: gatewaySettings(s), RelayAddress: s.Gateway.Relay,
 		HubsAbove: s.Replicas.HubsAbove, InForceWithin: min(s.Gateway.InForce, s.Gateway.Revoke),
+		Rollouts: rolloutLimits(s.Gateway),
 	}
 	if s.Seeded() {
 		hs.Raft = host.SeededRaftOptions(o.Raft)
--- a/daemon/gateway.go
+++ b/daemon/gateway.go
@@ -33,11 +33,12 @@
 )
 
 func gatewaySettings(s settings.Settings) requests.Settings {
-	g := s.Gateway
+	g, limits := s.Gateway, rolloutLimits(s.Gateway)
 	return requests.Settings{
 		Host: s.ID(), Zone: ident.Zone(s.Host.Zone), KeyLease: g.KeyLease, ZoneDrain: g.ZoneDrain,
 		RetryShare: settings.Number(g.RetryShare), RetryExtra: settings.Number(g.RetryExtra),
 		LoadFactor: settings.Number(g.LoadFactor), StartupTimeout: host.MaxStartupTime(),
+		RolloutShare: limits.Share, RolloutLease: limits.Revert / 2,
 	}
 }
 
@@ -81,6 +82,7 @@
 // observeRequest counts and logs each ended request.
 func (d *Daemon) observeRequest() func(gateway.Observation) {
 	lines := newRequestLog(d.options.Log)
+	lines.versions = d.loop.RolloutsEnabled()
 	return func(o gateway.Observation) {
 		d.metrics.observeRequest(o)
 		lines.observe(o)
--- a/daemon/loop.go
+++ b/daemon/loop.go
@@ -47,6 +47,8 @@
 	delays  *delays
 	pace    pace
 
+	// rejectedOrders counts orders of rollouts that were answered with 400.
+	rejectedOrders expvar.Int
 	// suspended is for how long the machine was suspended, as the core knows; under reducing.
 	suspended time.Duration
 	// reducing is held while an event is reduced and its effects carried out.
--- a/daemon/metrics.go
+++ b/daemon/metrics.go
@@ -27,6 +27,7 @@
 	prompt expvar.Int
 	// verdicts counts requests of the route table by outcome and code.
 	verdicts *expvar.Map
+	rollouts rolloutCounters
 }
 
 // Times are measured in microseconds from 1 to an hour.
@@ -57,6 +58,7 @@
 	m.vars.Set("request_time_us", expvar.Func(func() any { return m.summary(m.took) }))
 	m.vars.Set("first_byte_us", expvar.Func(func() any { return m.summary(m.first) }))
 	m.vars.Set("memory", expvar.Func(memory))
+	m.publishRollouts(d)
 	if disk := d.loop.disk; disk != nil {
 		m.vars.Set("disk_failures", &disk.failures)
 		m.vars.Set("disk_syncs", &disk.syncs)
@@ -131,6 +133,7 @@
 // observeRequest counts a request of the route table.
 func (m *metrics) observeRequest(o gateway.Observation) {
 	m.verdicts.Add(string(o.Verdict.Outcome)+"/"+string(o.Verdict.Code), 1)
+	m.rollouts.observe(o)
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	_ = m.took.RecordValue(clampMicros(o.Duration))
--- a/daemon/ports.go
+++ b/daemon/ports.go
@@ -96,7 +96,7 @@
 func (d *Daemon) addOperators(g *run.Group) error {
 	s := d.settings.Operators
 	api := operators.New(operators.Deps{
-		Core: d.loop, KeyHashes: s.KeyHashes, Counters: d.metrics.handler(),
+		Core: d.loop, KeyHashes: s.KeyHashes, Counters: d.metrics.handler(), Rollouts: d.loop.rolloutCore(),
 	})
 	l, err := withTLS(d.operL, s.Cert, s.KeyFile)
 	if err != nil {
--- a/daemon/requestlog.go
+++ b/daemon/requestlog.go
@@ -28,6 +28,9 @@
 	now   func() time.Time
 	plain logs.Budget
 	odd   logs.Budget
+	// versions is set if lines name the versions of workers, which have a meaning only where
+	// rollouts are enabled.
+	versions bool
 }
 
 func newRequestLog(log logr.Logger) *requestLog {
@@ -52,15 +55,15 @@
 	last := len(o.Attempts) - 1
 	for i, try := range o.Attempts {
 		if i < last {
-			l.log.Info("try", tryFields(o, try)...)
+			l.log.Info("try", l.tryFields(o, try)...)
 		}
 	}
-	l.log.Info("request", requestFields(o)...)
+	l.log.Info("request", l.requestFields(o)...)
 }
 
 // requestFields are how a request ended, and the decision for its last worker, if it had
 // any.
-func requestFields(o gateway.Observation) []any {
+func (l *requestLog) requestFields(o gateway.Observation) []any {
 	fields := []any{"outcome", string(o.Verdict.Outcome), "code", string(o.Verdict.Code), "took_ms", millis(o.Duration)}
 	if o.Verdict.Reason != "" {
 		fields = append(fields, "reason", o.Verdict.Reason)
@@ -80,7 +83,7 @@
 	if last := len(o.Attempts) - 1; last >= 0 {
 		route := o.Attempts[last].Dispatch.Route
 		fields = append(fields, "objective_ms", millis(time.Duration(route.Objective)), "max_pause_ms", millis(time.Duration(route.MaxPause)))
-		fields = append(fields, tryFields(o, o.Attempts[last])...)
+		fields = append(fields, l.tryFields(o, o.Attempts[last])...)
 	} else {
 		fields = append(fields, "request", string(o.Request.ID), "route", o.Request.Host+o.Request.Path,
 			"table", o.Inputs.TableNumber, "table_age_ms", millis(o.Inputs.ConfigAge))
@@ -90,7 +93,7 @@
 
 // tryFields are the decision for a worker, what it was made from, and what came
 // of it.
-func tryFields(o gateway.Observation, try gateway.Attempt) []any {
+func (l *requestLog) tryFields(o gateway.Observation, try gateway.Attempt) []any {
 	d, in := try.Dispatch, try.Dispatch.Inputs
 	fields := []any{
 		"request", string(o.Request.ID), "route", d.Route.Name, "account", string(d.Account), "content", d.Content.String(), "try", d.Attempt,
@@ -108,6 +111,12 @@
 	if d.CacheFrom != "" && in.Position > 0 {
 		fields = append(fields, "cache_from", d.CacheFrom)
 	}
+	if l.versions && d.Worker.Version != "" {
+		fields = append(fields, "version", string(d.Worker.Version))
+	}
+	if l.versions && in.Rollout {
+		fields = append(fields, "rollout", true)
+	}
 	return fields
 }
 
--- a/operators/operators.go
+++ b/operators/operators.go
@@ -47,6 +47,8 @@
 	KeyHashes []string
 	// Counters serves the process's counters.
 	Counters http.Handler
+	// Rollouts is what the calls on rollouts need; nil where rollouts are disabled.
+	Rollouts RolloutCore
 }
 
 // API is the operators' port.
@@ -81,6 +83,12 @@
 	g.GET("/zones", a.zones)
 	g.POST("/zones/:zone/drain", func(c echo.Context) error { return a.changeZone(c, true) })
 	g.POST("/zones/:zone/restore", func(c echo.Context) error { return a.changeZone(c, false) })
+	if a.deps.Rollouts != nil {
+		g.POST("/rollouts", a.orderRollout)
+		g.GET("/rollouts", a.rollouts)
+		g.GET("/rollouts/:service", a.rollout)
+		g.POST("/rollouts/:service/revert", a.revertRollout)
+	}
 	g.GET("/plans", a.plans)
 	g.POST("/plans", a.makePlan)
 	g.GET("/plans/:id", a.plan)
@@ -218,22 +226,35 @@
 }
 
 func (a *API) write(c echo.Context, cmd catalog.Command) error {
+	r, known := a.submit(c, cmd)
+	if !known {
+		return failUnknown(c)
+	}
+	if r.Code == catalog.OK {
+		return written(c, r)
+	}
+	return c.JSON(statusOf(r.Code), Error{Code: string(r.Code), Reason: r.Reason, Plan: r.Plan, Version: r.Version})
+}
+
+// submit writes a command; known is false where it may or may not be done.
+func (a *API) submit(c echo.Context, cmd catalog.Command) (result catalog.Result, known bool) {
 	w := catalog.Write{Actor: actor(c), Command: cmd, Remember: true}
 	if key := c.Request().Header.Get(headerKey); key != "" {
 		w.ID = "operator/" + key
 	} else {
 		w.ID = "operator/" + uuid.NewString()
 	}
-	r, known := a.deps.Core.Write(c.Request().Context(), w, writeLimit)
-	if !known {
-		return fail(c, http.StatusServiceUnavailable, "unknown",
-			"no quorum answered in time; the write may or may not be done: send it again with the same "+headerKey)
-	}
-	if r.Code == catalog.OK {
-		c.Response().Header().Set("ETag", etag(r.Version))
-		return c.JSON(http.StatusOK, Written{Version: r.Version, Plan: r.Plan, Reason: r.Reason})
-	}
-	return c.JSON(statusOf(r.Code), Error{Code: string(r.Code), Reason: r.Reason, Plan: r.Plan, Version: r.Version})
+	return a.deps.Core.Write(c.Request().Context(), w, writeLimit)
+}
+
+func failUnknown(c echo.Context) error {
+	return fail(c, http.StatusServiceUnavailable, "unknown",
+		"no quorum answered in time; the write may or may not be done: send it again with the same "+headerKey)
+}
+
+func written(c echo.Context, r catalog.Result) error {
+	c.Response().Header().Set("ETag", etag(r.Version))
+	return c.JSON(http.StatusOK, Written{Version: r.Version, Plan: r.Plan, Reason: r.Reason})
 }
 
 func actor(c echo.Context) string {
--- a/settings/check.go
+++ b/settings/check.go
@@ -50,6 +50,7 @@
 	checkChoice("replicas", "found", s.Replicas.Found, []string{yes, "no"}, p)
 	checkChoice("peer", "trusted_network", s.Peer.Trusted, []string{yes, "no"}, p)
 	checkGateway(s.Gateway, p)
+	checkRollouts(s, p)
 	checkChoice("log", "level", s.Log.Level, []string{"debug", "info", "error"}, p)
 	checkChoice("log", "format", s.Log.Format, []string{"json", "console"}, p)
 }
@@ -162,6 +163,28 @@
 	}
 }
 
+// checkRollouts checks the bounds of rollouts. A share outside its range, or one that is not a
+// number, would otherwise send all requests to a new version or none.
+func checkRollouts(s Settings, p *ProblemsError) {
+	share, err := strconv.ParseFloat(s.Gateway.RolloutShare, 64)
+	if err != nil || !isWithin(share, 0, 1) {
+		p.add("gateway", "rollout_share", "%q is not a number from 0 to 1", s.Gateway.RolloutShare)
+	}
+	slack, err := strconv.ParseFloat(s.Gateway.RolloutSlack, 64)
+	if err != nil || !isWithin(slack, 0, maxSlack) {
+		p.add("gateway", "rollout_slack", "%q is not a number from 0 to %d", s.Gateway.RolloutSlack, maxSlack)
+	}
+	if share > 0 && !s.Seeded() {
+		p.add("gateway", "rollout_share", "needs a fleet with seeds")
+	}
+}
+
+// isWithin is false for a value that is not a number.
+func isWithin(v, low, high float64) bool { return v >= low && v <= high }
+
+// maxSlack bounds rollout_slack. More requests than this are no bound for any service.
+const maxSlack = 1_000_000
+
 // Number returns a number that Load has checked.
 func Number(text string) float64 {
 	v, err := strconv.ParseFloat(text, 64)
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -131,6 +131,10 @@
 	RetryExtra string        `ini:"retry_extra" default:"20" doc:"Requests that the whole fleet may send once more beyond that."`
 	LoadFactor string        `ini:"load_factor" default:"2" doc:"Multiple of the mean load that no engine may go beyond."`
 	DrainTime  time.Duration `ini:"drain_time" default:"8s" doc:"Time that a planned stop may take."`
+
+	RolloutShare  string        `ini:"rollout_share" default:"0" doc:"Largest part of a service's requests, from 0 to 1, that a bad version may get while it is rolled out; the same on all hosts. 0 disables rollouts: versions of targets are ignored. Only with seeds."`
+	RolloutSlack  string        `ini:"rollout_slack" default:"50" doc:"Requests that a bad version may get beyond rollout_share, over all hosts together."`
+	RolloutRevert time.Duration `ini:"rollout_revert" default:"5s" doc:"Time after the 50th bad answer of a version being rolled out from which no host sends it requests. A host sends it requests only while it was confirmed within half of this time."`
 }
 
 // Metrics is the port at which counters and histograms are read.
--- a/settings/settings_test.go
+++ b/settings/settings_test.go
@@ -60,6 +60,8 @@
 		"off-loopback":     replace("127.0.0.1:7100", "10.0.0.1:7100", "127.0.0.1:7190", "10.0.0.1:7190"),
 		"short-key":        replace("a key of sixteen or more", "short", "2c26b46b68ffc68f", "not-hex-not-hex-"),
 		"twice":            good + "[host]\nid = another\n",
+		"rollout-bounds":   good + "[gateway]\nrollout_share = NaN\nrollout_slack = -1\nrollout_revert = 0s\n",
+		"rollout-listed":   good + "[gateway]\nrollout_share = 0.1\n",
 		"everything":       "[host]\nid =\n[log]\nlevel = loud\n",
 	}
 	for name, text := range cases {
