--- a/commands/yardhall/demo.go
+++ b/commands/yardhall/demo.go
@@ -15,7 +15,10 @@
 )
 
 // demoCommand runs a whole fleet on loopback.
-type demoCommand struct{ time time.Duration }
+type demoCommand struct {
+	time    time.Duration
+	rollout bool
+}
 
 // Name implements subcommands.Command.
 func (*demoCommand) Name() string { return "demo" }
@@ -24,11 +27,15 @@
 func (*demoCommand) Synopsis() string { return "run a whole fleet on loopback and report on it" }
 
 // Usage implements subcommands.Command.
-func (*demoCommand) Usage() string { return "yardhall demo [--time 8s]\n\n" }
+func (*demoCommand) Usage() string {
+	return "yardhall demo [--time 8s]\nyardhall demo -rollout [--time 12s]\n\n" +
+		"-rollout rolls a good and a bad version of a service out and shows both rollouts.\n\n"
+}
 
 // SetFlags implements subcommands.Command.
 func (d *demoCommand) SetFlags(f *flag.FlagSet) {
-	f.DurationVar(&d.time, "time", 0, "time of each of the two runs")
+	f.DurationVar(&d.time, "time", 0, "time of each of the two runs, or for each rollout")
+	f.BoolVar(&d.rollout, "rollout", false, "show rollouts of a target version in a fleet with a route table")
 }
 
 // Execute implements subcommands.Command.
@@ -45,6 +52,9 @@
 		return errors.Wrap(err, "data folder")
 	}
 	defer func() { _ = os.RemoveAll(dir) }()
+	if d.rollout {
+		return errors.Wrap(demo.RunRollout(ctx, demo.Options{Dir: dir, Out: os.Stdout, Time: d.time}), "demo")
+	}
 	_, err = demo.Run(ctx, demo.Options{Dir: dir, Out: os.Stdout, Time: d.time})
 	return errors.Wrap(err, "demo")
 }
--- a/demo/demo.go
+++ b/demo/demo.go
@@ -7,6 +7,9 @@
 // # Usage
 //
 //	report, err := demo.Run(ctx, demo.Options{Dir: dir, Out: os.Stdout})
+//	err = demo.RunRollout(ctx, demo.Options{Dir: dir, Out: os.Stdout})
+//
+// RunRollout runs a fleet with a route table and rolls versions of its workers out.
 package demo
 
 import (
