--- a/core/host/pollreply.go
+++ b/core/host/pollreply.go
@@ -26,9 +26,10 @@
 	t.handleCrashEntries(from, m.CrashEntries)
 	t.applyHubList(m)
 	t.applyFallbackPeers(m)
+	// A host that had the route table first would send requests to all versions meanwhile.
+	t.applyRollouts(from, m.Rollouts)
 	t.applyTable(m)
 	t.applyZones(from, m.Zones)
-	t.applyRollouts(from, m.Rollouts)
 	t.requestMoreWorkers(from, m)
 	if from == t.primaryHub() {
 		t.reduceRequests(requests.ZonesSilent{Zones: m.SilentZones})
