core/requests: Send nothing to silent workers of a version being drained

Cause: in Drain, a host whose confirmation was older than the rollout lease used workers of the former version as a last resort.

Change: workers of a version being drained are no last resort. The request is refused as not run.

Test: TestSilentWorkersOfADrainedVersionGetNothing, which fails without the change.

--- a/core/requests/choose.go
+++ b/core/requests/choose.go
@@ -72,7 +72,7 @@
 func (t *transition) chooseWorker(c call) (choice, bool) {
 	versions := t.versionsFor(c)
 	if !versions.usesNext {
-		return t.chooseAmong(c, versions.current, true)
+		return t.chooseAmong(c, versions.current, !versions.draining)
 	}
 	if picked, ok := t.chooseAmong(c, versions.next, false); ok {
 		return picked, true
@@ -81,10 +81,7 @@
 	if ok || !versions.draining {
 		return picked, ok
 	}
-	if picked, ok = t.chooseAmong(c, versions.next, true); ok {
-		return picked, true
-	}
-	return t.chooseAmong(c, versions.current, true)
+	return t.chooseAmong(c, versions.next, true)
 }
 
 // chooseAmong returns the worker for the call's next attempt among those that a filter allows. Those
--- a/core/requests/rollouts.go
+++ b/core/requests/rollouts.go
@@ -96,7 +96,9 @@
 	// otherwise.
 	next     versionFilter
 	usesNext bool
-	// draining is set if the current version is being drained.
+	// draining is set if the current version is being drained. Its workers are then no last resort:
+	// they stop once the rollout completes, and a worker of yet another version may start under the
+	// same id before this host learns of either.
 	draining bool
 }
 
@@ -131,7 +133,7 @@
 	v := attemptVersions{current: currentVersion(e)}
 	if e.Rollout.Phase == rollouts.Drain {
 		v.next, v.usesNext = s.nextVersion(pool, now)
-		v.draining = v.usesNext
+		v.draining = true
 	}
 	return v
 }
--- a/core/requests/rollouts_test.go
+++ b/core/requests/rollouts_test.go
@@ -60,6 +60,24 @@
 	return byWorker, atNew
 }
 
+// TestSilentWorkersOfADrainedVersionGetNothing guards against requests to workers of the former version
+// that a host with an old confirmation takes for silent. A soak (seed 151) had another version, not
+// ordered yet, running under the id of one of them.
+func TestSilentWorkersOfADrainedVersionGetNothing(t *testing.T) {
+	s := readyWith(requests.Settings{Zone: "z", RolloutShare: 0.1}, 0).WithRollouts(inPhase(rollouts.Drain, 1000))
+	silent := versioned(4, "v1")
+	for i := range silent {
+		silent[i].State, silent[i].Seq = registry.Silent, silent[i].Seq+1
+	}
+	s, _ = requests.Reduce(s, requests.Registered{From: "r", Workers: append(silent, versioned(4, "v2")[4:]...)}, start)
+	for _, path := range []string{"/safe/x", "/once/x"} {
+		_, d := arrive(t, s, request("r", path), start.Add(requests.DefaultRolloutLease))
+		finish, ok := d.(requests.Finish)
+		require.True(t, ok, "sent: %+v", d)
+		require.Equal(t, outcome.NotRun, finish.Verdict.Outcome)
+	}
+}
+
 // TestVersionsOfFirstAttempts guards against requests to a version that is not in force, or that a
 // host may not know to be reverted, and against versions that matter without the setting.
 func TestVersionsOfFirstAttempts(t *testing.T) {
