core: Mend the faults that reviews of the rollouts found

In Drain a host went back to targets of the former version when its confirmation aged or no new target was free for a moment. Those stop without draining once the rollout completes, which ended requests that must run once. In Drain the new version now gets everything; targets of the former one get first attempts alone, while no new one may be alive.

Completion by time-out waits until no host may serve by an earlier phase, and a replica that is silent holds back completion and the adoption over a known version. A new leader computes the service's rate over its own time and uses no slack that an earlier one may have used. The elapsed time no longer loses the time of each commit. An order sent again is acknowledged also once its service was removed. A declined request asks the retry budget once. The time to the header of an engine is no pace. Failures within a minute are not forgotten when a worker is packed, which kept targets with few requests from being ejected.

--- a/core/catalog/rollout.go
+++ b/core/catalog/rollout.go
@@ -20,10 +20,10 @@
 	if err := cmd.Validate(); err != nil {
 		return c, c.rolloutResult(Invalid, err.Error())
 	}
-	if !c.hasService(cmd.Service) {
+	next, outcome := c.Rollouts.WithOrder(cmd.Order, c.Time)
+	if isRepeated := outcome == rollouts.Done && next.Revision == c.Rollouts.Revision; !isRepeated && !c.hasService(cmd.Service) {
 		return c, c.rolloutResult(Invalid, fmt.Sprintf("the route table has no service %.80q", cmd.Service))
 	}
-	next, outcome := c.Rollouts.WithOrder(cmd.Order, c.Time)
 	if outcome == rollouts.Done && next.Revision != c.Rollouts.Revision {
 		c = c.audit(actor, "OrderRollout", rolloutObject(cmd.Service), fmt.Sprintf("version %s in %s", cmd.To, cmd.Duration))
 	}
--- a/core/health/health.go
+++ b/core/health/health.go
@@ -96,9 +96,12 @@
 	return t.Failures == 0 && !t.LastGood.IsZero() && now.Sub(t.LastGood) < successLifetime
 }
 
-// IsForgettable reports whether the last result and every state that it led to ended long ago, and
-// nothing else is known of the target.
+// IsForgettable reports whether the last good answer, the first of the current failures and every
+// state that they led to ended long ago, and nothing else is known of the target.
 func (t Target) IsForgettable(now time.Time, after time.Duration) bool {
+	if t.Failures > 0 && now.Sub(t.FailingSince) <= after {
+		return false
+	}
 	for _, until := range []time.Time{t.EjectedUntil, t.LastGood, t.LeavingUntil, t.LeavingReportedUntil, t.BackoffUntil} {
 		if now.Sub(until) <= after {
 			return false
--- a/core/health/health_test.go
+++ b/core/health/health_test.go
@@ -60,3 +60,12 @@
 	require.True(t, h.PresumedDead(now.Add(2*time.Minute)))
 	require.False(t, h.WithResult(true, now).PresumedDead(now.Add(2*time.Minute)))
 }
+
+// TestRecentFailuresAreNotForgotten guards against failures of a target that gets few requests being
+// forgotten before they are enough to eject it.
+func TestRecentFailuresAreNotForgotten(t *testing.T) {
+	now := time.Unix(1000, 0)
+	target := health.Target{}.WithResult(false, now)
+	require.False(t, target.IsForgettable(now.Add(10*time.Second), time.Minute))
+	require.True(t, target.IsForgettable(now.Add(61*time.Second), time.Minute))
+}
--- a/core/host/rolloutcontrol.go
+++ b/core/host/rolloutcontrol.go
@@ -123,6 +123,7 @@
 	o := rollouts.Observation{
 		Elapsed: t.rolloutElapsed(e),
 		Verdict: g.judgement.Verdict, Reason: g.judgement.Reason, Requests: g.requests, Exposed: g.exposed,
+		Covered: min(t.rolloutElapsed(e), t.now.Sub(t.leaderSince)), InForce: t.isPhaseInForce(e),
 		LongestRequest: t.longestRequest(e.Service),
 	}
 	var watch drainWatch
@@ -140,7 +141,7 @@
 
 // rolloutElapsed returns the time since a rollout was ordered.
 func (t *transition) rolloutElapsed(e rollouts.Entry) time.Duration {
-	return e.Rollout.Elapsed + t.now.Sub(t.rolloutMarkOf(e).appliedAt)
+	return t.now.Sub(t.rolloutMarkOf(e).orderedAt)
 }
 
 // submitRolloutWrite submits a write of the controller unless one for the service is pending.
@@ -189,7 +190,7 @@
 	if !targets.isComplete || versions[e.Rollout.To].ready > 0 {
 		w.newReadyAt = t.now
 	}
-	switch isIdle := targets.isComplete && t.isPhaseInForce(e) && !t.hasRequestsAtOthers(versions, e.Rollout.To); {
+	switch isIdle := targets.isComplete && !targets.hasSilentReplica && versions[e.Rollout.To].ready > 0 && t.isPhaseInForce(e) && !t.hasRequestsAtOthers(versions, e.Rollout.To); {
 	case !isIdle:
 		w.idleSince = time.Time{}
 	case w.idleSince.IsZero():
@@ -248,7 +249,7 @@
 			if !ok || versions[e.Current].ready > 0 || versions[""].ready > 0 {
 				c.currentReadyAt, readyAt = c.currentReadyAt.With(p.ID, t.now), t.now
 			}
-			if t.now.Sub(readyAt) < adoptionDelay {
+			if t.now.Sub(readyAt) < adoptionDelay || targets.hasSilentReplica {
 				continue
 			}
 		}
--- a/core/host/rollouts.go
+++ b/core/host/rollouts.go
@@ -52,8 +52,9 @@
 type rolloutMark struct {
 	order uint64
 	phase rollouts.Phase
-	// appliedAt is when the entry was applied.
-	appliedAt time.Time
+	// orderedAt is when the rollout was ordered, by its elapsed time and this replica's clock: the
+	// earliest by all entries, as each one is applied some time after its elapsed time was taken.
+	orderedAt time.Time
 	// phaseRevision is the revision by which the phase began, phaseAt when it was applied. Both are
 	// later if this replica received that revision in a snapshot.
 	phaseRevision uint64
@@ -104,11 +105,14 @@
 
 func (t *transition) nextRolloutMark(e rollouts.Entry) rolloutMark {
 	m, _ := t.seeded.rollouts.marks.Get(e.Service)
+	orderedAt := t.now.Add(-e.Rollout.Elapsed)
+	if m.order != e.Rollout.Order || orderedAt.Before(m.orderedAt) {
+		m.orderedAt = orderedAt
+	}
 	if m.order != e.Rollout.Order || m.phase != e.Rollout.Phase {
 		m.order, m.phase = e.Rollout.Order, e.Rollout.Phase
 		m.phaseRevision, m.phaseAt = t.catalog.Rollouts.Revision, t.now
 	}
-	m.appliedAt = t.now
 	return m
 }
 
@@ -118,7 +122,7 @@
 	m, ok := t.seeded.rollouts.marks.Get(e.Service)
 	if !ok {
 		return rolloutMark{
-			order: e.Rollout.Order, phase: e.Rollout.Phase, appliedAt: t.started,
+			order: e.Rollout.Order, phase: e.Rollout.Phase, orderedAt: t.started.Add(-e.Rollout.Elapsed),
 			phaseRevision: t.catalog.Rollouts.Revision, phaseAt: t.started,
 		}
 	}
--- a/core/host/rollouttargets.go
+++ b/core/host/rollouttargets.go
@@ -67,7 +67,10 @@
 	countedAt time.Time
 	// isComplete is set if the registrations of all replicas in contact were counted.
 	isComplete bool
-	byService  map[ident.Service]map[ident.Version]versionTargets
+	// hasSilentReplica is set if a member has not replied for registrationsLifetime: workers that only
+	// it knows are not counted.
+	hasSilentReplica bool
+	byService        map[ident.Service]map[ident.Version]versionTargets
 }
 
 // updateFleetTargets requests the registrations of the other replicas and counts the workers, at
@@ -153,7 +156,7 @@
 		switch {
 		case id == t.settings.ID:
 		case t.now.Sub(laterTime(s.lastReply, t.leaderSince)) >= registrationsLifetime:
-			// The replica is silent.
+			out.hasSilentReplica = true
 		default:
 			out.isComplete = out.isComplete && s.isComplete()
 			add(s.workers)
--- a/core/requests/attempt.go
+++ b/core/requests/attempt.go
@@ -89,7 +89,7 @@
 		c.reachedWorkers++
 	}
 	v := Verdict{Outcome: c.combinedOutcome, Code: CodeOverloaded, Reason: "the worker declined: " + r.Reason}
-	if t.mayRetry(c) || t.mayLeaveVersion(c) {
+	if t.mayRetryDeclined(c) {
 		t.retry(c.withCacheSource(), v)
 		return
 	}
--- a/core/requests/choose.go
+++ b/core/requests/choose.go
@@ -8,6 +8,7 @@
 
 	"github.com/yardhall/yardhall/core/hash"
 	"github.com/yardhall/yardhall/core/ident"
+	"github.com/yardhall/yardhall/core/registry"
 )
 
 // Candidates for an attempt are the workers of the request's pool that it has not tried, that are
@@ -74,16 +75,15 @@
 func (t *transition) chooseWorker(c call) (choice, bool) {
 	versions := t.versionsFor(c)
 	if !versions.usesNext {
-		return t.chooseAmong(c, versions.current, !versions.draining)
+		return t.chooseAmong(c, versions.current, true)
 	}
-	if picked, ok := t.chooseAmong(c, versions.next, false); ok {
+	if picked, ok := t.chooseAmong(c, versions.next, versions.draining); ok {
 		return picked, true
 	}
-	picked, ok := t.chooseAmong(c, versions.current, !versions.draining)
-	if ok || !versions.draining {
-		return picked, ok
+	if versions.draining && len(c.tried) > 0 {
+		return choice{}, false
 	}
-	return t.chooseAmong(c, versions.next, true)
+	return t.chooseAmong(c, versions.current, !versions.draining)
 }
 
 // chooseAmong returns the worker for the call's next attempt among those that a filter allows. Those
@@ -190,6 +190,9 @@
 	if allowed && m.isAvailable(t.now) && len(c.tried) == 0 && open.has(m.placement) {
 		return estimate.candidate(m), available
 	}
+	if m.full == nil && m.state == registry.Ready && !allowed {
+		return estimate.candidate(m), excluded
+	}
 	w := m.worker(t.workers.base)
 	if !w.mayHaveLoad() {
 		return candidate{}, unused
--- a/core/requests/dispatch.go
+++ b/core/requests/dispatch.go
@@ -94,7 +94,7 @@
 	t.calls = t.calls.With(c.req.ID, c)
 	header, eventGap := c.responseTimeouts()
 	inputs := t.decisionInputs(picked)
-	inputs.Rollout = c.drawn
+	inputs.Rollout = c.drawn && c.side.New
 	t.out = append(t.out, Dispatch{
 		Request: c.req.ID, Attempt: c.attempt, Worker: picked.worker.Worker, Route: c.route,
 		Account: c.account, Content: c.content, Rank: c.rank, Deadline: c.req.Deadline, Engine: c.pool.Engine,
--- a/core/requests/evidence.go
+++ b/core/requests/evidence.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/yardhall/yardhall/core/canary"
+	"github.com/yardhall/yardhall/core/config"
 	"github.com/yardhall/yardhall/core/ident"
 	"github.com/yardhall/yardhall/core/outcome"
 	"github.com/yardhall/yardhall/core/table"
@@ -83,6 +84,11 @@
 	switch r := ev.Result.(type) {
 	case outcome.Answered:
 		answer.Failed, answer.Pace = r.Status >= serverError, r.Pace
+		if c.pool.Engine && c.route.Kind != config.RouteStream {
+			// The time to the header includes the reading of the prompt, which takes engines with an
+			// empty cache longer.
+			answer.Pace = 0
+		}
 		return answer, true
 	case outcome.Interrupted:
 		if ev.CallerWaiting && t.isWorkerFault(c) {
--- a/core/requests/rollouts.go
+++ b/core/requests/rollouts.go
@@ -26,8 +26,11 @@
 // If no worker of the new version is available, the current version takes the request. The reverse
 // never happens: hosts do not decide that a version is good.
 //
-// A host sends to the new version only while its newest confirmation is younger than RolloutLease,
-// so a partitioned host stops sending to it although it does not learn that it was reverted.
+// Before Drain a host sends to the new version only while its newest confirmation is younger than
+// RolloutLease, so a partitioned host stops sending to it although it does not learn that it was
+// reverted. In Drain it goes on: the workers of the current version stop without draining at a time
+// that a partitioned host does not learn either, and requests that must run at most once would be lost
+// there.
 //
 // Workers of versions that a request may not go to still count for load bounds.
 //
@@ -96,9 +99,10 @@
 	// otherwise.
 	next     versionFilter
 	usesNext bool
-	// draining is set if the current version is being drained. Its workers are then no last resort:
-	// they stop once the rollout completes, and a worker of yet another version may start under the
-	// same id before this host learns of either.
+	// draining is set if the current version is being drained. Its workers stop without draining once
+	// the rollout completes, and a worker of yet another version may start under the same id before
+	// this host learns of either. They are therefore used only for first attempts while no worker of
+	// the new version may be alive, and never as a last resort.
 	draining bool
 }
 
@@ -133,7 +137,7 @@
 	v := attemptVersions{current: currentVersion(e)}
 	if e.Rollout.Phase == rollouts.Drain {
 		v.next, v.usesNext = s.nextVersion(pool, now)
-		v.draining = true
+		v.draining = v.usesNext
 	}
 	return v
 }
@@ -152,7 +156,7 @@
 func (s State) nextVersion(pool ident.Service, now time.Time) (f versionFilter, ok bool) {
 	e, _ := s.rolloutOf(pool)
 	r := e.Rollout
-	if !r.IsRunning() || !s.confirmed.Valid(s.settings.RolloutLease, now) {
+	if !r.IsRunning() || r.Phase != rollouts.Drain && !s.confirmed.Valid(s.settings.RolloutLease, now) {
 		return versionFilter{}, false
 	}
 	f = versionFilter{isSet: true, isNext: true, next: r.To, order: hash.Key(r.Order)}
@@ -191,10 +195,17 @@
 	return r.Phase == rollouts.Drain || drawn < uint64(max(0, r.Share))
 }
 
-// mayLeaveVersion reports whether a declined call may go on at another version than that of its
-// worker, beyond the route's MaxAttempts: it was not run, and must not be resent to that worker.
-func (t *transition) mayLeaveVersion(c call) bool {
-	return t.mustLeaveVersion(c) && !c.connectFailuresExceeded() && !t.isBlockedForCrashes(c) && t.budgetAllows(c)
+// mayRetryDeclined reports whether a declined call may go on at another worker. If that is of another
+// version, the route's MaxAttempts does not bound it: the call was not run, and must not be resent to
+// its worker.
+func (t *transition) mayRetryDeclined(c call) bool {
+	if c.connectFailuresExceeded() || t.isBlockedForCrashes(c) {
+		return false
+	}
+	if c.reachedWorkers >= max(1, c.route.MaxAttempts) && !t.mustLeaveVersion(c) {
+		return false
+	}
+	return t.budgetAllows(c)
 }
 
 // mustLeaveVersion reports whether the call's next attempt goes to another version than that of its
--- a/core/rollouts/schedule.go
+++ b/core/rollouts/schedule.go
@@ -38,7 +38,9 @@
 	maxTrialShare = AllRequests / 2
 	// minShareChange is the smallest change of a trial's share that is written to the log.
 	minShareChange = 20
-	// minRateTime is the elapsed time from which the reported requests show the service's rate. Reports
+	// maxUncovered is the time after an order within which its leader begins to gather reports.
+	maxUncovered = time.Second
+	// minRateTime is the time covered from which the reported requests show the service's rate. Reports
 	// are up to half a second late, so the rate would seem too low before.
 	minRateTime = 2 * time.Second
 	// reserveFraction of the duration, but at most maxReserve, is reserved for Shift and Drain.
@@ -87,12 +89,15 @@
 	Verdict Verdict
 	// Reason is why the verdict is Bad.
 	Reason string
-	// Requests is the number of the service's requests since the order as reported by hosts, Exposed
-	// the number of those sent to the new version.
+	// Requests is the number of the service's requests reported by hosts, Exposed the number of those
+	// sent to the new version, both within Covered: a new leader gathers reports anew.
 	Requests int
 	Exposed  int
-	// OldIdle is set if no host may send requests to the old version and its targets have none.
+	Covered  time.Duration
+	// OldIdle is set if no host may send requests to the old version and its targets have none,
+	// InForce if no host may serve by an earlier phase.
 	OldIdle bool
+	InForce bool
 	// LongestRequest is the longest timeout of the service's routes.
 	LongestRequest time.Duration
 	// Obstacle is why the rollout cannot go on; empty if it can.
@@ -127,7 +132,7 @@
 	case Shift:
 		next = r.nextInShift(next, o)
 	case Drain:
-		if o.OldIdle || o.Elapsed > max(r.Duration, r.PhaseAt+o.LongestRequest) {
+		if o.OldIdle || o.InForce && o.Elapsed > max(r.Duration, r.PhaseAt+o.LongestRequest) {
 			next.Phase = Complete
 		}
 	case None, Complete, Reverted:
@@ -166,13 +171,18 @@
 // trialShare returns the share of new requests for the trial. It keeps the present one unless the
 // change is large enough to be worth a write.
 func (r Rollout) trialShare(limits Limits, o Observation) int {
-	if float64(o.Exposed) > limits.Share*float64(o.Requests)+stopFraction*limits.Slack {
+	slack := limits.Slack
+	if o.Elapsed-o.Covered > maxUncovered {
+		// An earlier leader may have used the slack.
+		slack = 0
+	}
+	if float64(o.Exposed) > limits.Share*float64(o.Requests)+stopFraction*slack {
 		return 0
 	}
 	share := trialFraction * limits.Share
-	if o.Requests > 0 && o.Elapsed >= minRateTime {
-		expected := float64(o.Requests) / o.Elapsed.Seconds() * r.TrialEnd().Seconds()
-		share += slackFraction * limits.Slack / expected
+	if o.Requests > 0 && o.Covered >= minRateTime {
+		expected := float64(o.Requests) / o.Covered.Seconds() * r.TrialEnd().Seconds()
+		share += slackFraction * slack / expected
 	}
 	wanted := min(int(AllRequests*share), maxTrialShare)
 	if change := wanted - r.Share; r.Share > 0 && change > -minShareChange && change < minShareChange {
