--- a/core/host/fallback.go
+++ b/core/host/fallback.go
@@ -14,8 +14,8 @@
 // fallback peers, two at a time in turn: it may be partitioned from all replicas and still
 // reach hosts that are not. They reply like hubs, with the age of their confirmation. A
 // confirmation keeps its age whichever path it took, so revoked keys stop working in time, and
-// hosts that are partitioned together see their confirmations expire. On a simulated day of partitions,
-// with four seeds, 369 to 588 requests were refused without fallback peers, none with them.
+// hosts that are partitioned together see their confirmations expire. In simulations of partitions, with
+// four seeds, 369 to 588 requests were refused without fallback peers, none with them.
 const (
 	// fallbackAfter is the age of a confirmation from which fallback peers are polled: more
 	// than three polls of a small fleet take, and early enough for two replies before the host
--- a/core/requests/cachesource.go
+++ b/core/requests/cachesource.go
@@ -15,8 +15,8 @@
 // answered it with a server error. If the chosen engine is itself the first in the order, it may
 // be new, and the next in the order likely has the prefix.
 //
-// On nine simulated days 0.76 of the worth was served, 0.72 without copying prefixes, and 0.006 less
-// without those of leaving engines.
+// In nine simulations 0.76 of the requests by value were served, 0.72 without copying prefixes, and
+// 0.006 less without those of leaving engines.
 //
 // Inputs: the pool's workers, their health, and how this request's attempts ended.
 
--- a/core/requests/engine.go
+++ b/core/requests/engine.go
@@ -8,8 +8,8 @@
 
 // A prompt goes to the first engine with room in the rendezvous order of its shared parts, or
 // else to the least loaded one. All hosts compute the same order, so few engines read a given
-// prefix, without coordination. On nine simulated days 0.76 of the worth was served with this order,
-// 0.49 without it. An engine has room if
+// prefix, without coordination. In nine simulations 0.76 of the requests by value were served with this
+// order, 0.49 without it. An engine has room if
 //
 //	smoothed load + 1 <= (LoadFactor x mean load of the candidates + LoadSlack) x (1 - headroom)
 //	latest load <= LoadFactor x mean load of the pool + LoadSlack
--- a/core/requests/start.go
+++ b/core/requests/start.go
@@ -21,7 +21,7 @@
 // another host.
 //
 // Inputs: when the host started, StartupTimeout, the request's deadline and route, and whether
-// the route table, lease and workers are present. On simulated days with losses of all power 2.6 in
+// the route table, lease and workers are present. In simulations of power losses 2.6 in
 // 100 requests were refused without waiting, 0.1 with it.
 const (
 	// maxWaiting bounds the waiting requests; beyond it, the least urgent is refused. A host with
--- a/core/requests/timeouts.go
+++ b/core/requests/timeouts.go
@@ -11,8 +11,8 @@
 // if the retry budget allows another attempt by then, or after eventGapFactor times the route's
 // longest gap between stream events. A worker that hangs, is partitioned, or has become slow thus
 // does not hold requests that others could answer. Shorter timeouts would make more engines read
-// the same prompts: canceling as soon as most answers had begun served 0.737 of the worth instead of
-// 0.751. Never canceling served as much; the rule is for workers that answer nothing.
+// the same prompts: canceling as soon as most answers had begun served 0.737 of the requests by value
+// instead of 0.751. Never canceling served as much; the rule is for workers that answer nothing.
 //
 // Inputs: the route's objective and longest event gap, its MaxAttempts, the retry budget, and the
 // remaining workers.
--- a/core/rollouts/schedule.go
+++ b/core/rollouts/schedule.go
@@ -169,7 +169,7 @@
 }
 
 // trialShare returns the share of new requests for the trial. It keeps the present one unless the
-// change is large enough to be worth a write.
+// change is large enough to justify a write.
 func (r Rollout) trialShare(limits Limits, o Observation) int {
 	slack := limits.Slack
 	if o.Elapsed-o.Covered > maxUncovered {
--- a/peers/server.go
+++ b/peers/server.go
@@ -88,9 +88,8 @@
 	// idleTimeout closes a connection without messages, helloTimeout one without a Hello.
 	idleTimeout  = time.Minute
 	helloTimeout = 5 * time.Second
-	// maxHandshakes bounds the concurrent handshakes in each direction. Hundreds of them at
-	// once would starve the replicated log of processor time for seconds on a tenth of a core, as one
-	// costs both ends 0.35 ms (BenchmarkConnect).
+	// maxHandshakes bounds the concurrent handshakes in each direction. One costs both ends 0.35 ms;
+	// on a tenth of a core hundreds at once would starve the replicated log for seconds.
 	maxHandshakes = 4
 	// defaultHandshakeSlotTimeout frees the slots of handshakes that hang.
 	defaultHandshakeSlotTimeout = 100 * time.Millisecond
