peers, daemon: Count why connections between hosts end

Count accepted connections, failed dials, hellos without a reply, and replaced connections by cause; count polls and their replies. The line 'processor is short' shows what has come in since the last one, and 'peer connection replaced' names the other host, the cause and the connection's age.

The keys of the metrics port are only added to.

--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -100,6 +100,7 @@
 		state = state.WithCrashList(keptCrashes(s.Host.Data, o.Log, time.Now()), clock.Now())
 	}
 	d.loop = newLoop(state, o.Log, d.pool, d.targets)
+	d.loop.delays.peers = d.counters
 	if log != nil {
 		d.loop.disk = newDiskWriter(d.loop, log)
 		d.loop.crashes = newCrashKeeper(o.Log, func(entries []crashes.Entry) error {
@@ -156,6 +157,9 @@
 		Self: s.ID(), Fleet: s.Host.Fleet, Key: s.Peer.Key, MaxMessage: settings.Bytes(s.Peer.MaxSize),
 		Counters: d.counters, Incarnation: boot, PeerIncarnations: &peers.IncarnationTracker{}, From: from, Blocked: d.options.BlockedHost,
 	}
+	o.OnReplace = func(to ident.Host, cause peers.ReplaceCause, age time.Duration) {
+		d.options.Log.Info("peer connection replaced", "object", string(to), "cause", string(cause), "age_ms", millis(age))
+	}
 	if s.Peer.Cert == "" {
 		return o, nil
 	}
--- a/daemon/delays.go
+++ b/daemon/delays.go
@@ -10,6 +10,7 @@
 	"github.com/go-logr/logr"
 
 	"github.com/yardhall/yardhall/core/host"
+	"github.com/yardhall/yardhall/peers"
 )
 
 const (
@@ -30,6 +31,10 @@
 	worst  time.Duration
 	lineAt time.Time
 	before host.Counters
+	// peers are the counters of connections with other hosts, peersBefore those that the last line
+	// showed; nil counts none.
+	peers       *peers.Counters
+	peersBefore peerCounts
 
 	mu   sync.Mutex
 	seen *hdrhistogram.Histogram
@@ -52,15 +57,28 @@
 	if now.Sub(d.lineAt) < shortLines {
 		return late
 	}
+	var p peerCounts
+	if d.peers != nil {
+		p = peerCounters(d.peers)
+	}
 	if d.worst >= shortDelay {
-		d.log.Info("processor is short", "tick_delay_ms", millis(d.worst), "over_ms", millis(now.Sub(d.lineAt)),
-			"events_waiting", waiting, "beats", c.Heartbeats-d.before.Heartbeats, "beats_named", c.HeartbeatsRedirected-d.before.HeartbeatsRedirected,
-			"beats_declined", c.HeartbeatsDeclined-d.before.HeartbeatsDeclined)
+		d.logShort(now, waiting, c, p)
 	}
-	d.worst, d.lineAt, d.before = 0, now, c
+	d.worst, d.lineAt, d.before, d.peersBefore = 0, now, c, p
 	return late
 }
 
+// logShort writes what the process has done since the last line.
+func (d *delays) logShort(now time.Time, waiting int, c host.Counters, p peerCounts) {
+	b := d.peersBefore
+	d.log.Info("processor is short", "tick_delay_ms", millis(d.worst), "over_ms", millis(now.Sub(d.lineAt)),
+		"events_waiting", waiting, "beats", c.Heartbeats-d.before.Heartbeats, "beats_named", c.HeartbeatsRedirected-d.before.HeartbeatsRedirected,
+		"beats_declined", c.HeartbeatsDeclined-d.before.HeartbeatsDeclined,
+		"received", p.Received-b.Received, "polls", p.Polls-b.Polls, "accepted", p.Accepted-b.Accepted, "accepted_first", p.AcceptedFirst-b.AcceptedFirst,
+		"dialed", p.Dialed-b.Dialed, "dials_failed", p.DialsFailed-b.DialsFailed, "hellos_timed_out", p.HellosTimedOut-b.HellosTimedOut,
+		"replaced_unanswered", p.ReplacedUnanswered-b.ReplacedUnanswered, "replaced_closed", p.ReplacedClosed-b.ReplacedClosed)
+}
+
 func (d *delays) record(late time.Duration) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
--- a/daemon/metrics.go
+++ b/daemon/metrics.go
@@ -14,6 +14,7 @@
 
 	"github.com/yardhall/yardhall/callers"
 	"github.com/yardhall/yardhall/gateway"
+	"github.com/yardhall/yardhall/peers"
 )
 
 // metrics are the process's counters, published by expvar. A process may hold
@@ -49,7 +50,7 @@
 	m.vars.Set("worker_connections", expvar.Func(func() any { return d.workerConnections() }))
 	m.vars.Set("reduced_events", d.loop.reduced)
 	m.vars.Set("loop_delay_us", expvar.Func(func() any { return d.loop.delays.summary() }))
-	m.vars.Set("peers", expvar.Func(func() any { return peerCounters(d) }))
+	m.vars.Set("peers", expvar.Func(func() any { return peerCounters(d.counters) }))
 	m.vars.Set("probe_bytes", expvar.Func(func() any { return d.targets.ProbeBytes.Load() }))
 	m.vars.Set("mismatched_answers", expvar.Func(func() any { return d.targets.Mismatched.Load() }))
 	m.vars.Set("resumed_streams", expvar.Func(func() any { return d.targets.Resumed.Load() }))
@@ -68,14 +69,18 @@
 }
 
 type peerCounts struct {
-	BytesIn, BytesOut, Sent, Received, Dropped, Failed, Refused, Connected, Dialed int64
+	BytesIn, BytesOut, Sent, Received, Dropped, Failed, Refused, Connected, Dialed     int64
+	DialsFailed, HellosTimedOut, ReplacedUnanswered, ReplacedClosed, ReplacedRestarted int64
+	Accepted, AcceptedFirst, Polls, PollReplies                                        int64
 }
 
-func peerCounters(d *Daemon) peerCounts {
-	c := d.counters
+func peerCounters(c *peers.Counters) peerCounts {
 	return peerCounts{
 		BytesIn: c.BytesIn.Load(), BytesOut: c.BytesOut.Load(), Sent: c.Sent.Load(), Received: c.Received.Load(),
 		Dropped: c.Dropped.Load(), Failed: c.Failed.Load(), Refused: c.Refused.Load(), Connected: c.Connected.Load(), Dialed: c.Dialed.Load(),
+		DialsFailed: c.DialsFailed.Load(), HellosTimedOut: c.HellosTimedOut.Load(), ReplacedUnanswered: c.ReplacedUnanswered.Load(),
+		ReplacedClosed: c.ReplacedClosed.Load(), ReplacedRestarted: c.ReplacedRestarted.Load(), Accepted: c.Accepted.Load(),
+		AcceptedFirst: c.AcceptedFirst.Load(), Polls: c.Polls.Load(), PollReplies: c.PollReplies.Load(),
 	}
 }
 
--- a/peers/sender.go
+++ b/peers/sender.go
@@ -28,6 +28,7 @@
 	// incarnation is the incarnation of the process at the other end; 0 if unknown.
 	incarnation   uint64
 	addr          string
+	openedAt      time.Time
 	calls         chan *rpc.Call
 	callsInFlight int
 	// redialDelay is the delay after the last failed dial; 0 after a successful one.
@@ -37,6 +38,24 @@
 	lastProgress time.Time
 }
 
+// ReplaceCause is why a connection to a host was replaced.
+type ReplaceCause string
+
+// Causes of a replaced connection: its calls were unanswered, the other end closed it, or it belongs
+// to an earlier incarnation of the host.
+const (
+	ReplaceUnanswered ReplaceCause = "unanswered"
+	ReplaceClosed     ReplaceCause = "closed"
+	ReplaceRestarted  ReplaceCause = "restarted"
+)
+
+// replaced reports that the connection is about to be replaced.
+func (s *sender) replaced(cause ReplaceCause) {
+	if f := s.pool.options.OnReplace; f != nil {
+		f(s.to, cause, time.Since(s.openedAt))
+	}
+}
+
 func (s *sender) run() {
 	defer s.pool.done.Done()
 	defer s.disconnect()
@@ -63,6 +82,7 @@
 	s.closeIfSilent()
 	if err := s.connect(); err != nil {
 		s.pool.options.Counters.Failed.Add(1)
+		s.pool.options.Counters.DialsFailed.Add(1)
 		s.pool.options.Counters.Dropped.Add(int64(len(batch.Messages)))
 		s.discardQueue(s.nextRedialDelay(err))
 		return
@@ -88,6 +108,8 @@
 	}
 	if s.client != nil && s.callsInFlight > 0 && time.Since(s.lastProgress) > answerTimeout {
 		s.pool.options.Counters.Failed.Add(1)
+		s.pool.options.Counters.ReplacedUnanswered.Add(1)
+		s.replaced(ReplaceUnanswered)
 		s.disconnect()
 	}
 }
@@ -174,13 +196,14 @@
 		err = hello.Error
 	case <-time.After(callTimeout):
 		err = errors.New("hello timed out")
+		o.Counters.HellosTimedOut.Add(1)
 	}
 	if err != nil {
 		_ = client.Close()
 		return errors.Wrap(err, "hello")
 	}
 	s.client, s.conn, s.incarnation, s.addr, s.callsInFlight, s.redialDelay = client, counted, ack.Boot, addr, 0, 0
-	s.calls = make(chan *rpc.Call, maxCalls)
+	s.calls, s.openedAt = make(chan *rpc.Call, maxCalls), time.Now()
 	o.Counters.Connected.Add(1)
 	o.Counters.Dialed.Add(1)
 	o.PeerIncarnations.set(s.to, ack.Boot)
@@ -190,7 +213,17 @@
 // isDead reports whether messages on the connection would be lost, because the other end has
 // closed it or belongs to an earlier incarnation of the host.
 func (s *sender) isDead() bool {
-	return s.conn.readFailed.Load() || s.pool.options.PeerIncarnations.isSuperseded(s.to, s.incarnation)
+	switch {
+	case s.conn.readFailed.Load():
+		s.pool.options.Counters.ReplacedClosed.Add(1)
+		s.replaced(ReplaceClosed)
+	case s.pool.options.PeerIncarnations.isSuperseded(s.to, s.incarnation):
+		s.pool.options.Counters.ReplacedRestarted.Add(1)
+		s.replaced(ReplaceRestarted)
+	default:
+		return false
+	}
+	return true
 }
 
 func (s *sender) dial(addr string) (net.Conn, error) {
--- a/peers/server.go
+++ b/peers/server.go
@@ -59,6 +59,8 @@
 	// HandshakeSlotTimeout is how long a handshake counts towards the limit; 0 means
 	// defaultHandshakeSlotTimeout.
 	HandshakeSlotTimeout time.Duration
+	// OnReplace, if not nil, is called when a connection to a host is closed to open another one.
+	OnReplace func(to ident.Host, cause ReplaceCause, age time.Duration)
 	// Blocked, if not nil, reports whether messages from and to a host must fail. Tests
 	// simulate network partitions with it.
 	Blocked func(ident.Host) bool
@@ -77,6 +79,34 @@
 	// Dialed counts the connections opened to other hosts; Connected is the number of those
 	// that are open.
 	Dialed atomic.Int64
+	// DialsFailed counts the attempts to open one that failed, with the hello, and HellosTimedOut
+	// those of them that had no reply to the hello.
+	DialsFailed    atomic.Int64
+	HellosTimedOut atomic.Int64
+	// ReplacedUnanswered counts the connections closed because calls were unanswered,
+	// ReplacedClosed those that the other end closed, and ReplacedRestarted those to an earlier
+	// incarnation.
+	ReplacedUnanswered atomic.Int64
+	ReplacedClosed     atomic.Int64
+	ReplacedRestarted  atomic.Int64
+	// Accepted counts the connections that hosts opened to this one and AcceptedFirst those of them
+	// that were exempt from the limit of concurrent handshakes, such as other replicas'.
+	Accepted      atomic.Int64
+	AcceptedFirst atomic.Int64
+	// Polls and PollReplies count the received messages of these kinds.
+	Polls       atomic.Int64
+	PollReplies atomic.Int64
+}
+
+// countReceived counts a received message.
+func (c *Counters) countReceived(m host.Message) {
+	c.Received.Add(1)
+	switch m.(type) {
+	case host.Poll:
+		c.Polls.Add(1)
+	case host.PollReply:
+		c.PollReplies.Add(1)
+	}
 }
 
 const (
@@ -240,6 +270,10 @@
 	}
 	s.from = h.From
 	s.authenticated.Store(true)
+	o.Counters.Accepted.Add(1)
+	if s.slot == nil {
+		o.Counters.AcceptedFirst.Add(1)
+	}
 	o.PeerIncarnations.advance(h.From, h.Boot)
 	a.Taken, a.Boot = 1, o.Incarnation
 	return nil
@@ -260,7 +294,7 @@
 		if m == nil {
 			continue
 		}
-		s.server.options.Counters.Received.Add(1)
+		s.server.options.Counters.countReceived(m)
 		s.server.deliver(s.from, m)
 	}
 	a.Taken = len(b.Messages)
