peers, daemon: Count handshakes served for hosts that have given up

Count accepted connections that end without a message, and log when a host becomes unreachable and reachable again, with the reason.

--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -160,6 +160,13 @@
 	o.OnReplace = func(to ident.Host, cause peers.ReplaceCause, age time.Duration) {
 		d.options.Log.Info("peer connection replaced", "object", string(to), "cause", string(cause), "age_ms", millis(age))
 	}
+	o.OnUnreachable = func(to ident.Host, err error, failures int) {
+		if err == nil {
+			d.options.Log.Info("peer reachable", "object", string(to), "failures", failures)
+			return
+		}
+		d.options.Log.Info("peer unreachable", "object", string(to), "reason", err.Error())
+	}
 	if s.Peer.Cert == "" {
 		return o, nil
 	}
--- a/peers/sender.go
+++ b/peers/sender.go
@@ -29,6 +29,8 @@
 	incarnation   uint64
 	addr          string
 	openedAt      time.Time
+	// dialFailures counts the dials that have failed since the last successful one.
+	dialFailures int
 	calls         chan *rpc.Call
 	callsInFlight int
 	// redialDelay is the delay after the last failed dial; 0 after a successful one.
@@ -56,6 +58,22 @@
 	}
 }
 
+// dialFailed counts a failed dial and reports the first of a series.
+func (s *sender) dialFailed(err error) {
+	s.dialFailures++
+	if f := s.pool.options.OnUnreachable; f != nil && s.dialFailures == 1 {
+		f(s.to, err, s.dialFailures)
+	}
+}
+
+// dialSucceeded ends a series of failed dials.
+func (s *sender) dialSucceeded() {
+	if f := s.pool.options.OnUnreachable; f != nil && s.dialFailures > 0 {
+		f(s.to, nil, s.dialFailures)
+	}
+	s.dialFailures = 0
+}
+
 func (s *sender) run() {
 	defer s.pool.done.Done()
 	defer s.disconnect()
@@ -83,6 +101,7 @@
 	if err := s.connect(); err != nil {
 		s.pool.options.Counters.Failed.Add(1)
 		s.pool.options.Counters.DialsFailed.Add(1)
+		s.dialFailed(err)
 		s.pool.options.Counters.Dropped.Add(int64(len(batch.Messages)))
 		s.discardQueue(s.nextRedialDelay(err))
 		return
@@ -204,6 +223,7 @@
 	}
 	s.client, s.conn, s.incarnation, s.addr, s.callsInFlight, s.redialDelay = client, counted, ack.Boot, addr, 0, 0
 	s.calls, s.openedAt = make(chan *rpc.Call, maxCalls), time.Now()
+	s.dialSucceeded()
 	o.Counters.Connected.Add(1)
 	o.Counters.Dialed.Add(1)
 	o.PeerIncarnations.set(s.to, ack.Boot)
--- a/peers/server.go
+++ b/peers/server.go
@@ -61,6 +61,9 @@
 	HandshakeSlotTimeout time.Duration
 	// OnReplace, if not nil, is called when a connection to a host is closed to open another one.
 	OnReplace func(to ident.Host, cause ReplaceCause, age time.Duration)
+	// OnUnreachable, if not nil, is called when connections to a host begin to fail with err, and
+	// when one succeeds after a number of failures, with a nil err.
+	OnUnreachable func(to ident.Host, err error, failures int)
 	// Blocked, if not nil, reports whether messages from and to a host must fail. Tests
 	// simulate network partitions with it.
 	Blocked func(ident.Host) bool
@@ -93,6 +96,8 @@
 	// that were exempt from the limit of concurrent handshakes, such as other replicas'.
 	Accepted      atomic.Int64
 	AcceptedFirst atomic.Int64
+	// Unused counts the accepted connections that ended before they had brought a message.
+	Unused atomic.Int64
 	// Polls and PollReplies count the received messages of these kinds.
 	Polls       atomic.Int64
 	PollReplies atomic.Int64
@@ -245,6 +250,9 @@
 	_ = conn.SetReadDeadline(time.Now().Add(helloTimeout))
 	counted := &countedConn{Conn: conn, counters: s.options.Counters, renewIdle: &service.authenticated}
 	r.ServeCodec(newGobCodec(counted, s.options.MaxMessage))
+	if service.authenticated.Load() && !service.used.Load() {
+		s.options.Counters.Unused.Add(1)
+	}
 }
 
 const serviceName = "F"
@@ -256,7 +264,9 @@
 	// authenticated is set by a successful Hello, after from.
 	authenticated atomic.Bool
 	from          ident.Host
-	slot          *gate.Pass
+	// used is set once a batch has arrived.
+	used atomic.Bool
+	slot *gate.Pass
 }
 
 // Hello authenticates the caller. It must be the first call of a connection, and the only Hello.
@@ -297,6 +307,7 @@
 		s.server.options.Counters.countReceived(m)
 		s.server.deliver(s.from, m)
 	}
+	s.used.Store(true)
 	a.Taken = len(b.Messages)
 	s.slot.Leave()
 	return nil
