peers, core/dialing: Shed handshakes that waited, and keep slow connections

Change: an accepted connection that has waited 0.5 s for its handshake is closed unread; hosts whose hello fails come back after up to 3.2 s, at random; the timeout of open connections follows their reply times (RFC 6298); at most two calls a processor are decoded at once, those of replicas apart, so that votes and ticks do not queue behind hundreds of polls.

--- a/daemon/delays.go
+++ b/daemon/delays.go
@@ -75,7 +75,7 @@
 		"events_waiting", waiting, "beats", c.Heartbeats-d.before.Heartbeats, "beats_named", c.HeartbeatsRedirected-d.before.HeartbeatsRedirected,
 		"beats_declined", c.HeartbeatsDeclined-d.before.HeartbeatsDeclined,
 		"received", p.Received-b.Received, "polls", p.Polls-b.Polls, "accepted", p.Accepted-b.Accepted, "accepted_first", p.AcceptedFirst-b.AcceptedFirst,
-		"unused", p.Unused-b.Unused, "dialed", p.Dialed-b.Dialed, "dials_failed", p.DialsFailed-b.DialsFailed, "hellos_timed_out", p.HellosTimedOut-b.HellosTimedOut,
+		"unused", p.Unused-b.Unused, "shed", p.Shed-b.Shed, "dialed", p.Dialed-b.Dialed, "dials_failed", p.DialsFailed-b.DialsFailed, "hellos_timed_out", p.HellosTimedOut-b.HellosTimedOut,
 		"replaced_unanswered", p.ReplacedUnanswered-b.ReplacedUnanswered, "replaced_closed", p.ReplacedClosed-b.ReplacedClosed)
 }
 
--- a/daemon/metrics.go
+++ b/daemon/metrics.go
@@ -71,7 +71,7 @@
 type peerCounts struct {
 	BytesIn, BytesOut, Sent, Received, Dropped, Failed, Refused, Connected, Dialed     int64
 	DialsFailed, HellosTimedOut, ReplacedUnanswered, ReplacedClosed, ReplacedRestarted int64
-	Accepted, AcceptedFirst, Unused, Polls, PollReplies                                int64
+	Accepted, AcceptedFirst, Unused, Shed, Polls, PollReplies                          int64
 }
 
 func peerCounters(c *peers.Counters) peerCounts {
@@ -80,7 +80,7 @@
 		Dropped: c.Dropped.Load(), Failed: c.Failed.Load(), Refused: c.Refused.Load(), Connected: c.Connected.Load(), Dialed: c.Dialed.Load(),
 		DialsFailed: c.DialsFailed.Load(), HellosTimedOut: c.HellosTimedOut.Load(), ReplacedUnanswered: c.ReplacedUnanswered.Load(),
 		ReplacedClosed: c.ReplacedClosed.Load(), ReplacedRestarted: c.ReplacedRestarted.Load(), Accepted: c.Accepted.Load(),
-		AcceptedFirst: c.AcceptedFirst.Load(), Unused: c.Unused.Load(), Polls: c.Polls.Load(), PollReplies: c.PollReplies.Load(),
+		AcceptedFirst: c.AcceptedFirst.Load(), Unused: c.Unused.Load(), Shed: c.Shed.Load(), Polls: c.Polls.Load(), PollReplies: c.PollReplies.Load(),
 	}
 }
 
--- a/peers/codec.go
+++ b/peers/codec.go
@@ -9,6 +9,8 @@
 	"net/rpc"
 
 	"github.com/pkg/errors"
+
+	"github.com/yardhall/yardhall/common/gate"
 )
 
 // errTooLarge closes a connection whose peer exceeds the message size limit.
@@ -55,6 +57,12 @@
 // gobCodec is the gob codec of net/rpc with a size limit for received messages, for clients and
 // servers.
 type gobCodec struct {
+	// work, if not nil, limits the calls that a server reads and delivers at the same time. passes
+	// are those of the calls that have not been replied to, and closed ends the wait for one.
+	work   *gate.Gate
+	closed <-chan struct{}
+	passes chan *gate.Pass
+
 	conn io.ReadWriteCloser
 	in   *boundedReader
 	dec  *gob.Decoder
@@ -65,7 +73,7 @@
 func newGobCodec(conn io.ReadWriteCloser, limit int64) *gobCodec {
 	in := newBoundedReader(conn, limit)
 	out := bufio.NewWriter(conn)
-	return &gobCodec{conn: conn, in: in, dec: gob.NewDecoder(in), out: out, enc: gob.NewEncoder(out)}
+	return &gobCodec{conn: conn, in: in, passes: make(chan *gate.Pass, maxCalls+1), dec: gob.NewDecoder(in), out: out, enc: gob.NewEncoder(out)}
 }
 
 func (c *gobCodec) readHeader(h any) error {
@@ -74,7 +82,44 @@
 }
 
 // ReadRequestHeader implements rpc.ServerCodec.
-func (c *gobCodec) ReadRequestHeader(r *rpc.Request) error { return c.readHeader(r) }
+func (c *gobCodec) ReadRequestHeader(r *rpc.Request) error {
+	if err := c.acquireWork(); err != nil {
+		return err
+	}
+	return c.readHeader(r)
+}
+
+// acquireWork waits for the first byte of a call and then, where calls are limited, for a pass.
+func (c *gobCodec) acquireWork() error {
+	if c.work == nil {
+		return nil
+	}
+	if _, err := c.in.r.Peek(1); err != nil {
+		return err // net/rpc compares with io.EOF.
+	}
+	pass, ok := c.work.Enter(c.closed)
+	if !ok {
+		return io.EOF
+	}
+	// A call whose rest does not arrive must not keep others out.
+	pass.EndAfter(workTimeout)
+	select {
+	case c.passes <- pass:
+	default:
+		// The caller has more calls in flight than any host makes.
+		pass.Leave()
+	}
+	return nil
+}
+
+// releaseWork gives back the pass of a call.
+func (c *gobCodec) releaseWork() {
+	select {
+	case pass := <-c.passes:
+		pass.Leave()
+	default:
+	}
+}
 
 // ReadRequestBody implements rpc.ServerCodec.
 func (c *gobCodec) ReadRequestBody(body any) error {
@@ -96,6 +141,7 @@
 func (c *gobCodec) WriteResponse(r *rpc.Response, body any) error {
 	// The client matches responses by Seq, so the name is omitted to save bytes.
 	r.ServiceMethod = ""
+	defer c.releaseWork()
 	return c.write(r, body)
 }
 
@@ -110,4 +156,9 @@
 }
 
 // Close implements both codecs.
-func (c *gobCodec) Close() error { return errors.Wrap(c.conn.Close(), "close connection") }
+func (c *gobCodec) Close() error {
+	for range len(c.passes) {
+		c.releaseWork()
+	}
+	return errors.Wrap(c.conn.Close(), "close connection")
+}
--- a/peers/pool.go
+++ b/peers/pool.go
@@ -6,7 +6,6 @@
 	"context"
 	"net/netip"
 	"sync"
-	"time"
 
 	"github.com/yardhall/yardhall/common/gate"
 	"github.com/yardhall/yardhall/core/config"
@@ -21,13 +20,6 @@
 	maxBatch = 128
 	// maxCalls bounds the calls in flight to one host.
 	maxCalls = 8
-	// minRedialDelay is the delay after a failed dial. It doubles with each further failure up
-	// to maxRedialDelay, so that redials do not add to the load of an overloaded host.
-	minRedialDelay = 200 * time.Millisecond
-	maxRedialDelay = 800 * time.Millisecond
-	// refusedRedialDelay is the delay after a refused dial. It is short, as no process listens
-	// that could be overloaded, and one is likely about to start.
-	refusedRedialDelay = 100 * time.Millisecond
 )
 
 // Pool sends messages to other hosts over one connection each.
--- a/peers/sender.go
+++ b/peers/sender.go
@@ -4,6 +4,7 @@
 
 import (
 	"crypto/tls"
+	"math/rand/v2"
 	"net"
 	"net/netip"
 	"net/rpc"
@@ -13,6 +14,7 @@
 	"golang.org/x/sys/unix"
 
 	"github.com/yardhall/yardhall/common/sockets"
+	"github.com/yardhall/yardhall/core/dialing"
 	"github.com/yardhall/yardhall/core/host"
 	"github.com/yardhall/yardhall/core/ident"
 )
@@ -26,18 +28,20 @@
 	client *rpc.Client
 	conn   *countedConn
 	// incarnation is the incarnation of the process at the other end; 0 if unknown.
-	incarnation   uint64
-	addr          string
-	openedAt      time.Time
+	incarnation uint64
+	addr        string
+	openedAt    time.Time
 	// dialFailures counts the dials that have failed since the last successful one.
-	dialFailures int
+	dialFailures  int
 	calls         chan *rpc.Call
 	callsInFlight int
-	// redialDelay is the delay after the last failed dial; 0 after a successful one.
-	redialDelay time.Duration
+	// backoff is the delay between failed dials.
+	backoff dialing.Backoff
 	// lastProgress is when the oldest call in flight was made or the last one returned,
 	// whichever is later.
 	lastProgress time.Time
+	// replyTime estimates how long the host takes to reply.
+	replyTime dialing.ReplyTime
 }
 
 // ReplaceCause is why a connection to a host was replaced.
@@ -116,16 +120,17 @@
 	}
 	s.callsInFlight++
 	s.pool.options.Counters.Sent.Add(int64(len(batch.Messages)))
-	s.client.Go(serviceName+".D", batch, &Ack{}, s.calls)
+	s.client.Go(serviceName+".D", batch, &Ack{sentAt: time.Now()}, s.calls)
 }
 
-// closeIfSilent closes the connection if calls have been unanswered for answerTimeout. The host
-// may have lost power and restarted, in which case it does not know this connection.
+// closeIfSilent closes the connection if calls have been unanswered for longer than the host's reply
+// times explain. It may have lost power and restarted, in which case it does not know this connection.
 func (s *sender) closeIfSilent() {
 	for len(s.calls) > 0 {
 		s.handleReply(<-s.calls)
 	}
-	if s.client != nil && s.callsInFlight > 0 && time.Since(s.lastProgress) > answerTimeout {
+	if s.client != nil && s.callsInFlight > 0 && time.Since(s.lastProgress) > s.replyTime.Timeout() {
+		s.replyTime = s.replyTime.WithTimeout()
 		s.pool.options.Counters.Failed.Add(1)
 		s.pool.options.Counters.ReplacedUnanswered.Add(1)
 		s.replaced(ReplaceUnanswered)
@@ -134,12 +139,30 @@
 }
 
 // nextRedialDelay returns the delay after a dial that failed with err and advances the backoff.
-func (s *sender) nextRedialDelay(err error) time.Duration {
-	if errors.Is(err, unix.ECONNREFUSED) {
-		return refusedRedialDelay
+func (s *sender) nextRedialDelay(err error) (d time.Duration) {
+	s.backoff, d = s.backoff.After(failureOf(err), rand.Uint64()) //nolint:gosec // Jitter need not be secret.
+	return d
+}
+
+// helloError is a failure after the connection was established.
+type helloError struct{ cause error }
+
+// Error implements error.
+func (e helloError) Error() string { return "hello: " + e.cause.Error() }
+
+// Unwrap returns the cause.
+func (e helloError) Unwrap() error { return e.cause }
+
+// failureOf returns what a failed dial shows of the host.
+func failureOf(err error) dialing.Failure {
+	var hello helloError
+	switch {
+	case errors.As(err, &hello):
+		return dialing.Overloaded
+	case errors.Is(err, unix.ECONNREFUSED):
+		return dialing.Refused
 	}
-	s.redialDelay = min(max(minRedialDelay, 2*s.redialDelay), maxRedialDelay)
-	return s.redialDelay
+	return dialing.Unreachable
 }
 
 // discardQueue drops messages for d after a failed dial, as they would be stale once the host is
@@ -178,6 +201,9 @@
 func (s *sender) handleReply(call *rpc.Call) {
 	s.callsInFlight = max(0, s.callsInFlight-1)
 	s.lastProgress = time.Now()
+	if ack, ok := call.Reply.(*Ack); ok && call.Error == nil && !ack.sentAt.IsZero() {
+		s.replyTime = s.replyTime.With(s.lastProgress.Sub(ack.sentAt))
+	}
 	if call.Error != nil && s.client != nil {
 		s.pool.options.Counters.Failed.Add(1)
 		s.disconnect()
@@ -213,15 +239,15 @@
 	select {
 	case <-hello.Done:
 		err = hello.Error
-	case <-time.After(callTimeout):
-		err = errors.New("hello timed out")
+	case <-time.After(dialing.HelloTimeout):
+		err = errors.New("no reply")
 		o.Counters.HellosTimedOut.Add(1)
 	}
 	if err != nil {
 		_ = client.Close()
-		return errors.Wrap(err, "hello")
+		return helloError{cause: err}
 	}
-	s.client, s.conn, s.incarnation, s.addr, s.callsInFlight, s.redialDelay = client, counted, ack.Boot, addr, 0, 0
+	s.client, s.conn, s.incarnation, s.addr, s.callsInFlight, s.backoff = client, counted, ack.Boot, addr, 0, dialing.Backoff{}
 	s.calls, s.openedAt = make(chan *rpc.Call, maxCalls), time.Now()
 	s.dialSucceeded()
 	o.Counters.Connected.Add(1)
@@ -247,7 +273,7 @@
 }
 
 func (s *sender) dial(addr string) (net.Conn, error) {
-	d := &net.Dialer{Timeout: dialTimeout, Control: sockets.Control(answerTimeout), KeepAliveConfig: sockets.KeepAlive()}
+	d := &net.Dialer{Timeout: dialTimeout, Control: sockets.Control(dialing.MinReplyTimeout), KeepAliveConfig: sockets.KeepAlive()}
 	if from := s.pool.options.From; from != nil {
 		d.LocalAddr = from
 	}
--- a/peers/server.go
+++ b/peers/server.go
@@ -17,11 +17,13 @@
 
 import (
 	"cmp"
+	"context"
 	"crypto/subtle"
 	"crypto/tls"
 	"net"
 	"net/netip"
 	"net/rpc"
+	"runtime"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -30,6 +32,7 @@
 
 	"github.com/yardhall/yardhall/common/gate"
 	"github.com/yardhall/yardhall/common/sockets"
+	"github.com/yardhall/yardhall/core/dialing"
 	"github.com/yardhall/yardhall/core/host"
 	"github.com/yardhall/yardhall/core/ident"
 )
@@ -98,6 +101,8 @@
 	AcceptedFirst atomic.Int64
 	// Unused counts the accepted connections that ended before they had brought a message.
 	Unused atomic.Int64
+	// Shed counts the connections closed because they had waited too long for their handshake.
+	Shed atomic.Int64
 	// Polls and PollReplies count the received messages of these kinds.
 	Polls       atomic.Int64
 	PollReplies atomic.Int64
@@ -115,17 +120,21 @@
 }
 
 const (
-	// callTimeout bounds a write, the reply to a Hello and the wait for a call in flight.
+	// callTimeout bounds a write and the wait for a call in flight.
 	callTimeout = 2 * time.Second
 	dialTimeout = 600 * time.Millisecond
-	// answerTimeout is how long calls may be unanswered before the connection is replaced.
-	answerTimeout = 1200 * time.Millisecond
 	// idleTimeout closes a connection without messages, helloTimeout one without a Hello.
 	idleTimeout  = time.Minute
 	helloTimeout = 5 * time.Second
 	// maxHandshakes bounds the concurrent handshakes in each direction. One costs both ends 0.35 ms;
 	// on a tenth of a core hundreds at once would starve the replicated log for seconds.
 	maxHandshakes = 4
+	// callsPerProcessor bounds the calls that are decoded and delivered at the same time, for each
+	// processor. Calls beyond it wait without using the processor, so that those of exempt hosts and
+	// the process's own work do not queue behind hundreds of polls.
+	callsPerProcessor = 2
+	// workTimeout is how long a call counts as being decoded and delivered, at most.
+	workTimeout = 100 * time.Millisecond
 	// defaultHandshakeSlotTimeout frees the slots of handshakes that hang.
 	defaultHandshakeSlotTimeout = 100 * time.Millisecond
 )
@@ -144,7 +153,7 @@
 // acquireHandshakeSlot waits for a handshake slot until done is closed; ok is false if it was. For
 // exempt addresses it returns a nil slot at once.
 func (o Options) acquireHandshakeSlot(g *gate.Gate, ip netip.Addr, done <-chan struct{}) (slot *gate.Pass, ok bool) {
-	if o.SkipHandshakeLimit == nil || o.SkipHandshakeLimit(ip) {
+	if o.isExempt(ip) {
 		return nil, true
 	}
 	slot, ok = g.Enter(done)
@@ -152,6 +161,11 @@
 	return slot, ok
 }
 
+// isExempt reports whether connections with an address are exempt from limits.
+func (o Options) isExempt(ip netip.Addr) bool {
+	return o.SkipHandshakeLimit == nil || o.SkipHandshakeLimit(ip)
+}
+
 // remoteIP returns the address of the other end, or the zero address if it has none.
 func remoteIP(conn net.Conn) netip.Addr {
 	a, ok := conn.RemoteAddr().(*net.TCPAddr)
@@ -172,15 +186,19 @@
 	closed  bool
 	// handshakes limits the connections that have not delivered a batch yet.
 	handshakes *gate.Gate
-	done       chan struct{}
+	// work limits the calls of hosts that are decoded and delivered at the same time.
+	work   *gate.Gate
+	ctx    context.Context
+	cancel context.CancelFunc
 }
 
 // NewServer returns a server that calls deliver for each message, from several goroutines.
 func NewServer(o Options, deliver func(ident.Host, host.Message)) *Server {
 	registerOnce.Do(registerTypes)
+	ctx, cancel := context.WithCancel(context.Background())
 	return &Server{
 		options: o.withDefaults(), deliver: deliver, conns: map[net.Conn]bool{},
-		handshakes: gate.New(maxHandshakes), done: make(chan struct{}),
+		handshakes: gate.New(maxHandshakes), work: gate.New(callsPerProcessor * runtime.GOMAXPROCS(0)), ctx: ctx, cancel: cancel,
 	}
 }
 
@@ -218,9 +236,7 @@
 func (s *Server) Close() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if !s.closed {
-		close(s.done)
-	}
+	s.cancel()
 	s.closed = true
 	for c := range s.conns {
 		_ = c.Close()
@@ -238,8 +254,13 @@
 		_ = conn.Close()
 	}()
 	r := rpc.NewServer()
-	slot, ok := s.options.acquireHandshakeSlot(s.handshakes, remoteIP(conn), s.done)
+	// A host whose connection has waited for longer has given up or is about to, so its handshake
+	// would be wasted.
+	wait, cancel := context.WithTimeout(s.ctx, dialing.MaxHandshakeWait)
+	defer cancel()
+	slot, ok := s.options.acquireHandshakeSlot(s.handshakes, remoteIP(conn), wait.Done())
 	if !ok {
+		s.options.Counters.Shed.Add(1)
 		return
 	}
 	defer slot.Leave()
@@ -249,7 +270,11 @@
 	}
 	_ = conn.SetReadDeadline(time.Now().Add(helloTimeout))
 	counted := &countedConn{Conn: conn, counters: s.options.Counters, renewIdle: &service.authenticated}
-	r.ServeCodec(newGobCodec(counted, s.options.MaxMessage))
+	codec := newGobCodec(counted, s.options.MaxMessage)
+	if !s.options.isExempt(remoteIP(conn)) {
+		codec.work, codec.closed = s.work, s.ctx.Done()
+	}
+	r.ServeCodec(codec)
 	if service.authenticated.Load() && !service.used.Load() {
 		s.options.Counters.Unused.Add(1)
 	}
--- a/peers/wire.go
+++ b/peers/wire.go
@@ -4,6 +4,7 @@
 
 import (
 	"encoding/gob"
+	"time"
 
 	"github.com/yardhall/yardhall/core/host"
 	"github.com/yardhall/yardhall/core/ident"
@@ -27,6 +28,8 @@
 	Taken int
 	// Boot is the incarnation of the called process, in the reply to a Hello.
 	Boot uint64
+	// sentAt is when the caller sent the call; it does not travel.
+	sentAt time.Time
 }
 
 // registerTypes registers the message types with gob under names that do not depend on Go
