daemon, core/host: Reduce the log before polls, and drop superseded polls

Cause: replicas whose processor is short reduced all messages in the order of arrival. With handshakes shed, up to 2,055 events waited, nearly all of them polls whose hosts had sent the next ones already; votes waited behind them, so no leader was elected and no poll could be confirmed.

Change: messages of the replicated log go first, polls last, and a waiting poll is dropped for the next one of its host, unless it carries a report that is sent once.

--- a/daemon/loop.go
+++ b/daemon/loop.go
@@ -35,7 +35,7 @@
 	log     logr.Logger
 	notes   *noteLog
 	now     func() time.Time
-	events  chan host.Event
+	inbox   *inbox
 	state   atomic.Pointer[host.State]
 	pool    *peers.Pool
 	targets *targets.Client
@@ -66,7 +66,7 @@
 
 func newLoop(s host.State, log logr.Logger, pool *peers.Pool, t *targets.Client) *loop {
 	l := &loop{
-		log: log, notes: newNoteLog(log), now: clock.Now, events: make(chan host.Event, eventQueue), pool: pool, targets: t,
+		log: log, notes: newNoteLog(log), now: clock.Now, inbox: newInbox(), pool: pool, targets: t,
 		done: make(chan struct{}), calls: map[ident.Request]chan host.Effect{}, writes: map[string]chan writeAnswer{},
 		reads:    map[string]chan bool{},
 		breakOff: func(requests.AbortAttempt) {},
@@ -79,10 +79,7 @@
 
 // post hands an event to the core, unless the process has stopped.
 func (l *loop) post(ev host.Event) {
-	select {
-	case l.events <- ev:
-	case <-l.done:
-	}
+	l.inbox.put(ev, l.done)
 }
 
 // run reduces events until ctx ends.
@@ -95,14 +92,35 @@
 		case <-ctx.Done():
 			return nil
 		case <-ticker.C:
-			l.pace.ticked(l.delays.ticked(l.now(), len(l.events), l.state.Load().Counters()))
-			l.reduce(ctx, host.Tick{})
-		case ev := <-l.events:
+			l.tick(ctx)
+			continue
+		case ev := <-l.inbox.log:
+			l.reduce(ctx, ev)
+			continue
+		default:
+		}
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-ticker.C:
+			l.tick(ctx)
+		case ev := <-l.inbox.log:
+			l.reduce(ctx, ev)
+		case ev := <-l.inbox.events:
 			l.reduce(ctx, ev)
+		case <-l.inbox.polls.waiting:
+			if m, ok := l.inbox.polls.take(); ok {
+				l.reduce(ctx, m)
+			}
 		}
 	}
 }
 
+func (l *loop) tick(ctx context.Context) {
+	l.pace.ticked(l.delays.ticked(l.now(), l.inbox.len(), l.state.Load().Counters()))
+	l.reduce(ctx, host.Tick{})
+}
+
 // reduce feeds one event and carries out what comes of it, but for what is meant
 // for who brought the event, which it returns: the gateway's decisions and answers
 // to workers.
--- a/daemon/metrics.go
+++ b/daemon/metrics.go
@@ -49,6 +49,7 @@
 	m.vars.Set("gateway_requests", m.verdicts)
 	m.vars.Set("worker_connections", expvar.Func(func() any { return d.workerConnections() }))
 	m.vars.Set("reduced_events", d.loop.reduced)
+	m.vars.Set("polls_superseded", expvar.Func(func() any { return d.loop.inbox.polls.superseded() }))
 	m.vars.Set("loop_delay_us", expvar.Func(func() any { return d.loop.delays.summary() }))
 	m.vars.Set("peers", expvar.Func(func() any { return peerCounters(d.counters) }))
 	m.vars.Set("probe_bytes", expvar.Func(func() any { return d.targets.ProbeBytes.Load() }))
