--- a/core/host/polling.go
+++ b/core/host/polling.go
@@ -25,6 +25,9 @@
 	minPollInterval     = 300 * time.Millisecond
 	maxPollInterval     = 1400 * time.Millisecond
 	pollIntervalPerHost = 7 * time.Millisecond
+	// maxStartDoublings is how often the interval doubles while no reply has arrived, after which it
+	// is maxPollInterval.
+	maxStartDoublings = 3
 	// After leaderTimeoutIntervals polls without a confirmation a host turns to another
 	// replica; after pollAllAfterIntervals it requests confirmations from all of them.
 	leaderTimeoutIntervals = 3
@@ -77,6 +80,9 @@
 		return
 	}
 	t.seeded.pollAt = t.now.Add(t.pollInterval())
+	if t.seeded.hosts == 0 {
+		t.seeded.startRounds++
+	}
 	t.updateHubPollSet()
 	t.expireCrashes()
 	hosts := t.hostsToPoll()
@@ -159,9 +165,13 @@
 }
 
 // pollInterval returns the time between two polls, which grows with the number of hosts that
-// poll replicas.
+// poll replicas. Until a reply has named that number, it doubles with each round: hundreds of hosts
+// that start together would otherwise poll at the rate of a small fleet while they get no replies.
 func (t *transition) pollInterval() time.Duration {
 	polling := t.seeded.hosts
+	if polling == 0 {
+		return min(minPollInterval<<min(t.seeded.startRounds, maxStartDoublings), maxPollInterval)
+	}
 	if n := t.seeded.hub.list.Len(); n > 0 {
 		polling = n
 	}
--- a/core/host/seeded.go
+++ b/core/host/seeded.go
@@ -23,7 +23,9 @@
 type seededState struct {
 	// Polling. pollAt is when the next polls are due, lastPollNumber the number of the last
 	// poll sent, and pendingPolls holds when each unanswered poll was sent.
-	pollAt         time.Time
+	pollAt time.Time
+	// startRounds counts the rounds of polls before the first reply.
+	startRounds    uint
 	lastPollNumber uint64
 	pendingPolls   table.Table[uint64, time.Time]
 	// replicas are the members last reported by a leader with a lease, contacts the polled
--- a/core/host/seeded_test.go
+++ b/core/host/seeded_test.go
@@ -79,6 +79,9 @@
 	// delayed so far.
 	delay     func(seededPacket) time.Duration
 	inTransit []delayedPacket
+	// intercept, if set, is called with each message that is sent, and reports whether it delivers
+	// the message itself.
+	intercept func(seededPacket) bool
 	// onDecision, if set, is called with each decision on requests.
 	onDecision func(ident.Host, requests.Decision)
 	// entryStart is how long requests wait for an entry host that starts.
@@ -240,6 +243,9 @@
 	if f.blocked[[2]ident.Host{p.from, p.to}] || f.down[p.from] {
 		return
 	}
+	if f.intercept != nil && f.intercept(p) {
+		return
+	}
 	if f.delay != nil {
 		if d := f.delay(p); d > 0 {
 			f.inTransit = append(f.inTransit, delayedPacket{p, f.now.Add(d)})
