core/host, core/hubs: Ignore a reply that names a list of hubs without its hosts

Cause: a poll names the list of hubs that its host holds, and a hub with the same one replies with the key alone. Where the list changes, as when hubs return from a cut, a host gets the new list from one hub and then the reply of the other one, which still holds the list before: its key, without hosts, replaced the new list by an empty one. The host then polls the replicas instead of hubs until the next reply, and its requests move between counts.

Change: a list is adopted only if its hosts have the key. Looked for elsewhere: fallback peers are adopted only with hosts; crash lists are merged, not replaced; route tables name their base.

--- a/core/host/hub_test.go
+++ b/core/host/hub_test.go
@@ -4,6 +4,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"strings"
 	"testing"
 	"time"
@@ -136,6 +137,20 @@
 	require.Equal(t, largeFleet-1, f.reportedHostCount())
 }
 
+// TestReplyAboutAnEarlierHubListIsIgnored guards against hosts that all poll the replicas: a hub that
+// still holds the list that the poll named sends its key without its hosts, which must not replace a
+// newer list that has arrived since.
+func TestReplyAboutAnEarlierHubListIsIgnored(t *testing.T) {
+	f := newLargeFleet(t, largeFleet)
+	hubs := f.hubs()
+	i := slices.IndexFunc(f.order, func(id ident.Host) bool { return f.disks[id] == nil && !slices.Contains(hubs, id) })
+	id := f.order[i]
+	before := f.states[id].Dump(f.now).Sync.Hubs
+	require.NotEmpty(t, before)
+	f.reduce(id, host.MessageReceived{From: hubs[0], Message: host.PollReply{Fresh: true, HubList: 12345}})
+	require.Equal(t, before, f.states[id].Dump(f.now).Sync.Hubs)
+}
+
 // reportedHostCount returns the number of hosts that the leader reports.
 func (f *seededFleet) reportedHostCount() int {
 	n := 0
--- a/core/host/hublist.go
+++ b/core/host/hublist.go
@@ -60,16 +60,21 @@
 
 // applyHubList stores the list of hubs in a reply. This host starts serving as a hub if it is
 // listed. A list from a sender without a fresh confirmation is used only while this host has
-// none.
+// none. A reply that names a list without its hosts is about the list that the poll named, which
+// this host has replaced since.
 func (t *transition) applyHubList(m PollReply) {
 	h := &t.seeded.hub
 	if m.HubList == 0 || m.HubList == h.list.Key || !m.Fresh && h.list.Key != 0 {
 		return
 	}
+	list, ok := hubs.HubsWithKey(m.Hubs, m.HubList)
+	if !ok {
+		return
+	}
 	if h.list.Len() == 0 {
 		h.pollSet = h.pollSet.WithUsefulReply(t.now)
 	}
-	h.list.List = hubs.List{Hosts: m.Hubs, Key: m.HubList}
+	h.list.List = list
 	if h.list.Has(t.settings.ID) && !h.replies {
 		t.startReplyingToPolls()
 	}
--- a/core/host/polling.go
+++ b/core/host/polling.go
@@ -169,12 +169,12 @@
 // that start together would otherwise poll at the rate of a small fleet while they get no replies.
 func (t *transition) pollInterval() time.Duration {
 	polling := t.seeded.hosts
-	if polling == 0 {
-		return min(minPollInterval<<min(t.seeded.startRounds, maxStartDoublings), maxPollInterval)
-	}
 	if n := t.seeded.hub.list.Len(); n > 0 {
 		polling = n
 	}
+	if polling == 0 {
+		return min(minPollInterval<<min(t.seeded.startRounds, maxStartDoublings), maxPollInterval)
+	}
 	return min(max(minPollInterval, time.Duration(polling)*pollIntervalPerHost), maxPollInterval)
 }
 
--- a/core/hubs/hubs.go
+++ b/core/hubs/hubs.go
@@ -45,6 +45,11 @@
 	return slices.ContainsFunc(l.Hosts, func(h Host) bool { return h.Host == id })
 }
 
+// HubsWithKey returns the list of hubs with a key; ok is false if the key is not that of the hosts.
+func HubsWithKey(hosts []Host, key hash.Key) (l List, ok bool) {
+	return List{Hosts: hosts, Key: key}, listKey(hubsKind, hosts) == key
+}
+
 // Len returns the number of hosts.
 func (l List) Len() int { return len(l.Hosts) }
 
@@ -87,9 +92,9 @@
 	if s.Len() > 0 {
 		threshold = threshold * keepPercent / percent
 	}
-	candidate := List{Key: listKey("hubs", nil)}
+	candidate := List{Key: listKey(hubsKind, nil)}
 	if len(hosts) > threshold {
-		candidate = newList("hubs", selectPerZone(hosts))
+		candidate = newList(hubsKind, selectPerZone(hosts))
 	}
 	if candidate.Key != s.candidateKey {
 		s.candidateKey, s.candidateSince = candidate.Key, now
@@ -102,7 +107,13 @@
 }
 
 // FallbackPeers selects the entry hosts that others may poll while no replica replies.
-func FallbackPeers(hosts []Host) List { return newList("neighbours", selectPerZone(hosts)) }
+func FallbackPeers(hosts []Host) List { return newList(fallbackKind, selectPerZone(hosts)) }
+
+// Kinds of lists, which keep the keys of lists for different purposes apart.
+const (
+	hubsKind     = "hubs"
+	fallbackKind = "neighbours"
+)
 
 // newList returns a list of hosts; kind keeps the keys of lists for different purposes apart.
 func newList(kind string, hosts []Host) List { return List{Hosts: hosts, Key: listKey(kind, hosts)} }
