core/host: Count departed clients until their next hub does

Cause: a host that turns to another hub is no longer counted by the one before at once, while the other one counts it from the second poll on, and reports it to the replicas with its own next poll. Hosts turn together, when a hub returns.

Change: a hub or replica counts the requests of a client that has deregistered, or made another hub its primary one, for three more intervals between polls. They may be counted twice meanwhile, which diverts requests and fills no engine.

--- a/core/host/clients.go
+++ b/core/host/clients.go
@@ -83,9 +83,12 @@
 		return
 	}
 	if m.Leaves {
-		t.seeded.clients = t.seeded.clients.Without(from)
+		t.removeClient(from)
 		return
 	}
+	if previous, ok := t.seeded.clients.Get(from); ok && previous.primary && !m.Home {
+		t.keepDepartedLoads(from, previous)
+	}
 	t.recordLease(from, m)
 	t.grantZonesLease(from, m)
 	t.grantRolloutsLease(from, m)
@@ -96,6 +99,14 @@
 	t.sendReply(from, t.newClient(from, m), m)
 }
 
+// removeClient removes a client that has deregistered.
+func (t *transition) removeClient(id ident.Host) {
+	if c, ok := t.seeded.clients.Get(id); ok {
+		t.keepDepartedLoads(id, c)
+	}
+	t.seeded.clients = t.seeded.clients.Without(id)
+}
+
 // newClient returns the client described by a poll, with what is known from earlier ones.
 func (t *transition) newClient(from ident.Host, m Poll) client {
 	c := client{
--- a/core/host/loadsums.go
+++ b/core/host/loadsums.go
@@ -19,8 +19,20 @@
 	// sumWarmUp is how long a replica is polled after its start before it reports sums, which
 	// would lack the hosts that have not polled yet.
 	sumWarmUp = 2 * maxPollInterval
+	// departedIntervals is for how many intervals between polls the requests of a client that has
+	// deregistered, or made another hub its primary one, are counted here: it first polls another hub without reporting them, then with
+	// them, and that hub reports them to the replicas with its own next poll. Until then nobody else
+	// counts them, and hosts would fill engines that seem free. They may be counted twice meanwhile,
+	// which only diverts requests.
+	departedIntervals = 3
 )
 
+// departedLoads are the last loads of a client that reports them to another host now.
+type departedLoads struct {
+	loads loads.Digest
+	since time.Time
+}
+
 // loadSums are the loads of all clients. They are recomputed at intervals rather than for each
 // poll.
 type loadSums struct {
@@ -57,6 +69,7 @@
 		}
 		next.byHost[id] = c.loads
 	}
+	t.addDeparted(next.byHost)
 	if t.settings.Serves {
 		next.byHost[t.settings.ID] = t.requests.Loads(t.now)
 	}
@@ -65,3 +78,22 @@
 	t.seeded.sums = next
 	return next
 }
+
+// keepDepartedLoads keeps counting the requests of a client that reports them to another host now.
+func (t *transition) keepDepartedLoads(id ident.Host, c client) {
+	if len(c.loads) > 0 {
+		t.seeded.departed = t.seeded.departed.With(id, departedLoads{loads: c.loads, since: t.now})
+	}
+}
+
+// addDeparted adds the loads of clients that have departed recently to those by host, unless a host
+// reports its own here again.
+func (t *transition) addDeparted(byHost map[ident.Host]loads.Digest) {
+	for id, d := range t.seeded.departed.All() {
+		if t.now.Sub(d.since) > departedIntervals*t.pollInterval() || len(byHost[id]) > 0 {
+			t.seeded.departed = t.seeded.departed.Without(id)
+			continue
+		}
+		byHost[id] = d.loads
+	}
+}
--- a/core/host/seeded.go
+++ b/core/host/seeded.go
@@ -53,6 +53,8 @@
 	// Replying. clients are the hosts that poll this one.
 	clients table.Table[ident.Host, client]
 	sums    loadSums
+	// departed are the loads of clients that report them to another host now.
+	departed table.Table[ident.Host, departedLoads]
 	// bulk limits the bytes of tables and full batches of registrations. lastUpdated is the host
 	// that was last sent an update.
 	bulk        bulkLimit
