core/registry: Report a worker again that returns from another replica

What callers saw: an open suspicion, found by reading: a live worker counts as silent, and its capacity is lost, until something else about it changes.

Cause: a worker sends one heartbeat to another replica, as when a call to its own one fails, and returns. The other replica hears no more and reports it silent after 6 s, with the sequence number of that heartbeat. The first replica sees an unchanged registration and reports nothing, so hosts and hubs hold an older "ready" and a newer "silent".

Evidence: TestWorkerThatReturnsToAReplicaStaysReady, with one to four heartbeats sent elsewhere: on the code before, the worker is silent at every host from the tenth heartbeat on.

Change: a heartbeat that follows a pause of over 2 s and skips sequence numbers is reported as a change, so that its number is known before the other replica's silence. Relays report every 1.5 s, so that theirs are not.

--- a/core/registry/registry.go
+++ b/core/registry/registry.go
@@ -77,6 +77,11 @@
 	forgetGone = 5 * time.Minute
 	// forgetSilent is the same for a silent worker.
 	forgetSilent = time.Minute
+	// returnPause is the pause between heartbeats after which a worker that has sent others meanwhile
+	// has probably sent them to another registry. That one will take it for silent, so this one must
+	// report the later heartbeat although nothing else has changed. It exceeds the interval of
+	// relays' reports.
+	returnPause = 2 * time.Second
 )
 
 // Registry holds the registrations accepted here. It is immutable; the zero value is empty.
@@ -138,9 +143,14 @@
 		}
 	}
 	old := e.record.Worker()
+	returned := w.Seq > old.Seq+1 && now.Sub(e.lastSeen) > returnPause
 	old.Seq, old.Cold = w.Seq, w.Cold
 	if old == w && e.isAsCold(w, now) {
-		e.record, e.lastSeen = RecordOf(w), now
+		e.record = RecordOf(w)
+		if returned {
+			return r.withEntry(w.ID, e, now), false
+		}
+		e.lastSeen = now
 		r.workers = r.workers.With(w.ID, e)
 		return r, false
 	}
