core/routing: Hand each chat over with its newest location

What callers saw: an open suspicion, found by reading: after a change of a group's owner, a chat that has moved returns to the engine that it left, and its prefix is read again.

Cause: the directory keeps two generations; a chat in both was handed over twice, the older location first, and the new owner keeps the first entry.

Evidence: TestHandedOverChatsAreTheNewest: four entries for three chats before, the older location first.

Change: an entry of the old generation is skipped if the young one has the chat.

--- a/core/routing/directory.go
+++ b/core/routing/directory.go
@@ -85,7 +85,7 @@
 	Place ChatLocation
 }
 
-// Chats returns all entries, those of the old generation first.
+// Chats returns the location of each chat, those of the old generation first.
 func (d Directory) Chats() []Chat {
 	out := make([]Chat, 0, d.Len())
 	for _, m := range []*immutable.Map[hash.Key, ChatLocation]{d.old, d.young} {
@@ -94,12 +94,23 @@
 		}
 		for it := m.Iterator(); !it.Done(); {
 			k, p, _ := it.Next()
-			out = append(out, Chat{Key: k, Place: p})
+			if m == d.young || !d.isYoung(k) {
+				out = append(out, Chat{Key: k, Place: p})
+			}
 		}
 	}
 	return out
 }
 
+// isYoung reports whether the young generation has an entry of a chat.
+func (d Directory) isYoung(k hash.Key) bool {
+	if d.young == nil {
+		return false
+	}
+	_, ok := d.young.Get(k)
+	return ok
+}
+
 // WithChatLimit returns the group with the number of remembered chats limited to n; 0 means the
 // default.
 func (g Group) WithChatLimit(n int) Group {
