core/crashes: Drop the oldest of too many answers, not all

What callers saw: an open suspicion, found by reading: a request that was answered is refused for crashes before its answer, which are reported later.

Cause: with more than 1,024 answers remembered, all but the last one were dropped, recent ones of popular requests included.

Evidence: TestRecentAnswersAreRemembered: after 1,024 answers of other requests three earlier crashes count against the popular one on the code before.

Change: the older half is dropped.

--- a/core/crashes/evidence.go
+++ b/core/crashes/evidence.go
@@ -101,7 +101,7 @@
 		e.answered = e.answered.With(content, answeredAt)
 	}
 	if e.answered.Len() > maxContents {
-		e.answered = table.Table[Content, time.Time]{}.With(content, answeredAt)
+		e = e.withoutOldestAnswers()
 	}
 	record, ok := e.byContent.Get(content)
 	if !ok {
@@ -144,6 +144,18 @@
 	return e
 }
 
+// withoutOldestAnswers drops the older half of the remembered answers.
+func (e Evidence) withoutOldestAnswers() Evidence {
+	times := slices.SortedFunc(slices.Values(e.answered.Values()), time.Time.Compare)
+	middle := times[len(times)/2]
+	for content, at := range e.answered.All() {
+		if at.Before(middle) {
+			e.answered = e.answered.Without(content)
+		}
+	}
+	return e
+}
+
 func lastCrashAt(crashes []Crash) time.Time { return crashes[len(crashes)-1].EndedAt }
 
 // isSameCrash reports whether two crashes are due to the same exit of a worker's process.
--- a/core/crashes/evidence_test.go
+++ b/core/crashes/evidence_test.go
@@ -139,6 +139,22 @@
 	require.Zero(t, crashes.Evidence{}.With("", crash("w", 1, 0.1), start).Len(), "a request of unknown content")
 }
 
+// TestRecentAnswersAreRemembered guards against a popular request that is refused for crashes which are
+// reported after its answer: answers of other requests must not displace a recent one.
+func TestRecentAnswersAreRemembered(t *testing.T) {
+	var e crashes.Evidence
+	const others = 1024
+	answeredAt := start.Add(10 * time.Second)
+	e = e.WithAnswer(content("popular"), answeredAt)
+	for i := range others {
+		e = e.WithAnswer(content(fmt.Sprint("earlier", i)), start.Add(time.Duration(i)*time.Millisecond))
+	}
+	for i := range 3 {
+		e = e.With(content("popular"), crash(fmt.Sprint("w", i), float64(1+2*i), 0.1), answeredAt)
+	}
+	require.Empty(t, crashCounts(e, "popular"))
+}
+
 // TestEvidenceDoesNotDependOnOrder reports the same crashes in random order, one of them twice.
 func TestEvidenceDoesNotDependOnOrder(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
