core/requests, core/host: Wait for news after the process stood still

Cause: after a stall a host knows workers as they were before it. What replicas and hubs have sent since waits in its sockets beside new requests, which may be handled first.

Evidence: TestFrozenHostAsksBeforeItSends freezes a host for 1.5 s, in which a worker begins to leave: on the code before, the third of 20 requests goes to that worker. After 3.5 s the host refuses all 20, as its lease is over.

Change: an entry host that has handled no event for over a second polls at once, and requests wait until a reply to a poll since then has arrived, 0.3 s at most. A host that is also partitioned goes on with what it knows. All 20 are sent to the other worker. core.Stalls counts the stalls.

--- a/core/host/counters.go
+++ b/core/host/counters.go
@@ -41,6 +41,8 @@
 	HeartbeatsInvalid uint64
 	// RegistrationsDropped counts the workers dropped or turned away because the registry was full.
 	RegistrationsDropped uint64
+	// Stalls counts the times that an entry host's process stood still for over a second.
+	Stalls uint64
 	// MembershipRisks are, on the leader, the failures that the members of the log would not
 	// survive; unlike the other counters they may also fall.
 	MembershipRisks membership.Risks
--- a/core/host/host.go
+++ b/core/host/host.go
@@ -148,6 +148,7 @@
 // Reduce applies an event and returns the next state and the effects to carry out.
 func Reduce(s State, ev Event, now time.Time) (State, []Effect) {
 	t := transition{State: s, now: now}
+	t.noteStall()
 	switch ev := ev.(type) {
 	case Tick:
 		t.tick()
--- a/core/host/seeded.go
+++ b/core/host/seeded.go
@@ -24,6 +24,8 @@
 	// Polling. pollAt is when the next polls are due, lastPollNumber the number of the last
 	// poll sent, and pendingPolls holds when each unanswered poll was sent.
 	pollAt time.Time
+	// lastEventAt is when this process last handled an event.
+	lastEventAt time.Time
 	// startRounds counts the rounds of polls before the first reply.
 	startRounds    uint
 	lastPollNumber uint64
--- a/core/host/seeded_test.go
+++ b/core/host/seeded_test.go
@@ -53,13 +53,15 @@
 // seededFleet simulates a small seeded fleet with one clock, disks in memory and a network
 // whose links can be blocked.
 type seededFleet struct {
-	t         *testing.T
-	now       time.Time
-	states    map[ident.Host]host.State
-	disks     map[ident.Host]*seededDisk
-	order     []ident.Host
-	seeds     []ident.Host
-	down      map[ident.Host]bool
+	t      *testing.T
+	now    time.Time
+	states map[ident.Host]host.State
+	disks  map[ident.Host]*seededDisk
+	order  []ident.Host
+	seeds  []ident.Host
+	down   map[ident.Host]bool
+	// frozen is a host that handles nothing for now; empty if there is none.
+	frozen    ident.Host
 	blocked   map[[2]ident.Host]bool
 	wire      []seededPacket
 	writes    map[string]host.AnswerWrite
@@ -186,7 +188,7 @@
 }
 
 func (f *seededFleet) reduce(id ident.Host, ev host.Event) {
-	if f.down[id] {
+	if f.down[id] || f.frozen != "" && f.frozen == id {
 		return
 	}
 	next, effects := host.Reduce(f.states[id], ev, f.now)
--- a/core/requests/admit.go
+++ b/core/requests/admit.go
@@ -38,7 +38,7 @@
 		t.refuseDuplicate(r.ID)
 		return
 	}
-	if t.deferUntilStarted(r) {
+	if t.deferUntilStarted(r) || t.deferUntilResumed(r) {
 		return
 	}
 	t.probeZones(r)
--- a/core/requests/requests.go
+++ b/core/requests/requests.go
@@ -122,6 +122,8 @@
 	// holds the requests that do.
 	startedAt time.Time
 	waiting   table.Table[ident.Request, waitingRequest]
+	// resumedAt is when the process last resumed after a stall; zero if it never stood still.
+	resumedAt time.Time
 }
 
 // Counters count decisions; they only grow. Their JSON names are those of the metrics port.
--- /dev/null
+++ b/core/requests/resume.go
@@ -0,0 +1,40 @@
+// Copyright 2026 The Yardhall Authors. Licensed under the Apache License, Version 2.0.
+
+package requests
+
+import "time"
+
+// A process that stood still, because its machine was frozen or its processor was taken away, knows
+// workers as they were before. Some may have begun to leave since, and what replicas and hubs have sent
+// about them waits in its sockets beside new requests. Requests therefore wait after a stall until a
+// confirmation shows a round trip since its end, at most for resumeTimeout: a host that is also
+// partitioned goes on with what it knows.
+//
+// Inputs: when a stall ended, and as of when the route table was last confirmed.
+
+// resumeTimeout is several round trips to a hub, and short beside the objectives of callers.
+const resumeTimeout = 300 * time.Millisecond
+
+// WithResumedAt returns the state of a host whose process has just stood still.
+func (s State) WithResumedAt(now time.Time) State {
+	s.resumedAt = now
+	return s
+}
+
+// resuming reports whether requests wait for news after a stall.
+func (s State) resuming(now time.Time) bool {
+	return !s.resumedAt.IsZero() && now.Sub(s.resumedAt) < resumeTimeout && s.confirmed.AsOf.Before(s.resumedAt)
+}
+
+// deferUntilResumed queues a request while the host is resuming after a stall.
+func (t *transition) deferUntilResumed(r Request) bool {
+	if !t.resuming(t.now) {
+		return false
+	}
+	until := t.resumedAt.Add(resumeTimeout)
+	if !r.Deadline.IsZero() && r.Deadline.Before(until) {
+		until = r.Deadline
+	}
+	t.queue(r, until, 0)
+	return true
+}
--- a/core/requests/start.go
+++ b/core/requests/start.go
@@ -108,11 +108,16 @@
 		t.refuse(r.ID, CodeNotReady, "this host is starting and will not be ready before the request's deadline", max(retryAfter, likely.Sub(t.now)))
 		return true
 	}
+	t.queue(r, until, rank)
+	return true
+}
+
+// queue adds a request to those that wait, and refuses the least urgent one if there are too many.
+func (t *transition) queue(r Request, until time.Time, rank int) {
 	t.waiting = t.waiting.With(r.ID, waitingRequest{request: r, arrived: t.now, rank: rank, deadline: until})
 	t.counters.Waited++
 	t.out = append(t.out, Wait{Request: r.ID})
 	t.refuseLeastUrgent()
-	return true
 }
 
 // waitDeadline returns the time until which a request may wait, and its rank. The time is the end
@@ -159,7 +164,8 @@
 	}
 	for _, w := range t.waitingByUrgency() {
 		switch {
-		case t.canServe(w.request):
+		case t.resuming(t.now) && !t.closing:
+		case t.canServe(w.request) || !t.resumedAt.IsZero() && !t.Starting(t.now):
 			t.waiting = t.waiting.Without(w.request.ID)
 			t.admitAndDispatch(w.request, w.arrived)
 		case t.closing:
