--- a/core/dialing/backoff.go
+++ b/core/dialing/backoff.go
@@ -63,5 +63,5 @@
 	}
 	b.delay = min(max(minDelay, 2*b.delay), limit)
 	half := b.delay / 2
-	return b, half + time.Duration(draw%uint64(half+1))
+	return b, half + time.Duration(draw%uint64(half+1)) //nolint:gosec // Delays are positive and far below the limits of both types.
 }
--- a/core/host/hublist.go
+++ b/core/host/hublist.go
@@ -67,7 +67,7 @@
 	if m.HubList == 0 || m.HubList == h.list.Key || !m.Fresh && h.list.Key != 0 {
 		return
 	}
-	list, ok := hubs.HubsWithKey(m.Hubs, m.HubList)
+	list, ok := hubs.ListWithKey(m.Hubs, m.HubList)
 	if !ok {
 		return
 	}
--- a/core/host/loadsums.go
+++ b/core/host/loadsums.go
@@ -20,10 +20,10 @@
 	// would lack the hosts that have not polled yet.
 	sumWarmUp = 2 * maxPollInterval
 	// departedIntervals is for how many intervals between polls the requests of a client that has
-	// deregistered, or made another hub its primary one, are counted here: it first polls another hub without reporting them, then with
-	// them, and that hub reports them to the replicas with its own next poll. Until then nobody else
-	// counts them, and hosts would fill engines that seem free. They may be counted twice meanwhile,
-	// which only diverts requests.
+	// deregistered, or made another hub its primary one, are counted here. The client first polls the
+	// other hub without reporting them, then with them, and that hub reports them to the replicas with
+	// its own next poll. Until then nobody else counts them, and hosts would fill engines that seem
+	// free. They may be counted twice meanwhile, which only diverts requests.
 	departedIntervals = 3
 )
 
--- a/core/host/overload_test.go
+++ b/core/host/overload_test.go
@@ -255,15 +255,14 @@
 	return n
 }
 
-// serve runs until all hosts are ready, at most for limit, and returns how long that took.
-func (f *overloadedFleet) serve(t *testing.T, entries int, limit time.Duration) time.Duration {
+// serve runs until all hosts are ready, at most for limit.
+func (f *overloadedFleet) serve(t *testing.T, entries int, limit time.Duration) {
 	t.Helper()
 	start := f.now
 	for f.servingHosts(entries) < entries {
 		require.Less(t, f.now.Sub(start), limit, "%d of %d hosts are ready", f.servingHosts(entries), entries)
 		f.runWorking(seededStep)
 	}
-	return f.now.Sub(start)
 }
 
 // TestLargeFleetServesAgainAfterOverload guards against a fleet whose replicas spend their processors
@@ -323,6 +322,12 @@
 	require.False(t, host.Poll{Round: 8, Boot: 1}.IsSuperseded(host.Poll{Leaves: true, Boot: 1}))
 }
 
+// TestPrecedenceOfMessages guards against votes that wait behind polls while the processor is short.
+func TestPrecedenceOfMessages(t *testing.T) {
+	require.Less(t, host.PrecedenceOf(host.Raft{}), host.PrecedenceOf(host.PollReply{}))
+	require.Less(t, host.PrecedenceOf(host.PollReply{}), host.PrecedenceOf(host.Poll{}))
+}
+
 // TestPollsSlowDownUntilTheFirstReply guards against hundreds of starting hosts that poll replicas which
 // do not reply at the rate of a small fleet.
 func TestPollsSlowDownUntilTheFirstReply(t *testing.T) {
--- a/core/host/precedence.go
+++ b/core/host/precedence.go
@@ -12,10 +12,11 @@
 type Precedence int
 
 const (
-	// PrecedenceLog is that of the replicated log, PrecedenceNormal that of most messages, and
-	// PrecedencePoll that of polls.
+	// PrecedenceLog is that of the replicated log.
 	PrecedenceLog Precedence = iota
+	// PrecedenceNormal is that of most messages.
 	PrecedenceNormal
+	// PrecedencePoll is that of polls.
 	PrecedencePoll
 )
 
--- a/core/hubs/hubs.go
+++ b/core/hubs/hubs.go
@@ -45,8 +45,8 @@
 	return slices.ContainsFunc(l.Hosts, func(h Host) bool { return h.Host == id })
 }
 
-// HubsWithKey returns the list of hubs with a key; ok is false if the key is not that of the hosts.
-func HubsWithKey(hosts []Host, key hash.Key) (l List, ok bool) {
+// ListWithKey returns the list of hubs with a key; ok is false if the key is not that of the hosts.
+func ListWithKey(hosts []Host, key hash.Key) (l List, ok bool) {
 	return List{Hosts: hosts, Key: key}, listKey(hubsKind, hosts) == key
 }
 
--- a/core/requests/resume.go
+++ b/core/requests/resume.go
@@ -26,15 +26,17 @@
 	return !s.resumedAt.IsZero() && now.Sub(s.resumedAt) < resumeTimeout && s.confirmed.AsOf.Before(s.resumedAt)
 }
 
-// deferUntilResumed queues a request while the host is resuming after a stall.
+// deferUntilResumed queues a request while the host is resuming after a stall, unless its deadline is
+// earlier than the end of that.
 func (t *transition) deferUntilResumed(r Request) bool {
 	if !t.resuming(t.now) {
 		return false
 	}
 	until := t.resumedAt.Add(resumeTimeout)
 	if !r.Deadline.IsZero() && r.Deadline.Before(until) {
-		until = r.Deadline
+		return false
 	}
-	t.queue(r, until, 0)
+	route, _ := t.routes.Route(r.Host, r.Path)
+	t.queue(waitingRequest{request: r, arrived: t.now, rank: route.Rank, deadline: until, afterStall: true})
 	return true
 }
--- a/core/requests/start.go
+++ b/core/requests/start.go
@@ -39,8 +39,10 @@
 	arrived time.Time
 	// rank is the route's; 0 while the route is unknown.
 	rank int
-	// deadline is when the request can no longer be served.
+	// deadline is when the request can no longer be served, or waits no longer after a stall.
 	deadline time.Time
+	// afterStall is set if the request waits after a stall of the process, not for its start.
+	afterStall bool
 }
 
 // WithStartedAt returns the state of a host that started at a time.
@@ -108,15 +110,15 @@
 		t.refuse(r.ID, CodeNotReady, "this host is starting and will not be ready before the request's deadline", max(retryAfter, likely.Sub(t.now)))
 		return true
 	}
-	t.queue(r, until, rank)
+	t.queue(waitingRequest{request: r, arrived: t.now, rank: rank, deadline: until})
 	return true
 }
 
 // queue adds a request to those that wait, and refuses the least urgent one if there are too many.
-func (t *transition) queue(r Request, until time.Time, rank int) {
-	t.waiting = t.waiting.With(r.ID, waitingRequest{request: r, arrived: t.now, rank: rank, deadline: until})
+func (t *transition) queue(w waitingRequest) {
+	t.waiting = t.waiting.With(w.request.ID, w)
 	t.counters.Waited++
-	t.out = append(t.out, Wait{Request: r.ID})
+	t.out = append(t.out, Wait{Request: w.request.ID})
 	t.refuseLeastUrgent()
 }
 
@@ -144,7 +146,7 @@
 		return
 	}
 	inOrder := t.waitingByUrgency()
-	t.refuseWaiting(inOrder[len(inOrder)-1], CodeOverloaded, "too many requests are waiting for this host to start")
+	t.refuseWaiting(inOrder[len(inOrder)-1], CodeOverloaded, "too many requests are waiting for this host")
 }
 
 // waitingByUrgency returns the waiting requests, the most urgent first.
@@ -165,7 +167,7 @@
 	for _, w := range t.waitingByUrgency() {
 		switch {
 		case t.resuming(t.now) && !t.closing:
-		case t.canServe(w.request) || !t.resumedAt.IsZero() && !t.Starting(t.now):
+		case t.canServe(w.request) || w.afterStall && !t.closing:
 			t.waiting = t.waiting.Without(w.request.ID)
 			t.admitAndDispatch(w.request, w.arrived)
 		case t.closing:
--- a/peers/sender.go
+++ b/peers/sender.go
@@ -44,24 +44,6 @@
 	replyTime dialing.ReplyTime
 }
 
-// ReplaceCause is why a connection to a host was replaced.
-type ReplaceCause string
-
-// Causes of a replaced connection: its calls were unanswered, the other end closed it, or it belongs
-// to an earlier incarnation of the host.
-const (
-	ReplaceUnanswered ReplaceCause = "unanswered"
-	ReplaceClosed     ReplaceCause = "closed"
-	ReplaceRestarted  ReplaceCause = "restarted"
-)
-
-// replaced reports that the connection is about to be replaced.
-func (s *sender) replaced(cause ReplaceCause) {
-	if f := s.pool.options.OnReplace; f != nil {
-		f(s.to, cause, time.Since(s.openedAt))
-	}
-}
-
 // dialFailed counts a failed dial and reports the first of a series.
 func (s *sender) dialFailed(err error) {
 	s.dialFailures++
@@ -132,9 +114,7 @@
 	if s.client != nil && s.callsInFlight > 0 && time.Since(s.lastProgress) > s.replyTime.Timeout() {
 		s.replyTime = s.replyTime.WithTimeout()
 		s.pool.options.Counters.Failed.Add(1)
-		s.pool.options.Counters.ReplacedUnanswered.Add(1)
-		s.replaced(ReplaceUnanswered)
-		s.disconnect()
+		s.replace(ReplaceUnanswered)
 	}
 }
 
@@ -218,8 +198,12 @@
 		s.disconnect()
 		return errors.New("unreachable")
 	}
-	if s.client != nil && s.addr == addr && !s.isDead() {
-		return nil
+	if s.client != nil && s.addr == addr {
+		cause, isDead := s.deathCause()
+		if !isDead {
+			return nil
+		}
+		s.replace(cause)
 	}
 	s.disconnect()
 	o := s.pool.options
@@ -256,22 +240,6 @@
 	return nil
 }
 
-// isDead reports whether messages on the connection would be lost, because the other end has
-// closed it or belongs to an earlier incarnation of the host.
-func (s *sender) isDead() bool {
-	switch {
-	case s.conn.readFailed.Load():
-		s.pool.options.Counters.ReplacedClosed.Add(1)
-		s.replaced(ReplaceClosed)
-	case s.pool.options.PeerIncarnations.isSuperseded(s.to, s.incarnation):
-		s.pool.options.Counters.ReplacedRestarted.Add(1)
-		s.replaced(ReplaceRestarted)
-	default:
-		return false
-	}
-	return true
-}
-
 func (s *sender) dial(addr string) (net.Conn, error) {
 	d := &net.Dialer{Timeout: dialTimeout, Control: sockets.Control(dialing.MinReplyTimeout), KeepAliveConfig: sockets.KeepAlive()}
 	if from := s.pool.options.From; from != nil {
--- a/peers/server.go
+++ b/peers/server.go
@@ -16,16 +16,13 @@
 package peers
 
 import (
-	"cmp"
 	"context"
-	"crypto/subtle"
 	"crypto/tls"
 	"net"
 	"net/netip"
 	"net/rpc"
 	"runtime"
 	"sync"
-	"sync/atomic"
 	"time"
 
 	"github.com/pkg/errors"
@@ -37,88 +34,6 @@
 	"github.com/yardhall/yardhall/core/ident"
 )
 
-// Options configure a Server and a Pool.
-type Options struct {
-	Self  ident.Host
-	Fleet string
-	// Key is the shared secret of the fleet.
-	Key string
-	// MaxMessage bounds one received call or reply, in bytes.
-	MaxMessage int64
-	// From is the local address to dial from; nil lets the system choose.
-	From *net.TCPAddr
-	// TLS encrypts connections; nil means no encryption.
-	TLS *tls.Config
-	// Counters count the traffic; nil is replaced by new ones.
-	Counters *Counters
-	// Incarnation is the incarnation of this process, which increases with each start.
-	Incarnation uint64
-	// PeerIncarnations holds the incarnations of other hosts. A Server updates it and a Pool
-	// uses it, so both need the same one; nil is replaced by a new one.
-	PeerIncarnations *IncarnationTracker
-	// SkipHandshakeLimit, if not nil, reports whether connections with an address are exempt
-	// from the limit of concurrent handshakes, such as those between replicas. Nil exempts all.
-	SkipHandshakeLimit func(netip.Addr) bool
-	// HandshakeSlotTimeout is how long a handshake counts towards the limit; 0 means
-	// defaultHandshakeSlotTimeout.
-	HandshakeSlotTimeout time.Duration
-	// OnReplace, if not nil, is called when a connection to a host is closed to open another one.
-	OnReplace func(to ident.Host, cause ReplaceCause, age time.Duration)
-	// OnUnreachable, if not nil, is called when connections to a host begin to fail with err, and
-	// when one succeeds after a number of failures, with a nil err.
-	OnUnreachable func(to ident.Host, err error, failures int)
-	// Blocked, if not nil, reports whether messages from and to a host must fail. Tests
-	// simulate network partitions with it.
-	Blocked func(ident.Host) bool
-}
-
-// Counters count the traffic with other hosts.
-type Counters struct {
-	BytesIn   atomic.Int64
-	BytesOut  atomic.Int64
-	Sent      atomic.Int64
-	Received  atomic.Int64
-	Dropped   atomic.Int64
-	Failed    atomic.Int64
-	Refused   atomic.Int64
-	Connected atomic.Int64
-	// Dialed counts the connections opened to other hosts; Connected is the number of those
-	// that are open.
-	Dialed atomic.Int64
-	// DialsFailed counts the attempts to open one that failed, with the hello, and HellosTimedOut
-	// those of them that had no reply to the hello.
-	DialsFailed    atomic.Int64
-	HellosTimedOut atomic.Int64
-	// ReplacedUnanswered counts the connections closed because calls were unanswered,
-	// ReplacedClosed those that the other end closed, and ReplacedRestarted those to an earlier
-	// incarnation.
-	ReplacedUnanswered atomic.Int64
-	ReplacedClosed     atomic.Int64
-	ReplacedRestarted  atomic.Int64
-	// Accepted counts the connections that hosts opened to this one and AcceptedFirst those of them
-	// that were exempt from the limit of concurrent handshakes, such as other replicas'.
-	Accepted      atomic.Int64
-	AcceptedFirst atomic.Int64
-	// Unused counts the accepted connections that ended before they had brought a message.
-	Unused atomic.Int64
-	// Shed counts the connections closed because they had waited too long for their handshake.
-	Shed atomic.Int64
-	// Polls and PollReplies count the received messages of these kinds.
-	Polls       atomic.Int64
-	PollReplies atomic.Int64
-}
-
-// countReceived counts a received message.
-func (c *Counters) countReceived(m host.Message) {
-	c.Received.Add(1)
-	switch m.(type) {
-	case host.Poll:
-		c.Polls.Add(1)
-	case host.PollReply:
-		c.PollReplies.Add(1)
-	}
-}
-
 const (
 	// callTimeout bounds a write and the wait for a call in flight.
 	callTimeout = 2 * time.Second
@@ -139,33 +54,6 @@
 	defaultHandshakeSlotTimeout = 100 * time.Millisecond
 )
 
-func (o Options) withDefaults() Options {
-	if o.Counters == nil {
-		o.Counters = &Counters{}
-	}
-	o.HandshakeSlotTimeout = cmp.Or(o.HandshakeSlotTimeout, defaultHandshakeSlotTimeout)
-	if o.PeerIncarnations == nil {
-		o.PeerIncarnations = &IncarnationTracker{}
-	}
-	return o
-}
-
-// acquireHandshakeSlot waits for a handshake slot until done is closed; ok is false if it was. For
-// exempt addresses it returns a nil slot at once.
-func (o Options) acquireHandshakeSlot(g *gate.Gate, ip netip.Addr, done <-chan struct{}) (slot *gate.Pass, ok bool) {
-	if o.isExempt(ip) {
-		return nil, true
-	}
-	slot, ok = g.Enter(done)
-	slot.EndAfter(o.HandshakeSlotTimeout)
-	return slot, ok
-}
-
-// isExempt reports whether connections with an address are exempt from limits.
-func (o Options) isExempt(ip netip.Addr) bool {
-	return o.SkipHandshakeLimit == nil || o.SkipHandshakeLimit(ip)
-}
-
 // remoteIP returns the address of the other end, or the zero address if it has none.
 func remoteIP(conn net.Conn) netip.Addr {
 	a, ok := conn.RemoteAddr().(*net.TCPAddr)
@@ -279,92 +167,3 @@
 		s.options.Counters.Unused.Add(1)
 	}
 }
-
-const serviceName = "F"
-
-// Service is the RPC service of one connection.
-type Service struct {
-	server *Server
-	conn   net.Conn
-	// authenticated is set by a successful Hello, after from.
-	authenticated atomic.Bool
-	from          ident.Host
-	// used is set once a batch has arrived.
-	used atomic.Bool
-	slot *gate.Pass
-}
-
-// Hello authenticates the caller. It must be the first call of a connection, and the only Hello.
-func (s *Service) Hello(h Hello, a *Ack) error {
-	o := s.server.options
-	sameKey := subtle.ConstantTimeCompare([]byte(h.Key), []byte(o.Key)) == 1
-	if h.Fleet != o.Fleet || !sameKey || s.authenticated.Load() {
-		o.Counters.Refused.Add(1)
-		_ = s.conn.Close()
-		return errors.New("refused")
-	}
-	s.from = h.From
-	s.authenticated.Store(true)
-	o.Counters.Accepted.Add(1)
-	if s.slot == nil {
-		o.Counters.AcceptedFirst.Add(1)
-	}
-	o.PeerIncarnations.advance(h.From, h.Boot)
-	a.Taken, a.Boot = 1, o.Incarnation
-	return nil
-}
-
-// D delivers a batch of messages. Its name is short because it is sent with each call.
-func (s *Service) D(b Batch, a *Ack) error {
-	if !s.authenticated.Load() {
-		s.server.options.Counters.Refused.Add(1)
-		_ = s.conn.Close()
-		return errors.New("hello is missing")
-	}
-	if blocked := s.server.options.Blocked; blocked != nil && blocked(s.from) {
-		_ = s.conn.Close()
-		return errors.New("unreachable")
-	}
-	for _, m := range b.Messages {
-		if m == nil {
-			continue
-		}
-		s.server.options.Counters.countReceived(m)
-		s.server.deliver(s.from, m)
-	}
-	s.used.Store(true)
-	a.Taken = len(b.Messages)
-	s.slot.Leave()
-	return nil
-}
-
-// countedConn counts bytes, bounds each write by callTimeout and, while renewIdle is set, each
-// read by idleTimeout.
-type countedConn struct {
-	net.Conn
-	counters  *Counters
-	renewIdle *atomic.Bool
-	// readFailed is set once a read failed, usually because the other end closed the connection.
-	readFailed atomic.Bool
-}
-
-// Read implements io.Reader.
-func (c *countedConn) Read(p []byte) (int, error) {
-	if c.renewIdle != nil && c.renewIdle.Load() {
-		_ = c.SetReadDeadline(time.Now().Add(idleTimeout))
-	}
-	n, err := c.Conn.Read(p)
-	c.counters.BytesIn.Add(int64(n))
-	if err != nil {
-		c.readFailed.Store(true)
-	}
-	return n, err // io.Reader must return io.EOF itself.
-}
-
-// Write implements io.Writer.
-func (c *countedConn) Write(p []byte) (int, error) {
-	_ = c.SetWriteDeadline(time.Now().Add(callTimeout))
-	n, err := c.Conn.Write(p)
-	c.counters.BytesOut.Add(int64(n))
-	return n, err // The codec adds the context.
-}
