daemon, gateway: Name each attempt's version and the resumed request in request lines

The lines did not tell whether a stream changed version within an answer or between two requests of its caller: they named versions only where rollouts are enabled, and never the request that a stream resumes.

Lines now name the version of each attempt's worker wherever it is known, and the request that a resumed stream names. TestLinesNameTheVersion asked for no versions without rollouts, since they had no meaning there; with versions side by side and no order they have one. It now asks for them in both cases, and still for no mark of a rollout where these are disabled.

--- a/core/requests/event.go
+++ b/core/requests/event.go
@@ -123,6 +123,9 @@
 	Prompt Prompt
 	// Resumed is set if the caller resumes an interrupted stream.
 	Resumed bool
+	// Resumes is the request that brought the first event of a resumed stream; empty if the caller
+	// does not name it.
+	Resumes ident.Request
 	// Digest is a cryptographic hash of method, host, path, query and body; empty if unknown.
 	Digest []byte
 }
--- a/daemon/gateway.go
+++ b/daemon/gateway.go
@@ -82,7 +82,7 @@
 // observeRequest counts and logs each ended request.
 func (d *Daemon) observeRequest() func(gateway.Observation) {
 	lines := newRequestLog(d.options.Log)
-	lines.versions = d.loop.RolloutsEnabled()
+	lines.rollouts = d.loop.RolloutsEnabled()
 	return func(o gateway.Observation) {
 		d.metrics.observeRequest(o)
 		lines.observe(o)
--- a/daemon/requestlog.go
+++ b/daemon/requestlog.go
@@ -28,9 +28,8 @@
 	now   func() time.Time
 	plain logs.Budget
 	odd   logs.Budget
-	// versions is set if lines name the versions of workers, which have a meaning only where
-	// rollouts are enabled.
-	versions bool
+	// rollouts is set if lines name the requests drawn for a version being rolled out.
+	rollouts bool
 }
 
 func newRequestLog(log logr.Logger) *requestLog {
@@ -80,6 +79,9 @@
 	if o.MaxEventGap > 0 {
 		fields = append(fields, "pause_ms", millis(o.MaxEventGap))
 	}
+	if o.Request.Resumed {
+		fields = append(fields, "resumes", string(o.Request.Resumes))
+	}
 	if last := len(o.Attempts) - 1; last >= 0 {
 		route := o.Attempts[last].Dispatch.Route
 		fields = append(fields, "objective_ms", millis(time.Duration(route.Objective)), "max_pause_ms", millis(time.Duration(route.MaxPause)))
@@ -114,10 +116,10 @@
 	if d.CacheFrom != "" && in.Position > 0 {
 		fields = append(fields, "cache_from", d.CacheFrom)
 	}
-	if l.versions && d.Worker.Version != "" {
+	if d.Worker.Version != "" {
 		fields = append(fields, "version", string(d.Worker.Version))
 	}
-	if l.versions && in.Rollout {
+	if l.rollouts && in.Rollout {
 		fields = append(fields, "rollout", true)
 	}
 	return fields
--- a/daemon/rollouts_test.go
+++ b/daemon/rollouts_test.go
@@ -41,13 +41,13 @@
 	return gateway.Observation{Attempts: []gateway.Attempt{first, second}}
 }
 
-// TestLinesNameTheVersion guards against requests of which a log does not say which version ran them,
-// and against versions in the logs of processes without rollouts.
+// TestLinesNameTheVersion guards against requests of which a log does not say which version ran each
+// attempt, and against rollouts in the logs of processes without them.
 func TestLinesNameTheVersion(t *testing.T) {
 	for _, enabled := range []bool{false, true} {
 		var l lineLog
 		lines := newRequestLog(l.logger())
-		lines.versions = enabled
+		lines.rollouts = enabled
 		lines.observe(rolloutObservation())
 		require.Len(t, l.lines, 2)
 		for i, want := range []struct {
@@ -57,7 +57,7 @@
 			var line map[string]any
 			require.NoError(t, json.Unmarshal([]byte(l.lines[i]), &line))
 			if !enabled {
-				want.version, want.drawn = nil, nil
+				want.drawn = nil
 			}
 			require.Equal(t, want.version, line["version"])
 			require.Equal(t, want.drawn, line["rollout"])
@@ -65,6 +65,19 @@
 	}
 }
 
+// TestLinesNameTheResumedRequest guards against streams of which a log does not say that they were
+// begun by another request.
+func TestLinesNameTheResumedRequest(t *testing.T) {
+	var l lineLog
+	o := rolloutObservation()
+	o.Request.ID, o.Request.Resumed, o.Request.Resumes = "second", true, "first"
+	newRequestLog(l.logger()).observe(o)
+	require.Contains(t, l.lines[1], `"resumes":"first"`)
+	o.Request.Resumed = false
+	newRequestLog(l.logger()).observe(o)
+	require.NotContains(t, l.lines[3], "resumes")
+}
+
 // TestRolloutsAreCounted guards against a host whose part in a rollout, or whose rejected orders,
 // cannot be seen.
 func TestRolloutsAreCounted(t *testing.T) {
--- a/gateway/headers.go
+++ b/gateway/headers.go
@@ -29,6 +29,8 @@
 	PromptParts string
 	// LastEventID is the id of the last event received of a stream that is resumed.
 	LastEventID string
+	// Resumes is the id of the request that brought the first event of a stream that is resumed.
+	Resumes string
 	// Account tells the worker the caller's account.
 	Account string
 	// ExpectedWorker is the id of the worker that a request is sent to; WorkerID that of the
@@ -60,7 +62,7 @@
 func DefaultHeaders() Headers {
 	return Headers{
 		RequestID: "Yardhall-Request-Id", DeadlineMs: "Yardhall-Timeout-Ms", Model: "Yardhall-Model",
-		Tokens: "Yardhall-Tokens", PromptParts: "Yardhall-Prompt-Parts", LastEventID: "Last-Event-Id",
+		Tokens: "Yardhall-Tokens", PromptParts: "Yardhall-Prompt-Parts", LastEventID: "Last-Event-Id", Resumes: "Yardhall-Resumes",
 		Account: "Yardhall-Account", ExpectedWorker: "Yardhall-Expect-Worker", WorkerID: "Yardhall-Worker",
 		CacheFrom: "Yardhall-Cache-From", Rank: "Yardhall-Rank", Load: "Yardhall-Load", NotRun: "Yardhall-Not-Run", Leaving: "Yardhall-Leaving", Brittle: "Yardhall-Brittle", Signature: "Yardhall-Signature",
 		Reserved: []string{"Yardhall-Reservation", "Yardhall-Keep-Cache", "Yardhall-Copy-To", "Yardhall-Copy-From", "Yardhall-Expect-Weights"},
@@ -76,7 +78,7 @@
 // callerHeaders returns the headers that describe the request. They are end-to-end: they are
 // forwarded even if the caller lists them in its Connection header.
 func (h Headers) callerHeaders() []string {
-	return []string{h.RequestID, h.Model, h.Tokens, h.PromptParts, h.LastEventID}
+	return []string{h.RequestID, h.Model, h.Tokens, h.PromptParts, h.LastEventID, h.Resumes}
 }
 
 // workerHeaders returns the headers in which workers report their state to hosts. Callers do
@@ -126,7 +128,7 @@
 func (h Headers) parseRequest(r *http.Request, now time.Time) requests.Request {
 	out := requests.Request{
 		ID: ident.Request(r.Header.Get(h.RequestID)), Host: r.Host, Path: r.URL.Path,
-		Resumed: r.Header.Get(h.LastEventID) != "",
+		Resumed: r.Header.Get(h.LastEventID) != "", Resumes: ident.Request(r.Header.Get(h.Resumes)),
 	}
 	if key := keys.Bearer(r.Header.Get("Authorization")); key != "" {
 		out.KeyHash = keys.Hash(key)
