--- a/standin/worker.go
+++ b/standin/worker.go
@@ -111,6 +111,13 @@
 	w.faults = append(w.faults, faults...)
 }
 
+// Reset drops the faults that are queued.
+func (w *Worker) Reset() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.faults = nil
+}
+
 // Runs returns the requests run so far.
 func (w *Worker) Runs() []WorkerRun {
 	w.mu.Lock()
