core/requests, core/host, gateway: Let streams go on only at the version that began them

What two versions write does not fit together.

Cause: a retry, and a request that takes a stream up, chose among all workers of the service as if they were interchangeable. The version of a worker mattered only to rollouts, which themselves moved retries and resumed streams to the current version.

Change: the first event pins a stream to the service and version of its worker. Retries within the answer use only such workers; without one the answer ends and its caller may take the stream up. A request that resumes a stream names the request that brought its first event (Resumes). Hosts report the origins of the streams that they begin in their polls; replicas and hubs keep them for a minute in bounded memory, and a host that did not begin a stream looks its origin up in polls, for 0.5 s at most. Unknown origins, as of hosts of an earlier version, are resumed while only one version can have begun them, and else refused. Rollouts keep their rules; a stream stays at its version as far as that one may still be used. Hosts of earlier versions ignore the new fields.

--- a/core/host/clients.go
+++ b/core/host/clients.go
@@ -108,6 +108,7 @@
 	t.applyReplacements(from, m.Replaced)
 	t.handleCrashEntries(from, m.CrashEntries)
 	t.handleCrashReports(from, m.Crashes)
+	t.handleBegunStreams(from, m.Begun)
 	t.sendReply(from, t.newClient(from, m), m)
 }
 
@@ -196,6 +197,7 @@
 		Epoch: t.settings.Incarnation, Since: c.revision, Revision: batch.revision, Workers: batch.packed,
 		NewestRevision: t.registry.Revision(),
 		CrashList:      t.requests.CrashList().Key, CrashEntries: t.crashEntriesFor(c.crashList),
+		Origins: t.originsFor(m.LookedUp),
 	}
 	if c.holdsAll {
 		r.Since, c.holdsAll = 0, false
--- a/core/host/crashes_test.go
+++ b/core/host/crashes_test.go
@@ -167,6 +167,7 @@
 		m.Crashes, m.CrashList, m.CrashEntries = nil, 0, nil
 		m.KnowsZones, m.Zones, m.ZonesInForce = false, 0, 0
 		m.KnowsRollouts, m.EarlierHosts, m.Rollouts, m.RolloutsInForce = false, false, 0, 0
+		m.Begun, m.LookedUp = nil, nil
 		return m
 	case host.Raft:
 		m.KnowsZones, m.KnowsRollouts = false, false
@@ -175,6 +176,7 @@
 		m.CrashList, m.CrashEntries = 0, nil
 		m.Zones = zones.Drained{}
 		m.KnowsRollouts, m.Rollouts = false, rollouts.State{}
+		m.Origins = nil
 		return m
 	}
 	return m
--- a/core/host/fallback.go
+++ b/core/host/fallback.go
@@ -89,10 +89,12 @@
 	t.requests = t.requests.WithPeers(peers)
 }
 
-// fallbackPeersToPoll returns the entry hosts to poll now, none while confirmations arrive.
+// fallbackPeersToPoll returns the entry hosts to poll now: none while confirmations arrive, unless origins
+// of streams are to be exchanged and no replica replies.
 func (t *transition) fallbackPeersToPoll() []ident.Host {
 	confirmed := t.requests.Confirmation()
-	if confirmed.IsZero() || confirmed.Age(t.now) < fallbackAfter || t.pollsHubs() {
+	isDue := confirmed.Age(t.now) >= fallbackAfter || t.needsPeersForOrigins()
+	if confirmed.IsZero() || !isDue || t.pollsHubs() {
 		return nil
 	}
 	others := t.fallbackPeers()
@@ -125,6 +127,7 @@
 	t.recordReply(from, m)
 	t.applyRegistrations(from, m)
 	t.handleCrashEntries(from, m.CrashEntries)
+	t.handleFoundOrigins(from, m.Origins)
 	t.applyTable(m)
 	t.applyZones(from, m.Zones)
 	t.applyRollouts(from, m.Rollouts)
--- a/core/host/host.go
+++ b/core/host/host.go
@@ -22,6 +22,7 @@
 //	clients.go, updates.go       replies to polling hosts, and updates between polls
 //	hub.go, fallback.go          hubs, and polling other entry hosts when no replica replies
 //	crashes.go                   distribution of the requests that crash workers
+//	origins.go                   distribution of the versions that began streams
 //	listedcrashes.go             the same in listed fleets
 //	seeded.go, times.go          readiness and timeouts of seeded fleets
 //	zones.go                     distribution and acknowledgement of zone drain orders
--- /dev/null
+++ b/core/host/origins.go
@@ -0,0 +1,140 @@
+// Copyright 2026 The Yardhall Authors. Licensed under the Apache License, Version 2.0.
+
+package host
+
+import (
+	"time"
+
+	"github.com/yardhall/yardhall/core/hash"
+	"github.com/yardhall/yardhall/core/ident"
+	"github.com/yardhall/yardhall/core/origins"
+	"github.com/yardhall/yardhall/core/requests"
+	"github.com/yardhall/yardhall/core/table"
+)
+
+// Package requests needs the origin of a stream that its caller takes up at another host than the one that
+// began it. Hosts report the streams that they begin in polls, each in two polls as one may be lost.
+// Replicas and hubs keep the reports, and a hub passes them on in its own polls. A host that looks an origin
+// up names the stream in polls until it is found or no longer looked for, and the replies give what the
+// receiver knows. A hub looks up in turn what its clients look up and it does not know.
+//
+// Hosts of an earlier version neither report origins nor answer with any; they ignore the fields.
+
+const (
+	// minOriginPollInterval is the time between two polls sent early because of origins, so that streams
+	// that break off together are looked up together.
+	minOriginPollInterval = 100 * time.Millisecond
+	// originLookupTime is how long an origin is looked up: a little longer than requests wait for it.
+	originLookupTime = time.Second
+	// maxOriginLookups bounds the origins looked up at a time.
+	maxOriginLookups = 512
+)
+
+// originState is what a process of a seeded fleet knows of the origins of streams. Package requests holds
+// those of this host's own streams.
+type originState struct {
+	// reported are the origins that clients reported to this replica or hub.
+	reported origins.Store
+	// received are those that a hub received since its last poll, sent those of the last poll.
+	received origins.Report
+	sent     origins.Report
+	// lookups holds since when each origin has been looked up.
+	lookups table.Table[hash.Key, time.Time]
+}
+
+// lookUpOrigin looks up the origin of a stream in the next polls.
+func (t *transition) lookUpOrigin(stream hash.Key) {
+	o := &t.seeded.origins
+	if !o.lookups.Has(stream) && o.lookups.Len() < maxOriginLookups {
+		o.lookups = o.lookups.With(stream, t.now)
+	}
+}
+
+// originPollDue reports whether this host should poll early to look origins up, or to report that of a
+// stream that broke off.
+func (t *transition) originPollDue() bool {
+	lastPoll := t.seeded.pollAt.Add(-t.pollInterval())
+	return t.originsPending() && t.now.Sub(lastPoll) >= minOriginPollInterval
+}
+
+// originsPending reports whether origins are being looked up, or one is to be reported soon.
+func (t *transition) originsPending() bool {
+	return t.seeded.origins.lookups.Len() > 0 || t.requests.OriginReportDue()
+}
+
+// needsPeersForOrigins reports whether origins are to be exchanged and no replica replies.
+func (t *transition) needsPeersForOrigins() bool {
+	if !t.originsPending() && !t.requests.HasUnreportedOrigins() {
+		return false
+	}
+	return !t.replicaRepliedWithin(pollAllAfterIntervals * t.pollInterval())
+}
+
+// originFields returns what polls report and look up. Without a receiver that replies, reports are kept.
+func (t *transition) originFields(hasReceiver bool) (begun, lookedUp []byte) {
+	o := &t.seeded.origins
+	if hasReceiver {
+		next, taken := t.requests.TakeOrigins()
+		t.requests = next
+		taken = taken.Merge(o.received)
+		begun = taken.Merge(o.sent).Encode()
+		o.sent, o.received = taken, nil
+	}
+	var keys []hash.Key
+	for key, since := range o.lookups.All() {
+		if t.now.Sub(since) > originLookupTime {
+			o.lookups = o.lookups.Without(key)
+			continue
+		}
+		keys = append(keys, key)
+	}
+	return begun, origins.EncodeKeys(keys)
+}
+
+// handleBegunStreams keeps the origins that a client reports.
+func (t *transition) handleBegunStreams(from ident.Host, packed []byte) {
+	r, err := origins.Decode(packed)
+	if err != nil {
+		t.log(LogReplicaContact, string(from), "cannot decode origins: "+err.Error())
+	}
+	if r.Len() == 0 {
+		return
+	}
+	o := &t.seeded.origins
+	o.reported = o.reported.WithReport(r, t.now)
+	if !t.settings.IsReplica() {
+		o.received = o.received.Merge(r)
+	}
+}
+
+// originsFor returns the known ones of the origins that a client looks up. A hub looks the others up.
+func (t *transition) originsFor(lookedUp []byte) []byte {
+	var found origins.Report
+	for _, key := range origins.DecodeKeys(lookedUp) {
+		origin, ok := t.seeded.origins.reported.Of(key)
+		if !ok {
+			origin, ok = t.requests.OriginOf(key)
+		}
+		switch {
+		case ok:
+			found = found.With(origin, key)
+		case !t.settings.IsReplica():
+			t.lookUpOrigin(key)
+		}
+	}
+	return found.Encode()
+}
+
+// handleFoundOrigins applies the origins in a reply.
+func (t *transition) handleFoundOrigins(from ident.Host, packed []byte) {
+	r, err := origins.Decode(packed)
+	if err != nil {
+		t.log(LogReplicaContact, string(from), "cannot decode origins: "+err.Error())
+	}
+	for _, g := range r {
+		for _, key := range g.Keys {
+			t.seeded.origins.lookups = t.seeded.origins.lookups.Without(key)
+			t.reduceRequests(requests.OriginFound{Stream: key, Origin: g.Origin})
+		}
+	}
+}
--- a/core/host/polling.go
+++ b/core/host/polling.go
@@ -76,7 +76,7 @@
 
 // tickPolls sends polls if they are due.
 func (t *transition) tickPolls() {
-	if !t.settings.Serves || t.now.Before(t.seeded.pollAt) && !t.inForceReportDue() && !t.zonesReportDue() && !t.rolloutsReportDue() && !t.crashPollDue() {
+	if !t.settings.Serves || t.now.Before(t.seeded.pollAt) && !t.inForceReportDue() && !t.zonesReportDue() && !t.rolloutsReportDue() && !t.crashPollDue() && !t.originPollDue() {
 		return
 	}
 	t.seeded.pollAt = t.now.Add(t.pollInterval())
@@ -99,16 +99,21 @@
 	}
 	inForce := t.takeInForceReports()
 	t.queueKnownAnswers()
+	peers := t.fallbackPeersToPoll()
+	begun, lookedUp := t.originFields(len(peers) > 0 || !t.needsPeersForOrigins())
 	replaced, crashed, answered := t.replacedReport(), t.crashReports(), t.answerEntries()
 	for _, h := range hosts {
 		m := t.buildPoll(h).withInForce(inForce)
 		m.Replaced, m.Crashes = replaced, crashed
 		m.CrashEntries = append(m.CrashEntries, answered...)
+		m.Begun, m.LookedUp = begun, lookedUp
 		m.Beats, m.Group, m.Grouped = registry.Pack(heartbeats[h]), group, grouped
 		t.sendPoll(h, m)
 	}
-	for _, h := range t.fallbackPeersToPoll() {
-		t.sendPoll(h, t.fallbackPoll(h).withInForce(inForce))
+	for _, h := range peers {
+		m := t.fallbackPoll(h).withInForce(inForce)
+		m.Begun, m.LookedUp = begun, lookedUp
+		t.sendPoll(h, m)
 	}
 }
 
--- a/core/host/pollmessage.go
+++ b/core/host/pollmessage.go
@@ -87,6 +87,10 @@
 		EarlierHosts    bool
 		Rollouts        uint64
 		RolloutsInForce config.Version
+		// Begun are the packed origins of streams that the host, or clients of the hub, began. LookedUp
+		// are the packed keys of streams whose origins the host looks up.
+		Begun    []byte
+		LookedUp []byte
 	}
 	// PollReply replies to a Poll; with Round 0 it is an unsolicited update. Gob identifies its
 	// fields by name, so they must not be renamed.
@@ -144,6 +148,9 @@
 		// the state that the sender holds, if the client holds an older one.
 		KnowsRollouts bool
 		Rollouts      rollouts.State
+		// Origins are the packed origins, as far as the sender knows them, of the streams that the client
+		// looks up.
+		Origins []byte
 	}
 )
 
--- a/core/host/pollreply.go
+++ b/core/host/pollreply.go
@@ -24,6 +24,7 @@
 	t.recordReply(from, m)
 	t.storeRegistrations(t.applyRegistrations(from, m))
 	t.handleCrashEntries(from, m.CrashEntries)
+	t.handleFoundOrigins(from, m.Origins)
 	t.applyHubList(m)
 	t.applyFallbackPeers(m)
 	// A host that had the route table first would send requests to all versions meanwhile.
--- a/core/host/seeded.go
+++ b/core/host/seeded.go
@@ -86,6 +86,8 @@
 	replacements requests.Replacements
 	// registryScannedAt is when the registrations were last scanned.
 	registryScannedAt time.Time
+	// origins are the versions that began streams.
+	origins originState
 	// membership tracks, on a replica, the replicas that asked to join.
 	membership membership.State
 }
@@ -139,6 +141,10 @@
 	next, decisions := requests.Reduce(t.requests, ev, t.now)
 	t.requests = next
 	for _, d := range decisions {
+		if lookup, ok := d.(requests.LookUpOrigin); ok {
+			t.lookUpOrigin(lookup.Stream)
+			continue
+		}
 		switch d := d.(type) {
 		case requests.WorkerChanged:
 			t.log(LogWorkerRegistration, string(d.Worker.ID), fmt.Sprintf("usable=%t state=%s seq=%d born=%s at=%s failures=%d why=%q",
--- a/core/requests/admit.go
+++ b/core/requests/admit.go
@@ -42,16 +42,17 @@
 		return
 	}
 	t.probeZones(r)
-	t.admitAndDispatch(r, t.now)
+	t.admitAndDispatch(waitingRequest{request: r, arrived: t.now})
 }
 
 // admitAndDispatch refuses a request or sends it to its first worker.
-func (t *transition) admitAndDispatch(r Request, arrived time.Time) {
+func (t *transition) admitAndDispatch(w waitingRequest) {
+	r := w.request
 	if t.tableNumber == 0 {
 		t.refuse(r.ID, CodeNotReady, "this host has no route table yet", retryAfter)
 		return
 	}
-	c := call{req: r, arrived: arrived, combinedOutcome: outcome.NotRun}
+	c := call{req: r, arrived: w.arrived, combinedOutcome: outcome.NotRun}
 	if !t.admit(&c) {
 		return
 	}
@@ -59,6 +60,9 @@
 		t.finish(r.ID, t.crashVerdictFor(c))
 		return
 	}
+	if c.namesOrigin() && !t.pinToOrigin(&c, w) {
+		return
+	}
 	t.creditRetries(c.pool.ID)
 	t.dispatch(c, Verdict{Code: CodeNoWorker, Reason: "no worker is known"})
 }
--- a/core/requests/choose.go
+++ b/core/requests/choose.go
@@ -77,7 +77,7 @@
 func (t *transition) chooseWorker(c call) (choice, bool) {
 	versions := t.versionsFor(c)
 	if !versions.usesNext {
-		return t.chooseAmong(c, versions.current, true)
+		return t.chooseAmong(c, versions.current, !versions.draining)
 	}
 	if picked, ok := t.chooseAmong(c, versions.next, versions.draining); ok {
 		return picked, true
--- a/core/requests/decision.go
+++ b/core/requests/decision.go
@@ -7,6 +7,7 @@
 
 	"github.com/yardhall/yardhall/core/config"
 	"github.com/yardhall/yardhall/core/crashes"
+	"github.com/yardhall/yardhall/core/hash"
 	"github.com/yardhall/yardhall/core/ident"
 	"github.com/yardhall/yardhall/core/outcome"
 	"github.com/yardhall/yardhall/core/registry"
@@ -70,6 +71,8 @@
 	// ProbeConnection asks for a connection to a worker without a request, and for a ProbeEnded
 	// with the result.
 	ProbeConnection struct{ Worker registry.Worker }
+	// LookUpOrigin asks for an OriginFound with the origin of a stream, if any replica or hub knows it.
+	LookUpOrigin struct{ Stream hash.Key }
 	// WorkerChanged reports, for the log, a change in this host's view of a worker.
 	WorkerChanged struct {
 		Worker  registry.Worker
@@ -111,6 +114,7 @@
 func (CancelAttempt) decision()   {}
 func (AbortAttempt) decision()    {}
 func (ProbeConnection) decision() {}
+func (LookUpOrigin) decision()    {}
 func (WorkerChanged) decision()   {}
 func (WorkerCrashed) decision()   {}
 func (ContactChanged) decision()  {}
@@ -184,4 +188,8 @@
 	CodeCallerGone Code = "caller_gone"
 	CodeCrashes    Code = "crashes_workers"
 	CodeDrained    Code = "zones_drained"
+	// CodeNoVersion refuses a stream whose version has no worker for it, CodeVersionUnknown one of which
+	// the version is not known.
+	CodeNoVersion      Code = "version_unavailable"
+	CodeVersionUnknown Code = "version_unknown"
 )
--- a/core/requests/dispatch.go
+++ b/core/requests/dispatch.go
@@ -9,6 +9,7 @@
 	"github.com/yardhall/yardhall/core/config"
 	"github.com/yardhall/yardhall/core/crashes"
 	"github.com/yardhall/yardhall/core/ident"
+	"github.com/yardhall/yardhall/core/origins"
 	"github.com/yardhall/yardhall/core/outcome"
 )
 
@@ -45,6 +46,11 @@
 	// that the current attempt counts for, zero if no rollout runs.
 	drawn bool
 	side  canary.Side
+	// version is that of the worker of the current attempt. origin is the service and version that began
+	// the stream, once hasOrigin is set.
+	version   ident.Version
+	origin    origins.Origin
+	hasOrigin bool
 	// path is that of the current attempt.
 	path Path
 	// combinedOutcome combines the outcomes of the attempts so far.
@@ -101,6 +107,9 @@
 		v.Code, v.Reason = CodeOverloaded, "all workers of the service are brittle and have no room"
 	case t.shortestBackoff(c) > 0:
 		return t.backoffVerdict(c, v)
+	case c.hasOrigin:
+		t.counters.VersionsUnavailable++
+		v.Code, v.Reason, v.RetryAfter = CodeNoVersion, "no worker of the version that began the stream is available", retryAfterVersion
 	}
 	return v
 }
@@ -108,7 +117,7 @@
 // send starts the call's next attempt at the chosen worker.
 func (t *transition) send(c call, picked choice) {
 	c.attempt++
-	c.incarnation, c.sentAt = picked.worker.incarnation, t.now
+	c.incarnation, c.version, c.sentAt = picked.worker.incarnation, picked.worker.Version, t.now
 	c.path, _ = t.pathFor(c)
 	if !c.path.Direct {
 		t.counters.Tunneled++
@@ -158,6 +167,9 @@
 
 // finish ends a request.
 func (t *transition) finish(id ident.Request, verdict Verdict) {
+	if c, ok := t.calls.Get(id); ok {
+		t.settleOrigin(c, verdict)
+	}
 	t.calls = t.calls.Without(id)
 	if verdict.Code != CodeOK {
 		t.counters.Refused++
--- a/core/requests/event.go
+++ b/core/requests/event.go
@@ -6,8 +6,10 @@
 	"time"
 
 	"github.com/yardhall/yardhall/core/confirmation"
+	"github.com/yardhall/yardhall/core/hash"
 	"github.com/yardhall/yardhall/core/ident"
 	"github.com/yardhall/yardhall/core/loads"
+	"github.com/yardhall/yardhall/core/origins"
 	"github.com/yardhall/yardhall/core/outcome"
 	"github.com/yardhall/yardhall/core/registry"
 )
@@ -47,6 +49,16 @@
 		Attempt int
 		Waited  time.Duration
 	}
+	// StreamBegun reports that a caller is about to get the first event of a resumable stream.
+	StreamBegun struct {
+		Request ident.Request
+		Attempt int
+	}
+	// OriginFound reports which service and version began a stream.
+	OriginFound struct {
+		Stream hash.Key
+		Origin origins.Origin
+	}
 	// AttemptEnded reports how an attempt ended.
 	AttemptEnded struct {
 		Request ident.Request
@@ -98,6 +110,8 @@
 func (Arrived) event()        {}
 func (HeaderReceived) event() {}
 func (HeaderTimedOut) event() {}
+func (StreamBegun) event()    {}
+func (OriginFound) event()    {}
 func (AttemptEnded) event()   {}
 func (PauseEnded) event()     {}
 func (Expired) event()        {}
--- /dev/null
+++ b/core/requests/origin.go
@@ -0,0 +1,189 @@
+// Copyright 2026 The Yardhall Authors. Licensed under the Apache License, Version 2.0.
+
+package requests
+
+import (
+	"time"
+
+	"github.com/yardhall/yardhall/core/config"
+	"github.com/yardhall/yardhall/core/hash"
+	"github.com/yardhall/yardhall/core/ident"
+	"github.com/yardhall/yardhall/core/origins"
+)
+
+// What workers of two versions write does not fit together, and workers do not check it. A stream
+// therefore goes on only at workers of the service and the version that sent its first event, within an
+// answer and where its caller takes it up at any host.
+//
+// A host knows the origins of the streams that it began. The caller of another one names the request that
+// brought the first event, and the host looks its origin up at replicas or hubs, to which all hosts report
+// theirs (package origins). The host that began the stream may have stopped before it reported it, or be of
+// an earlier version that does not report. After originTimeout, the stream then goes on if all workers of
+// the service that this host has known recently are of one version, as of a confirmation since the request
+// arrived, and is refused otherwise: which version began it cannot be known.
+//
+// A caller that does not name the request is served like a new one.
+//
+// Inputs: the request that a caller names, known origins, workers' versions, the newest confirmation.
+
+const (
+	// originTimeout is how long an origin is looked up: longer than the host that began the stream
+	// takes to report it, and short beside the gap after which callers give up.
+	originTimeout = 500 * time.Millisecond
+	// retryAfterVersion is the advice while no worker of the version is available: a worker that ended
+	// takes about as long to start again.
+	retryAfterVersion = time.Second
+)
+
+// streamOrigins is what a host knows of the origins of streams.
+type streamOrigins struct {
+	// known are those of the streams begun here, and those that were looked up.
+	known origins.Store
+	// unreported are the streams begun here since origins were last taken for a report, but for those
+	// that ended whole. reportDue is set if one of them broke off: its caller will take it up soon.
+	unreported origins.Report
+	reportDue  bool
+}
+
+// OriginOf returns the origin of a stream if this host knows it.
+func (s State) OriginOf(key hash.Key) (origins.Origin, bool) { return s.streams.known.Of(key) }
+
+// OriginReportDue reports whether origins should be reported soon.
+func (s State) OriginReportDue() bool { return s.streams.reportDue }
+
+// HasUnreportedOrigins reports whether TakeOrigins returns any.
+func (s State) HasUnreportedOrigins() bool { return len(s.streams.unreported) > 0 }
+
+// TakeOrigins returns the origins to report, and the state in which they are reported.
+func (s State) TakeOrigins() (State, origins.Report) {
+	taken := s.streams.unreported
+	s.streams.unreported, s.streams.reportDue = nil, false
+	return s, taken
+}
+
+// handleStreamBegun records which version sent a stream's first event.
+func (t *transition) handleStreamBegun(ev StreamBegun) {
+	c, ok := t.calls.Get(ev.Request)
+	if !ok || c.attempt != ev.Attempt || c.hasOrigin {
+		return
+	}
+	c.origin, c.hasOrigin = origins.Origin{Service: c.pool.ID, Version: c.version}, true
+	t.calls = t.calls.With(c.req.ID, c)
+	t.recordOrigin(c.origin, c.req.ID)
+}
+
+// recordOrigin records the origin of a stream and queues it for a report.
+func (t *transition) recordOrigin(o origins.Origin, first ident.Request) {
+	key := origins.KeyOf(first)
+	t.streams.known = t.streams.known.With(o, t.now, key)
+	if t.streams.unreported.Len() < origins.MaxReported {
+		t.streams.unreported = t.streams.unreported.With(o, key)
+	}
+}
+
+// settleOrigin drops the report of a stream that ended whole, and hastens that of one that did not.
+func (t *transition) settleOrigin(c call, v Verdict) {
+	key := origins.KeyOf(c.req.ID)
+	switch {
+	case !c.hasOrigin || !t.streams.unreported.Has(key):
+	case v.Code == CodeOK:
+		t.streams.unreported = t.streams.unreported.Without(key)
+	default:
+		t.streams.reportDue = true
+	}
+}
+
+// namesOrigin reports whether a call resumes a stream whose origin decides where it goes on.
+func (c *call) namesOrigin() bool {
+	return c.req.Resumed && c.req.Resumes != "" && c.route.Kind == config.RouteStream && c.route.Resumable
+}
+
+// pinToOrigin limits a call that resumes a stream to the service and version that began it. It reports
+// false if the call waits for its origin or was refused.
+func (t *transition) pinToOrigin(c *call, w waitingRequest) bool {
+	o, known := t.streams.known.Of(origins.KeyOf(c.req.Resumes))
+	if !known && !w.originSearched {
+		t.awaitOrigin(w)
+		return false
+	}
+	if !known {
+		if o, known = t.soleOrigin(c, w.originSince); known {
+			t.recordOrigin(o, c.req.Resumes)
+		}
+	}
+	switch {
+	case !known:
+		t.counters.OriginsUnknown++
+		t.refuse(c.req.ID, CodeVersionUnknown, "it is not known which version began the stream", 0)
+		return false
+	case !mapsTo(c.route, o.Service):
+		t.refuse(c.req.ID, CodeNoVersion, "the route no longer maps to the service that began the stream", 0)
+		return false
+	}
+	c.origin, c.hasOrigin = o, true
+	c.pool, _ = t.routes.Pool(o.Service)
+	t.counters.StreamsResumed++
+	return true
+}
+
+// mapsTo reports whether a route sends requests to a service.
+func mapsTo(r config.Route, service ident.Service) bool {
+	for _, s := range r.Shares {
+		if s.Pool == service && s.Weight > 0 {
+			return true
+		}
+	}
+	return false
+}
+
+// soleOrigin returns the only origin that a stream of the call's route can have: all its requests go to one
+// service, of which only one version is known. Workers that ended are known for a minute at least.
+func (t *transition) soleOrigin(c *call, since time.Time) (origins.Origin, bool) {
+	if !t.confirmed.AsOf.After(since) {
+		return origins.Origin{}, false
+	}
+	for _, s := range c.route.Shares {
+		if s.Pool != c.pool.ID {
+			return origins.Origin{}, false
+		}
+	}
+	o, found := origins.Origin{Service: c.pool.ID}, false
+	for m := range t.workers.Pool(c.pool.ID).All() {
+		version := m.placement.Value().version
+		if found && version != o.Version {
+			return origins.Origin{}, false
+		}
+		o.Version, found = version, true
+	}
+	return o, found
+}
+
+// awaitOrigin queues a request until its origin is found.
+func (t *transition) awaitOrigin(w waitingRequest) {
+	w.awaitsOrigin, w.originSince, w.deadline = true, t.now, t.now.Add(originTimeout)
+	if d := w.request.Deadline; !d.IsZero() && d.Before(w.deadline) {
+		w.deadline = d
+	}
+	t.waiting = t.waiting.With(w.request.ID, w)
+	t.out = append(t.out, Wait{Request: w.request.ID}, LookUpOrigin{Stream: origins.KeyOf(w.request.Resumes)})
+	t.refuseLeastUrgent()
+}
+
+// handleOriginFound records the origin of a stream and dispatches the requests that wait for it.
+func (t *transition) handleOriginFound(ev OriginFound) {
+	if _, known := t.streams.known.Of(ev.Stream); !known {
+		t.streams.known = t.streams.known.With(ev.Origin, t.now, ev.Stream)
+	}
+	for _, w := range t.waitingByUrgency() {
+		if w.awaitsOrigin && origins.KeyOf(w.request.Resumes) == ev.Stream {
+			t.endOriginWait(w)
+		}
+	}
+}
+
+// endOriginWait goes on with a request whose origin was found or will not be.
+func (t *transition) endOriginWait(w waitingRequest) {
+	t.waiting = t.waiting.Without(w.request.ID)
+	w.awaitsOrigin, w.originSearched = false, true
+	t.admitAndDispatch(w)
+}
--- a/core/requests/requests.go
+++ b/core/requests/requests.go
@@ -36,6 +36,7 @@
 //	cold.go           how many requests a cold worker gets from all hosts
 //	brittle.go        how many requests a brittle worker gets from all hosts
 //	drained.go        how traffic is moved out of drained zones
+//	origin.go         at which version a stream goes on that broke off
 //	rollouts.go       which version of a service's workers an attempt goes to
 //	evidence.go       what is counted of the answers of both versions in a rollout
 //
@@ -134,6 +135,8 @@
 	// brokenOffAt is when an answer of each worker that broke off was last counted.
 	evidence    canary.Evidence
 	brokenOffAt table.Table[ident.Target, time.Time]
+	// streams are the versions that began streams.
+	streams streamOrigins
 	// startedAt is when the host started; zero if requests do not wait for the start. waiting
 	// holds the requests that do.
 	startedAt time.Time
@@ -170,6 +173,11 @@
 	// Tunneled counts attempts sent through other hosts, TunnelsRefused peers that opened no tunnel.
 	Tunneled       uint64
 	TunnelsRefused uint64
+	// StreamsResumed counts resumed streams whose origin was known, OriginsUnknown those refused as it was
+	// not, VersionsUnavailable streams that did not go on for want of a worker of their version.
+	StreamsResumed      uint64
+	OriginsUnknown      uint64
+	VersionsUnavailable uint64
 }
 
 // New returns the state of a host without a route table.
@@ -247,6 +255,10 @@
 		t.handleHeader(ev)
 	case HeaderTimedOut:
 		t.handleHeaderTimeout(ev)
+	case StreamBegun:
+		t.handleStreamBegun(ev)
+	case OriginFound:
+		t.handleOriginFound(ev)
 	case AttemptEnded:
 		t.handleAttemptEnded(ev)
 	case PauseEnded:
--- a/core/requests/rollouts.go
+++ b/core/requests/rollouts.go
@@ -32,6 +32,10 @@
 // that a partitioned host does not learn either, and requests that must run at most once would be lost
 // there.
 //
+// A stream that broke off goes on only at the version that began it (origin.go), as far as the version
+// may still be used: in Drain at workers of the former one that are available, and at those of the version
+// being rolled out while requests may be sent to it.
+//
 // Workers of versions that a request may not go to still count for load bounds.
 //
 // Inputs: the state of rollouts, the newest confirmation, workers' versions, and RolloutShare.
@@ -70,16 +74,27 @@
 	order      hash.Key
 	isTrial    bool
 	trialLimit uint64
+	// pinned is the only version selected if isPinned is set.
+	isPinned bool
+	pinned   ident.Version
+}
+
+// pinnedTo returns the filter that selects only workers of one version among those of f.
+func (f versionFilter) pinnedTo(v ident.Version) versionFilter {
+	f.isPinned, f.pinned = true, v
+	return f
 }
 
 // allows reports whether a member is selected.
 func (f *versionFilter) allows(m *member) bool {
-	return !f.isSet || f.selects(m.placement.Value().version, m.key)
+	return !f.isSet && !f.isPinned || f.selects(m.placement.Value().version, m.key)
 }
 
 // selects reports whether a worker with a version and a key is selected.
 func (f *versionFilter) selects(version ident.Version, key hash.Key) bool {
 	switch {
+	case f.isPinned && version != f.pinned:
+		return false
 	case !f.isSet:
 		return true
 	case f.isNext:
@@ -122,12 +137,28 @@
 // versionsFor returns the versions to which the call's next attempt may go.
 func (t *transition) versionsFor(c call) attemptVersions {
 	v := t.versionsOfRetries(c.pool.ID, t.now)
+	if c.hasOrigin {
+		return t.versionsOfStream(c, v)
+	}
 	if c.attempt == 0 && c.drawn && !v.usesNext {
 		v.next, v.usesNext = t.nextVersion(c.pool.ID, t.now)
 	}
 	return v
 }
 
+// versionsOfStream returns the versions to which a stream may go that a version began. In Drain, v.draining
+// keeps it from workers of the former version that may have stopped.
+func (t *transition) versionsOfStream(c call, v attemptVersions) attemptVersions {
+	v.usesNext = false
+	if e, ok := t.rolloutOf(c.pool.ID); ok && e.Rollout.IsRunning() && c.origin.Version == e.Rollout.To {
+		if next, usable := t.nextVersion(c.pool.ID, t.now); usable {
+			v = attemptVersions{current: next}
+		}
+	}
+	v.current = v.current.pinnedTo(c.origin.Version)
+	return v
+}
+
 // versionsOfRetries returns the versions to which retries and resends may go.
 func (s State) versionsOfRetries(pool ident.Service, now time.Time) attemptVersions {
 	e, ok := s.rolloutOf(pool)
--- a/core/requests/start.go
+++ b/core/requests/start.go
@@ -33,7 +33,7 @@
 	typicalStartFraction = 0.5
 )
 
-// waitingRequest is a request that waits for this host to start.
+// waitingRequest is a request that waits, for this host to start unless the flags say otherwise.
 type waitingRequest struct {
 	request Request
 	arrived time.Time
@@ -43,6 +43,11 @@
 	deadline time.Time
 	// afterStall is set if the request waits after a stall of the process, not for its start.
 	afterStall bool
+	// awaitsOrigin is set if the request waits, from originSince on, until it is known which version
+	// began its stream; originSearched is set once that wait is over.
+	awaitsOrigin   bool
+	originSearched bool
+	originSince    time.Time
 }
 
 // WithStartedAt returns the state of a host that started at a time.
@@ -166,10 +171,13 @@
 	}
 	for _, w := range t.waitingByUrgency() {
 		switch {
+		case w.awaitsOrigin && t.now.Before(w.deadline):
+		case w.awaitsOrigin:
+			t.endOriginWait(w)
 		case t.resuming(t.now) && !t.closing:
 		case t.canServe(w.request) || w.afterStall && !t.closing:
 			t.waiting = t.waiting.Without(w.request.ID)
-			t.admitAndDispatch(w.request, w.arrived)
+			t.admitAndDispatch(w)
 		case t.closing:
 			t.refuseWaiting(w, CodeDraining, "this host is being stopped")
 		case !t.Starting(t.now) || !t.now.Before(w.deadline):
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -14,6 +14,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/yardhall/yardhall/core/outcome"
+	"github.com/yardhall/yardhall/core/requests"
 )
 
 const (
@@ -35,6 +36,8 @@
 	maxGap    time.Duration
 	// lastEventID is the id of the last event that the caller has.
 	lastEventID string
+	// begin is called before the first event is sent.
+	begin func()
 	// writeFailed is set once writing to the response failed.
 	writeFailed bool
 }
@@ -43,6 +46,7 @@
 // are forwarded, and the header is not sent before the first one, so that a failed attempt
 // can still be retried.
 func (x *exchange) attemptStream(ctx context.Context, r *eventRelay) (*response, outcome.Attempt) {
+	r.begin = x.reportBegun
 	if failure := x.send(ctx, r.lastEventID); failure != nil {
 		return nil, failure
 	}
@@ -72,6 +76,14 @@
 	return nil, outcome.Answered{Status: resp.StatusCode, Pace: pace}
 }
 
+// reportBegun reports to the core that the caller is about to get the first event of a stream that may
+// go on at another worker.
+func (x *exchange) reportBegun() {
+	if x.dispatch.Route.Resumable {
+		x.server.core.Decide(requests.StreamBegun{Request: x.dispatch.Request, Attempt: x.dispatch.Attempt})
+	}
+}
+
 // handleNonStream reads a response that is not a signed 200, whose body is not a stream. It
 // can be forwarded only if it is signed and no event was sent yet.
 func (x *exchange) handleNonStream(resp *http.Response, signed bool, r *eventRelay) (*response, outcome.Attempt) {
@@ -136,6 +148,7 @@
 		return err
 	}
 	if !r.headerSent {
+		r.begin()
 		r.sendHeader(resp)
 	}
 	if _, err := r.w.Write(events); err != nil {
--- a/peers/forms_test.go
+++ b/peers/forms_test.go
@@ -74,7 +74,10 @@
 		}
 		if poll, ok := value.(host.Poll); ok {
 			// The first versions that sent polls did not report replaced workers, crashes and drained
-			// zones, did not skip registrations, sent no digest of them and did not support rollouts.
+			// zones, did not skip registrations, sent no digest of them, did not support rollouts and sent no
+			// origins of streams.
+			forms = append(forms, gobForm(name+"-origins", carrier{Value: poll}))
+			poll.Begun, poll.LookedUp = nil, nil
 			forms = append(forms, gobForm(name+"-rollouts", carrier{Value: poll}))
 			poll.KnowsRollouts, poll.EarlierHosts, poll.Rollouts, poll.RolloutsInForce = false, false, 0, 0
 			forms = append(forms, gobForm(name+"-digest", carrier{Value: poll}))
@@ -95,6 +98,8 @@
 			value = beat
 		}
 		if reply, ok := value.(host.PollReply); ok {
+			forms = append(forms, gobForm(name+"-origins", carrier{Value: reply}))
+			reply.Origins = nil
 			forms = append(forms, gobForm(name+"-rollouts", carrier{Value: reply}))
 			reply.KnowsRollouts, reply.Rollouts = false, rollouts.State{}
 			forms = append(forms, gobForm(name+"-silent", carrier{Value: reply}))
--- a/standin/worker.go
+++ b/standin/worker.go
@@ -59,6 +59,8 @@
 	SlowStream
 	// CutEvent ends a stream within its third event.
 	CutEvent
+	// CutOnce ends a stream within its third event, unless the request resumes one.
+	CutOnce
 	// Overloaded answers as a proxy before the worker might: neither an id nor a word on
 	// whether the request has run, but a time as with FullForAWhile.
 	Overloaded
--- a/standin/workeranswers.go
+++ b/standin/workeranswers.go
@@ -43,7 +43,7 @@
 	w.mu.Lock()
 	w.runs = append(w.runs, WorkerRun{ID: id, Method: req.Method, Path: req.RequestURI, Body: body, Header: req.Header})
 	w.mu.Unlock()
-	if strings.Contains(req.URL.Path, "/stream/") && (fault == Sound || fault == CutEvent || fault == SlowStream) {
+	if strings.Contains(req.URL.Path, "/stream/") && (fault == Sound || fault == CutEvent || fault == CutOnce || fault == SlowStream) {
 		return w.stream(conn, req, id, fault)
 	}
 	return w.plain(conn, id, fault)
@@ -111,7 +111,7 @@
 	case Hang:
 		<-w.stop
 		return false
-	case Sound, Full, FullForAWhile, Overloaded, CutEvent, SlowStream:
+	case Sound, Full, FullForAWhile, Overloaded, CutEvent, CutOnce, SlowStream:
 	}
 	return write(conn, right)
 }
@@ -132,7 +132,7 @@
 		if fault == SlowStream {
 			time.Sleep(SlowStreamPause)
 		}
-		if fault == CutEvent && n == first+3 {
+		if (fault == CutEvent || fault == CutOnce && first == 0) && n == first+3 {
 			write(conn, chunk(event[:len(event)/2]))
 			return false
 		}
