soak: Run workers of two versions side by side, and take streams up at other hosts

Half of the workers have another version, with no order to the fleet, and callers leave some streams midway, or lose them to faults, and take them up at any entry host by the request that began them.

--- a/soak/checks_test.go
+++ b/soak/checks_test.go
@@ -42,6 +42,7 @@
 	for _, r := range e.requests {
 		out = append(out, e.checkRequest(r)...)
 	}
+	out = append(out, e.checkVersions()...)
 	out = append(out, e.checkNotices()...)
 	out = append(out, e.checkRollouts()...)
 	out = append(out, e.checkReadings()...)
@@ -127,7 +128,7 @@
 	say := func(format string, args ...any) {
 		out = append(out, fmt.Sprintf("%s %s at host %d, status %d, err %v, %d runs: ", r.id, r.path, r.entry, r.status, r.err, len(ran))+fmt.Sprintf(format, args...))
 	}
-	if r.status == http.StatusOK && r.err == nil && (r.answer != r.expected() || r.gotID != r.id) {
+	if r.status == http.StatusOK && r.err == nil && !r.left && (r.answer != r.expected() || r.gotID != r.id) {
 		say("not the whole answer to its own request: %q under %q", r.answer, r.gotID)
 	}
 	if strings.HasPrefix(r.answer, "crashes_workers") && r.body != badBody {
--- a/soak/clients_test.go
+++ b/soak/clients_test.go
@@ -33,6 +33,12 @@
 	answer string
 	gotID  string
 	err    error
+	// resumes is the request that brought the first event of a stream that this one resumes after the
+	// event lastEvent.
+	resumes   string
+	lastEvent int
+	// leaves is set if the caller leaves the stream midway, left once it has.
+	leaves, left bool
 }
 
 // repeatable tells whether the request may run more than once.
@@ -51,8 +57,8 @@
 		return expectedAnswer(r.id, r.body)
 	}
 	var text strings.Builder
-	for n := 1; n <= streamEvents; n++ {
-		text.WriteString(expectedEvent(r.id, n))
+	for n := r.lastEvent + 1; n <= streamEvents; n++ {
+		text.WriteString(expectedEvent(r.id, n, r.version()))
 	}
 	return text.String()
 }
@@ -98,13 +104,19 @@
 			id: fmt.Sprintf("%02x%02x%012x", int(entry), number, count), entry: entry,
 			path: c.operator.path(random), key: c.operator.key(random), body: fmt.Sprintf("matter %d", random.IntN(1000)),
 		}
+		r.leaves = strings.HasPrefix(r.path, "/stream/") && random.Float64() < leaveShare
 		c.send(client, &r)
-		c.mu.Lock()
-		c.requests = append(c.requests, r)
-		c.mu.Unlock()
+		c.record(r)
+		c.resume(r, random)
 	}
 }
 
+func (c *callers) record(r request) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.requests = append(c.requests, r)
+}
+
 func (c *callers) send(client *http.Client, r *request) {
 	ctx, cancel := context.WithTimeout(context.Background(), callerDeadline+time.Second)
 	defer cancel()
@@ -118,6 +130,10 @@
 	req.Header.Set(names.RequestID, r.id)
 	req.Header.Set(names.DeadlineMs, fmt.Sprint(callerDeadline.Milliseconds()))
 	req.Header.Set("Authorization", "Bearer "+r.key)
+	if r.resumes != "" {
+		req.Header.Set(names.Resumes, r.resumes)
+		req.Header.Set(names.LastEventID, fmt.Sprint(r.lastEvent))
+	}
 	r.life, _ = c.fleet.life(r.entry)
 	r.sent = time.Now()
 	defer func() { r.ended = time.Now() }()
@@ -127,8 +143,14 @@
 		return
 	}
 	defer func() { _ = resp.Body.Close() }()
+	r.status, r.gotID = resp.StatusCode, resp.Header.Get(names.RequestID)
+	if r.leaves && r.status == http.StatusOK {
+		r.answer, r.err = readSome(resp.Body)
+		r.left = r.err == nil
+		return
+	}
 	answer, err := io.ReadAll(resp.Body)
-	r.status, r.answer, r.gotID, r.err = resp.StatusCode, string(answer), resp.Header.Get(names.RequestID), err
+	r.answer, r.err = string(answer), err
 }
 
 // end stops the callers and returns what they saw.
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -187,6 +187,8 @@
 			counts["orders acknowledged"]++
 		}
 	}
+	resumed, whole := e.resumed()
+	t.Logf("seed %d: %d streams taken up again, %d of them whole", e.fleet.seed, resumed, whole)
 	ends := e.fleet.runs.endsSoFar()
 	t.Logf("seed %d: %d workers ended under the bad request", e.fleet.seed, len(ends))
 	t.Logf("seed %d: %d requests %v, %d of %d changes acknowledged, %d readings, %d faults", e.fleet.seed, len(e.requests), counts, acked, len(e.changes), len(e.readings), len(e.faults))
--- a/soak/worker_test.go
+++ b/soak/worker_test.go
@@ -129,7 +129,7 @@
 func startWorker(t *testing.T, r *runs, n node, listen, advertised string, seed uint64) *soakWorker {
 	w := &soakWorker{
 		id: fmt.Sprintf("i-%02d-%d", n, seed), node: n, address: advertised, runs: r, listen: listen,
-		random: rand.New(rand.NewPCG(seed, uint64(n))), backoffs: newBackoffs(seed, n), state: "ready", version: versionName(1),
+		random: rand.New(rand.NewPCG(seed, uint64(n))), backoffs: newBackoffs(seed, n), state: "ready", version: versionOf(n),
 	}
 	require.NoError(t, w.start())
 	t.Cleanup(w.crash)
@@ -237,9 +237,9 @@
 // expectedAnswer is the whole answer to a plain request.
 func expectedAnswer(id, body string) string { return "answer to " + id + " about " + body }
 
-// expectedEvent is one event of the answer to a stream.
-func expectedEvent(id string, n int) string {
-	return fmt.Sprintf("id: %d\ndata: event %d of %s\n\n", n, n, id)
+// expectedEvent is one event of the answer to a stream, as a version writes it.
+func expectedEvent(id string, n int, version string) string {
+	return fmt.Sprintf("id: %d\ndata: event %d of %s%s%s\n\n", n, n, id, versionMark, version)
 }
 
 // ServeHTTP implements http.Handler.
@@ -305,7 +305,7 @@
 	first, _ := strconv.Atoi(r.Header.Get(platform.Headers().LastEventID))
 	control := http.NewResponseController(out)
 	for n := first + 1; n <= streamEvents; n++ {
-		event := expectedEvent(id, n)
+		event := expectedEvent(id, n, w.versionNow())
 		if fault == faultCutsWithin && n == first+2 {
 			_, _ = io.WriteString(out, event[:len(event)/2])
 			_ = control.Flush()
