--- a/core/requests/event.go
+++ b/core/requests/event.go
@@ -153,11 +153,14 @@
 	Parts []Part
 }
 
+// SharedParts returns the parts that other prompts may have too: all but the last.
+func (p Prompt) SharedParts() []Part { return p.Parts[:max(0, len(p.Parts)-1)] }
+
 // sharedTokens returns the number of tokens that other requests may share: all but those of the
 // last part.
 func (p Prompt) sharedTokens() int {
 	tokens := 0
-	for _, part := range p.Parts[:max(0, len(p.Parts)-1)] {
+	for _, part := range p.SharedParts() {
 		tokens += part.Tokens
 	}
 	return tokens
--- a/daemon/requestlog.go
+++ b/daemon/requestlog.go
@@ -4,6 +4,7 @@
 
 import (
 	"fmt"
+	"strings"
 	"time"
 
 	"github.com/go-logr/logr"
@@ -84,6 +85,9 @@
 	}
 	if last := len(o.Attempts) - 1; last >= 0 {
 		route := o.Attempts[last].Dispatch.Route
+		if _, broken := o.Attempts[last].Result.(outcome.Interrupted); broken {
+			fields = append(fields, "parts", partsText(o.Request.Prompt))
+		}
 		fields = append(fields, "objective_ms", millis(time.Duration(route.Objective)), "max_pause_ms", millis(time.Duration(route.MaxPause)))
 		fields = append(fields, l.tryFields(o, o.Attempts[last])...)
 	} else {
@@ -125,6 +129,19 @@
 	return fields
 }
 
+// maxLoggedParts bounds the parts of a prompt in a line.
+const maxLoggedParts = 8
+
+// partsText returns the ids of the parts that a prompt shares with others.
+func partsText(p requests.Prompt) string {
+	shared := p.SharedParts()
+	ids := make([]string, 0, maxLoggedParts)
+	for _, part := range shared[:min(len(shared), maxLoggedParts)] {
+		ids = append(ids, part.ID)
+	}
+	return strings.Join(ids, ",")
+}
+
 func millis(d time.Duration) int64 { return d.Milliseconds() }
 
 // resultText says how a try ended.
--- a/daemon/rollouts_test.go
+++ b/daemon/rollouts_test.go
@@ -78,6 +78,19 @@
 	require.NotContains(t, l.lines[3], "resumes")
 }
 
+// TestLinesOfBrokenAnswersNameTheParts guards against workers that crash under a part of prompts which no
+// log names.
+func TestLinesOfBrokenAnswersNameTheParts(t *testing.T) {
+	var l lineLog
+	o := rolloutObservation()
+	o.Request.Prompt.Parts = []requests.Part{{ID: "system"}, {ID: "subject"}, {ID: "own"}}
+	newRequestLog(l.logger()).observe(o)
+	require.NotContains(t, l.lines[1], "parts")
+	o.Attempts = o.Attempts[:1]
+	newRequestLog(l.logger()).observe(o)
+	require.Contains(t, l.lines[2], `"parts":"system,subject"`)
+}
+
 // TestRolloutsAreCounted guards against a host whose part in a rollout, or whose rejected orders,
 // cannot be seen.
 func TestRolloutsAreCounted(t *testing.T) {
