--- a/core/host/crashfleet_test.go
+++ b/core/host/crashfleet_test.go
@@ -62,6 +62,11 @@
 	answersBad bool
 	// arrivals counts the requests received, by path.
 	arrivals map[string]int
+	// ends records when workers crashed, once for each.
+	ends []time.Time
+	// prompts are those of requests, by path; served counts the requests answered, by path.
+	prompts map[string]requests.Prompt
+	served  map[string]int
 }
 
 const (
@@ -80,7 +85,7 @@
 	f := &crashFleet{
 		seededFleet: newSeededFleet(t, 3, entries), random: rand.New(rand.NewPCG(seed, 1)),
 		paths: map[ident.Request]string{}, crashes: map[string][]time.Time{}, sentAt: map[string][]time.Time{},
-		refusedAt: map[string][]time.Time{}, arrivals: map[string]int{},
+		refusedAt: map[string][]time.Time{}, arrivals: map[string]int{}, prompts: map[string]requests.Prompt{}, served: map[string]int{},
 	}
 	f.onDecision = f.decide
 	f.run(8 * time.Second)
@@ -155,6 +160,7 @@
 // crashWorker stops a worker's process and interrupts its requests.
 func (f *crashFleet) crashWorker(w *crashWorker, path string) {
 	lost := w.running
+	f.ends = append(f.ends, f.now)
 	w.running, w.restartAt = nil, f.now.Add(workerDowntime)
 	under := map[string]bool{path: true}
 	for _, d := range lost {
@@ -193,6 +199,9 @@
 		}})
 	case requests.Finish:
 		path := f.paths[d.Request]
+		if d.Verdict.Code == requests.CodeOK {
+			f.served[path]++
+		}
 		if d.Verdict.Outcome == outcome.NotRun && d.Verdict.Code != requests.CodeNoWorker {
 			f.refusedAt[path] = append(f.refusedAt[path], f.now)
 		}
@@ -239,7 +248,7 @@
 	f.paths[id] = path
 	f.arrivals[path]++
 	f.reduce(at, host.RequestEvent{Event: requests.Arrived{Request: requests.Request{
-		ID: id, Host: "a.example", Path: path, KeyHash: "k", Digest: []byte(path),
+		ID: id, Host: "a.example", Path: path, KeyHash: "k", Digest: []byte(path), Prompt: f.prompts[path],
 	}}})
 }
 
