core/crashes: Let hosts learn of a refusal that a crash has renewed

What callers saw: a request that crashes workers was refused for ten minutes; after that hosts sent it on, crash after crash, although it is to be refused again at once.

Cause: hosts compare crash lists by a key over contents and numbers of crashes. A later crash of a listed request changed only its time, so the key stayed the same and no host was sent the entry.

Change: a crash more than a minute after the one before adds one to the number of the entry, so that the list differs and is sent.

--- a/core/crashes/evidence.go
+++ b/core/crashes/evidence.go
@@ -55,8 +55,13 @@
 type crashRecord struct {
 	crashes  []Crash
 	attempts []string
+	// renewals counts the crashes that came more than renewalGap after the one before.
+	renewals int
 }
 
+// renewalGap is the time without a crash after which another one renews a refusal.
+const renewalGap = time.Minute
+
 // Len returns the number of requests remembered.
 func (e Evidence) Len() int { return e.byContent.Len() }
 
@@ -70,6 +75,7 @@
 		return e
 	}
 	record, _ := e.byContent.Get(content)
+	renewals := record.renewals
 	if c.Attempt != "" && slices.Contains(record.attempts, c.Attempt) {
 		return e
 	}
@@ -80,6 +86,9 @@
 			updated[i].SentAt = c.SentAt
 		}
 	} else {
+		if len(updated) > 0 && c.EndedAt.Sub(lastCrashAt(updated)) > renewalGap {
+			renewals++
+		}
 		updated = append(updated, c)
 	}
 	slices.SortStableFunc(updated, func(a, b Crash) int { return a.EndedAt.Compare(b.EndedAt) })
@@ -89,7 +98,7 @@
 	}
 	attempts := append(slices.Clone(record.attempts), c.Attempt)
 	e.byContent = e.byContent.With(content, crashRecord{
-		crashes: updated, attempts: attempts[max(0, len(attempts)-maxAttempts):],
+		crashes: updated, attempts: attempts[max(0, len(attempts)-maxAttempts):], renewals: renewals,
 	})
 	return e
 }
@@ -178,6 +187,16 @@
 	content    Content
 	crashes    []Crash
 	attributed int
+	renewals   int
+}
+
+// listedCrashes returns the crashes of the entry for a candidate to which n are attributed. Each renewal of a
+// refusal adds one: hosts compare lists by their contents and crashes, and must learn of a later crash.
+func (c candidate) listedCrashes(n int) int {
+	if n < CrashesToRefuse {
+		return n
+	}
+	return CrashesToRefuse + c.renewals
 }
 
 // Evaluate returns an entry for each request with at least crashesToWatch crashes attributed to
@@ -195,7 +214,7 @@
 			attributed.add(remaining)
 		}
 		if at := lastCrashAt(remaining); now.Sub(at) <= Retention {
-			out = append(out, Entry{Content: c.content, Crashes: min(n, CrashesToRefuse), At: at})
+			out = append(out, Entry{Content: c.content, Crashes: c.listedCrashes(n), At: at})
 		}
 	}
 	return out
@@ -215,7 +234,7 @@
 	for content, record := range e.byContent.All() {
 		possible := slices.DeleteFunc(slices.Clone(record.crashes), func(c Crash) bool { return c.AnswerStarted && unstarted.has(c) })
 		if n := countAttributed(possible); n >= crashesToWatch {
-			out = append(out, candidate{content: content, crashes: possible, attributed: n})
+			out = append(out, candidate{content: content, crashes: possible, attributed: n, renewals: record.renewals})
 		}
 	}
 	slices.SortStableFunc(out, func(a, b candidate) int {
--- a/core/host/crashes_test.go
+++ b/core/host/crashes_test.go
@@ -264,3 +264,18 @@
 		require.Zero(t, f.states[id].Requests().CrashList().Len(), id)
 	}
 }
+
+// TestRenewedRefusalReachesAllHosts guards against a request that crashes a worker once its refusal is over, and
+// that hosts go on sending because they do not learn that it was refused again.
+func TestRenewedRefusalReachesAllHosts(t *testing.T) {
+	f := newCrashFleet(t, 6, 24, 8)
+	f.runLoad(8*time.Second, 400*time.Millisecond, badRequest)
+	f.requireRefused(badRequest)
+	f.advance(10*time.Minute + time.Second)
+	before := len(f.crashes[badRequest])
+	f.runLoad(15*time.Second, 400*time.Millisecond, badRequest)
+	again := len(f.crashes[badRequest]) - before
+	t.Logf("%d crashes after the refusal", again)
+	require.Positive(t, again)
+	require.LessOrEqual(t, again, maxSentAfterCrashes)
+}
