core/crashes, core/requests, core/host: Refuse parts of prompts that crash workers

Cause: crashes were counted by whole requests. Requests that differ in anything but the part had one crash each, so nothing was ever refused.

Change: each shared part of a prompt counts like a request: hosts name the parts in their reports of crashes, and report which parts workers answer. Replicas hold the crashes against the part that was answered least recently; a whole request goes before its parts. Parts that were in progress at the same crashes and not answered since are refused only together, so that sound requests with one of them go on and tell them apart. A refused part is probed after two minutes, by one host after the other: an answer ends the refusal, a crash renews it. Processes of earlier versions ignore the new fields.

The test of the crash keeper compares entries by value now, as they hold a slice.

--- a/core/crashes/content.go
+++ b/core/crashes/content.go
@@ -33,5 +33,16 @@
 	return Content(h.Sum(nil)[:contentBytes])
 }
 
+// partBytes is the length of the Content of a part, by which it differs from that of a request.
+const partBytes = 8
+
+// ContentOfPart returns the Content that all requests share whose prompts for a model have a part in common.
+func ContentOfPart(model, id string) Content {
+	return ContentOf("part of a prompt", []byte(model), []byte(id))[:partBytes]
+}
+
+// IsPart reports whether the Content is that of a part of prompts.
+func (c Content) IsPart() bool { return len(c) == partBytes }
+
 // String returns the digest in hex, as it is logged.
 func (c Content) String() string { return hex.EncodeToString([]byte(c)) }
--- a/core/crashes/crashes.go
+++ b/core/crashes/crashes.go
@@ -9,6 +9,11 @@
 // that crashes workers from those that merely shared them, and yields a List, which all hosts
 // hold and apply.
 //
+// One part of a prompt may crash every worker that begins to answer a request with it, whatever else
+// the request holds. Each shared part of a prompt therefore has a Content too, and a report names
+// them beside that of the request. Evidence tells the part from the innocent ones beside it, which
+// workers answer.
+//
 // # Usage
 //
 //	e = e.With(content, crashes.Crash{Worker: "w1", SentAt: sent, EndedAt: ended}, now)
@@ -61,6 +66,18 @@
 	// proved 3 s late, in 40 seeds, no popular request was refused; with 600 ms a request that crashes
 	// workers was sent more than three times after that in one of them.
 	AnswerReportWindow = 400 * time.Millisecond
+	// partProbeAfter is how long requests with a refused part are sent to no worker at all. From then
+	// on each host sends one of them, at a time of its own, and no other while it awaits the
+	// result: an answer ends the refusal everywhere, a crash renews it. A part may be common, so it
+	// must not be refused as long as a single request.
+	partProbeAfter = 2 * time.Minute
+	// partProbeSpacing is the mean time between the probes of two hosts, minPartProbeSpread the
+	// least time over which all are spread. The result of a probe reaches other hosts within
+	// seconds.
+	partProbeSpacing   = 10 * time.Second
+	minPartProbeSpread = time.Minute
+	// partProbeResult is how long a host awaits the result of its probe.
+	partProbeResult = 10 * time.Second
 	// transitTolerance is the difference allowed between times in two hosts' reports, as reported
 	// ages do not include the time in transit.
 	transitTolerance = 100 * time.Millisecond
--- a/core/crashes/evidence.go
+++ b/core/crashes/evidence.go
@@ -27,6 +27,12 @@
 // Hosts therefore remember recent answers (answers.go) and report them once a request is
 // watched; a request with enough crashes is refused only after they have had time for that.
 // Otherwise several crashes detected late would count before any answer is reported.
+//
+// Of a request and the parts of prompts that were in progress at the same crashes, the request is
+// held responsible, which concerns nobody else, and of the parts the one that was answered least
+// recently: one that crashes every worker is never answered. Parts that were in progress at the same
+// crashes and not answered since are refused only together, until an answer or another crash tells them
+// apart.
 const (
 	// maxCrashes bounds the crashes remembered per request; it exceeds CrashesToRefuse.
 	maxCrashes = 8
@@ -65,6 +71,12 @@
 // Len returns the number of requests remembered.
 func (e Evidence) Len() int { return e.byContent.Len() }
 
+// CrashCount returns the number of crashes remembered of a request or a part.
+func (e Evidence) CrashCount(content Content) int {
+	record, _ := e.byContent.Get(content)
+	return len(record.crashes)
+}
+
 // With adds a crash of a request. For a crash already known it updates only when the request was
 // last sent to the worker, and whether an answer had started in all attempts.
 func (e Evidence) With(content Content, c Crash, now time.Time) Evidence {
@@ -181,30 +193,13 @@
 	return c.isSameCrash(other) && c.SentAt.Sub(other.SentAt).Abs() < sameCrashTolerance
 }
 
-// candidate is a request with the crashes that it may have caused; attributed is their count
-// by countAttributed.
-type candidate struct {
-	content    Content
-	crashes    []Crash
-	attributed int
-	renewals   int
-}
-
-// listedCrashes returns the crashes of the entry for a candidate to which n are attributed. Each renewal of a
-// refusal adds one: hosts compare lists by their contents and crashes, and must learn of a later crash.
-func (c candidate) listedCrashes(n int) int {
-	if n < CrashesToRefuse {
-		return n
-	}
-	return CrashesToRefuse + c.renewals
-}
-
 // Evaluate returns an entry for each request with at least crashesToWatch crashes attributed to
 // it.
 func (e Evidence) Evaluate(now time.Time) []Entry {
 	var out []Entry
 	attributed := workerCrashes{}
-	for _, c := range e.candidates() {
+	candidates := e.candidates()
+	for _, c := range candidates {
 		remaining := attributed.without(c.crashes)
 		n := countAttributed(remaining)
 		if n < crashesToWatch {
@@ -214,7 +209,9 @@
 			attributed.add(remaining)
 		}
 		if at := lastCrashAt(remaining); now.Sub(at) <= Retention {
-			out = append(out, Entry{Content: c.content, Crashes: c.listedCrashes(n), At: at})
+			out = append(out, Entry{
+				Content: c.content, Crashes: c.listedCrashes(n), At: at, Beside: c.indistinguishable(candidates),
+			})
 		}
 	}
 	return out
@@ -234,11 +231,15 @@
 	for content, record := range e.byContent.All() {
 		possible := slices.DeleteFunc(slices.Clone(record.crashes), func(c Crash) bool { return c.AnswerStarted && unstarted.has(c) })
 		if n := countAttributed(possible); n >= crashesToWatch {
-			out = append(out, candidate{content: content, crashes: possible, attributed: n, renewals: record.renewals})
+			answeredAt, _ := e.answered.Get(content)
+			out = append(out, candidate{
+				content: content, crashes: possible, attributed: n, renewals: record.renewals, answeredAt: answeredAt,
+			})
 		}
 	}
 	slices.SortStableFunc(out, func(a, b candidate) int {
 		return cmp.Or(cmp.Compare(b.attributed, a.attributed), cmp.Compare(len(b.crashes), len(a.crashes)),
+			cmp.Compare(a.isPart(), b.isPart()), a.answeredAt.Compare(b.answeredAt),
 			a.crashes[0].EndedAt.Compare(b.crashes[0].EndedAt), cmp.Compare(a.content, b.content))
 	})
 	return out
--- a/core/crashes/list.go
+++ b/core/crashes/list.go
@@ -3,6 +3,7 @@
 package crashes
 
 import (
+	"cmp"
 	"strconv"
 	"time"
 
@@ -20,16 +21,19 @@
 	Content Content
 	Crashes int
 	At      time.Time
+	// Beside are other parts of prompts that were in progress at the same crashes, so that any of
+	// them may be the cause. Requests are refused only if they have all of them.
+	Beside []Content
 }
 
 // supersedes reports whether an entry replaces another one of the same request. Times from other
 // hosts do not include the time in transit, so between nearly equal times the entry with more
-// crashes wins, so that all hosts keep the same one.
+// crashes wins, and then the one with fewer parts beside it, so that all hosts keep the same one.
 func (e Entry) supersedes(other Entry) bool {
 	if d := e.At.Sub(other.At); d.Abs() > sameCrashTolerance {
 		return d > 0
 	}
-	return e.Crashes > other.Crashes
+	return cmp.Or(cmp.Compare(e.Crashes, other.Crashes), cmp.Compare(len(other.Beside), len(e.Beside))) > 0
 }
 
 // List holds the requests that crash workers, as this host knows them. Merging lists of several
@@ -92,6 +96,9 @@
 	parts := make([]string, 0, 2*l.byContent.Len()) //nolint:mnd // A content and a number each.
 	for content, e := range l.byContent.All() {
 		parts = append(parts, string(content), strconv.Itoa(e.Crashes))
+		for _, other := range e.Beside {
+			parts = append(parts, string(other))
+		}
 	}
 	return hash.Of(parts...)
 }
@@ -112,11 +119,12 @@
 	return e
 }
 
-// Decided returns the list without the entries of requests that are only watched.
+// Decided returns the list without the entries of requests that are only watched, and of parts of which
+// another may be the cause.
 func (l List) Decided() List {
 	var out List
 	for content, e := range l.byContent.All() {
-		if e.Crashes == 0 || e.Crashes >= CrashesToRefuse {
+		if e.Crashes == 0 || e.Crashes >= CrashesToRefuse && len(e.Beside) == 0 {
 			out.byContent = out.byContent.With(content, e)
 		}
 	}
--- a/core/crashes/observer.go
+++ b/core/crashes/observer.go
@@ -33,7 +33,9 @@
 // Suspect is an interrupted attempt whose worker may have crashed; Incarnation is that of the
 // worker's process.
 type Suspect struct {
-	Content     Content
+	Content Content
+	// Parts are the contents of the parts that its prompt shares with others.
+	Parts       []Content
 	Incarnation uint64
 	Crash       Crash
 }
@@ -92,7 +94,7 @@
 		case !s.isOfProcess(worker, incarnation):
 			remaining = append(remaining, s)
 		case !s.expired(now):
-			o.reports = o.reports.With(Report{Content: s.Content, Crash: s.Crash, SeenAt: now}, now)
+			o.reports = o.reports.With(Report{Content: s.Content, Parts: s.Parts, Crash: s.Crash, SeenAt: now}, now)
 			n++
 		}
 	}
@@ -115,8 +117,10 @@
 // Report is a crash of a request. SeenAt is when this host learned of it.
 type Report struct {
 	Content Content
-	Crash   Crash
-	SeenAt  time.Time
+	// Parts are the contents of the parts that its prompt shares with others.
+	Parts  []Content
+	Crash  Crash
+	SeenAt time.Time
 }
 
 // isSame reports whether two reports are of the same attempt.
--- a/core/host/crashes.go
+++ b/core/host/crashes.go
@@ -26,25 +26,6 @@
 // at about the same time are reported together.
 const minCrashPollInterval = 100 * time.Millisecond
 
-// CrashReport reports an attempt that was in progress when its worker's process exited, Age ago,
-// after it had run for Ran. Its gob encoding depends on the field names.
-type CrashReport struct {
-	Content crashes.Content
-	Attempt string
-	Worker  ident.Target
-	Ran     time.Duration
-	Age     time.Duration
-	Begun   bool
-}
-
-// CrashEntry is an entry of a crash list, updated Age ago. Its gob encoding depends on the field
-// names.
-type CrashEntry struct {
-	Content crashes.Content
-	Ends    int
-	Age     time.Duration
-}
-
 // crashState is a process's state on crashes. Package requests holds the current crash list.
 type crashState struct {
 	// evidence holds the reports received by a replica or a host of a listed fleet, clientReports
@@ -117,22 +98,6 @@
 	return out
 }
 
-// crashReports returns the recent crashes detected here or reported by the clients of this hub.
-func (t *transition) crashReports() []CrashReport {
-	t.crashes.reportedCount = t.crashCount()
-	all := t.requests.CrashReports().Recent(t.now)
-	all = append(all, t.crashes.clientReports.Recent(t.now)...)
-	all = append(all, t.crashes.observer.Reports().Recent(t.now)...)
-	out := make([]CrashReport, 0, len(all))
-	for _, r := range all {
-		out = append(out, CrashReport{
-			Content: r.Content, Attempt: r.Crash.Attempt, Worker: r.Crash.Worker, Ran: r.Crash.EndedAt.Sub(r.Crash.SentAt),
-			Age: t.now.Sub(r.Crash.EndedAt), Begun: r.Crash.AnswerStarted,
-		})
-	}
-	return out
-}
-
 // evaluatesCrashes reports whether this host evaluates crash reports: a replica does, and every
 // host of a listed fleet, as all of them receive each other's heartbeats.
 func (t *transition) evaluatesCrashes() bool { return t.settings.IsReplica() || !t.settings.Seeded() }
@@ -146,20 +111,28 @@
 			Attempt: r.Attempt, Worker: r.Worker, SentAt: ended.Add(-max(0, r.Ran)), EndedAt: ended, AnswerStarted: r.Begun,
 		}
 		if !t.evaluatesCrashes() {
-			report := crashes.Report{Content: r.Content, Crash: c, SeenAt: t.now}
+			report := crashes.Report{Content: r.Content, Parts: r.Parts, Crash: c, SeenAt: t.now}
 			t.crashes.clientReports = t.crashes.clientReports.With(report, t.now)
 			continue
 		}
-		if e, ok := t.requests.CrashList().Get(r.Content); ok && e.Crashes == 0 && !c.EndedAt.After(e.At) {
-			continue
+		t.addCrashEvidence(r.Content, c)
+		for _, part := range r.Parts[:min(len(r.Parts), maxCrashParts)] {
+			t.addCrashEvidence(part, c)
 		}
-		t.crashes.evidence = t.crashes.evidence.With(r.Content, c, t.now)
 	}
 	if t.evaluatesCrashes() && len(reports) > 0 {
 		t.evaluateCrashes(from)
 	}
 }
 
+// addCrashEvidence adds a crash of a request or a part, unless it is known to have been answered since.
+func (t *transition) addCrashEvidence(content crashes.Content, c crashes.Crash) {
+	if e, ok := t.requests.CrashList().Get(content); ok && e.Crashes == 0 && !c.EndedAt.After(e.At) {
+		return
+	}
+	t.crashes.evidence = t.crashes.evidence.With(content, c, t.now)
+}
+
 // evaluateCrashes merges the result of evaluating the evidence into the crash list. A request with
 // enough crashes is only suspected for crashes.AnswerReportWindow, so that hosts can report that it
 // was answered in the meantime.
@@ -201,23 +174,31 @@
 		return
 	}
 	received := make([]crashes.Entry, 0, len(entries))
+	excused := false
 	for _, e := range entries {
-		entry := crashes.Entry{Content: e.Content, Crashes: max(0, e.Ends), At: t.now.Add(-max(0, e.Age))}
+		entry := crashes.Entry{Content: e.Content, Crashes: max(0, e.Ends), At: t.now.Add(-max(0, e.Age)), Beside: e.Beside}
 		if entry.Crashes == 0 {
-			t.handleAnswerReport(entry)
+			excused = t.handleAnswerReport(entry) || excused
 		}
 		received = append(received, entry)
 	}
 	t.mergeCrashes(from, received)
+	if excused {
+		t.evaluateCrashes(from)
+	}
 }
 
 // handleAnswerReport drops the evidence that predates an answer reported by another host; a hub
-// forwards the report.
-func (t *transition) handleAnswerReport(e crashes.Entry) {
+// forwards the report. It reports whether a part of prompts is excused, which may show that another one
+// crashes workers.
+func (t *transition) handleAnswerReport(e crashes.Entry) (excused bool) {
+	before := t.crashes.evidence.CrashCount(e.Content)
 	t.crashes.evidence = t.crashes.evidence.WithAnswer(e.Content, e.At)
+	excused = e.Content.IsPart() && t.evaluatesCrashes() && t.crashes.evidence.CrashCount(e.Content) < before
 	if !t.evaluatesCrashes() && t.now.Sub(e.At) <= answerReportWindow {
 		t.queueAnswerReport(e.Content, e.At)
 	}
+	return excused
 }
 
 // mergeCrashes merges entries into the crash list and logs the changes.
@@ -231,8 +212,9 @@
 	for _, e := range entries {
 		previous, _ := before.Get(e.Content)
 		if current, _ := after.Get(e.Content); current.Crashes != previous.Crashes {
-			t.log(LogCrashes, current.Content.String(), fmt.Sprintf("ends=%d before=%d last_ms=%d refused=%t by=%s",
-				current.Crashes, previous.Crashes, t.now.Sub(current.At).Milliseconds(), current.Crashes >= crashes.CrashesToRefuse, from))
+			t.log(LogCrashes, current.Content.String(), fmt.Sprintf("ends=%d before=%d last_ms=%d refused=%t part=%t beside=%d by=%s",
+				current.Crashes, previous.Crashes, t.now.Sub(current.At).Milliseconds(), current.Crashes >= crashes.CrashesToRefuse,
+				current.Content.IsPart(), len(current.Beside), from))
 		}
 	}
 	t.queueKnownAnswers()
@@ -253,7 +235,7 @@
 func (t *transition) crashEntries(l crashes.List) []CrashEntry {
 	out := make([]CrashEntry, 0, l.Len())
 	for _, e := range l.Entries() {
-		out = append(out, CrashEntry{Content: e.Content, Ends: e.Crashes, Age: t.now.Sub(e.At)})
+		out = append(out, CrashEntry{Content: e.Content, Ends: e.Crashes, Age: t.now.Sub(e.At), Beside: e.Beside})
 	}
 	return out
 }
--- a/core/host/crashparts_test.go
+++ b/core/host/crashparts_test.go
@@ -4,12 +4,15 @@
 
 import (
 	"fmt"
+	"runtime"
 	"strings"
 	"testing"
 	"time"
 
 	"github.com/stretchr/testify/require"
 
+	"github.com/yardhall/yardhall/core/crashes"
+	"github.com/yardhall/yardhall/core/ident"
 	"github.com/yardhall/yardhall/core/requests"
 )
 
@@ -129,3 +132,118 @@
 		}
 	}
 }
+
+// TestCrashingPartIsRefusedAtAnyHost guards against reports of parts that hubs do not pass on, and against hosts
+// that send on a part which others refuse: those that were restarted, cut off, or all lost power.
+func TestCrashingPartIsRefusedAtAnyHost(t *testing.T) {
+	f := newCrashFleet(t, largeFleet, 24, 1)
+	f.runParts(15*time.Second, partLoad{gap: 300 * time.Millisecond})
+	f.requirePartRefused()
+
+	for name, fault := range map[string]func(*crashFleet){
+		"entry hosts":     func(f *crashFleet) { f.restart(time.Second, f.entryHosts()...) },
+		"replicas":        func(f *crashFleet) { f.restart(time.Second, f.replicas()...) },
+		"all, power lost": func(f *crashFleet) { f.restart(2*time.Second, f.order...) },
+		"cut off": func(f *crashFleet) {
+			f.partition(entryName(1), true)
+			f.advance(3 * time.Second)
+			f.partition(entryName(1), false)
+		},
+	} {
+		f := newCrashFleet(t, 6, 24, 3)
+		f.runParts(8*time.Second, partLoad{gap: 400 * time.Millisecond})
+		f.advance(time.Second)
+		fault(f)
+		f.advance(5 * time.Second)
+		clear(f.refusedAt)
+		before := f.badSentAfter(time.Time{})
+		f.runParts(8*time.Second, partLoad{gap: 400 * time.Millisecond})
+		require.Equal(t, before, f.badSentAfter(time.Time{}), name)
+		f.requirePartRefused()
+	}
+}
+
+// TestHarmlessPartIsForgotten guards against refusing a part for long after it has become harmless, and
+// against probes of a part that still crashes workers by many hosts.
+func TestHarmlessPartIsForgotten(t *testing.T) {
+	f := newCrashFleet(t, 6, 24, 2)
+	f.runParts(10*time.Second, partLoad{gap: 400 * time.Millisecond})
+	f.requirePartRefused()
+	before := len(f.ends)
+	f.runParts(8*time.Minute, partLoad{gap: 400 * time.Millisecond})
+	t.Logf("%d workers crashed under probes in 8 min", len(f.ends)-before)
+	require.LessOrEqual(t, len(f.ends)-before, 8)
+	f.answersBad = true
+	f.runParts(4*time.Minute, partLoad{gap: 400 * time.Millisecond})
+	clear(f.refusedAt)
+	f.runParts(10*time.Second, partLoad{gap: 400 * time.Millisecond})
+	require.Empty(t, f.refusedAt)
+}
+
+// TestWorkersLostTogetherRefuseNoPart guards against refusing parts that many prompts share because workers
+// crash for other reasons, several at a time and again and again.
+func TestWorkersLostTogetherRefuseNoPart(t *testing.T) {
+	for _, quiet := range []bool{false, true} {
+		f := newCrashFleet(t, 6, 24, 4)
+		for i := range 12 {
+			for n := range 6 {
+				if w := f.workers[(5*i+n)%len(f.workers)]; w.isUp() {
+					f.crashWorker(w, "")
+				}
+			}
+			f.runParts(900*time.Millisecond, partLoad{quiet: quiet})
+		}
+		require.Empty(t, f.refusedAt)
+	}
+}
+
+// TestEarlierVersionsIgnoreParts runs an earlier version on a replica and half of the entry hosts: the others
+// refuse the part, and all serve the rest.
+func TestEarlierVersionsIgnoreParts(t *testing.T) {
+	f := newCrashFleet(t, 6, 24, 7)
+	f.earlierHosts = map[ident.Host]bool{replicaName(2): true, entryName(0): true, entryName(1): true, entryName(2): true}
+	f.runParts(10*time.Second, partLoad{gap: 400 * time.Millisecond})
+	f.advance(time.Second)
+	for i := 3; i < 6; i++ {
+		path := fmt.Sprint("/only-1/part-last-", i)
+		f.prompts[path] = promptOf(path, "system", "subject-1", "bad")
+		f.arrive(entryName(i), path)
+		require.NotEmpty(t, f.refusedAt[path])
+	}
+	for path := range f.refusedAt {
+		require.True(t, isBad(path), path)
+	}
+}
+
+// TestCrashReportsAreBounded guards against reports of prompts with many parts that fill polls or a replica's
+// memory: 390 hosts that each lose 16 requests with 16 parts.
+func TestCrashReportsAreBounded(t *testing.T) {
+	const hosts, seconds, maxBytes = 390, 1, 16 << 20
+	var e crashes.Evidence
+	var before, after runtime.MemStats
+	runtime.GC()
+	runtime.ReadMemStats(&before)
+	now := time.Unix(5000, 0)
+	for second := range seconds {
+		now = now.Add(time.Second)
+		for i := range hosts {
+			for n := range 16 {
+				c := crashes.Crash{Attempt: fmt.Sprint(i, n, second), Worker: ident.Target(fmt.Sprint("w", i%40, second)), SentAt: now, EndedAt: now}
+				for part := range 16 {
+					e = e.With(crashes.ContentOfPart("m", fmt.Sprint(i, n, part)), c, now)
+				}
+			}
+		}
+	}
+	runtime.GC()
+	runtime.ReadMemStats(&after)
+	require.Less(t, after.HeapAlloc-before.HeapAlloc, uint64(maxBytes))
+	require.LessOrEqual(t, e.Len(), 1024)
+	_ = e.Evaluate(now)
+
+	var l crashes.List
+	for i := range 1000 {
+		l = l.With(now, crashes.Entry{Content: crashes.ContentOfPart("m", fmt.Sprint(i)), Crashes: 3, At: now})
+	}
+	require.LessOrEqual(t, l.Len(), 128)
+}
--- a/core/host/seeded_test.go
+++ b/core/host/seeded_test.go
@@ -148,7 +148,7 @@
 	s := host.Settings{
 		ID: id, Zone: f.zoneOf(id), Seeds: f.seeds, Incarnation: f.starts, Voters: f.voters, Serves: f.disks[id] == nil,
 		Rollouts: f.rollouts,
-		Requests: requests.Settings{Zone: f.zoneOf(id), StartupTimeout: f.entryStart},
+		Requests: requests.Settings{Host: id, Zone: f.zoneOf(id), StartupTimeout: f.entryStart},
 	}
 	d := f.disks[id]
 	if d != nil {
--- a/core/requests/admit.go
+++ b/core/requests/admit.go
@@ -96,6 +96,7 @@
 	if len(c.req.Digest) > 0 {
 		c.content = crashes.ContentOf(string(c.account), c.req.Digest)
 	}
+	c.parts = contentsOfParts(c.req.Prompt)
 	c.pool, _ = t.routes.Pool(pickPool(*c))
 	return t.resolveDeadline(c)
 }
--- a/core/requests/attempt.go
+++ b/core/requests/attempt.go
@@ -25,6 +25,9 @@
 // serverError is the lowest status of a server error (RFC 9110, 15.6).
 const serverError = 500
 
+// clientError is the lowest status of an error.
+const clientError = 400
+
 // handleAttemptEnded records the result of an attempt and decides what follows.
 func (t *transition) handleAttemptEnded(ev AttemptEnded) {
 	c, ok := t.calls.Get(ev.Request)
--- a/core/requests/crashes.go
+++ b/core/requests/crashes.go
@@ -40,21 +40,36 @@
 
 // AnsweredAt returns when a request was last answered by this host; false if that is not known.
 func (s State) AnsweredAt(content crashes.Content, now time.Time) (time.Time, bool) {
+	if content.IsPart() {
+		return s.parts.answers.LastAnswered(content, now)
+	}
 	return s.recentAnswers.LastAnswered(content, now)
 }
 
 // isBlockedForCrashes reports whether the call may be sent to no worker, as it crashes them.
 func (t *transition) isBlockedForCrashes(c call) bool {
-	_, refused := t.crashList.Refused(c.content, t.now)
+	_, _, refused := t.crashRefusal(c)
 	return refused
 }
 
+// crashRefusal returns why a call is refused, and until when: because it crashes workers, or a part of its
+// prompt does.
+func (t *transition) crashRefusal(c call) (content crashes.Content, until time.Time, refused bool) {
+	if until, refused = t.crashList.Refused(c.content, t.now); refused {
+		return c.content, until, true
+	}
+	return t.refusedPart(c)
+}
+
 // crashVerdictFor returns the verdict on a call that is blocked because it crashes workers. The
 // caller may retry once the refusal expires.
 func (t *transition) crashVerdictFor(c call) Verdict {
-	v := Verdict{Outcome: c.combinedOutcome, Code: CodeCrashes, Reason: CrashReason(c.content)}
+	content, until, _ := t.crashRefusal(c)
+	if content.IsPart() {
+		t.counters.PartsRefused++
+	}
+	v := Verdict{Outcome: c.combinedOutcome, Code: CodeCrashes, Reason: CrashReason(content)}
 	if v.Outcome == outcome.NotRun {
-		until, _ := t.crashList.Refused(c.content, t.now)
 		v.RetryAfter = until.Sub(t.now)
 	}
 	return v
@@ -62,6 +77,9 @@
 
 // CrashReason returns the reason given to callers for refusing a request that crashes workers.
 func CrashReason(c crashes.Content) string {
+	if c.IsPart() {
+		return fmt.Sprintf("%d workers crashed under a part of the prompt, %s", crashes.CrashesToRefuse, c)
+	}
 	return fmt.Sprintf("%d workers in a row crashed while they ran requests of content %s", crashes.CrashesToRefuse, c)
 }
 
@@ -74,7 +92,7 @@
 		return
 	}
 	probeRequested := t.crashObserver.ProbeRequested(c.target, c.incarnation, t.now)
-	t.crashObserver = t.crashObserver.WithSuspect(crashes.Suspect{Content: c.content, Incarnation: c.incarnation, Crash: crashes.Crash{
+	t.crashObserver = t.crashObserver.WithSuspect(crashes.Suspect{Content: c.content, Parts: c.parts, Incarnation: c.incarnation, Crash: crashes.Crash{
 		Attempt: fmt.Sprintf("%s/%d", c.req.ID, c.attempt), Worker: c.target, SentAt: c.sentAt, EndedAt: t.now, AnswerStarted: r.AnswerStarted,
 	}}, t.now)
 	switch {
@@ -158,4 +176,7 @@
 		t.recentAnswers = t.recentAnswers.With(c.content, t.now)
 		t.crashList = t.crashList.WithAnswer(c.content, t.now)
 	}
+	if r.Status < clientError {
+		t.recordPartAnswers(c)
+	}
 }
--- a/core/requests/dispatch.go
+++ b/core/requests/dispatch.go
@@ -21,7 +21,9 @@
 	pool    config.Pool
 	account ident.Account
 	content crashes.Content
-	rank    int
+	// parts are the contents of the parts that the prompt shares with others.
+	parts []crashes.Content
+	rank  int
 	// attempt counts the attempts, reachedWorkers those by which the request may have reached a
 	// worker.
 	attempt        int
@@ -123,6 +125,7 @@
 		t.counters.Tunneled++
 	}
 	c = t.withSide(c, &picked.worker)
+	t.recordPartProbes(c)
 	t.addInFlight(picked.worker.ID)
 	rate, _ := t.sendRates.Get(c.pool.ID)
 	t.sendRates = t.sendRates.With(c.pool.ID, rate.withRequest(t.now))
--- a/core/requests/requests.go
+++ b/core/requests/requests.go
@@ -90,8 +90,10 @@
 	refusals []refusal
 	// recentAnswers holds the requests answered by this host recently.
 	recentAnswers crashes.RecentAnswers
-	calls         table.Table[ident.Request, call]
-	retryBudgets  table.Table[ident.Service, budget]
+	// parts is what this host knows of the parts of prompts that it sends.
+	parts        partState
+	calls        table.Table[ident.Request, call]
+	retryBudgets table.Table[ident.Service, budget]
 	// headerEstimates are the times until answers begin, by route name.
 	headerEstimates table.Table[string, headerEstimate]
 	// reportedLoads are the requests of other hosts at workers, as of reportedAsOf. Never
@@ -178,6 +180,8 @@
 	StreamsResumed      uint64
 	OriginsUnknown      uint64
 	VersionsUnavailable uint64
+	// PartsRefused counts requests refused because a part of their prompts crashes workers.
+	PartsRefused uint64
 }
 
 // New returns the state of a host without a route table.
--- a/daemon/crashes_test.go
+++ b/daemon/crashes_test.go
@@ -12,6 +12,7 @@
 
 	"github.com/go-logr/logr"
 	"github.com/pkg/errors"
+	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 
 	"github.com/yardhall/yardhall/core/crashes"
@@ -62,7 +63,7 @@
 		k.keep([]host.CrashEntry{{Content: "c", Ends: ends, Age: time.Second}}, now)
 	}
 	want := []crashes.Entry{{Content: "c", Crashes: 3, At: now.Add(-time.Second)}}
-	require.Eventually(t, func() bool { return len(w.last()) == 1 && w.last()[0] == want[0] }, time.Minute, time.Millisecond)
+	require.Eventually(t, func() bool { return len(w.last()) == 1 && assert.ObjectsAreEqual(want[0], w.last()[0]) }, time.Minute, time.Millisecond)
 	stop()
 	<-ended
 }
--- a/daemon/requestlog.go
+++ b/daemon/requestlog.go
@@ -83,11 +83,11 @@
 	if o.Request.Resumed {
 		fields = append(fields, "resumes", string(o.Request.Resumes))
 	}
+	if mayHaveCrashed(o) {
+		fields = append(fields, "parts", partsText(o.Request.Prompt))
+	}
 	if last := len(o.Attempts) - 1; last >= 0 {
 		route := o.Attempts[last].Dispatch.Route
-		if _, broken := o.Attempts[last].Result.(outcome.Interrupted); broken {
-			fields = append(fields, "parts", partsText(o.Request.Prompt))
-		}
 		fields = append(fields, "objective_ms", millis(time.Duration(route.Objective)), "max_pause_ms", millis(time.Duration(route.MaxPause)))
 		fields = append(fields, l.tryFields(o, o.Attempts[last])...)
 	} else {
@@ -129,6 +129,15 @@
 	return fields
 }
 
+// mayHaveCrashed reports whether a worker may have crashed under a request, or it was refused for that.
+func mayHaveCrashed(o gateway.Observation) bool {
+	if len(o.Request.Prompt.Parts) == 0 || len(o.Attempts) == 0 {
+		return o.Verdict.Code == requests.CodeCrashes
+	}
+	_, broken := o.Attempts[len(o.Attempts)-1].Result.(outcome.Interrupted)
+	return broken || o.Verdict.Code == requests.CodeCrashes
+}
+
 // maxLoggedParts bounds the parts of a prompt in a line.
 const maxLoggedParts = 8
 
--- a/peers/forms_test.go
+++ b/peers/forms_test.go
@@ -67,8 +67,13 @@
 	types := host.WireTypes()
 	forms := make([]formtest.Form, 0, len(types))
 	for _, w := range types {
-		// The first versions that sent route tables did not support cold workers.
-		name, value := "type-"+w.Name, filledValue(w.Value, "ColdPerSecond")
+		// The first versions that sent route tables did not support cold workers, and those that reported
+		// crashes named no parts of prompts.
+		name, value := "type-"+w.Name, filledValue(w.Value, "ColdPerSecond", "Parts", "Beside")
+		switch w.Value.(type) {
+		case host.Poll, host.PollReply, host.PeerHeartbeat:
+			forms = append(forms, gobForm(name+"-parts", carrier{Value: filledValue(w.Value)}))
+		}
 		if whole, ok := w.Value.(host.WholeConfig); ok {
 			forms = append(forms, gobForm(name+"-cold", carrier{Value: filledValue(whole)}))
 		}
