--- a/core/requests/plainfleet_test.go
+++ b/core/requests/plainfleet_test.go
@@ -35,6 +35,8 @@
 	brittle            int
 	burst              float64
 	burstFrom, burstTo time.Duration
+	// skewedFrom is when the balancer begins to hand all connections to one host; 0 for never.
+	skewedFrom time.Duration
 }
 
 // Slots, queue length, work and objective of the plain workers, depth and period of the waves,
@@ -166,7 +168,11 @@
 	}
 	f.results.requests++
 	f.arrived[r.ID] = f.now
-	f.feed(zone+3*f.random.IntN(f.load.hosts/3), requests.Arrived{Request: r})
+	host := zone + 3*f.random.IntN(f.load.hosts/3)
+	if from := f.load.skewedFrom; from > 0 && f.now.Sub(start) >= from {
+		host = 0
+	}
+	f.feed(host, requests.Arrived{Request: r})
 }
 
 func (f *plainFleet) feed(host int, ev requests.Event) {
