core/requests: Let a host use more of brittle workers where others leave their part unused

Cause: a host used its slots divided by the number of hosts, however few of them had requests.

Change: a host whose requests find no room lets its part grow by one at a time, once the loads that others had after the last step leave room for that and for the same step of all who have requests there; a decline or a second without need ends it.

--- a/core/requests/brittle.go
+++ b/core/requests/brittle.go
@@ -109,8 +109,9 @@
 	if !t.isBrittle(p.ID) {
 		return true
 	}
-	if share := c.slots / max(1, t.hostCount); share >= 1 {
-		return w.inFlight < share
+	extra := t.extraRoom(p.ID)
+	if share := c.slots / max(1, t.hostCount); share >= 1 || extra > 0 {
+		return w.inFlight < max(1, share)+extra
 	}
 	rate, _ := t.sendRates.Get(p.ID)
 	return w.inFlight == 0 && rate.asOf(t.now).mayGrow(c.smoothedLoad/float64(max(1, c.slots)))
@@ -135,6 +136,7 @@
 	if b.limit == 0 {
 		return 0
 	}
+	t.shrinkRoom(w.Pool)
 	return min(max(minBrittleBackoff, time.Second*time.Duration(t.hostCount)/time.Duration(b.limit)), maxBrittleBackoff)
 }
 
--- a/core/requests/dispatch.go
+++ b/core/requests/dispatch.go
@@ -74,8 +74,11 @@
 		c.drawn = t.isDrawn(c)
 	}
 	picked, ok := t.chooseWorker(c)
-	if !ok && picked.noRoom && t.pauseForRoom(c) {
-		return
+	if !ok && picked.noRoom {
+		t.growRoom(c.pool)
+		if t.pauseForRoom(c) {
+			return
+		}
 	}
 	if !ok {
 		v = t.withoutWorker(c, v, picked)
--- a/core/requests/requests.go
+++ b/core/requests/requests.go
@@ -29,12 +29,12 @@
 //	notice.go         what a worker reports about itself in its answers
 //	replaced.go       which workers are reported as replaced by another process
 //	restart.go        what is reset when a worker restarts under its id
-//	crashes.go        which requests are refused because they crash workers
+//	crash*.go         which requests are refused because they crash workers
 //	zones.go          when a zone is unreachable
 //	contact.go        when the host reaches no worker at all
 //	tunnels.go        how it then reaches them through other hosts
 //	cold.go           how many requests a cold worker gets from all hosts
-//	brittle.go        how many requests a brittle worker gets from all hosts
+//	brittle*.go       how many requests a brittle worker gets from all hosts
 //	drained.go        how traffic is moved out of drained zones
 //	origin.go         at which version a stream goes on that broke off
 //	rollouts.go       which version of a service's workers an attempt goes to
@@ -88,7 +88,7 @@
 	// refusals are refused connections that may prove the end of a worker's process. Never modified
 	// in place.
 	refusals []refusal
-	// recentAnswers holds the requests answered by this host recently.
+	// recentAnswers holds the requests answered by this host recently, parts the parts of prompts.
 	recentAnswers crashes.RecentAnswers
 	// parts is what this host knows of the parts of prompts that it sends.
 	parts        partState
@@ -108,10 +108,11 @@
 	// otherZones those of all other zones together.
 	reachabilityByZone table.Table[ident.Zone, reachability]
 	otherZones         reachability
-	// brittlePools is what the workers of pools that are brittle reported.
+	// brittlePools is what the workers of pools that are brittle reported; sendRates are the rates at
+	// which this host sends requests to pools.
 	brittlePools table.Table[ident.Service, brittleness]
-	// sendRates are the rates at which this host sends requests to pools.
-	sendRates table.Table[ident.Service, sendRate]
+	roomGrowths  table.Table[ident.Service, roomGrowth]
+	sendRates    table.Table[ident.Service, sendRate]
 	// contact is the host's contact with the workers of all zones.
 	contact contact
 	// peers are the other entry hosts, through which workers may be reached; those that opened no
--- a/core/requests/skew_test.go
+++ b/core/requests/skew_test.go
@@ -42,5 +42,7 @@
 // TestOneHostGetsAllConnectionsToBrittleWorkers guards against the same before brittle workers.
 func TestOneHostGetsAllConnectionsToBrittleWorkers(t *testing.T) {
 	t.Parallel()
-	requireServedBySkewedHost(t, plainLoad{hosts: 6, perSecond: 178, brittle: 5})
+	for _, hosts := range []int{6, 18, 72} {
+		requireServedBySkewedHost(t, plainLoad{hosts: hosts, perSecond: 178, brittle: 5})
+	}
 }
