--- a/standin/worker.go
+++ b/standin/worker.go
@@ -61,6 +61,10 @@
 	CutEvent
 	// CutOnce ends a stream within its third event, unless the request resumes one.
 	CutOnce
+	// UnframedStream sends a whole stream without length or chunks, and closes. UnframedCut does the same
+	// and ends within the third event, unless the request resumes a stream.
+	UnframedStream
+	UnframedCut
 	// Overloaded answers as a proxy before the worker might: neither an id nor a word on
 	// whether the request has run, but a time as with FullForAWhile.
 	Overloaded
--- a/standin/workeranswers.go
+++ b/standin/workeranswers.go
@@ -7,6 +7,7 @@
 	"io"
 	"net"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 	"time"
@@ -23,6 +24,9 @@
 	WorkerBackoff = 1500 * time.Millisecond
 )
 
+// streamFaults are the faults with which a worker answers by a stream.
+var streamFaults = []WorkerFault{Sound, CutEvent, CutOnce, SlowStream, UnframedStream, UnframedCut}
+
 // answer serves one request and tells whether the connection goes on.
 func (w *Worker) answer(conn net.Conn, req *http.Request, body string) bool {
 	id := req.Header.Get(w.names.RequestID)
@@ -43,7 +47,7 @@
 	w.mu.Lock()
 	w.runs = append(w.runs, WorkerRun{ID: id, Method: req.Method, Path: req.RequestURI, Body: body, Header: req.Header})
 	w.mu.Unlock()
-	if strings.Contains(req.URL.Path, "/stream/") && (fault == Sound || fault == CutEvent || fault == CutOnce || fault == SlowStream) {
+	if strings.Contains(req.URL.Path, "/stream/") && slices.Contains(streamFaults, fault) {
 		return w.stream(conn, req, id, fault)
 	}
 	return w.plain(conn, id, fault)
@@ -111,7 +115,7 @@
 	case Hang:
 		<-w.stop
 		return false
-	case Sound, Full, FullForAWhile, Overloaded, CutEvent, CutOnce, SlowStream:
+	case Sound, Full, FullForAWhile, Overloaded, CutEvent, CutOnce, UnframedStream, UnframedCut, SlowStream:
 	}
 	return write(conn, right)
 }
@@ -124,6 +128,10 @@
 
 func (w *Worker) stream(conn net.Conn, req *http.Request, id string, fault WorkerFault) bool {
 	first, _ := strconv.Atoi(req.Header.Get(w.names.LastEvent))
+	if fault == UnframedStream || fault == UnframedCut {
+		w.unframedStream(conn, id, first, fault)
+		return false
+	}
 	if !write(conn, w.head(http.StatusOK, id)+"Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n") {
 		return false
 	}
@@ -132,7 +140,7 @@
 		if fault == SlowStream {
 			time.Sleep(SlowStreamPause)
 		}
-		if (fault == CutEvent || fault == CutOnce && first == 0) && n == first+3 {
+		if (fault == CutEvent || fault == CutOnce && first == 0) && n == first+cutEvent {
 			write(conn, chunk(event[:len(event)/2]))
 			return false
 		}
@@ -143,6 +151,22 @@
 	return write(conn, "0\r\n\r\n")
 }
 
+// unframedStream sends a stream that ends with its connection.
+func (w *Worker) unframedStream(conn net.Conn, id string, first int, fault WorkerFault) {
+	write(conn, w.head(http.StatusOK, id)+"Content-Type: text/event-stream\r\n\r\n")
+	for n := first + 1; n <= WorkerEvents; n++ {
+		event := WorkerEvent(n)
+		if fault == UnframedCut && first == 0 && n == cutEvent {
+			write(conn, event[:len(event)/2])
+			return
+		}
+		write(conn, event)
+	}
+}
+
+// cutEvent is the event within which a stream ends that is cut.
+const cutEvent = 3
+
 func chunk(data string) string { return fmt.Sprintf("%x\r\n%s\r\n", len(data), data) }
 
 func write(conn net.Conn, text string) bool {
