--- a/soak/bad_test.go
+++ b/soak/bad_test.go
@@ -8,12 +8,14 @@
 	"fmt"
 	"math/rand/v2"
 	"net/http"
+	"strings"
 	"sync/atomic"
 	"time"
 )
 
 // badCaller sends the same request again and again, to any entry host: each worker that
-// begins to run it ends. It pauses while it is off.
+// begins to run it ends. With odd seeds it sends requests that only have a part of their
+// prompts in common. It pauses while it is off.
 type badCaller struct {
 	callers *callers
 	on      atomic.Bool
@@ -26,10 +28,36 @@
 	// maxSentOn is how often the request may still reach workers then, once three have ended
 	// under it.
 	maxSentOn = 3
-	// endsToRefuse is the number of ends from which it may be refused.
-	endsToRefuse = 3
+	// endsToRefuse is the number of ends from which it may be refused, partEndsToRefuse that of
+	// requests with a part in common.
+	endsToRefuse     = 3
+	partEndsToRefuse = 5
+	// badPart is the part of prompts that ends each worker which begins to answer.
+	badPart = "bad00bad"
+	// subjects is the number of subjects that prompts are about.
+	subjects = 6
 )
 
+// usesBadPart reports whether the bad requests of a seed have a part in common.
+func usesBadPart(seed uint64) bool { return seed%2 == 1 }
+
+// endsBefore is the number of ends from which a seed's bad requests may be refused.
+func endsBefore(seed uint64) int {
+	if usesBadPart(seed) {
+		return partEndsToRefuse
+	}
+	return endsToRefuse
+}
+
+// promptParts returns a prompt of a part that all share, a subject, further parts and one of its own.
+func promptParts(random *rand.Rand, id string, more ...string) string {
+	parts := append([]string{"57570000", fmt.Sprintf("5b%06x", random.IntN(subjects))}, more...)
+	return strings.Join(append(parts, id), ":100,") + ":100"
+}
+
+// isBad tells whether the request ends each worker that begins to run it.
+func (r request) isBad() bool { return r.body == badBody || strings.Contains(r.parts, badPart) }
+
 func startBadCaller(c *callers) *badCaller {
 	b := &badCaller{callers: c}
 	c.done.Go(func() { b.run() })
@@ -51,6 +79,9 @@
 		}
 		client := &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}
 		r := request{id: fmt.Sprintf("bad%013x", count), entry: entry, path: "/once/bad", key: b.callers.operator.newestKey(), body: badBody}
+		if usesBadPart(b.callers.fleet.seed) {
+			r.body, r.parts = r.id, promptParts(random, r.id, badPart)
+		}
 		b.callers.send(client, &r)
 		b.callers.mu.Lock()
 		b.callers.requests = append(b.callers.requests, r)
@@ -68,7 +99,7 @@
 // settle lets the request come for a while once nothing is disturbed any more, if workers
 // ended under it before: by the end all hosts must have learned of it.
 func (b *badCaller) settle() {
-	if len(b.callers.fleet.runs.endsSoFar()) >= endsToRefuse {
+	if len(b.callers.fleet.runs.endsSoFar()) >= endsBefore(b.callers.fleet.seed) {
 		b.on.Store(true)
 		time.Sleep(badContact)
 	}
@@ -78,7 +109,7 @@
 // which no fault, nor of replicas, is known since badContact before.
 func (e evidence) badRuns(after time.Time) (out []string) {
 	for _, r := range e.requests {
-		if r.body != badBody || !r.sent.After(after) || e.disturbedSince(r) {
+		if !r.isBad() || !r.sent.After(after) || e.disturbedSince(r) {
 			continue
 		}
 		for _, one := range e.fleet.runs.of(r.id) {
@@ -103,11 +134,11 @@
 // checkBad checks that the request which ends workers is sent on no more once hosts have had
 // the time to learn of three ends, and not at all at the end.
 func (e evidence) checkBad() (out []string) {
-	ends := e.fleet.runs.endsSoFar()
-	if len(ends) < endsToRefuse {
+	ends, enough := e.fleet.runs.endsSoFar(), endsBefore(e.fleet.seed)
+	if len(ends) < enough {
 		return nil
 	}
-	if sent := e.badRuns(ends[endsToRefuse-1].Add(badContact)); len(sent) > maxSentOn {
+	if sent := e.badRuns(ends[enough-1].Add(badContact)); len(sent) > maxSentOn {
 		out = append(out, fmt.Sprintf("a request under which %d workers ended was sent on: %v", len(ends), sent))
 	}
 	if sent := e.badRuns(e.calm); !e.calm.IsZero() && len(sent) > 0 {
--- a/soak/checks_test.go
+++ b/soak/checks_test.go
@@ -131,7 +131,7 @@
 	if r.status == http.StatusOK && r.err == nil && !r.left && (r.answer != r.expected() || r.gotID != r.id) {
 		say("not the whole answer to its own request: %q under %q", r.answer, r.gotID)
 	}
-	if strings.HasPrefix(r.answer, "crashes_workers") && r.body != badBody {
+	if strings.HasPrefix(r.answer, "crashes_workers") && !r.isBad() {
 		say("refused for ends of workers that it only shared")
 	}
 	if slices.Contains(notRun, r.status) && len(ran) > 0 {
--- a/soak/clients_test.go
+++ b/soak/clients_test.go
@@ -33,6 +33,8 @@
 	answer string
 	gotID  string
 	err    error
+	// parts are those of its prompt.
+	parts string
 	// resumes is the request that brought the first event of a stream that this one resumes after the
 	// event lastEvent.
 	resumes   string
@@ -104,6 +106,7 @@
 			id: fmt.Sprintf("%02x%02x%012x", int(entry), number, count), entry: entry,
 			path: c.operator.path(random), key: c.operator.key(random), body: fmt.Sprintf("matter %d", random.IntN(1000)),
 		}
+		r.parts = promptParts(random, r.id)
 		r.leaves = strings.HasPrefix(r.path, "/stream/") && random.Float64() < leaveShare
 		c.send(client, &r)
 		c.record(r)
@@ -130,6 +133,9 @@
 	req.Header.Set(names.RequestID, r.id)
 	req.Header.Set(names.DeadlineMs, fmt.Sprint(callerDeadline.Milliseconds()))
 	req.Header.Set("Authorization", "Bearer "+r.key)
+	if r.parts != "" {
+		req.Header.Set(names.PromptParts, r.parts)
+	}
 	if r.resumes != "" {
 		req.Header.Set(names.Resumes, r.resumes)
 		req.Header.Set(names.LastEventID, fmt.Sprint(r.lastEvent))
--- a/soak/resumes_test.go
+++ b/soak/resumes_test.go
@@ -71,7 +71,7 @@
 		}
 		entries := c.fleet.entries()
 		r = request{
-			id: fmt.Sprintf("%sr%d", first, try), entry: entries[random.IntN(len(entries))], path: r.path, key: r.key, body: r.body,
+			id: fmt.Sprintf("%sr%d", first, try), entry: entries[random.IntN(len(entries))], path: r.path, key: r.key, body: r.body, parts: r.parts,
 			resumes: first, lastEvent: last,
 		}
 		c.send(&http.Client{Transport: &http.Transport{DisableKeepAlives: true}}, &r)
--- a/soak/worker_test.go
+++ b/soak/worker_test.go
@@ -270,7 +270,7 @@
 	}
 	life := w.lives()
 	w.runs.begin(id, one)
-	if string(body) == badBody {
+	if string(body) == badBody || strings.Contains(r.Header.Get(names.PromptParts), badPart) {
 		w.endUnder(life)
 		panic(http.ErrAbortHandler)
 	}
