--- a/core/requests/requests.go
+++ b/core/requests/requests.go
@@ -140,8 +140,7 @@
 	brokenOffAt table.Table[ident.Target, time.Time]
 	// streams are the versions that began streams.
 	streams streamOrigins
-	// startedAt is when the host started; zero if requests do not wait for the start. waiting
-	// holds the requests that do.
+	// startedAt is when the host started, zero if requests do not wait for that; waiting holds those that do.
 	startedAt time.Time
 	waiting   table.Table[ident.Request, waitingRequest]
 	// resumedAt is when the process last resumed after a stall; zero if it never stood still.
