--- a/core/requests/brittleroom.go
+++ b/core/requests/brittleroom.go
@@ -67,7 +67,7 @@
 		if m.state != registry.Ready {
 			continue
 		}
-		slots, others := m.placement.Value().slots, int(t.reportedLoads[loads.TagOfKey(m.key)])
+		slots, others := m.placement.Value().slots, t.reportedLoads[loads.TagOfKey(m.key)]
 		part := max(1, slots/max(1, t.hostCount)) + extra + 1
 		growing := min(others, t.hostCount-1)
 		if slots < t.hostCount && others > 0 {
