core/requests: Confirm refused connections only by new ones

Cause: any response of another worker confirmed that refused connections proved the ends of processes, also one over a connection that was kept. Host 4 counted 42 and 32 requests of two workers in one millisecond that way.

--- a/core/requests/contact.go
+++ b/core/requests/contact.go
@@ -125,7 +125,6 @@
 	if newlyConnected || t.contact.timedOut {
 		t.recordConnected(id)
 	}
-	t.confirmRefusals(id)
 	t.contact.respondedAt = t.now
 	if w, ok := t.workers.Get(id); ok && w.Zone == t.settings.Zone {
 		t.contact.zoneRespondedAt = t.now
