core/crashes, core/host: Refuse no part of prompts while nothing else is answered

Cause: hosts out of contact get no answers, which alone excuse a part that is in progress at each end of a worker.

Change: a part is refused only if some host reports an answer to any request with shared parts since the first of its crashes, for which answers are reported under a Content of their own. The first probe of a refused part comes after 15 s, as it may have been mistaken for the cause. Renewals of a refusal are counted from the times of crashes, so that the order of reports does not matter, which the shorter gap of 5 s made visible.

--- a/core/crashes/candidate.go
+++ b/core/crashes/candidate.go
@@ -56,3 +56,24 @@
 		return !slices.ContainsFunc(other.crashes, one.isSameCrash)
 	})
 }
+
+// othersAnswered reports whether workers answered requests since the first of the crashes of a part. Without
+// that, nothing shows that requests without the part fare better.
+func (e Evidence) othersAnswered(crashes []Crash) bool {
+	at, ok := e.answered.Get(AnyPart)
+	return ok && at.After(crashes[0].EndedAt)
+}
+
+// renewalGap is the time without a crash after which another one renews a refusal.
+const renewalGap = 5 * time.Second
+
+// renewalsIn counts the crashes, in order of time, that renew a refusal.
+func renewalsIn(crashes []Crash) int {
+	n := 0
+	for i := 1; i < len(crashes); i++ {
+		if crashes[i].EndedAt.Sub(crashes[i-1].EndedAt) > renewalGap {
+			n++
+		}
+	}
+	return n
+}
--- a/core/crashes/crashes.go
+++ b/core/crashes/crashes.go
@@ -69,8 +69,10 @@
 	// partProbeAfter is how long requests with a refused part are sent to no worker at all. From then
 	// on each host sends one of them, at a time of its own, and no other while it awaits the
 	// result: an answer ends the refusal everywhere, a crash renews it. A part may be common, so it
-	// must not be refused as long as a single request.
-	partProbeAfter = 2 * time.Minute
+	// must not be refused as long as a single request, and firstPartProbeAfter, for the first probe,
+	// is shorter: the part may have been mistaken for the cause.
+	partProbeAfter      = 2 * time.Minute
+	firstPartProbeAfter = 15 * time.Second
 	// partProbeSpacing is the mean time between the probes of two hosts, minPartProbeSpread the
 	// least time over which all are spread. The result of a probe reaches other hosts within
 	// seconds.
--- a/core/crashes/evidence.go
+++ b/core/crashes/evidence.go
@@ -61,13 +61,10 @@
 type crashRecord struct {
 	crashes  []Crash
 	attempts []string
-	// renewals counts the crashes that came more than renewalGap after the one before.
+	// renewals counts those among the forgotten crashes.
 	renewals int
 }
 
-// renewalGap is the time without a crash after which another one renews a refusal.
-const renewalGap = time.Minute
-
 // Len returns the number of requests remembered.
 func (e Evidence) Len() int { return e.byContent.Len() }
 
@@ -87,7 +84,6 @@
 		return e
 	}
 	record, _ := e.byContent.Get(content)
-	renewals := record.renewals
 	if c.Attempt != "" && slices.Contains(record.attempts, c.Attempt) {
 		return e
 	}
@@ -98,13 +94,12 @@
 			updated[i].SentAt = c.SentAt
 		}
 	} else {
-		if len(updated) > 0 && c.EndedAt.Sub(lastCrashAt(updated)) > renewalGap {
-			renewals++
-		}
 		updated = append(updated, c)
 	}
 	slices.SortStableFunc(updated, func(a, b Crash) int { return a.EndedAt.Compare(b.EndedAt) })
-	updated = updated[max(0, len(updated)-maxCrashes):]
+	forgotten := max(0, len(updated)-maxCrashes)
+	renewals := record.renewals + renewalsIn(updated[:min(len(updated), forgotten+1)])
+	updated = updated[forgotten:]
 	if len(record.crashes) == 0 && e.byContent.Len() >= maxContents {
 		e = e.withoutOldest()
 	}
@@ -205,6 +200,9 @@
 		if n < crashesToWatch {
 			continue
 		}
+		if c.content.IsPart() && !e.othersAnswered(remaining) {
+			n = crashesToWatch
+		}
 		if n >= CrashesToRefuse {
 			attributed.add(remaining)
 		}
@@ -233,7 +231,7 @@
 		if n := countAttributed(possible); n >= crashesToWatch {
 			answeredAt, _ := e.answered.Get(content)
 			out = append(out, candidate{
-				content: content, crashes: possible, attributed: n, renewals: record.renewals, answeredAt: answeredAt,
+				content: content, crashes: possible, attributed: n, renewals: record.renewals + renewalsIn(record.crashes), answeredAt: answeredAt,
 			})
 		}
 	}
--- a/core/crashes/parts.go
+++ b/core/crashes/parts.go
@@ -11,6 +11,9 @@
 	"github.com/yardhall/yardhall/core/table"
 )
 
+// AnyPart is the Content under which hosts report answers to requests with any shared part.
+var AnyPart = ContentOfPart("", "")
+
 // PartProbes are the requests with refused parts that one host has sent to find out whether the part still
 // crashes workers. It is immutable; the zero value is empty.
 type PartProbes struct {
@@ -35,13 +38,21 @@
 	if !ok || e.Crashes < CrashesToRefuse || slices.ContainsFunc(e.Beside, func(c Content) bool { return !slices.Contains(parts, c) }) {
 		return time.Time{}, false
 	}
-	until = e.At.Add(partProbeAfter + probeOffset(part, host, hosts))
+	until = e.At.Add(e.probeAfter() + probeOffset(part, host, hosts))
 	if sentAt, ok := probes.sentAt.Get(part); ok && !sentAt.Before(until) {
 		until = sentAt.Add(partProbeResult)
 	}
 	return until, now.Before(until)
 }
 
+// probeAfter returns how long after the last crash a refused part is probed.
+func (e Entry) probeAfter() time.Duration {
+	if e.Crashes == CrashesToRefuse {
+		return firstPartProbeAfter
+	}
+	return partProbeAfter
+}
+
 // probeOffset spreads the probes of hosts over time.
 func probeOffset(part Content, host ident.Host, hosts int) time.Duration {
 	spread := max(minPartProbeSpread, time.Duration(hosts)*partProbeSpacing)
--- a/core/host/crashes.go
+++ b/core/host/crashes.go
@@ -74,7 +74,9 @@
 // queueKnownAnswers queues reports of the answers that this host remembers for requests on the
 // crash list.
 func (t *transition) queueKnownAnswers() {
+	watchesPart := false
 	for _, e := range t.requests.CrashList().Entries() {
+		watchesPart = watchesPart || e.Crashes > 0 && e.Content.IsPart()
 		at, ok := t.requests.AnsweredAt(e.Content, t.now)
 		if !ok {
 			at, ok = t.crashes.recentAnswers.LastAnswered(e.Content, t.now)
@@ -83,6 +85,9 @@
 			t.queueAnswerReport(e.Content, at)
 		}
 	}
+	if at, ok := t.requests.AnsweredAt(crashes.AnyPart, t.now); ok && watchesPart {
+		t.queueAnswerReport(crashes.AnyPart, at)
+	}
 }
 
 // answerEntries returns the queued answer reports. Once the report window is over, it drops them.
--- a/core/requests/crashparts.go
+++ b/core/requests/crashparts.go
@@ -60,6 +60,10 @@
 
 // recordPartAnswers records that a worker answered a call, so that no part of its prompt crashes all workers.
 func (t *transition) recordPartAnswers(c call) {
+	if len(c.parts) == 0 {
+		return
+	}
+	t.parts.answers = t.parts.answers.With(crashes.AnyPart, t.now)
 	for _, p := range c.parts {
 		t.parts.answers = t.parts.answers.With(p, t.now)
 		t.crashList = t.crashList.WithAnswer(p, t.now)
