--- a/core/host/origins.go
+++ b/core/host/origins.go
@@ -12,7 +12,7 @@
 	"github.com/yardhall/yardhall/core/table"
 )
 
-// Package requests needs the origin of a stream that its caller takes up at another host than the one that
+// Package requests needs the origin of a stream that its caller resumes at another host than the one that
 // began it. Hosts report the streams that they begin in polls, each in two polls as one may be lost.
 // Replicas and hubs keep the reports, and a hub passes them on in its own polls. A host that looks an origin
 // up names the stream in polls until it is found or no longer looked for, and the replies give what the
--- a/core/host/origins_test.go
+++ b/core/host/origins_test.go
@@ -17,7 +17,7 @@
 	"github.com/yardhall/yardhall/core/requests"
 )
 
-// These tests guard against a stream that its caller takes up at any host and that goes on there at another
+// These tests guard against a stream that its caller resumes at any host and that goes on there at another
 // version than the one that began it, or nowhere although that version is known and serves.
 
 // streamFleet simulates a fleet with workers of several versions.
--- a/core/origins/origins.go
+++ b/core/origins/origins.go
@@ -1,7 +1,7 @@
 // Copyright 2026 The Yardhall Authors. Licensed under the Apache License, Version 2.0.
 
 // Package origins records which version of a service began each stream, so that a stream that
-// broke off goes on at that version, whichever host its caller takes it up at.
+// broke off goes on at that version, whichever host its caller resumes it at.
 //
 // # Usage
 //
--- a/core/requests/origin.go
+++ b/core/requests/origin.go
@@ -13,7 +13,7 @@
 
 // What workers of two versions write does not fit together, and workers do not check it. A stream
 // therefore goes on only at workers of the service and the version that sent its first event, within an
-// answer and where its caller takes it up at any host.
+// answer and where its caller resumes it at any host.
 //
 // A host knows the origins of the streams that it began. The caller of another one names the request that
 // brought the first event, and the host looks its origin up at replicas or hubs, to which all hosts report
@@ -40,7 +40,7 @@
 	// known are those of the streams begun here, and those that were looked up.
 	known origins.Store
 	// unreported are the streams begun here since origins were last taken for a report, but for those
-	// that ended whole. reportDue is set if one of them broke off: its caller will take it up soon.
+	// that ended whole. reportDue is set if one of them broke off: its caller will resume it soon.
 	unreported origins.Report
 	reportDue  bool
 }
--- a/core/requests/origin_test.go
+++ b/core/requests/origin_test.go
@@ -48,7 +48,7 @@
 	return only(t, decisions)
 }
 
-// resuming returns a request that takes up the stream that another one began.
+// resuming returns a request that resumes the stream that another one began.
 func resuming(id, first string) requests.Request {
 	r := request(id, "/resumable/x")
 	r.Resumed, r.Resumes = true, ident.Request(first)
@@ -190,7 +190,7 @@
 }
 
 // TestStreamGoesOnAtItsService guards against a route that is divided between services and sends a stream
-// to another one when its caller takes it up.
+// to another one when its caller resumes it.
 func TestStreamGoesOnAtItsService(t *testing.T) {
 	g := table()
 	g.Number = 2
--- a/soak/resumes_test.go
+++ b/soak/resumes_test.go
@@ -14,7 +14,7 @@
 )
 
 // Workers have one of two versions, side by side and without an order, unless versions are rolled out or an
-// earlier program takes part, which lets streams change version. Callers take streams that broke off up at
+// earlier program takes part, which lets streams change version. Callers resume streams that broke off at
 // any entry host.
 
 // versionMark stands before the version in each event of a stream.
@@ -62,7 +62,7 @@
 // events counts the events in the answer.
 func (r request) events() int { return strings.Count(r.answer, versionMark) }
 
-// resume takes a stream that broke off up at any entry host, as often as a caller has patience for.
+// resume resumes a stream that broke off at any entry host, as often as a caller has patience for.
 func (c *callers) resume(r request, random *rand.Rand) {
 	first, last := r.id, r.events()
 	for try := range maxAttempts {
