core/requests: Tell a caller to wait only once

Cause: a request that waited after a stall, and then for the origin of the stream that it resumes, was given a second Wait, decided during the event of another request. That request's goroutine took it for its own and awaited the other's stream.

Change: a request that waits already is queued again without a Wait.

Evidence: TestRequestWaitsOnce fails without the change.

--- a/core/requests/origin.go
+++ b/core/requests/origin.go
@@ -164,8 +164,8 @@
 	if d := w.request.Deadline; !d.IsZero() && d.Before(w.deadline) {
 		w.deadline = d
 	}
-	t.waiting = t.waiting.With(w.request.ID, w)
-	t.out = append(t.out, Wait{Request: w.request.ID}, LookUpOrigin{Stream: origins.KeyOf(w.request.Resumes)})
+	t.enqueue(w)
+	t.out = append(t.out, LookUpOrigin{Stream: origins.KeyOf(w.request.Resumes)})
 	t.refuseLeastUrgent()
 }
 
--- a/core/requests/origin_test.go
+++ b/core/requests/origin_test.go
@@ -11,6 +11,7 @@
 	"pgregory.net/rapid"
 
 	"github.com/yardhall/yardhall/core/config"
+	"github.com/yardhall/yardhall/core/confirmation"
 	"github.com/yardhall/yardhall/core/hash"
 	"github.com/yardhall/yardhall/core/ident"
 	"github.com/yardhall/yardhall/core/origins"
@@ -318,3 +319,17 @@
 		}
 	})
 }
+
+// TestRequestWaitsOnce guards against a second Wait for a request that waits after a stall and then for the origin
+// of its stream: decided during another request's event, it would give that caller the stream of this one.
+func TestRequestWaitsOnce(t *testing.T) {
+	s := versionedHost(2, "v1", "v2").WithResumedAt(start.Add(time.Millisecond))
+	s, decisions := requests.Reduce(s, requests.Arrived{Request: resuming("a", "first")}, start.Add(2*time.Millisecond))
+	require.Equal(t, requests.Wait{Request: "a"}, only(t, decisions))
+	confirmed := requests.Confirmed{Confirmation: confirmation.At(start.Add(10 * time.Millisecond))}
+	s, decisions = requests.Reduce(s, confirmed, start.Add(10*time.Millisecond))
+	require.Equal(t, requests.LookUpOrigin{Stream: origins.KeyOf("first")}, only(t, decisions))
+	found := requests.OriginFound{Stream: origins.KeyOf("first"), Origin: origins.Origin{Service: "engines", Version: "v2"}}
+	_, decisions = requests.Reduce(s, found, start.Add(30*time.Millisecond))
+	require.Equal(t, ident.Request("a"), requireVersion(t, "v2", only(t, decisions)).Request)
+}
--- a/core/requests/start.go
+++ b/core/requests/start.go
@@ -43,6 +43,8 @@
 	deadline time.Time
 	// afterStall is set if the request waits after a stall of the process, not for its start.
 	afterStall bool
+	// isQueued is set once a Wait was decided for the request; it must be the only one.
+	isQueued bool
 	// awaitsOrigin is set if the request waits, from originSince on, until it is known which version
 	// began its stream; originSearched is set once that wait is over.
 	awaitsOrigin   bool
@@ -121,12 +123,20 @@
 
 // queue adds a request to those that wait, and refuses the least urgent one if there are too many.
 func (t *transition) queue(w waitingRequest) {
-	t.waiting = t.waiting.With(w.request.ID, w)
 	t.counters.Waited++
-	t.out = append(t.out, Wait{Request: w.request.ID})
+	t.enqueue(w)
 	t.refuseLeastUrgent()
 }
 
+// enqueue adds a request to those that wait, and tells its caller to wait unless it does so already.
+func (t *transition) enqueue(w waitingRequest) {
+	if !w.isQueued {
+		w.isQueued = true
+		t.out = append(t.out, Wait{Request: w.request.ID})
+	}
+	t.waiting = t.waiting.With(w.request.ID, w)
+}
+
 // waitDeadline returns the time until which a request may wait, and its rank. The time is the end
 // of StartupTimeout, the request's deadline or the end of its route's timeout, whichever is
 // earliest.
