gateway: Carry out no decision on another request

Cause: the gateway took the last decision that an event yielded for that of its own request, whichever it concerned. An event may also decide on requests that wait.

Change: a decision is carried out only for the request that it concerns.

--- a/gateway/call.go
+++ b/gateway/call.go
@@ -27,7 +27,7 @@
 
 // run carries out the core's decisions until the request is finished.
 func (c *serverCall) run(req requests.Request) {
-	next := c.server.nextDecision(requests.Arrived{Request: req})
+	next := c.server.nextDecision(req.ID, requests.Arrived{Request: req})
 	for {
 		switch d := next.(type) {
 		case requests.Wait:
@@ -35,9 +35,9 @@
 			c.observed.StartupWait = c.server.now().Sub(c.startedAt)
 		case requests.Pause:
 			sleep(c.request.Context(), d.For)
-			next = c.server.nextDecision(requests.PauseEnded{Request: d.Request, CallerWaiting: c.request.Context().Err() == nil})
+			next = c.server.nextDecision(req.ID, requests.PauseEnded{Request: d.Request, CallerWaiting: c.request.Context().Err() == nil})
 		case requests.Dispatch:
-			next = c.server.nextDecision(c.attempt(d))
+			next = c.server.nextDecision(req.ID, c.attempt(d))
 		case requests.Finish:
 			c.observed.Inputs = d.Inputs
 			c.finish(d.Verdict)
--- a/gateway/server.go
+++ b/gateway/server.go
@@ -177,21 +177,36 @@
 	return false
 }
 
-// nextDecision reports an event to the core and returns the next decision for its request, or
-// nil. Connection probes that the core asks for are started in the background.
-func (s *Server) nextDecision(ev requests.Event) requests.Decision {
+// nextDecision reports an event of a request to the core and returns the next decision for that
+// request, or nil. Decisions on other requests must not reach its caller. Connection probes that the
+// core asks for are started in the background.
+func (s *Server) nextDecision(id ident.Request, ev requests.Event) requests.Decision {
 	var next requests.Decision
 	for _, d := range s.core.Decide(ev) {
-		switch d := d.(type) {
-		case requests.ProbeConnection:
-			s.Probe(d)
-		case requests.Dispatch, requests.Pause, requests.Wait, requests.Finish:
+		if probe, ok := d.(requests.ProbeConnection); ok {
+			s.Probe(probe)
+		} else if concerned, ok := requestOf(d); ok && concerned == id {
 			next = d
 		}
 	}
 	return next
 }
 
+// requestOf returns the request that a decision sends, delays or ends; false for other decisions.
+func requestOf(d requests.Decision) (ident.Request, bool) {
+	switch d := d.(type) {
+	case requests.Dispatch:
+		return d.Request, true
+	case requests.Pause:
+		return d.Request, true
+	case requests.Wait:
+		return d.Request, true
+	case requests.Finish:
+		return d.Request, true
+	}
+	return "", false
+}
+
 // Probe checks in the background whether a worker that may be unreachable accepts connections,
 // reports the result to the core and adds the connection to the pool.
 func (s *Server) Probe(p requests.ProbeConnection) { go s.probe(p.Worker) }
