daemon: Give waiting requests the pauses decided for them

What callers saw: a request that had waited for its host's start, and then found no room at brittle workers, was paused on the goroutine of another request, which then got its answer, or never went on.

Cause: the loop handed dispatches and ends to waiting requests, and no pauses.

Change: pauses too. Evidence: TestWaitingRequestsGetTheirDecisions fails without.

--- a/daemon/requestcore.go
+++ b/daemon/requestcore.go
@@ -21,6 +21,8 @@
 		return false
 	case requests.Dispatch:
 		id = d.Request
+	case requests.Pause:
+		id = d.Request
 	case requests.Finish:
 		id = d.Request
 	}
