core/crashes: Probe a refused part for the first time after a minute

Cause: 15 s until the first probe were meant for parts that are refused by mistake, which makes rare, and cost a worker where they are not.

Change: a minute.

--- a/core/crashes/crashes.go
+++ b/core/crashes/crashes.go
@@ -72,7 +72,7 @@
 	// must not be refused as long as a single request, and firstPartProbeAfter, for the first probe,
 	// is shorter: the part may have been mistaken for the cause.
 	partProbeAfter      = 2 * time.Minute
-	firstPartProbeAfter = 15 * time.Second
+	firstPartProbeAfter = time.Minute
 	// partProbeSpacing is the mean time between the probes of two hosts, minPartProbeSpread the
 	// least time over which all are spread. The result of a probe reaches other hosts within
 	// seconds.
