core/crashes: Hold crashes against requests as if there were no parts

Cause: suspected, not shown: parts of prompts came before requests where more crashes were in progress under them, and took crashes from the request, whose entry then depended on parts that it may lack.

Change: requests are evaluated first, among themselves, as before parts counted; a part of which every crash is held against refused requests is passed over.

Evidence: TestPartIsFoundAmongInnocentOnes; TestCrashingPartIsRefused as before, 3 to 11 crashes and none sent late.

--- a/core/crashes/evidence.go
+++ b/core/crashes/evidence.go
@@ -192,10 +192,18 @@
 // it.
 func (e Evidence) Evaluate(now time.Time) []Entry {
 	var out []Entry
-	attributed := workerCrashes{}
-	candidates := e.candidates()
-	for _, c := range candidates {
+	// Parts take no crashes from requests, which are refused however many share their parts.
+	byRequests, byParts := workerCrashes{}, workerCrashes{}
+	all := e.candidates()
+	for _, c := range all {
+		attributed := byRequests
+		if c.content.IsPart() {
+			attributed = byParts
+		}
 		remaining := attributed.without(c.crashes)
+		if c.content.IsPart() && len(byRequests.without(c.crashes)) == 0 {
+			continue
+		}
 		n := countAttributed(remaining)
 		if n < crashesToWatch {
 			continue
@@ -207,9 +215,7 @@
 			attributed.add(remaining)
 		}
 		if at := lastCrashAt(remaining); now.Sub(at) <= Retention {
-			out = append(out, Entry{
-				Content: c.content, Crashes: c.listedCrashes(n), At: at, Beside: c.indistinguishable(candidates),
-			})
+			out = append(out, Entry{Content: c.content, Crashes: c.listedCrashes(n), At: at, Beside: c.indistinguishable(all)})
 		}
 	}
 	return out
@@ -236,8 +242,8 @@
 		}
 	}
 	slices.SortStableFunc(out, func(a, b candidate) int {
-		return cmp.Or(cmp.Compare(b.attributed, a.attributed), cmp.Compare(len(b.crashes), len(a.crashes)),
-			cmp.Compare(a.isPart(), b.isPart()), a.answeredAt.Compare(b.answeredAt),
+		return cmp.Or(cmp.Compare(a.isPart(), b.isPart()), cmp.Compare(b.attributed, a.attributed), cmp.Compare(len(b.crashes), len(a.crashes)),
+			a.answeredAt.Compare(b.answeredAt),
 			a.crashes[0].EndedAt.Compare(b.crashes[0].EndedAt), cmp.Compare(a.content, b.content))
 	})
 	return out
