--- a/core/host/registrationflow_test.go
+++ b/core/host/registrationflow_test.go
@@ -41,14 +41,19 @@
 	f.run(8 * time.Second)
 	require.True(t, f.putTable(f.leader(), f.table(1, "k"), time.Second))
 	for i := range manyRegistrations {
-		f.reduce(replicaName(i%6), host.HeartbeatReceived{Worker: registry.Worker{
-			ID: ident.Target(fmt.Sprintf("i-%05d", i)), Pool: "pool", Zone: zoneName(i % 3),
-			Address: fmt.Sprintf("10.9.%d.%d:80", i/250, i%250), Slots: 64, Seq: 1, Born: registry.Incarnation(1_700_000_000_000 + i*7919),
-		}})
+		f.reduce(replicaName(i%6), host.HeartbeatReceived{Worker: registrationOf(i)})
 	}
 	return f
 }
 
+// registrationOf returns one of the workers as it registers.
+func registrationOf(i int) registry.Worker {
+	return registry.Worker{
+		ID: ident.Target(fmt.Sprintf("i-%05d", i)), Pool: "pool", Zone: zoneName(i % 3),
+		Address: fmt.Sprintf("10.9.%d.%d:80", i/250, i%250), Slots: 64, Seq: 1, Born: registry.Incarnation(1_700_000_000_000 + i*7919),
+	}
+}
+
 // queueingDelay returns how long a message waits for the sender's link.
 func (f *linkedFleet) queueingDelay(p seededPacket) time.Duration {
 	m, ok := p.message.(host.PollReply)
