core/host: Send lost updates again while later ones follow

An update lost on the way to a hub or a host, as when a connection is replaced, counted as in transit until 0.6 s (2 s after a full batch) had passed since the last update, and every later update restarted that time. While a release changes workers several times a second, nothing was ever sent again; what was lost stayed unknown until the changes paused.

A window for each client now tracks what is acknowledged and since when nothing has been, whatever was sent since. A client that receives an update which does not follow the last one polls at once and says so; its hub or replica sends again from there. Earlier versions ignore the field and get the timeout.

--- a/core/host/clients.go
+++ b/core/host/clients.go
@@ -35,16 +35,13 @@
 
 // client is a host that polls this one.
 type client struct {
-	// version and revision are the route table and registrations that the client holds.
+	// version is the route table that the client holds.
 	version     config.Version
-	revision    uint64
 	lastPoll    time.Time
 	incarnation uint64
-	// sentRevision is the revision up to which registrations were sent at sentAt; updatedAt is when
-	// registrations were last sent.
-	sentRevision uint64
-	sentAt       time.Time
-	updatedAt    time.Time
+	// registrations is the window of registrations, by revision; updatedAt is when some were last sent.
+	registrations sendWindow
+	updatedAt     time.Time
 	// sentFull is set if the registrations sent last were a full batch. skipsWorkers is set if the
 	// client wants none for now.
 	sentFull     bool
@@ -123,37 +120,44 @@
 // newClient returns the client described by a poll, with what is known from earlier ones.
 func (t *transition) newClient(from ident.Host, m Poll) client {
 	c := client{
-		version: m.Version, revision: m.Revision, lastPoll: t.now, receivesTable: m.Table, serves: m.Serves, loads: m.Loads,
+		version: m.Version, lastPoll: t.now, receivesTable: m.Table, serves: m.Serves, loads: m.Loads,
 		incarnation: m.Boot, host: hubs.Host{Host: from, Zone: m.Zone, Relay: m.Relay}, primary: m.Home, group: m.Group,
 		fallback: m.Neighbour, crashList: m.CrashList, supportsZones: m.KnowsZones, zonesRevision: m.Zones,
 		knowsRollouts: m.KnowsRollouts, earlierHosts: m.EarlierHosts, rolloutsRevision: m.Rollouts,
 		skipsWorkers: m.SkipWorkers,
 	}
+	revision := m.Revision
 	if m.Epoch != t.settings.Incarnation {
-		c.revision = 0
+		revision = 0
 	}
-	if c.revision == 0 && m.WorkersDigest != 0 && m.WorkersDigest == t.registry.Digest() {
-		c.revision, c.holdsAll = t.registry.Revision(), true
+	if revision == 0 && m.WorkersDigest != 0 && m.WorkersDigest == t.registry.Digest() {
+		revision, c.holdsAll = t.registry.Revision(), true
 	}
 	previous, known := t.seeded.clients.Get(from)
 	if !known || previous.incarnation != c.incarnation {
+		c.registrations = newSendWindow(revision)
 		return c
 	}
-	c.updatedAt = previous.updatedAt
+	c.updatedAt, c.sentFull = previous.updatedAt, previous.sentFull
 	if !m.Grouped {
 		c.group = previous.group
 	}
-	if previous.sentRevision > c.revision && t.now.Sub(previous.sentAt) < previous.transitTime() {
-		// The registrations sent last are probably still in transit; sending them again would only
-		// add to the congestion.
-		c.revision, c.sentRevision, c.sentAt = previous.sentRevision, previous.sentRevision, previous.sentAt
-		c.sentFull = previous.sentFull
-	} else if previous.sentFull && c.revision == previous.sentRevision {
-		t.seeded.bulk = t.seeded.bulk.withAcknowledged(t.now.Sub(previous.sentAt))
+	if previous.sentFull && revision > previous.registrations.acknowledged && revision == previous.registrations.sent {
+		t.seeded.bulk = t.seeded.bulk.withAcknowledged(t.now.Sub(previous.updatedAt))
 	}
+	c.registrations = t.acknowledge(previous.registrations, revision, m.Missed, previous.transitTime())
 	return c
 }
 
+// acknowledge returns a client's window after a poll, and counts updates that were lost.
+func (t *transition) acknowledge(w sendWindow, n uint64, missed bool, timeout time.Duration) sendWindow {
+	next := w.withAcknowledged(n, missed, timeout, t.now)
+	if next.sent < w.sent {
+		t.counters.UpdatesResent++
+	}
+	return next
+}
+
 // isFromEarlierProcess reports whether a poll was delayed so long that a newer process at the same
 // address has polled since.
 func (t *transition) isFromEarlierProcess(from ident.Host, m Poll) bool {
@@ -183,9 +187,10 @@
 
 // sendReply sends a client what it lacks and records what it holds then.
 func (t *transition) sendReply(to ident.Host, c client, m Poll) {
-	batch := workerBatch{revision: c.revision}
+	since := c.registrations.sent
+	batch := workerBatch{revision: since}
 	if !t.hubsExpected() && !c.skipsWorkers {
-		batch = t.nextWorkers(c.revision)
+		batch = t.nextWorkers(since)
 	}
 	if !c.supportsZones {
 		batch.packed = t.workersForEarlierVersion(batch.packed)
@@ -194,7 +199,7 @@
 	r := PollReply{
 		Zones: t.currentZones(), Zone: t.settings.Zone,
 		Round: m.Round, Version: version,
-		Epoch: t.settings.Incarnation, Since: c.revision, Revision: batch.revision, Workers: batch.packed,
+		Epoch: t.settings.Incarnation, Since: since, Revision: batch.revision, Workers: batch.packed,
 		NewestRevision: t.registry.Revision(),
 		CrashList:      t.requests.CrashList().Key, CrashEntries: t.crashEntriesFor(c.crashList),
 		Origins: t.originsFor(m.LookedUp),
@@ -223,8 +228,8 @@
 		c.version = version
 		t.seeded.bulk.sent += len(r.Gateway)
 	}
-	if batch.revision > c.revision {
-		c.revision, c.sentRevision, c.sentAt, c.updatedAt, c.sentFull = batch.revision, batch.revision, t.now, t.now, batch.full
+	if batch.revision > since {
+		c.registrations, c.updatedAt, c.sentFull = c.registrations.withSent(batch.revision, t.now), t.now, batch.full
 	}
 	t.seeded.clients = t.seeded.clients.With(to, c)
 	t.send(to, r)
--- a/core/host/counters.go
+++ b/core/host/counters.go
@@ -41,6 +41,10 @@
 	HeartbeatsInvalid uint64
 	// RegistrationsDropped counts the workers dropped or turned away because the registry was full.
 	RegistrationsDropped uint64
+	// UpdatesResent counts the times that updates were sent to a client again, as it had lost them.
+	// UpdatesMissed counts the times that this host noticed that it had lost updates.
+	UpdatesResent uint64
+	UpdatesMissed uint64
 	// Stalls counts the times that an entry host's process stood still for over a second.
 	Stalls uint64
 	// MembershipRisks are, on the leader, the failures that the members of the log would not
--- a/core/host/overload_test.go
+++ b/core/host/overload_test.go
@@ -313,6 +313,7 @@
 		"replaced worker":  {Round: 8, Boot: 1, Replaced: []host.ReplacedWorker{{}}},
 		"crash":            {Round: 8, Boot: 1, Crashes: []host.CrashReport{{}}},
 		"crash list":       {Round: 8, Boot: 1, CrashEntries: []host.CrashEntry{{}}},
+		"lost updates":     {Round: 8, Boot: 1, Missed: true},
 		"deregistration":   {Leaves: true, Boot: 1},
 		"earlier process":  {Round: 8, Boot: 2},
 		"sent after later": {Round: 10, Boot: 1},
--- a/core/host/polling.go
+++ b/core/host/polling.go
@@ -64,6 +64,8 @@
 	lastReply       time.Time
 	lastUsefulReply time.Time
 	lost            bool
+	// missedAt is when updates that were lost were last requested from it.
+	missedAt time.Time
 	// crashList is the key of the crash list in its last reply.
 	crashList hash.Key
 	// zone is the contact's zone; empty if it has not said.
--- a/core/host/pollmessage.go
+++ b/core/host/pollmessage.go
@@ -79,6 +79,9 @@
 		// WorkersDigest is the digest of the workers that the host knows, if it holds none of the
 		// receiver's registrations; 0 if it knows no workers.
 		WorkersDigest registry.Digest
+		// Missed is set if the host received an update of the receiver that does not follow the last one
+		// that it holds, so that those in between are lost.
+		Missed bool
 		// KnowsRollouts is set by versions that support rollouts and have them enabled. EarlierHosts
 		// is set if another host that polls this one does not set it. Rollouts is the revision of
 		// the rollouts that the host holds. RolloutsInForce is the oldest revision that it, or any
--- a/core/host/pollreply.go
+++ b/core/host/pollreply.go
@@ -169,14 +169,37 @@
 			t.seeded.hub.pollSet = t.seeded.hub.pollSet.WithUsefulReply(t.now)
 		}
 	}
+	missed := false
 	switch {
 	case c.epoch != m.Epoch && m.Since == 0:
 		c.epoch, c.revision, c.registered = m.Epoch, m.Revision, false
 	case c.epoch == m.Epoch && m.Since <= c.revision:
 		c.revision = max(c.revision, m.Revision)
+	default:
+		missed = true
 	}
 	c.registered = c.registered || c.revision >= m.NewestRevision
 	t.seeded.contacts = t.seeded.contacts.With(from, c)
+	if missed {
+		t.requestMissed(from)
+	}
+}
+
+// missedPollInterval is the time between two requests for lost updates: several round trips.
+const missedPollInterval = 100 * time.Millisecond
+
+// requestMissed polls a contact at once for the updates that were lost on the way from it.
+func (t *transition) requestMissed(from ident.Host) {
+	c, _ := t.seeded.contacts.Get(from)
+	if t.now.Sub(c.missedAt) < missedPollInterval || !slices.Contains(t.seeded.hub.lastPolled, from) {
+		return
+	}
+	c.missedAt = t.now
+	t.seeded.contacts = t.seeded.contacts.With(from, c)
+	t.counters.UpdatesMissed++
+	m := t.buildPoll(from).withInForce(t.takeInForceReports())
+	m.Missed = true
+	t.sendPoll(from, m)
 }
 
 // requestMoreWorkers polls a contact again as soon as a batch of registrations has arrived and
--- a/core/host/precedence.go
+++ b/core/host/precedence.go
@@ -36,5 +36,6 @@
 // host has arrived. A poll with reports that the host sends once is not.
 func (m Poll) IsSuperseded(later Poll) bool {
 	reportsOnce := m.Leaves || m.Grouped || len(m.Beats) > 0 || len(m.Replaced) > 0 || len(m.Crashes) > 0 || len(m.CrashEntries) > 0
+	reportsOnce = reportsOnce || m.Missed && !later.Missed
 	return !reportsOnce && !later.Leaves && m.Boot == later.Boot && m.Round < later.Round
 }
