core/host: Send a client one full batch of registrations at a time

A hub that sends all registrations to its clients anew, after a change of hubs, sent each of them the next full batch without waiting for the last one.

What waits for a hub's link is bounded by 2.5 KB for each client, 80 KB at 32.

--- a/core/host/clients.go
+++ b/core/host/clients.go
@@ -83,6 +83,13 @@
 	return transitTime
 }
 
+// awaitsFullBatch reports whether a full batch of registrations is on its way to the client. No more are
+// sent until it has arrived, so that what waits for the link is bounded by a batch for each client, however
+// slow the link is.
+func (c client) awaitsFullBatch() bool {
+	return c.sentFull && c.registrations.sent > c.registrations.acknowledged
+}
+
 // handlePoll processes the reports in a host's poll and replies to it.
 func (t *transition) handlePoll(from ident.Host, m Poll) {
 	if m.Neighbour && t.settings.Serves && !t.seeded.hub.replies {
@@ -189,7 +196,7 @@
 func (t *transition) sendReply(to ident.Host, c client, m Poll) {
 	since := c.registrations.sent
 	batch := workerBatch{revision: since}
-	if !t.hubsExpected() && !c.skipsWorkers {
+	if !t.hubsExpected() && !c.skipsWorkers && !c.awaitsFullBatch() {
 		batch = t.nextWorkers(since)
 	}
 	if !c.supportsZones {
--- a/core/host/updates.go
+++ b/core/host/updates.go
@@ -52,7 +52,7 @@
 
 // registrationsDue reports whether to send a client registrations.
 func (t *transition) registrationsDue(c client) bool {
-	return !c.skipsWorkers && c.registrations.sent < t.registry.Revision() && t.now.Sub(c.updatedAt) >= t.updateInterval() && !t.hubsExpected()
+	return !c.skipsWorkers && !c.awaitsFullBatch() && c.registrations.sent < t.registry.Revision() && t.now.Sub(c.updatedAt) >= t.updateInterval() && !t.hubsExpected()
 }
 
 // crashListDue reports whether to send a client the crash list.
