core/host, core/departures: Report workers that leave ahead of all other registrations

Registrations travelled in the order of their changes, the newest last. Whenever a hub was replaced, or a host changed hubs, all registrations of the fleet went first, for seconds on its link. A host whose new hub waits for its turn got nothing at all from it. With all hubs lost, hosts poll the seeds and the leader's contact, and what other replicas had acknowledged was told by nobody.

Departures are now a short log of their own (core/departures), sent first in each reply and update, with a position that the receiver acknowledges; also to a client that wants no other registrations yet. Replicas add those of the last second to the messages of the replicated log, the leader those of all, so that each replica can tell hosts that poll only some. A host whose hubs are silent for a second polls one replica, another one each time, before it gives up its hubs after two.

The rig of the links now also delays messages with departures. Fields are only added; earlier versions get departures with all other registrations, as before.

--- a/core/host/clients.go
+++ b/core/host/clients.go
@@ -48,6 +48,12 @@
 	skipsWorkers bool
 	// holdsAll is set if the client has just reported that it knows all workers.
 	holdsAll bool
+	// departures is the window of departures, departuresAt is when some were last sent. allDepartures is set
+	// if the client wants those registered by other replicas, too.
+	knowsDepartures bool
+	allDepartures   bool
+	departures      sendWindow
+	departuresAt    time.Time
 	// receivesTable is set if the client gets the route table from this host.
 	receivesTable bool
 	serves        bool
@@ -131,21 +137,21 @@
 		incarnation: m.Boot, host: hubs.Host{Host: from, Zone: m.Zone, Relay: m.Relay}, primary: m.Home, group: m.Group,
 		fallback: m.Neighbour, crashList: m.CrashList, supportsZones: m.KnowsZones, zonesRevision: m.Zones,
 		knowsRollouts: m.KnowsRollouts, earlierHosts: m.EarlierHosts, rolloutsRevision: m.Rollouts,
-		skipsWorkers: m.SkipWorkers,
+		skipsWorkers: m.SkipWorkers, knowsDepartures: m.KnowsDepartures, allDepartures: m.AllDepartures,
 	}
-	revision := m.Revision
+	revision, departuresUpTo := m.Revision, m.Departures
 	if m.Epoch != t.settings.Incarnation {
-		revision = 0
+		revision, departuresUpTo = 0, 0
 	}
 	if revision == 0 && m.WorkersDigest != 0 && m.WorkersDigest == t.registry.Digest() {
 		revision, c.holdsAll = t.registry.Revision(), true
 	}
 	previous, known := t.seeded.clients.Get(from)
 	if !known || previous.incarnation != c.incarnation {
-		c.registrations = newSendWindow(revision)
+		c.registrations, c.departures = newSendWindow(revision), newSendWindow(departuresUpTo)
 		return c
 	}
-	c.updatedAt, c.sentFull = previous.updatedAt, previous.sentFull
+	c.updatedAt, c.sentFull, c.departuresAt = previous.updatedAt, previous.sentFull, previous.departuresAt
 	if !m.Grouped {
 		c.group = previous.group
 	}
@@ -153,6 +159,7 @@
 		t.seeded.bulk = t.seeded.bulk.withAcknowledged(t.now.Sub(previous.updatedAt))
 	}
 	c.registrations = t.acknowledge(previous.registrations, revision, m.Missed, previous.transitTime())
+	c.departures = t.acknowledge(previous.departures, departuresUpTo, m.Missed, transitTime)
 	return c
 }
 
@@ -211,6 +218,7 @@
 		CrashList:      t.requests.CrashList().Key, CrashEntries: t.crashEntriesFor(c.crashList),
 		Origins: t.originsFor(m.LookedUp),
 	}
+	r, c = t.withDepartures(r, c)
 	if c.holdsAll {
 		r.Since, c.holdsAll = 0, false
 	}
--- a/core/host/fallback.go
+++ b/core/host/fallback.go
@@ -114,6 +114,7 @@
 		KnowsRollouts: t.RolloutsEnabled(), Rollouts: t.seeded.rollouts.held.Revision,
 		Version: t.config.Version, Lead: true, Table: t.tableOverdue(), Epoch: c.epoch, Revision: c.revision,
 		Boot: t.settings.Incarnation, Zone: t.settings.Zone, Neighbour: true,
+		KnowsDepartures: true, Departures: c.departures,
 		CrashList: t.requests.CrashList().Key, CrashEntries: t.crashEntriesFor(c.crashList),
 	}
 }
@@ -125,6 +126,7 @@
 	// count as contact with them.
 	m.Cut = true
 	t.recordReply(from, m)
+	t.applyDepartures(from, m)
 	t.applyRegistrations(from, m)
 	t.handleCrashEntries(from, m.CrashEntries)
 	t.handleFoundOrigins(from, m.Origins)
--- a/core/host/host.go
+++ b/core/host/host.go
@@ -291,6 +291,7 @@
 	if m.To == t.settings.replicaID() {
 		t.recordReplicaVersion(m)
 		t.seeded.membership = t.seeded.membership.WithZone(m.From, m.Zone)
+		t.applyRelayedDepartures(m)
 		t.stepRaft(raft.Receive{From: m.From, Message: m.Message})
 	}
 }
--- a/core/host/hub.go
+++ b/core/host/hub.go
@@ -6,6 +6,7 @@
 	"slices"
 	"time"
 
+	"github.com/yardhall/yardhall/core/departures"
 	"github.com/yardhall/yardhall/core/hash"
 	"github.com/yardhall/yardhall/core/hubs"
 	"github.com/yardhall/yardhall/core/ident"
@@ -85,6 +86,10 @@
 // polled.
 func (t *transition) hubsFailed() bool { return t.seeded.hub.pollSet.Failed(t.now) }
 
+// hubsSilent reports whether hubs have given no useful reply for so long that a replica must be polled
+// for departures.
+func (t *transition) hubsSilent() bool { return t.seeded.hub.pollSet.Silent(t.now) }
+
 // updateHubPollSet replaces polled hubs that give no useful replies with the next in rank.
 func (t *transition) updateHubPollSet() {
 	h := &t.seeded.hub
@@ -104,7 +109,7 @@
 // deregisterFromUnpolled deregisters this host from hosts that it has stopped polling, because
 // others count it now.
 func (t *transition) deregisterFromUnpolled(polled []ident.Host) {
-	if t.pollsHubs() && t.hubsFailed() {
+	if t.pollsHubs() && t.hubsSilent() {
 		return
 	}
 	for _, h := range t.seeded.hub.lastPolled {
@@ -189,6 +194,9 @@
 		return
 	}
 	for _, w := range workers {
+		if before, known := t.registry.Get(w.ID); known && !departures.IsLeaving(before) {
+			t.recordDeparture(w, departures.Registered)
+		}
 		t.registry = t.registry.WithReport(w, t.now)
 	}
 }
--- a/core/host/message.go
+++ b/core/host/message.go
@@ -29,6 +29,8 @@
 		Zone ident.Zone
 		// KnowsRollouts is set by versions that support rollouts and have them enabled.
 		KnowsRollouts bool
+		// Departures are packed workers that have recently begun to leave.
+		Departures []byte
 	}
 	// PeerHeartbeat carries a host's heartbeat.
 	PeerHeartbeat struct{ Beat Heartbeat }
--- a/core/host/polling.go
+++ b/core/host/polling.go
@@ -64,6 +64,8 @@
 	lastReply       time.Time
 	lastUsefulReply time.Time
 	lost            bool
+	// departures is the position up to which its departures are known.
+	departures uint64
 	// missedAt is when updates that were lost were last requested from it.
 	missedAt time.Time
 	// crashList is the key of the crash list in its last reply.
@@ -131,16 +133,20 @@
 }
 
 // hostsToPoll returns the replicas, or the chosen hubs. While all hubs fail, it adds some
-// replicas every maxPollInterval.
+// replicas every maxPollInterval, and before that one for departures.
 func (t *transition) hostsToPoll() []ident.Host {
 	if !t.pollsHubs() {
 		return t.replicasToPoll()
 	}
 	out := t.seeded.hub.pollSet.Polled()
-	if t.hubsFailed() && !t.now.Before(t.seeded.hub.pollReplicasAt) {
+	switch isDue := !t.now.Before(t.seeded.hub.pollReplicasAt); {
+	case isDue && t.hubsFailed():
 		t.seeded.hub.pollReplicasAt = t.now.Add(maxPollInterval)
 		out = append(out, t.replicasToPoll()...)
-		out = append(out, t.replicasInTurn(out)...)
+		out = append(out, t.replicasInTurn(out, replicasPolledInTurn)...)
+	case isDue && t.hubsSilent():
+		t.seeded.hub.pollReplicasAt = t.now.Add(hubs.FailureTimeout - hubs.SilenceTimeout)
+		out = append(out, t.replicasInTurn(out, 1)...)
 	}
 	return out
 }
@@ -160,9 +166,9 @@
 
 // replicasInTurn returns a few replicas that are not in polled, other ones with each call: a host
 // that is partitioned from the seeds may still reach a replica.
-func (t *transition) replicasInTurn(polled []ident.Host) []ident.Host {
+func (t *transition) replicasInTurn(polled []ident.Host, limit int) []ident.Host {
 	others := slices.DeleteFunc(t.knownReplicas(), func(h ident.Host) bool { return slices.Contains(polled, h) })
-	n := min(replicasPolledInTurn, len(others))
+	n := min(limit, len(others))
 	out := make([]ident.Host, 0, n)
 	for range n {
 		t.seeded.nextReplica++
@@ -215,6 +221,7 @@
 		Home: primary != "" && to == primary, HubList: t.seeded.hub.list.Key,
 		NeighbourList: t.seeded.fallback.list.Key,
 		CrashList:     t.requests.CrashList().Key, CrashEntries: t.crashEntriesFor(c.crashList),
+		KnowsDepartures: true, Departures: c.departures, AllDepartures: !t.isHub() && t.seeded.hosts > t.hubThreshold(),
 		SkipWorkers: t.skipsWorkersOf(to), WorkersDigest: t.workersDigestFor(to, c),
 	}
 }
--- a/core/host/pollmessage.go
+++ b/core/host/pollmessage.go
@@ -82,6 +82,12 @@
 		// Missed is set if the host received an update of the receiver that does not follow the last one
 		// that it holds, so that those in between are lost.
 		Missed bool
+		// KnowsDepartures is set by versions that are sent departures apart from other registrations.
+		// Departures is the position up to which the host has those of the receiver. AllDepartures is
+		// set if it polls only some of the replicas and wants those that others registered, too.
+		KnowsDepartures bool
+		Departures      uint64
+		AllDepartures   bool
 		// KnowsRollouts is set by versions that support rollouts and have them enabled. EarlierHosts
 		// is set if another host that polls this one does not set it. Rollouts is the revision of
 		// the rollouts that the host holds. RolloutsInForce is the oldest revision that it, or any
@@ -154,6 +160,12 @@
 		// Origins are the packed origins, as far as the sender knows them, of the streams that the client
 		// looks up.
 		Origins []byte
+		// Departures are the packed workers that have begun to leave, after position DeparturesSince up to
+		// DeparturesUpTo. KnowsDepartures is set by versions that send them apart.
+		KnowsDepartures bool
+		Departures      []byte
+		DeparturesSince uint64
+		DeparturesUpTo  uint64
 	}
 )
 
--- a/core/host/pollreply.go
+++ b/core/host/pollreply.go
@@ -22,6 +22,7 @@
 		return
 	}
 	t.recordReply(from, m)
+	t.applyDepartures(from, m)
 	t.storeRegistrations(t.applyRegistrations(from, m))
 	t.handleCrashEntries(from, m.CrashEntries)
 	t.handleFoundOrigins(from, m.Origins)
@@ -78,7 +79,16 @@
 
 // applyRegistrations stores the valid registrations in a reply and returns them.
 func (t *transition) applyRegistrations(from ident.Host, m PollReply) []registry.Worker {
-	workers, err := registry.Unpack(m.Workers)
+	workers := t.unpackWorkers(from, m.Workers)
+	if len(workers) > 0 {
+		t.reduceRequests(requests.Registered{From: from, Workers: workers})
+	}
+	return workers
+}
+
+// unpackWorkers returns the valid registrations in a message.
+func (t *transition) unpackWorkers(from ident.Host, packed []byte) []registry.Worker {
+	workers, err := registry.Unpack(packed)
 	if err != nil {
 		t.log(LogReplicaContact, string(from), "cannot decode registrations: "+err.Error())
 	}
@@ -86,10 +96,6 @@
 	if err != nil {
 		t.log(LogReplicaContact, string(from), "invalid registration: "+err.Error())
 	}
-	if len(workers) == 0 {
-		return nil
-	}
-	t.reduceRequests(requests.Registered{From: from, Workers: workers})
 	return workers
 }
 
@@ -172,12 +178,19 @@
 	missed := false
 	switch {
 	case c.epoch != m.Epoch && m.Since == 0:
-		c.epoch, c.revision, c.registered = m.Epoch, m.Revision, false
+		c.epoch, c.revision, c.registered, c.departures = m.Epoch, m.Revision, false, 0
 	case c.epoch == m.Epoch && m.Since <= c.revision:
 		c.revision = max(c.revision, m.Revision)
 	default:
 		missed = true
 	}
+	switch {
+	case !m.KnowsDepartures || c.epoch != m.Epoch:
+	case m.DeparturesSince <= c.departures:
+		c.departures = max(c.departures, m.DeparturesUpTo)
+	default:
+		missed = true
+	}
 	c.registered = c.registered || c.revision >= m.NewestRevision
 	t.seeded.contacts = t.seeded.contacts.With(from, c)
 	if missed {
--- a/core/host/registrationflow_test.go
+++ b/core/host/registrationflow_test.go
@@ -57,10 +57,10 @@
 // queueingDelay returns how long a message waits for the sender's link.
 func (f *linkedFleet) queueingDelay(p seededPacket) time.Duration {
 	m, ok := p.message.(host.PollReply)
-	if !ok || len(m.Workers) == 0 {
+	if !ok || len(m.Workers)+len(m.Departures) == 0 {
 		return 0
 	}
-	f.queued[p.from] += len(m.Workers)
+	f.queued[p.from] += len(m.Workers) + len(m.Departures)
 	delay := time.Duration(f.queued[p.from]/f.bytesPerTick) * seededStep
 	f.longest = max(f.longest, delay)
 	return delay
--- a/core/host/registrations.go
+++ b/core/host/registrations.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/yardhall/yardhall/core/config"
+	"github.com/yardhall/yardhall/core/departures"
 	"github.com/yardhall/yardhall/core/ident"
 	"github.com/yardhall/yardhall/core/registry"
 )
@@ -38,6 +39,7 @@
 	next, changed := t.registry.WithHeartbeat(w, t.now)
 	t.registry = next
 	if changed {
+		t.recordDeparture(w, departures.Registered)
 		t.log(LogWorkerRegistration, string(w.ID), fmt.Sprintf("pool=%s state=%s seq=%d at=%s cold=%s born=%s before=%s",
 			w.Pool, w.State, w.Seq, w.Address, w.Cold, w.Born, before.Born))
 	}
@@ -48,6 +50,8 @@
 	next, changed := t.registry.WithGone(id, born, t.now)
 	t.registry = next
 	if changed {
+		gone, _ := next.Get(id)
+		t.recordDeparture(gone, departures.Registered)
 		t.log(LogWorkerRegistration, string(id), fmt.Sprintf("state=gone born=%s", born))
 	}
 }
--- a/core/host/seeded.go
+++ b/core/host/seeded.go
@@ -82,6 +82,8 @@
 	// slice is never modified in place.
 	relay  relay.State
 	relays []hubs.Host
+	// departures are the workers that have begun to leave.
+	departures departureState
 	// replacements are the workers that clients of this hub found replaced.
 	replacements requests.Replacements
 	// registryScannedAt is when the registrations were last scanned.
@@ -106,6 +108,7 @@
 		t.tickMembers()
 		t.maybeCompact()
 	}
+	t.tickDepartures()
 	t.tickHub()
 	t.tickEvidence()
 	if !t.requests.Idle() || !t.requests.HasContact() {
--- a/core/host/updates.go
+++ b/core/host/updates.go
@@ -34,7 +34,7 @@
 	sent := 0
 	for _, id := range t.seeded.clients.KeysAfter(t.seeded.lastUpdated) {
 		c, _ := t.seeded.clients.Get(id)
-		if c.isLive(t.now) && (t.tableDue(c) || t.registrationsDue(c) || t.crashListDue(c) || t.zonesDue(c) || t.rolloutsDue(c)) {
+		if c.isLive(t.now) && (t.tableDue(c) || t.departuresDue(c) || t.registrationsDue(c) || t.crashListDue(c) || t.zonesDue(c) || t.rolloutsDue(c)) {
 			t.sendReply(id, c, Poll{})
 			t.seeded.lastUpdated = id
 			sent++
--- a/core/hubs/pollset.go
+++ b/core/hubs/pollset.go
@@ -22,6 +22,9 @@
 	avoidDuration = 5 * time.Second
 	// FailureTimeout is half of the default key lease.
 	FailureTimeout = 2 * time.Second
+	// SilenceTimeout is how long hubs may give no useful reply before a host polls a replica, another one
+	// each time: two polls of a large fleet.
+	SilenceTimeout = time.Second
 )
 
 // PollSet is the set of hubs that a host polls. It is immutable; the zero value polls none.
@@ -111,3 +114,7 @@
 // Failed reports whether no hub has given a useful reply for so long that the host must poll
 // replicas.
 func (p PollSet) Failed(now time.Time) bool { return now.Sub(p.usefulReplyAt) > FailureTimeout }
+
+// Silent reports whether no hub has given a useful reply for so long that the host must ask a replica
+// which workers leave.
+func (p PollSet) Silent(now time.Time) bool { return now.Sub(p.usefulReplyAt) > SilenceTimeout }
