core/requests, gateway: Check the choice of a worker again before a late write

A worker is chosen before a connection to it is open, and nothing looked at the choice again: a request whose connection took 0.4 s, or whose process stood still in between, was written to a worker that had begun to leave meanwhile.

If over 20 ms have passed since the choice, the core is asked once more before the first byte. A worker that leaves, has ended or restarted gets nothing; the request goes to another one at no charge to the retry budget, as nothing was sent. While the host is resuming after a stall, the request waits for news, 0.3 s at most.

--- a/core/outcome/outcome.go
+++ b/core/outcome/outcome.go
@@ -51,6 +51,8 @@
 		ConnectRefused  bool
 		// NoPath is set if the target was not tried, as no host was found that reaches it.
 		NoPath bool
+		// Withheld is set if this host decided not to send to the target after all.
+		Withheld bool
 	}
 	// Declined means that the target reported that it did not run the request.
 	Declined struct {
--- a/core/requests/attempt.go
+++ b/core/requests/attempt.go
@@ -10,6 +10,7 @@
 //
 //	how the attempt ended     the request is sent to another worker if
 //	answered                  the answer is a server error and the route is repeatable
+//	withheld                  always (withhold.go)
 //	never sent                fewer than maxConnectFailures connections have failed
 //	declined                  attempts and retry budget allow it; else see resend.go. After a
 //	                          rollout's new version declined, the retry budget alone decides
@@ -46,6 +47,10 @@
 	case outcome.Answered:
 		t.afterAnswer(c, r)
 	case outcome.NeverSent:
+		if r.Withheld {
+			t.afterWithheld(c)
+			return
+		}
 		if r.NoPath {
 			t.afterNoPath(c, r)
 			return
--- a/core/requests/decision.go
+++ b/core/requests/decision.go
@@ -42,8 +42,10 @@
 		HeaderTimeout time.Duration
 		StallTimeout  time.Duration
 		// Path is how the worker is reached.
-		Path   Path
-		Inputs Inputs
+		Path Path
+		// DecidedAt is the time of the decision.
+		DecidedAt time.Time
+		Inputs    Inputs
 	}
 	// Pause asks for a PauseEnded after a time; that event yields the request's next decision.
 	Pause struct {
@@ -60,7 +62,8 @@
 		Verdict Verdict
 		Inputs  Inputs
 	}
-	// CancelAttempt ends the current attempt of a request, which is then sent to another worker.
+	// CancelAttempt ends the current attempt of a request, which is then sent to another worker. Before the
+	// request was written, the attempt ends as NeverSent and Withheld.
 	CancelAttempt struct{ Request ident.Request }
 	// AbortAttempt ends an attempt whose worker's process has ended. It is then reported as
 	// interrupted.
@@ -142,6 +145,8 @@
 	// it never did; BackoffLeft is the remaining time of its backoff.
 	DeclinedAgo time.Duration
 	BackoffLeft time.Duration
+	// DeparturesAge is the time since this host last knew all workers that leave, negative if it never did.
+	DeparturesAge time.Duration
 	// Rollout is set if the request was drawn for the version that is being rolled out.
 	Rollout bool
 }
--- a/core/requests/dispatch.go
+++ b/core/requests/dispatch.go
@@ -141,7 +141,7 @@
 		Request: c.req.ID, Attempt: c.attempt, Worker: picked.worker.Worker, Route: c.route,
 		Account: c.account, Content: c.content, Rank: c.rank, Deadline: c.req.Deadline, Engine: c.pool.Engine,
 		CacheFrom: picked.cacheFrom, HeaderTimeout: header, StallTimeout: eventGap,
-		Path: c.path, Inputs: inputs,
+		Path: c.path, DecidedAt: t.now, Inputs: inputs,
 	})
 }
 
@@ -157,6 +157,10 @@
 	if asOf := t.loadAsOf(&picked.worker); !asOf.IsZero() {
 		in.LoadAge = t.now.Sub(asOf)
 	}
+	in.DeparturesAge = neverKnown
+	if !t.departuresAsOf.IsZero() {
+		in.DeparturesAge = t.now.Sub(t.departuresAsOf)
+	}
 	in.Kind, in.LastResort = picked.kind, picked.lastResort
 	in.DeclinedAgo, in.BackoffLeft = neverDeclined, picked.worker.backoffLeft(t.now)
 	if at := picked.worker.declinedAt; !at.IsZero() {
@@ -168,6 +172,9 @@
 // neverConfirmed is the logged age of a route table that was never confirmed.
 const neverConfirmed = -time.Millisecond
 
+// neverKnown is the logged age of departures that were never known.
+const neverKnown = -time.Millisecond
+
 // neverDeclined is the logged age of the last decline of a worker that never declined.
 const neverDeclined = -time.Millisecond
 
--- a/core/requests/event.go
+++ b/core/requests/event.go
@@ -42,6 +42,12 @@
 		Route string
 		Took  time.Duration
 	}
+	// Connected reports that an attempt's request is about to be written, over MaxUncheckedDelay after
+	// its Dispatch. It yields a CancelAttempt if the worker must not get it any more.
+	Connected struct {
+		Request ident.Request
+		Attempt int
+	}
 	// HeaderTimedOut reports that no response header arrived within the HeaderTimeout of a
 	// Dispatch. It yields a CancelAttempt if the request can be sent to another worker.
 	HeaderTimedOut struct {
@@ -110,6 +116,7 @@
 func (Arrived) event()        {}
 func (HeaderReceived) event() {}
 func (HeaderTimedOut) event() {}
+func (Connected) event()      {}
 func (StreamBegun) event()    {}
 func (OriginFound) event()    {}
 func (AttemptEnded) event()   {}
--- a/core/requests/requests.go
+++ b/core/requests/requests.go
@@ -24,6 +24,8 @@
 //	retrybudget.go    how many retries a host may send
 //	resend.go         when a declined request is resent to the same worker
 //	timeouts.go       when an attempt is canceled before its deadline
+//	withhold.go       when a chosen worker gets no request after all
+//	resume.go         when requests wait for news of workers
 //	headertimes.go    how long a route's answers take to begin
 //	workerhealth.go   how the result of an attempt affects a worker's health
 //	notice.go         what a worker reports about itself in its answers
@@ -143,8 +145,10 @@
 	// startedAt is when the host started, zero if requests do not wait for that; waiting holds those that do.
 	startedAt time.Time
 	waiting   table.Table[ident.Request, waitingRequest]
-	// resumedAt is when the process last resumed after a stall; zero if it never stood still.
-	resumedAt time.Time
+	// resumedAt is when this host last began to wait for news of workers; zero if it never did.
+	// departuresAsOf is the time as of which it knows all workers that leave.
+	resumedAt      time.Time
+	departuresAsOf time.Time
 }
 
 // Counters count decisions; they only grow. Their JSON names are those of the metrics port.
@@ -180,6 +184,8 @@
 	StreamsResumed      uint64
 	OriginsUnknown      uint64
 	VersionsUnavailable uint64
+	// Withheld counts attempts whose worker began to leave before the request was written.
+	Withheld uint64
 	// PartsRefused counts requests refused because a part of their prompts crashes workers.
 	PartsRefused uint64
 }
@@ -259,6 +265,8 @@
 		t.handleHeader(ev)
 	case HeaderTimedOut:
 		t.handleHeaderTimeout(ev)
+	case Connected:
+		t.handleConnected(ev)
 	case StreamBegun:
 		t.handleStreamBegun(ev)
 	case OriginFound:
--- a/core/requests/resume.go
+++ b/core/requests/resume.go
@@ -6,24 +6,48 @@
 
 // A process that stood still, because its machine was frozen or its processor was taken away, knows
 // workers as they were before. Some may have begun to leave since, and what replicas and hubs have sent
-// about them waits in its sockets beside new requests. Requests therefore wait after a stall until a
-// confirmation shows a round trip since its end, at most for resumeTimeout: a host that is also
-// partitioned goes on with what it knows.
+// about them waits in its sockets beside new requests. The same holds for a host that no replica or hub
+// has answered for long. Requests therefore wait until a reply to a poll sent since shows which workers
+// leave, at most for resumeTimeout: a host that is partitioned goes on with what it knows, as its callers
+// are served better by workers that may leave than by none.
 //
-// Inputs: when a stall ended, and as of when the route table was last confirmed.
+// Inputs: when a stall ended, as of when departures are known, and when this host last waited.
 
-// resumeTimeout is several round trips to a hub, and short beside the objectives of callers.
-const resumeTimeout = 300 * time.Millisecond
+const (
+	// resumeTimeout is several round trips to a hub, and short beside the objectives of callers.
+	resumeTimeout = 300 * time.Millisecond
+	// maxDeparturesAge is the age of what is known of departures from which requests wait for news: more
+	// than a poll of the largest fleet takes.
+	maxDeparturesAge = 2 * time.Second
+	// askInterval is the time between two such waits while no news arrives.
+	askInterval = 2 * time.Second
+)
 
-// WithResumedAt returns the state of a host whose process has just stood still.
+// WithResumedAt returns the state of a host whose process has just stood still, or that asks for news.
 func (s State) WithResumedAt(now time.Time) State {
 	s.resumedAt = now
 	return s
 }
 
-// resuming reports whether requests wait for news after a stall.
+// WithDeparturesKnown returns the state of a host that knows all workers that had begun to leave by a time.
+func (s State) WithDeparturesKnown(asOf time.Time) State {
+	if asOf.After(s.departuresAsOf) {
+		s.departuresAsOf = asOf
+	}
+	return s
+}
+
+// MustAsk reports whether what is known of departures is so old that requests must wait for news.
+func (s State) MustAsk(now time.Time) bool {
+	isOld := !s.departuresAsOf.IsZero() && now.Sub(s.departuresAsOf) > maxDeparturesAge
+	return isOld && now.Sub(s.resumedAt) > askInterval
+}
+
+// resuming reports whether requests wait for news of workers. A confirmation is such news, as it comes with
+// the reply that names departures.
 func (s State) resuming(now time.Time) bool {
-	return !s.resumedAt.IsZero() && now.Sub(s.resumedAt) < resumeTimeout && s.confirmed.AsOf.Before(s.resumedAt)
+	return !s.resumedAt.IsZero() && now.Sub(s.resumedAt) < resumeTimeout &&
+		s.confirmed.AsOf.Before(s.resumedAt) && s.departuresAsOf.Before(s.resumedAt)
 }
 
 // deferUntilResumed queues a request while the host is resuming after a stall, unless its deadline is
--- a/core/requests/workerhealth.go
+++ b/core/requests/workerhealth.go
@@ -23,7 +23,7 @@
 // updateHealth updates the health of an attempt's worker and zone from the attempt's result.
 func (t *transition) updateHealth(c call, a outcome.Attempt) {
 	w, ok := t.workers.Get(c.target)
-	if !ok || w.incarnation != c.incarnation || isWithoutPath(a) {
+	if !ok || w.incarnation != c.incarnation || isWithoutPath(a) || isWithheld(a) {
 		return
 	}
 	if c.path.Direct {
--- a/gateway/call.go
+++ b/gateway/call.go
@@ -68,13 +68,24 @@
 	if expired {
 		result = outcome.Interrupted{Reason: "no whole answer before the deadline", AnswerStarted: c.relay.headerSent}
 	}
-	c.observed.Attempts = append(c.observed.Attempts, Attempt{Dispatch: d, Result: result, Duration: c.server.now().Sub(startedAt), Tunneled: x.conn != nil && x.conn.tunneled})
+	c.observed.Attempts = append(c.observed.Attempts, Attempt{
+		Dispatch: d, Result: result, Duration: c.server.now().Sub(startedAt), Tunneled: x.conn != nil && x.conn.tunneled,
+		ConnectedAfter: sinceOrZero(x.connectedAt, d.DecidedAt), SentAfter: sinceOrZero(x.sentAt, d.DecidedAt),
+	})
 	if expired {
 		return requests.Expired{Request: d.Request}
 	}
 	return requests.AttemptEnded{Request: d.Request, Attempt: d.Attempt, Result: result, CallerWaiting: !callerGone}
 }
 
+// sinceOrZero returns the time from start to t, or 0 if t was not reached.
+func sinceOrZero(t, start time.Time) time.Duration {
+	if t.IsZero() {
+		return 0
+	}
+	return t.Sub(start)
+}
+
 // sleep waits for d or until ctx is done.
 func sleep(ctx context.Context, d time.Duration) {
 	if d <= 0 {
--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -43,8 +43,9 @@
 	request  *http.Request
 	body     []byte
 	conn     *workerConn
-	// sentAt is when the request was completely written.
-	sentAt time.Time
+	// connectedAt is when the connection was open, sentAt when the request was completely written.
+	connectedAt time.Time
+	sentAt      time.Time
 	// mu guards aborted and the read deadline of conn, which depends on it.
 	mu      sync.Mutex
 	aborted bool
@@ -58,6 +59,10 @@
 		return failure
 	}
 	x.conn = conn
+	if x.isWithheld() {
+		x.releaseUnused()
+		return outcome.NeverSent{Reason: "the worker may have begun to leave since it was chosen", Withheld: true}
+	}
 	remaining := x.dispatch.Deadline.Sub(x.server.now())
 	if remaining <= 0 {
 		_ = conn.Close()
@@ -78,6 +83,19 @@
 	return nil
 }
 
+// isWithheld reports whether the core withholds the request from its worker, as it took long from the choice
+// of the worker until the request could be written.
+func (x *exchange) isWithheld() bool {
+	x.connectedAt = x.server.now()
+	if x.connectedAt.Sub(x.dispatch.DecidedAt) <= requests.MaxUncheckedDelay {
+		return false
+	}
+	return x.server.isCanceled(requests.Connected{Request: x.dispatch.Request, Attempt: x.dispatch.Attempt}, x.dispatch.Request)
+}
+
+// releaseUnused returns a connection over which nothing was sent to the pool.
+func (x *exchange) releaseUnused() { x.server.pool.release(x.conn, 0, x.server.now()) }
+
 // errHeaderTimeout is the error of an attempt that was canceled because the response header
 // did not arrive in time and the request goes to another worker.
 var errHeaderTimeout = errors.New("no response header within the timeout")
--- a/gateway/server.go
+++ b/gateway/server.go
@@ -76,6 +76,10 @@
 	Duration time.Duration
 	// Tunneled is set if it went through another host.
 	Tunneled bool
+	// ConnectedAfter and SentAfter are the times from the choice of the worker until the connection was open
+	// and the request written; 0 if that was not reached.
+	ConnectedAfter time.Duration
+	SentAfter      time.Duration
 }
 
 // Server is the http.Handler of the gateway.
@@ -169,8 +173,13 @@
 // whether the core cancels the attempt, as it sends the request to another worker. elapsed is the
 // time since the request was sent.
 func (s *Server) reportHeaderTimeout(d requests.Dispatch, elapsed time.Duration) bool {
-	for _, decision := range s.core.Decide(requests.HeaderTimedOut{Request: d.Request, Attempt: d.Attempt, Waited: elapsed}) {
-		if c, ok := decision.(requests.CancelAttempt); ok && c.Request == d.Request {
+	return s.isCanceled(requests.HeaderTimedOut{Request: d.Request, Attempt: d.Attempt, Waited: elapsed}, d.Request)
+}
+
+// isCanceled reports an event of an attempt to the core and returns whether the core cancels the attempt.
+func (s *Server) isCanceled(ev requests.Event, id ident.Request) bool {
+	for _, decision := range s.core.Decide(ev) {
+		if c, ok := decision.(requests.CancelAttempt); ok && c.Request == id {
 			return true
 		}
 	}
