core/host: Ask for departures where no news has arrived for two seconds

A host that no hub or replica had answered, as while it is cut off or its hubs are overloaded, went on with the workers that it knew until its next scheduled poll, up to 1.4 s after it was in touch again.

A host knows as of when it was told of all workers that leave: since the last poll whose reply was complete. If that is more than 2 s ago when a request arrives, it polls at once and requests wait for the reply, 0.3 s at most and once in 2 s. After that it sends: a host that stays cut off serves what it can, as its callers are served better by workers that may leave than by none. Lines on workers that leave get a budget apart.

--- a/core/host/departures.go
+++ b/core/host/departures.go
@@ -70,6 +70,7 @@
 	}
 	b := t.nextDepartures(c.departures.sent, c.departureSource())
 	r.KnowsDepartures, r.Departures, r.DeparturesSince, r.DeparturesUpTo = true, b.packed, c.departures.sent, b.position
+	r.NewestDeparture = t.seeded.departures.log.Newest(c.departureSource())
 	if len(b.packed) > 0 {
 		c.departuresAt = t.now
 	}
@@ -105,6 +106,16 @@
 	}
 }
 
+// hasAllDepartures reports whether a reply and those before it told this host of all workers that the sender
+// knows to leave. Earlier versions report them with all other registrations.
+func (t *transition) hasAllDepartures(from ident.Host, m PollReply) bool {
+	c, _ := t.seeded.contacts.Get(from)
+	if !m.KnowsDepartures {
+		return c.epoch == m.Epoch && c.revision >= m.NewestRevision
+	}
+	return c.epoch == m.Epoch && c.departures >= m.NewestDeparture
+}
+
 // applyRelayedDepartures stores the departures that accompany another replica's message.
 func (t *transition) applyRelayedDepartures(m Raft) {
 	for _, w := range t.unpackWorkers(m.From.Address(), m.Departures) {
--- a/core/host/effect.go
+++ b/core/host/effect.go
@@ -59,6 +59,9 @@
 		Kind   LogKind
 		Object string
 		Detail string
+		// Leaving is set if the record says that a worker leaves. Such records have a budget of their own,
+		// as they explain requests that arrive late.
+		Leaving bool
 	}
 	// LookUpAnswer looks up the stored answer to Request and sends it to To in an AnswerOf.
 	LookUpAnswer struct {
--- a/core/host/host.go
+++ b/core/host/host.go
@@ -21,6 +21,8 @@
 //	polling.go, pollreply.go     polls of seeded fleets, and how replies are applied
 //	clients.go, updates.go       replies to polling hosts, and updates between polls
 //	hub.go, fallback.go          hubs, and polling other entry hosts when no replica replies
+//	departures.go, sendwindow.go workers that leave, and what a client has of ordered updates
+//	stall.go                     when requests wait for news of workers
 //	crashes.go                   distribution of the requests that crash workers
 //	origins.go                   distribution of the versions that began streams
 //	listedcrashes.go             the same in listed fleets
@@ -42,6 +44,7 @@
 
 	"github.com/yardhall/yardhall/core/catalog"
 	"github.com/yardhall/yardhall/core/config"
+	"github.com/yardhall/yardhall/core/departures"
 	"github.com/yardhall/yardhall/core/health"
 	"github.com/yardhall/yardhall/core/ident"
 	"github.com/yardhall/yardhall/core/raft"
@@ -176,6 +179,7 @@
 	case ReplicaChange:
 		t.stepRaft(raft.ChangeMember{Member: ev.Member, Remove: ev.Remove})
 	case RequestEvent:
+		t.askIfOutdated(ev.Event)
 		t.reduceRequests(ev.Event)
 	case HeartbeatReceived:
 		t.handleHeartbeat(ev.Worker)
@@ -205,6 +209,11 @@
 	t.emit(LogRecord{Kind: kind, Object: object, Detail: detail})
 }
 
+// logRegistration logs what this host knows of a worker now.
+func (t *transition) logRegistration(w registry.Worker, detail string) {
+	t.emit(LogRecord{Kind: LogWorkerRegistration, Object: string(w.ID), Detail: detail, Leaving: departures.IsLeaving(w)})
+}
+
 // send transmits m; a message to this host itself is handled immediately.
 func (t *transition) send(to ident.Host, m Message) {
 	to = to.Address()
--- a/core/host/pollmessage.go
+++ b/core/host/pollmessage.go
@@ -79,15 +79,6 @@
 		// WorkersDigest is the digest of the workers that the host knows, if it holds none of the
 		// receiver's registrations; 0 if it knows no workers.
 		WorkersDigest registry.Digest
-		// Missed is set if the host received an update of the receiver that does not follow the last one
-		// that it holds, so that those in between are lost.
-		Missed bool
-		// KnowsDepartures is set by versions that are sent departures apart from other registrations.
-		// Departures is the position up to which the host has those of the receiver. AllDepartures is
-		// set if it polls only some of the replicas and wants those that others registered, too.
-		KnowsDepartures bool
-		Departures      uint64
-		AllDepartures   bool
 		// KnowsRollouts is set by versions that support rollouts and have them enabled. EarlierHosts
 		// is set if another host that polls this one does not set it. Rollouts is the revision of
 		// the rollouts that the host holds. RolloutsInForce is the oldest revision that it, or any
@@ -100,6 +91,15 @@
 		// are the packed keys of streams whose origins the host looks up.
 		Begun    []byte
 		LookedUp []byte
+		// Missed is set if the host received an update of the receiver that does not follow the last one
+		// that it holds, so that those in between are lost.
+		Missed bool
+		// KnowsDepartures is set by versions that are sent departures apart from other registrations.
+		// Departures is the position up to which the host has those of the receiver. AllDepartures is
+		// set if it polls only some of the replicas and wants those that others registered, too.
+		KnowsDepartures bool
+		Departures      uint64
+		AllDepartures   bool
 	}
 	// PollReply replies to a Poll; with Round 0 it is an unsolicited update. Gob identifies its
 	// fields by name, so they must not be renamed.
@@ -166,6 +166,8 @@
 		Departures      []byte
 		DeparturesSince uint64
 		DeparturesUpTo  uint64
+		// NewestDeparture is the position of the sender's last departure that the client wants.
+		NewestDeparture uint64
 	}
 )
 
--- a/core/host/pollreply.go
+++ b/core/host/pollreply.go
@@ -37,6 +37,9 @@
 		t.reduceRequests(requests.ZonesSilent{Zones: m.SilentZones})
 	}
 	sent, known := t.popPendingPoll(m.Round)
+	if known && !m.Cut && t.hasAllDepartures(from, m) {
+		t.requests = t.requests.WithDeparturesKnown(sent)
+	}
 	if m.Summed && known {
 		t.seeded.loadsDueAt = t.now.Add(time.Duration(len(m.Loads)) * loadByteTime)
 		// The sender may have summed the loads up to half an interval before its reply.
--- a/core/host/registrations.go
+++ b/core/host/registrations.go
@@ -40,7 +40,7 @@
 	t.registry = next
 	if changed {
 		t.recordDeparture(w, departures.Registered)
-		t.log(LogWorkerRegistration, string(w.ID), fmt.Sprintf("pool=%s state=%s seq=%d at=%s cold=%s born=%s before=%s",
+		t.logRegistration(w, fmt.Sprintf("pool=%s state=%s seq=%d at=%s cold=%s born=%s before=%s",
 			w.Pool, w.State, w.Seq, w.Address, w.Cold, w.Born, before.Born))
 	}
 }
@@ -52,7 +52,7 @@
 	if changed {
 		gone, _ := next.Get(id)
 		t.recordDeparture(gone, departures.Registered)
-		t.log(LogWorkerRegistration, string(id), fmt.Sprintf("state=gone born=%s", born))
+		t.logRegistration(gone, fmt.Sprintf("state=gone born=%s", born))
 	}
 }
 
--- a/core/host/seeded.go
+++ b/core/host/seeded.go
@@ -150,7 +150,7 @@
 		}
 		switch d := d.(type) {
 		case requests.WorkerChanged:
-			t.log(LogWorkerRegistration, string(d.Worker.ID), fmt.Sprintf("usable=%t state=%s seq=%d born=%s at=%s failures=%d why=%q",
+			t.logRegistration(d.Worker, fmt.Sprintf("usable=%t state=%s seq=%d born=%s at=%s failures=%d why=%q",
 				d.Healthy, d.Worker.State, d.Worker.Seq, d.Worker.Born, d.Worker.Address, d.Failures, d.Reason))
 		case requests.WorkerCrashed:
 			t.log(LogWorkerRegistration, string(d.Worker), fmt.Sprintf("crashed during %d requests of this host", d.Requests))
