--- a/daemon/notelog.go
+++ b/daemon/notelog.go
@@ -13,8 +13,8 @@
 	"github.com/yardhall/yardhall/core/ident"
 )
 
-// workerLines is how many lines a second are written on workers: when a large fleet starts,
-// thousands register at the same time. Chosen, not measured.
+// workerLines is how many lines a second are written on workers, and as many on those that leave: when a
+// large fleet starts, thousands register at the same time.
 const workerLines = 100
 
 // orderLines is how many lines a second are written on rejected orders, so that a client that
@@ -27,16 +27,21 @@
 	log     logr.Logger
 	now     func() time.Time
 	workers logs.Budget
+	leaving logs.Budget
 	orders  logs.Budget
 }
 
 func newNoteLog(log logr.Logger) *noteLog {
-	return &noteLog{log: log, now: time.Now, workers: logs.Budget{PerSecond: workerLines}, orders: logs.Budget{PerSecond: orderLines}}
+	return &noteLog{log: log, now: time.Now, workers: logs.Budget{PerSecond: workerLines}, leaving: logs.Budget{PerSecond: workerLines}, orders: logs.Budget{PerSecond: orderLines}}
 }
 
 func (l *noteLog) observe(n host.LogRecord) {
 	if n.Kind == host.LogWorkerRegistration {
-		ok, skipped := l.workers.Allow(l.now())
+		budget := &l.workers
+		if n.Leaving {
+			budget = &l.leaving
+		}
+		ok, skipped := budget.Allow(l.now())
 		if skipped > 0 {
 			l.log.Info("worker lines skipped", "lines", skipped)
 		}
--- a/daemon/requestlog.go
+++ b/daemon/requestlog.go
@@ -106,6 +106,8 @@
 		"worker", string(d.Worker.ID), "at", d.Worker.Address, "worker_seq", d.Worker.Seq, "worker_born", d.Worker.Born.String(),
 		"load", in.Load, "load_age_ms", millis(in.LoadAge), "mean", fmt.Sprintf("%.1f", in.MeanLoad),
 		"kind", string(in.Kind), "choice", in.Position, "of", in.Candidates, "table", in.TableNumber, "table_age_ms", millis(in.ConfigAge),
+		"departures_age_ms", millis(in.DeparturesAge), "chosen", float64(d.DecidedAt.UnixMicro()) / microsPerSecond,
+		"connected_ms", millis(try.ConnectedAfter), "sent_ms", millis(try.SentAfter),
 		"result", resultText(try.Result), "try_ms", millis(try.Duration),
 	}
 	if try.Tunneled {
@@ -138,6 +140,9 @@
 	return broken || o.Verdict.Code == requests.CodeCrashes
 }
 
+// microsPerSecond converts times to the seconds in which lines give them.
+const microsPerSecond = 1e6
+
 // maxLoggedParts bounds the parts of a prompt in a line.
 const maxLoggedParts = 8
 
--- a/peers/forms_test.go
+++ b/peers/forms_test.go
@@ -21,6 +21,9 @@
 // addForms adds the encodings of types that the golden file lacks; it never replaces any.
 var addForms = flag.Bool("add-forms", false, "add the encodings of new types to the golden file")
 
+// departureFields are the fields that support departures in messages older than them.
+var departureFields = []string{"Missed", "KnowsDepartures", "Departures", "AllDepartures", "DeparturesSince", "DeparturesUpTo", "NewestDeparture"}
+
 const wireGolden = "testdata/wire.golden"
 
 // carrier encodes a value as an interface, as a Batch does its messages. Its name is part of the
@@ -72,15 +75,17 @@
 		name, value := "type-"+w.Name, filledValue(w.Value, "ColdPerSecond", "Parts", "Beside")
 		switch w.Value.(type) {
 		case host.Poll, host.PollReply, host.PeerHeartbeat:
-			forms = append(forms, gobForm(name+"-parts", carrier{Value: filledValue(w.Value)}))
+			forms = append(forms, gobForm(name+"-parts", carrier{Value: filledValue(w.Value, departureFields...)}))
 		}
 		if whole, ok := w.Value.(host.WholeConfig); ok {
 			forms = append(forms, gobForm(name+"-cold", carrier{Value: filledValue(whole)}))
 		}
 		if poll, ok := value.(host.Poll); ok {
 			// The first versions that sent polls did not report replaced workers, crashes and drained
-			// zones, did not skip registrations, sent no digest of them, did not support rollouts and sent no
-			// origins of streams.
+			// zones, did not skip registrations, sent no digest of them, did not support rollouts, sent no
+			// origins of streams and did not support departures.
+			forms = append(forms, gobForm(name+"-departures", carrier{Value: poll}))
+			poll.Missed, poll.KnowsDepartures, poll.Departures, poll.AllDepartures = false, false, 0, false
 			forms = append(forms, gobForm(name+"-origins", carrier{Value: poll}))
 			poll.Begun, poll.LookedUp = nil, nil
 			forms = append(forms, gobForm(name+"-rollouts", carrier{Value: poll}))
@@ -103,6 +108,9 @@
 			value = beat
 		}
 		if reply, ok := value.(host.PollReply); ok {
+			forms = append(forms, gobForm(name+"-departures", carrier{Value: reply}))
+			reply.KnowsDepartures, reply.Departures = false, nil
+			reply.DeparturesSince, reply.DeparturesUpTo, reply.NewestDeparture = 0, 0, 0
 			forms = append(forms, gobForm(name+"-origins", carrier{Value: reply}))
 			reply.Origins = nil
 			forms = append(forms, gobForm(name+"-rollouts", carrier{Value: reply}))
@@ -116,6 +124,8 @@
 			value = reply
 		}
 		if log, ok := value.(host.Raft); ok {
+			forms = append(forms, gobForm(name+"-departures", carrier{Value: log}))
+			log.Departures = nil
 			forms = append(forms, gobForm(name+"-rollouts", carrier{Value: log}))
 			log.KnowsRollouts = false
 			forms = append(forms, gobForm(name+"-zone", carrier{Value: log}))
@@ -150,7 +160,7 @@
 		}
 		forms = append(forms, gobForm(name, carrier{Value: value}))
 	}
-	forms = append(forms, gobForm("hello", filledValue(Hello{})), gobForm("batch-rollouts", filledValue(Batch{})), gobForm("batch-zone", filledValue(Batch{}, "KnowsRollouts")), gobForm("batch", filledValue(Batch{}, "KnowsZones", "Zone", "KnowsRollouts")), gobForm("ack", filledValue(Ack{})))
+	forms = append(forms, gobForm("hello", filledValue(Hello{})), gobForm("batch-departures", filledValue(Batch{})), gobForm("batch-rollouts", filledValue(Batch{}, "Departures")), gobForm("batch-zone", filledValue(Batch{}, "KnowsRollouts", "Departures")), gobForm("batch", filledValue(Batch{}, "KnowsZones", "Zone", "KnowsRollouts", "Departures")), gobForm("ack", filledValue(Ack{})))
 	all, err := formtest.Check(string(text), *addForms, forms)
 	require.NoError(t, err)
 	if *addForms {
