core/host, core/requests: Let cut-off hosts decide at once again

A host cannot tell a partition from news that is late, so the wait costs the callers of cut-off hosts up to 0.3 s each and gains them nothing.

What remains: after a stall requests wait for a reply, and the host then polls a replica at once, too, if its hubs were silent.

--- a/core/host/counters.go
+++ b/core/host/counters.go
@@ -45,9 +45,6 @@
 	// UpdatesMissed counts the times that this host noticed that it had lost updates.
 	UpdatesResent uint64
 	UpdatesMissed uint64
-	// DeparturesAsked counts the times that requests waited for news of workers, as no replica or hub had
-	// told of them for long.
-	DeparturesAsked uint64
 	// Stalls counts the times that an entry host's process stood still for over a second.
 	Stalls uint64
 	// MembershipRisks are, on the leader, the failures that the members of the log would not
--- a/core/host/host.go
+++ b/core/host/host.go
@@ -179,7 +179,6 @@
 	case ReplicaChange:
 		t.stepRaft(raft.ChangeMember{Member: ev.Member, Remove: ev.Remove})
 	case RequestEvent:
-		t.askIfOutdated(ev.Event)
 		t.reduceRequests(ev.Event)
 	case HeartbeatReceived:
 		t.handleHeartbeat(ev.Worker)
--- a/core/requests/requests.go
+++ b/core/requests/requests.go
@@ -145,7 +145,7 @@
 	// startedAt is when the host started, zero if requests do not wait for that; waiting holds those that do.
 	startedAt time.Time
 	waiting   table.Table[ident.Request, waitingRequest]
-	// resumedAt is when this host last began to wait for news of workers; zero if it never did.
+	// resumedAt is when the process last resumed after a stall; zero if it never stood still.
 	// departuresAsOf is the time as of which it knows all workers that leave.
 	resumedAt      time.Time
 	departuresAsOf time.Time
--- a/core/requests/resume.go
+++ b/core/requests/resume.go
@@ -6,24 +6,18 @@
 
 // A process that stood still, because its machine was frozen or its processor was taken away, knows
 // workers as they were before. Some may have begun to leave since, and what replicas and hubs have sent
-// about them waits in its sockets beside new requests. The same holds for a host that no replica or hub
-// has answered for long. Requests therefore wait until a reply to a poll sent since shows which workers
-// leave, at most for resumeTimeout: a host that is partitioned goes on with what it knows, as its callers
-// are served better by workers that may leave than by none.
+// about them waits in its sockets beside new requests. Requests therefore wait after a stall until a reply to
+// a poll sent since shows which workers leave, at most for resumeTimeout.
 //
-// Inputs: when a stall ended, as of when departures are known, and when this host last waited.
+// A host that no hub or replica answers does not wait, whatever the age of what it knows: it may be
+// partitioned for long, and its callers are served better by workers that may leave than late or not at all.
+//
+// Inputs: when a stall ended, as of when departures are known and the route table was confirmed.
 
-const (
-	// resumeTimeout is several round trips to a hub, and short beside the objectives of callers.
-	resumeTimeout = 300 * time.Millisecond
-	// maxDeparturesAge is the age of what is known of departures from which requests wait for news: more
-	// than a poll of the largest fleet takes.
-	maxDeparturesAge = 2 * time.Second
-	// askInterval is the time between two such waits while no news arrives.
-	askInterval = 2 * time.Second
-)
+// resumeTimeout is several round trips to a hub, and short beside the objectives of callers.
+const resumeTimeout = 300 * time.Millisecond
 
-// WithResumedAt returns the state of a host whose process has just stood still, or that asks for news.
+// WithResumedAt returns the state of a host whose process has just stood still.
 func (s State) WithResumedAt(now time.Time) State {
 	s.resumedAt = now
 	return s
@@ -37,12 +31,6 @@
 	return s
 }
 
-// MustAsk reports whether what is known of departures is so old that requests must wait for news.
-func (s State) MustAsk(now time.Time) bool {
-	isOld := !s.departuresAsOf.IsZero() && now.Sub(s.departuresAsOf) > maxDeparturesAge
-	return isOld && now.Sub(s.resumedAt) > askInterval
-}
-
 // resuming reports whether requests wait for news of workers. A confirmation is such news, as it comes with
 // the reply that names departures.
 func (s State) resuming(now time.Time) bool {
