core/host, daemon: Acknowledge a departure once another replica holds it

Replicas repeat all departures of the last second in their messages of the replicated log, so each replica sees its own come back from another one. The answer to the worker waits for that, 0.4 s at most: without a leader it is given all the same, as hosts have been told. Hosts and hubs ask the leader for the departures of all replicas; after the loss of one they learn of its departures from there. Replicas of earlier versions repeat nothing and are not waited for.

--- a/core/departures/log.go
+++ b/core/departures/log.go
@@ -43,6 +43,8 @@
 	worker registry.Worker
 	source Source
 	since  time.Time
+	// isShared is set once another replica is known to hold it.
+	isShared bool
 }
 
 // Log holds recent departures in the order in which this process learned of them. It is immutable; the
@@ -114,18 +116,36 @@
 	return l.newest
 }
 
-// Since returns the departures that this process has learned of after a time, without Relayed ones unless
-// upTo is Relayed.
-func (l Log) Since(after time.Time, upTo Source) []registry.Worker {
+// Since returns the departures that this process has learned of after a time.
+func (l Log) Since(after time.Time) []registry.Worker {
 	var out []registry.Worker
 	for _, d := range l.byPosition.All() {
-		if d.since.After(after) && d.source <= upTo {
+		if d.since.After(after) {
 			out = append(out, d.worker)
 		}
 	}
 	return out
 }
 
+// WithShared returns the log after another replica has reported a departure that it holds.
+func (l Log) WithShared(w registry.Worker) Log {
+	at, known := l.positions.Get(w.ID)
+	have, _ := l.byPosition.Get(at)
+	if !known || have.isShared || registry.Newer(have.worker, w) {
+		return l
+	}
+	have.isShared = true
+	l.byPosition = l.byPosition.With(at, have)
+	return l
+}
+
+// IsUnshared reports whether a worker has registered a departure here that no other replica is known to hold.
+func (l Log) IsUnshared(id ident.Target) bool {
+	at, known := l.positions.Get(id)
+	d, _ := l.byPosition.Get(at)
+	return known && d.source == Registered && !d.isShared
+}
+
 // Len returns the number of departures held.
 func (l Log) Len() int { return l.byPosition.Len() }
 
--- a/core/departures/log_test.go
+++ b/core/departures/log_test.go
@@ -75,5 +75,5 @@
 	workers, position := l.After(0, departures.Registered, 8)
 	require.Len(t, workers, 1)
 	require.EqualValues(t, 2, position)
-	require.Empty(t, l.Since(start.Add(time.Second), departures.Relayed))
+	require.Empty(t, l.Since(start.Add(time.Second)))
 }
--- a/core/host/departures.go
+++ b/core/host/departures.go
@@ -15,6 +15,9 @@
 // replica that acknowledges it to hubs, and from there to hosts, also to those that want no other
 // registrations for now. Replicas tell each other with the messages of the replicated log, so that hosts
 // which poll only some of them, as while all hubs are lost, learn of each departure from any of them.
+//
+// A worker's report is answered once another replica is known to hold it, as it repeats what that one was
+// told: a replica that is lost right after its answer takes no departure with it.
 const (
 	// departureInterval is the time between two updates of departures to a client, which batches those of a
 	// release.
@@ -22,6 +25,12 @@
 	// relayedFor is how long a replica includes a departure in its messages to other replicas: several
 	// heartbeats of the log, as a message may be lost.
 	relayedFor = time.Second
+	// MaxShareTime is how long the answer to a worker that leaves waits for another replica: two heartbeats
+	// of the log, and less than half of the time that workers wait for an answer.
+	MaxShareTime = 400 * time.Millisecond
+	// shareSupportLifetime is how long after a message of a replica that repeats departures such messages
+	// are expected.
+	shareSupportLifetime = time.Second
 )
 
 // departureState is what a replica or a hub holds of departures. Its slice is never modified in place.
@@ -29,6 +38,8 @@
 	log departures.Log
 	// forReplicas are the packed departures that accompany the messages of the replicated log.
 	forReplicas []byte
+	// repeatedAt is when a replica that repeats departures last sent a message.
+	repeatedAt time.Time
 	// batch is the batch that was packed last, as most clients lack the same departures.
 	batch departureBatch
 }
@@ -90,6 +101,22 @@
 	return d.batch
 }
 
+// withDepartureFields adds to a poll up to where this host knows the receiver's departures. It wants those of
+// all replicas from the leader, and from any replica while it polls only some.
+func (t *transition) withDepartureFields(m Poll, to ident.Host) Poll {
+	c, known := t.seeded.contacts.Get(to)
+	all := to == t.seeded.leaderContact || !t.isHub() && t.seeded.hosts > t.hubThreshold()
+	if all && !c.allDepartures {
+		c.departures = 0
+	}
+	if known && all != c.allDepartures {
+		c.allDepartures = all
+		t.seeded.contacts = t.seeded.contacts.With(to, c)
+	}
+	m.KnowsDepartures, m.Departures, m.AllDepartures = true, c.departures, all
+	return m
+}
+
 // applyDepartures stores the departures in a reply; a hub reports them to its clients.
 func (t *transition) applyDepartures(from ident.Host, m PollReply) {
 	workers := t.unpackWorkers(from, m.Departures)
@@ -118,13 +145,29 @@
 
 // applyRelayedDepartures stores the departures that accompany another replica's message.
 func (t *transition) applyRelayedDepartures(m Raft) {
+	d := &t.seeded.departures
+	if m.KnowsDepartures {
+		d.repeatedAt = t.now
+	}
 	for _, w := range t.unpackWorkers(m.From.Address(), m.Departures) {
 		t.recordDeparture(w, departures.Relayed)
+		wasUnshared := d.log.IsUnshared(w.ID)
+		d.log = d.log.WithShared(w)
+		if wasUnshared && !d.log.IsUnshared(w.ID) {
+			t.emit(DepartureShared{Worker: w.ID})
+		}
 	}
 }
 
-// tickDepartures drops old departures and packs the recent ones for other replicas. The leader also passes
-// on those of others, as only it exchanges messages with all replicas.
+// IsUnshared reports whether the answer to a worker that leaves must wait for a DepartureShared. Without other
+// replicas that repeat departures there is none.
+func (s State) IsUnshared(id ident.Target, now time.Time) bool {
+	d := s.seeded.departures
+	return now.Sub(d.repeatedAt) <= shareSupportLifetime && d.log.IsUnshared(id)
+}
+
+// tickDepartures drops old departures and packs the recent ones for other replicas. All are repeated: only the
+// leader exchanges messages with all replicas, and each learns from it that its own have arrived.
 func (t *transition) tickDepartures() {
 	d := &t.seeded.departures
 	d.log = d.log.Forget(t.now)
@@ -132,9 +175,5 @@
 	if d.log.Len() == 0 || !t.settings.IsReplica() {
 		return
 	}
-	upTo := departures.Registered
-	if t.raft.LeaseHeld(t.now) {
-		upTo = departures.Relayed
-	}
-	d.forReplicas = registry.Pack(d.log.Since(t.now.Add(-relayedFor), upTo))
+	d.forReplicas = registry.Pack(d.log.Since(t.now.Add(-relayedFor)))
 }
--- a/core/host/drainbulk_test.go
+++ b/core/host/drainbulk_test.go
@@ -3,7 +3,10 @@
 package host_test
 
 import (
+	"flag"
+	"slices"
 	"testing"
+	"time"
 
 	"github.com/stretchr/testify/require"
 
@@ -12,30 +15,37 @@
 	"github.com/yardhall/yardhall/core/registry"
 )
 
-// drainFleet is a large fleet with narrow links, whose workers send heartbeats and are being released.
+// The size of the fleets of this file. Larger ones are run by hand, as -drain-replicas 9 -drain-entries 328
+// -drain-workers 10000 -drain-link 64000.
+var (
+	drainReplicas = flag.Int("drain-replicas", 2, "replicas of each zone")
+	drainEntries  = flag.Int("drain-entries", 20, "entry hosts of each zone")
+	drainWorkers  = flag.Int("drain-workers", manyRegistrations, "workers of the fleet")
+	drainLink     = flag.Int("drain-link", 12<<10, "bytes that a link carries in a tick of 50 ms")
+)
+
+// heartbeatTicks is the number of ticks between two heartbeats of a worker.
+const heartbeatTicks = 60
+
+// drainFleet is a large fleet with narrow links, whose workers send heartbeats and are being released: a hub
+// needs seconds to send all registrations to its clients.
 type drainFleet struct {
 	*linkedFleet
+	size fleetSize
 	// left are the workers that leave; others counts the workers that have registered meanwhile.
-	left   map[ident.Target]bool
+	left   map[ident.Target]time.Time
 	others int
 	seq    uint64
 }
 
-const (
-	// drainLink is the bytes that a link carries in a tick: a hub needs seconds to send all registrations to
-	// its clients.
-	drainLink = 12 << 10
-	// heartbeatTicks is the number of ticks between two heartbeats of a worker.
-	heartbeatTicks = 60
-)
-
 func newDrainFleet(t *testing.T) *drainFleet {
-	f := &drainFleet{linkedFleet: newRegistrationFleet(t, 10*drainLink), left: map[ident.Target]bool{}, seq: 1}
+	f := &drainFleet{size: fleetSize{*drainReplicas, *drainEntries, *drainWorkers}, left: map[ident.Target]time.Time{}, seq: 1}
+	f.linkedFleet = newRegistrationFleetOf(t, f.size, 10**drainLink)
 	f.release(2 * heartbeatTicks)
 	for _, id := range f.entries() {
-		require.GreaterOrEqual(t, f.states[id].Requests().WorkerCount(), manyRegistrations)
+		require.GreaterOrEqual(t, f.states[id].Requests().WorkerCount(), f.size.workers)
 	}
-	f.bytesPerTick = drainLink
+	f.bytesPerTick = *drainLink
 	return f
 }
 
@@ -43,10 +53,11 @@
 func (f *drainFleet) release(ticks int) {
 	for range ticks {
 		f.seq++
-		for i := int(f.seq % heartbeatTicks); i < manyRegistrations; i += heartbeatTicks {
-			if w := registrationOf(i); !f.left[w.ID] {
+		for i := int(f.seq % heartbeatTicks); i < f.size.workers; i += heartbeatTicks {
+			w := registrationOf(i)
+			if _, leaves := f.left[w.ID]; !leaves {
 				w.Seq = f.seq
-				f.reduce(replicaName(i%6), host.HeartbeatReceived{Worker: w})
+				f.reduce(f.size.replicaOf(i), host.HeartbeatReceived{Worker: w})
 			}
 		}
 		f.registerOther(f.others)
@@ -55,6 +66,24 @@
 	}
 }
 
+// report has a worker report that it leaves.
+func (f *drainFleet) report(i int) registry.Worker {
+	w := registrationOf(i)
+	w.State, w.Seq, f.left[w.ID] = registry.Draining, f.seq+1, f.now
+	f.reduce(f.size.replicaOf(i), host.HeartbeatReceived{Worker: w})
+	return w
+}
+
+// drain has a worker report that it leaves, and runs until that is acknowledged.
+func (f *drainFleet) drain(i int) ident.Target {
+	w, at := f.report(i), f.size.replicaOf(i)
+	for end := f.now.Add(host.MaxShareTime); f.states[at].IsUnshared(w.ID, f.now) && f.now.Before(end); {
+		f.release(1)
+	}
+	f.left[w.ID] = f.now
+	return w.ID
+}
+
 // users returns the number of entry hosts in service to which a worker is ready.
 func (f *drainFleet) users(worker ident.Target) int {
 	n := 0
@@ -66,42 +95,95 @@
 	return n
 }
 
-// drain has a worker report that it leaves, and requires that all hosts learn of it in time.
-func (f *drainFleet) drain(t *testing.T, i int) {
+// requireKnown requires that all hosts learn in time of all workers that leave.
+func (f *drainFleet) requireKnown(t *testing.T, workers ...ident.Target) {
 	t.Helper()
-	w := registrationOf(i)
-	require.NotZero(t, f.users(w.ID))
-	w.State, w.Seq, f.left[w.ID] = registry.Draining, f.seq+1, true
-	f.reduce(replicaName(i%6), host.HeartbeatReceived{Worker: w})
-	acknowledged := f.now
-	for f.users(w.ID) > 0 {
-		require.Less(t, f.now.Sub(acknowledged), maxDrainDelay, "%d hosts still use the worker", f.users(w.ID))
+	var longest time.Duration
+	for len(workers) > 0 {
+		workers = slices.DeleteFunc(workers, func(id ident.Target) bool {
+			users, since := f.users(id), f.now.Sub(f.left[id])
+			require.False(t, users > 0 && since > maxDrainDelay, "%d hosts still use %s after %s", users, id, since)
+			longest = max(longest, since)
+			return users == 0
+		})
 		f.release(1)
 	}
-	t.Log("known everywhere after", f.now.Sub(acknowledged))
+	t.Log("known everywhere after", longest)
 }
 
-// TestLeavingWorkerIsKnownWhileHubsChange guards against a leaving worker that is reported behind all other
-// registrations, which are sent anew to hosts whose hubs were lost during a release.
-func TestLeavingWorkerIsKnownWhileHubsChange(t *testing.T) {
-	f := newDrainFleet(t)
+// stopHubs stops every n-th hub.
+func (f *drainFleet) stopHubs(n int) {
 	for i, hub := range f.hubs() {
-		if i%2 == 0 {
+		if i%n == 0 {
 			f.stop(hub)
 		}
 	}
+}
+
+// TestLeavingWorkerIsKnownWhileHubsChange guards against a leaving worker that is reported behind all other
+// registrations, which are sent anew to hosts whose hubs were lost during a release.
+func TestLeavingWorkerIsKnownWhileHubsChange(t *testing.T) {
+	f := newDrainFleet(t)
+	f.stopHubs(2)
 	f.release(80)
-	f.drain(t, 7)
+	f.requireKnown(t, f.drain(7))
 	f.release(10)
-	f.drain(t, 13)
+	f.requireKnown(t, f.drain(13))
 }
 
 // TestLeavingWorkerIsKnownWithoutHubs guards against a leaving worker that no host is told of, because all
 // hubs were lost and hosts poll other replicas than the one that acknowledged its report.
 func TestLeavingWorkerIsKnownWithoutHubs(t *testing.T) {
 	f := newDrainFleet(t)
-	for _, hub := range f.hubs() {
-		f.stop(hub)
+	f.stopHubs(1)
+	f.requireKnown(t, f.drain(7))
+}
+
+// TestAcknowledgedDepartureOutlivesItsReplica guards against a departure that is forgotten with the replica
+// which acknowledged it and was lost at once: the worker's next heartbeat may be late.
+func TestAcknowledgedDepartureOutlivesItsReplica(t *testing.T) {
+	f := newDrainFleet(t)
+	for _, i := range []int{1, 2} {
+		leaving := f.drain(i)
+		f.stop(f.size.replicaOf(i))
+		f.requireKnown(t, leaving)
+	}
+	leading := slices.IndexFunc(f.order, func(id ident.Host) bool { return id == f.leader() })
+	leaving := f.drain(leading)
+	f.stop(f.size.replicaOf(leading))
+	f.requireKnown(t, leaving)
+}
+
+// TestLeavingWorkersAreKnownInARelease guards against departures that wait behind each other, or behind
+// registrations, while a large part of the workers is replaced and a replica and hubs are lost.
+func TestLeavingWorkersAreKnownInARelease(t *testing.T) {
+	f := newDrainFleet(t)
+	const perTick, ticks = 6, 40
+	var reported []int
+	var acknowledged []ident.Target
+	for tick := range ticks {
+		for i := tick * perTick; i < (tick+1)*perTick; i++ {
+			if !f.down[f.size.replicaOf(i)] {
+				f.report(i)
+				reported = append(reported, i)
+			}
+		}
+		f.release(1)
+		reported = slices.DeleteFunc(reported, func(i int) bool {
+			id, at := registrationOf(i).ID, f.size.replicaOf(i)
+			isAnswered := !f.states[at].IsUnshared(id, f.now) || f.now.Sub(f.left[id]) >= host.MaxShareTime
+			if isAnswered && !f.down[at] {
+				f.left[id] = f.now
+				acknowledged = append(acknowledged, id)
+			}
+			return isAnswered || f.down[at]
+		})
+		switch tick {
+		case ticks / 4:
+			f.stop(replicaName(1))
+		case ticks / 2:
+			f.stopHubs(3)
+		}
 	}
-	f.drain(t, 7)
+	f.requireKnown(t, acknowledged...)
 }
--- a/core/host/effect.go
+++ b/core/host/effect.go
@@ -82,6 +82,8 @@
 		ID      string
 		Current bool
 	}
+	// DepartureShared reports that another replica holds the departure of a worker, which can be answered.
+	DepartureShared struct{ Worker ident.Target }
 	// HeartbeatAnswer answers a worker's heartbeat or deregistration. Relay is the ip:port for
 	// its next heartbeats, empty for no change.
 	HeartbeatAnswer struct {
@@ -105,6 +107,7 @@
 func (UpdateHostAddresses) effect() {}
 func (RequestDecision) effect()     {}
 func (AnswerRead) effect()          {}
+func (DepartureShared) effect()     {}
 func (HeartbeatAnswer) effect()     {}
 
 // LogKind is the message of a LogRecord.
--- a/core/host/message.go
+++ b/core/host/message.go
@@ -29,8 +29,10 @@
 		Zone ident.Zone
 		// KnowsRollouts is set by versions that support rollouts and have them enabled.
 		KnowsRollouts bool
-		// Departures are packed workers that have recently begun to leave.
-		Departures []byte
+		// Departures are packed workers that have recently begun to leave. KnowsDepartures is set by
+		// versions that repeat those that they are told.
+		Departures      []byte
+		KnowsDepartures bool
 	}
 	// PeerHeartbeat carries a host's heartbeat.
 	PeerHeartbeat struct{ Beat Heartbeat }
--- a/core/host/polling.go
+++ b/core/host/polling.go
@@ -66,6 +66,8 @@
 	lost            bool
 	// departures is the position up to which its departures are known.
 	departures uint64
+	// allDepartures is set if it was asked for the departures of all replicas.
+	allDepartures bool
 	// missedAt is when updates that were lost were last requested from it.
 	missedAt time.Time
 	// crashList is the key of the crash list in its last reply.
@@ -209,7 +211,7 @@
 	primary := t.primaryHub()
 	isLeaderContact := to == t.seeded.leaderContact
 	pollAll := t.now.Sub(t.seeded.leaderReplyAt) > min(pollAllAfterIntervals*t.pollInterval(), maxLeaderWait)
-	return Poll{
+	return t.withDepartureFields(Poll{
 		KnowsZones: true, Zones: t.seeded.zones.Revision,
 		KnowsRollouts: t.RolloutsEnabled(), EarlierHosts: t.RolloutsEnabled() && t.hasEarlierClients(), Rollouts: t.seeded.rollouts.held.Revision,
 		Version: t.config.Version,
@@ -221,9 +223,8 @@
 		Home: primary != "" && to == primary, HubList: t.seeded.hub.list.Key,
 		NeighbourList: t.seeded.fallback.list.Key,
 		CrashList:     t.requests.CrashList().Key, CrashEntries: t.crashEntriesFor(c.crashList),
-		KnowsDepartures: true, Departures: c.departures, AllDepartures: !t.isHub() && t.seeded.hosts > t.hubThreshold(),
 		SkipWorkers: t.skipsWorkersOf(to), WorkersDigest: t.workersDigestFor(to, c),
-	}
+	}, to)
 }
 
 // workersDigestFor returns the digest of the known workers if a hub is about to send this host its
--- a/core/host/registrationflow_test.go
+++ b/core/host/registrationflow_test.go
@@ -35,13 +35,25 @@
 	return l
 }
 
+// fleetSize is the size of a fleet in three zones: of each zone the replicas and entry hosts, of all the
+// workers.
+type fleetSize struct{ replicas, entries, workers int }
+
+// replicaOf returns the replica that a worker sends its heartbeats to.
+func (s fleetSize) replicaOf(worker int) ident.Host { return replicaName(worker % (3 * s.replicas)) }
+
 // newRegistrationFleet returns a fleet with hubs, whose replicas know many workers.
 func newRegistrationFleet(t *testing.T, bytesPerTick int) *linkedFleet {
-	f := newLinkedFleet(zonedReplicas(t, []int{2, 2, 2}, []int{0, 2, 4}, 5, 20), bytesPerTick)
+	return newRegistrationFleetOf(t, fleetSize{replicas: 2, entries: 20, workers: manyRegistrations}, bytesPerTick)
+}
+
+func newRegistrationFleetOf(t *testing.T, size fleetSize, bytesPerTick int) *linkedFleet {
+	n := size.replicas
+	f := newLinkedFleet(zonedReplicas(t, []int{n, n, n}, []int{0, n, 2 * n}, 5, size.entries), bytesPerTick)
 	f.run(8 * time.Second)
 	require.True(t, f.putTable(f.leader(), f.table(1, "k"), time.Second))
-	for i := range manyRegistrations {
-		f.reduce(replicaName(i%6), host.HeartbeatReceived{Worker: registrationOf(i)})
+	for i := range size.workers {
+		f.reduce(size.replicaOf(i), host.HeartbeatReceived{Worker: registrationOf(i)})
 	}
 	return f
 }
--- a/core/host/replica.go
+++ b/core/host/replica.go
@@ -48,7 +48,10 @@
 	if !s.settings.Seeded() {
 		return Raft{Message: e.Message}
 	}
-	return Raft{From: s.settings.replicaID(), To: e.To, Message: e.Message, KnowsZones: true, Zone: s.settings.Zone, KnowsRollouts: s.RolloutsEnabled(), Departures: s.seeded.departures.forReplicas}
+	return Raft{
+		From: s.settings.replicaID(), To: e.To, Message: e.Message, KnowsZones: true, Zone: s.settings.Zone, KnowsRollouts: s.RolloutsEnabled(),
+		KnowsDepartures: true, Departures: s.seeded.departures.forReplicas,
+	}
 }
 
 // Envelope returns the host and the message to send to it for a log message that had to wait
--- a/daemon/effects.go
+++ b/daemon/effects.go
@@ -37,6 +37,8 @@
 		l.pool.SetAddresses(e.Hosts)
 	case host.AnswerRead:
 		l.answerRead(e)
+	case host.DepartureShared:
+		l.departures.end(e.Worker)
 	}
 }
 
--- a/daemon/loop.go
+++ b/daemon/loop.go
@@ -57,6 +57,8 @@
 	calls    map[ident.Request]chan host.Effect
 	writes   map[string]chan writeAnswer
 	reads    map[string]chan bool
+	// departures are the answers to workers that leave.
+	departures departureWaits
 	// probeWorker connects to a worker in the background.
 	probeWorker func(requests.ProbeConnection)
 	// breakOff ends an attempt whose worker has ended; it does not wait.
--- a/daemon/requestcore.go
+++ b/daemon/requestcore.go
@@ -73,14 +73,18 @@
 }
 
 // Heartbeat implements platform.Core: it feeds a worker's heartbeat or deregistration and
-// returns the answer.
+// returns the answer, for a worker that leaves once another replica holds its report.
 func (l *loop) Heartbeat(ev host.Event) host.HeartbeatAnswer {
+	var answer host.HeartbeatAnswer
 	for _, e := range l.reduce(context.Background(), ev) {
 		if a, ok := e.(host.HeartbeatAnswer); ok {
-			return a
+			answer = a
 		}
 	}
-	return host.HeartbeatAnswer{}
+	if id := workerOf(ev); answer.Accepted && l.state.Load().IsUnshared(id, l.now()) {
+		l.awaitShared(id)
+	}
+	return answer
 }
 
 // Limits implements gateway.Core.
--- a/peers/forms_test.go
+++ b/peers/forms_test.go
@@ -124,6 +124,8 @@
 			value = reply
 		}
 		if log, ok := value.(host.Raft); ok {
+			forms = append(forms, gobForm(name+"-shared", carrier{Value: log}))
+			log.KnowsDepartures = false
 			forms = append(forms, gobForm(name+"-departures", carrier{Value: log}))
 			log.Departures = nil
 			forms = append(forms, gobForm(name+"-rollouts", carrier{Value: log}))
@@ -160,7 +162,7 @@
 		}
 		forms = append(forms, gobForm(name, carrier{Value: value}))
 	}
-	forms = append(forms, gobForm("hello", filledValue(Hello{})), gobForm("batch-departures", filledValue(Batch{})), gobForm("batch-rollouts", filledValue(Batch{}, "Departures")), gobForm("batch-zone", filledValue(Batch{}, "KnowsRollouts", "Departures")), gobForm("batch", filledValue(Batch{}, "KnowsZones", "Zone", "KnowsRollouts", "Departures")), gobForm("ack", filledValue(Ack{})))
+	forms = append(forms, gobForm("hello", filledValue(Hello{})), gobForm("batch-shared", filledValue(Batch{})), gobForm("batch-departures", filledValue(Batch{}, "KnowsDepartures")), gobForm("batch-rollouts", filledValue(Batch{}, "Departures", "KnowsDepartures")), gobForm("batch-zone", filledValue(Batch{}, "KnowsRollouts", "Departures", "KnowsDepartures")), gobForm("batch", filledValue(Batch{}, "KnowsZones", "Zone", "KnowsRollouts", "Departures", "KnowsDepartures")), gobForm("ack", filledValue(Ack{})))
 	all, err := formtest.Check(string(text), *addForms, forms)
 	require.NoError(t, err)
 	if *addForms {
