soak: Let workers leave by their heartbeats while faults are drawn

One worker after the other now does so during the faults, serves for five seconds and starts again. Nothing that a caller sends to an undisturbed host 2.5 s after the acknowledgement may run there.

--- a/soak/checks_test.go
+++ b/soak/checks_test.go
@@ -33,6 +33,8 @@
 	// drained is the worker that said that it leaves; acked when that was heard.
 	drained string
 	acked   time.Time
+	// departures are those that were reported while faults were drawn.
+	departures []departure
 }
 
 // broken lists the promises that do not hold, each with the request or the
@@ -44,6 +46,7 @@
 	}
 	out = append(out, e.checkVersions()...)
 	out = append(out, e.checkNotices()...)
+	out = append(out, e.checkDepartures()...)
 	out = append(out, e.checkRollouts()...)
 	out = append(out, e.checkReadings()...)
 	out = append(out, e.checkHistory()...)
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -68,6 +68,7 @@
 	x := newFaults(f)
 	settled, zonesTakenBack, rolled := make(chan struct{}), make(chan struct{}), make(chan struct{})
 	versions := newRoller(o)
+	var departures []departure
 	go func() {
 		if *withRollouts {
 			versions.run(settled)
@@ -81,6 +82,7 @@
 	go func() {
 		x.done.Go(func() { newRestarts(x, o).run(*duration) })
 		x.done.Go(func() { newRestarts(x, o).leave(*duration) })
+		x.done.Go(func() { departures = newRestarts(x, o).depart(*duration) })
 		if *withCutoffs {
 			x.done.Go(func() { newCutoffs(x).run(*duration) })
 		}
@@ -97,7 +99,7 @@
 	}
 	<-zonesTakenBack
 	<-rolled
-	e := evidence{fleet: f}
+	e := evidence{fleet: f, departures: departures}
 	bad.on.Store(false)
 	recovered := eventually(recoverBound, func() bool { return recoveredNow(f, o) })
 	if recovered && *earlier == "" {
@@ -190,7 +192,7 @@
 	resumed, whole := e.resumed()
 	t.Logf("seed %d: %d streams taken up again, %d of them whole", e.fleet.seed, resumed, whole)
 	ends := e.fleet.runs.endsSoFar()
-	t.Logf("seed %d: %d workers ended under the bad request", e.fleet.seed, len(ends))
+	t.Logf("seed %d: %d workers ended under the bad request, %d departures", e.fleet.seed, len(ends), len(e.departures))
 	t.Logf("seed %d: %d requests %v, %d of %d changes acknowledged, %d readings, %d faults", e.fleet.seed, len(e.requests), counts, acked, len(e.changes), len(e.readings), len(e.faults))
 	if len(broken) == 0 {
 		return
