--- a/core/host/drainloss_test.go
+++ b/core/host/drainloss_test.go
@@ -20,21 +20,22 @@
 	for name, fromHubs := range map[string]bool{"from replicas": false, "from replicas and hubs": true} {
 		t.Run(name, func(t *testing.T) {
 			f := newLargeFleet(t, largeFleet)
+			f.sendHeartbeat(replicaName(1), "w2", registry.Ready, 1)
 			f.run(3 * time.Second)
 			lost := map[[2]ident.Host]bool{}
 			f.intercept = func(p seededPacket) bool {
 				m, ok := p.message.(host.PollReply)
 				link := [2]ident.Host{p.from, p.to}
-				if !ok || lost[link] || !mentionsWorker(t, m, "w1") || f.disks[p.from] == nil && !fromHubs {
+				if !ok || lost[link] || !mentionsWorker(t, m, "w2") || f.disks[p.from] == nil && !fromHubs {
 					return false
 				}
 				lost[link] = true
 				return true
 			}
-			f.sendHeartbeat(replicaName(1), "w1", registry.Draining, 2)
+			f.sendHeartbeat(replicaName(1), "w2", registry.Draining, 2)
 			acknowledged := f.now
-			for others := 0; f.hostsThatUse("w1") > 0; others++ {
-				require.Less(t, f.now.Sub(acknowledged), maxDrainDelay, "%d hosts still use the worker", f.hostsThatUse("w1"))
+			for others := 0; f.hostsThatUse("w2") > 0; others++ {
+				require.Less(t, f.now.Sub(acknowledged), maxDrainDelay, "%d hosts still use the worker", f.hostsThatUse("w2"))
 				f.registerOther(others)
 				f.run(2 * seededStep)
 			}
--- a/core/host/host.go
+++ b/core/host/host.go
@@ -18,7 +18,7 @@
 // Seeded fleets find their replicas through seed addresses and serve a route table; in listed
 // fleets the configuration lists all hosts and targets. The files of this package:
 //
-//	polling.go, pollreply.go     polls of seeded fleets, and how replies are applied
+//	poll*.go                     polls of seeded fleets, and how replies are applied
 //	clients.go, updates.go       replies to polling hosts, and updates between polls
 //	hub.go, fallback.go          hubs, and polling other entry hosts when no replica replies
 //	departures.go, sendwindow.go workers that leave, and what a client has of ordered updates
@@ -44,7 +44,6 @@
 
 	"github.com/yardhall/yardhall/core/catalog"
 	"github.com/yardhall/yardhall/core/config"
-	"github.com/yardhall/yardhall/core/departures"
 	"github.com/yardhall/yardhall/core/health"
 	"github.com/yardhall/yardhall/core/ident"
 	"github.com/yardhall/yardhall/core/raft"
@@ -208,11 +207,6 @@
 	t.emit(LogRecord{Kind: kind, Object: object, Detail: detail})
 }
 
-// logRegistration logs what this host knows of a worker now.
-func (t *transition) logRegistration(w registry.Worker, detail string) {
-	t.emit(LogRecord{Kind: LogWorkerRegistration, Object: string(w.ID), Detail: detail, Leaving: departures.IsLeaving(w)})
-}
-
 // send transmits m; a message to this host itself is handled immediately.
 func (t *transition) send(to ident.Host, m Message) {
 	to = to.Address()
--- a/core/host/registrations.go
+++ b/core/host/registrations.go
@@ -45,6 +45,11 @@
 	}
 }
 
+// logRegistration logs what this host knows of a worker now.
+func (t *transition) logRegistration(w registry.Worker, detail string) {
+	t.emit(LogRecord{Kind: LogWorkerRegistration, Object: string(w.ID), Detail: detail, Leaving: departures.IsLeaving(w)})
+}
+
 // deregister marks a worker as gone on a replica.
 func (t *transition) deregister(id ident.Target, born registry.Incarnation) {
 	next, changed := t.registry.WithGone(id, born, t.now)
