--- a/core/host/drainbulk_test.go
+++ b/core/host/drainbulk_test.go
@@ -123,6 +123,7 @@
 // TestLeavingWorkerIsKnownWhileHubsChange guards against a leaving worker that is reported behind all other
 // registrations, which are sent anew to hosts whose hubs were lost during a release.
 func TestLeavingWorkerIsKnownWhileHubsChange(t *testing.T) {
+	t.Parallel()
 	f := newDrainFleet(t)
 	f.stopHubs(2)
 	f.release(80)
@@ -134,6 +135,7 @@
 // TestLeavingWorkerIsKnownWithoutHubs guards against a leaving worker that no host is told of, because all
 // hubs were lost and hosts poll other replicas than the one that acknowledged its report.
 func TestLeavingWorkerIsKnownWithoutHubs(t *testing.T) {
+	t.Parallel()
 	f := newDrainFleet(t)
 	f.stopHubs(1)
 	f.requireKnown(t, f.drain(7))
@@ -142,6 +144,7 @@
 // TestAcknowledgedDepartureOutlivesItsReplica guards against a departure that is forgotten with the replica
 // which acknowledged it and was lost at once: the worker's next heartbeat may be late.
 func TestAcknowledgedDepartureOutlivesItsReplica(t *testing.T) {
+	t.Parallel()
 	f := newDrainFleet(t)
 	for _, i := range []int{1, 2} {
 		leaving := f.drain(i)
@@ -157,6 +160,7 @@
 // TestLeavingWorkersAreKnownInARelease guards against departures that wait behind each other, or behind
 // registrations, while a large part of the workers is replaced and a replica and hubs are lost.
 func TestLeavingWorkersAreKnownInARelease(t *testing.T) {
+	t.Parallel()
 	f := newDrainFleet(t)
 	const perTick, ticks = 6, 40
 	var reported []int
