daemon: Answer workers that leave at once while the processor is short

A worker that leaves keeps its connection at work while its answer waits for another replica, 0.15 s at most by the pace of connections. While the processor is short, one connection is at work at a time, so a release would hold up the heartbeats of all other workers.

--- a/daemon/departures.go
+++ b/daemon/departures.go
@@ -40,8 +40,13 @@
 }
 
 // awaitShared waits until another replica holds a worker's report that it leaves, at most for
-// host.MaxShareTime: without a leader the report is acknowledged all the same, as hosts are told of it.
+// host.MaxShareTime: without a leader the report is acknowledged all the same, as hosts are told of it. It does
+// not wait while the processor is short, as few connections are at work at a time then and other workers
+// would wait with it.
 func (l *loop) awaitShared(id ident.Target) {
+	if l.pace.short() {
+		return
+	}
 	shared := l.departures.add(id)
 	defer l.departures.end(id)
 	if !l.state.Load().IsUnshared(id, l.now()) {
