core/registry: Keep a worker that leaves as leaving when it falls silent

A replica registered a draining worker that sent no heartbeats for five intervals as silent.

It stays draining now, until it is dropped after five minutes like a worker that is gone.

--- a/core/registry/registry.go
+++ b/core/registry/registry.go
@@ -72,11 +72,6 @@
 }
 
 const (
-	// forgetGone is how long a gone worker is remembered, so that a late heartbeat does not register
-	// it again.
-	forgetGone = 5 * time.Minute
-	// forgetSilent is the same for a silent worker.
-	forgetSilent = time.Minute
 	// returnPause is the pause between heartbeats after which a worker that has sent others meanwhile
 	// has probably sent them to another registry. That one will take it for silent, so this one must
 	// report the later heartbeat although nothing else has changed. It exceeds the interval of
@@ -220,38 +215,6 @@
 	return r.withEntry(w.ID, e, now)
 }
 
-// Forget drops the workers that ended too long ago.
-func (r Registry) Forget(now time.Time) Registry {
-	for id, e := range r.workers.All() {
-		if e.over(now) {
-			r = r.without(id, e)
-		}
-	}
-	return r
-}
-
-// without drops a worker.
-func (r Registry) without(id ident.Target, e entry) Registry {
-	r.workers = r.workers.Without(id)
-	r.ended -= e.endedCount()
-	r.digest -= e.worker().digest()
-	r.changes = r.changes.Without(e.revision)
-	if holder, _ := r.owners.Get(e.worker().Address); holder == id {
-		r.owners = r.owners.Without(e.worker().Address)
-	}
-	return r
-}
-
-// over reports whether the worker has been gone or silent for so long that it may be dropped.
-func (e entry) over(now time.Time) bool {
-	return Over(e.worker().State, now.Sub(e.lastSeen))
-}
-
-// Over reports whether a worker in a state that was last seen so long ago may be dropped.
-func Over(s State, age time.Duration) bool {
-	return s == Gone && age > forgetGone || s == Silent && age > forgetSilent
-}
-
 // worker returns the worker by its merged record.
 func (e entry) worker() Worker { return e.record.Worker() }
 
@@ -263,21 +226,6 @@
 	return 0
 }
 
-// Expire marks the workers silent that were not seen for silentAfter, and drops those that ended too
-// long ago.
-func (r Registry) Expire(silentAfter time.Duration, now time.Time) (next Registry, changed bool) {
-	r = r.Forget(now)
-	for _, e := range r.workers.All() {
-		if e.worker().State != Gone && e.worker().State != Silent && now.Sub(e.lastSeen) > silentAfter {
-			w := e.worker()
-			w.State = Silent
-			r = r.with(e, w, e.lastSeen)
-			changed = true
-		}
-	}
-	return r, changed
-}
-
 // InZone returns the workers of a zone that are not gone, as of now.
 func (r Registry) InZone(zone ident.Zone, now time.Time) []Worker {
 	var out []Worker
--- a/core/registry/registry_test.go
+++ b/core/registry/registry_test.go
@@ -108,3 +108,15 @@
 	require.Len(t, got, 8)
 	require.Equal(t, r.Revision(), seen)
 }
+
+// TestDrainingWorkerStaysDraining guards against a worker that says that it leaves, falls silent and is then
+// tried by hosts that learn of it as merely silent.
+func TestDrainingWorkerStaysDraining(t *testing.T) {
+	r, _ := registry.Registry{}.WithHeartbeat(worker(2, registry.Draining), start)
+	r, _ = r.Expire(time.Second, start.Add(2*time.Second))
+	w, ok := r.Get("w")
+	require.True(t, ok)
+	require.Equal(t, registry.Draining, w.State)
+	r, _ = r.Expire(time.Second, start.Add(6*time.Minute))
+	require.Zero(t, r.Len())
+}
