--- a/core/host/clients.go
+++ b/core/host/clients.go
@@ -209,10 +209,9 @@
 	if !c.supportsZones {
 		batch.packed = t.workersForEarlierVersion(batch.packed)
 	}
-	version := t.currentConfig().Version
 	r := PollReply{
 		Zones: t.currentZones(), Zone: t.settings.Zone,
-		Round: m.Round, Version: version,
+		Round: m.Round, Version: t.currentConfig().Version,
 		Epoch: t.settings.Incarnation, Since: since, Revision: batch.revision, Workers: batch.packed,
 		NewestRevision: t.registry.Revision(),
 		CrashList:      t.requests.CrashList().Key, CrashEntries: t.crashEntriesFor(c.crashList),
@@ -238,11 +237,7 @@
 		r = t.withHubList(r, m)
 		r = t.withFallbackPeers(r, m)
 	}
-	if c.receivesTable && c.version < version && t.seeded.bulk.hasRoom() {
-		r.Gateway, r.Base = t.packedTable(c.version)
-		c.version = version
-		t.seeded.bulk.sent += len(r.Gateway)
-	}
+	r, c = t.withTable(r, c)
 	if batch.revision > since {
 		c.registrations, c.updatedAt, c.sentFull = c.registrations.withSent(batch.revision, t.now), t.now, batch.full
 	}
@@ -250,6 +245,17 @@
 	t.send(to, r)
 }
 
+// withTable adds to a reply the route table if the client lacks it, and returns the client that has been sent it.
+func (t *transition) withTable(r PollReply, c client) (PollReply, client) {
+	if !c.receivesTable || c.version >= r.Version || !t.seeded.bulk.hasRoom() {
+		return r, c
+	}
+	r.Gateway, r.Base = t.packedTable(c.version)
+	c.version = r.Version
+	t.seeded.bulk.sent += len(r.Gateway)
+	return r, c
+}
+
 // withReplicaFields sets the fields of a reply that only replicas know.
 func (t *transition) withReplicaFields(r PollReply, m Poll) PollReply {
 	r.Leader, r.Hosts = t.raft.Leader().Address(), t.sumLoads().entryHosts
--- a/core/host/departures.go
+++ b/core/host/departures.go
@@ -16,8 +16,8 @@
 // registrations for now. Replicas tell each other with the messages of the replicated log, so that hosts
 // which poll only some of them, as while all hubs are lost, learn of each departure from any of them.
 //
-// A worker's report is answered once another replica is known to hold it, as it repeats what that one was
-// told: a replica that is lost right after its answer takes no departure with it.
+// A worker's report is answered once another replica is known to hold it, as that one repeats it: a replica
+// that is lost right after its answer takes no departure with it.
 const (
 	// departureInterval is the time between two updates of departures to a client, which batches those of a
 	// release.
@@ -133,8 +133,8 @@
 	}
 }
 
-// hasAllDepartures reports whether a reply and those before it told this host of all workers that the sender
-// knows to leave. Earlier versions report them with all other registrations.
+// hasAllDepartures reports whether this host has received, with a reply and those before it, all departures
+// that the sender knows. Earlier versions report them with all other registrations.
 func (t *transition) hasAllDepartures(from ident.Host, m PollReply) bool {
 	c, _ := t.seeded.contacts.Get(from)
 	if !m.KnowsDepartures {
--- a/core/host/message.go
+++ b/core/host/message.go
@@ -30,7 +30,7 @@
 		// KnowsRollouts is set by versions that support rollouts and have them enabled.
 		KnowsRollouts bool
 		// Departures are packed workers that have recently begun to leave. KnowsDepartures is set by
-		// versions that repeat those that they are told.
+		// versions that repeat those that they receive.
 		Departures      []byte
 		KnowsDepartures bool
 	}
--- a/core/host/pollreply.go
+++ b/core/host/pollreply.go
@@ -41,9 +41,7 @@
 		t.requests = t.requests.WithDeparturesKnown(sent)
 	}
 	if m.Summed && known {
-		t.seeded.loadsDueAt = t.now.Add(time.Duration(len(m.Loads)) * loadByteTime)
-		// The sender may have summed the loads up to half an interval before its reply.
-		t.applyReportedLoads(m.Loads, sent.Add(-t.pollInterval()/2-m.LoadsAge))
+		t.applyLoadSums(m, sent)
 	}
 	if !m.Fresh {
 		// A starting fleet has no leader yet, but its size must already limit how often its
@@ -64,6 +62,13 @@
 	}
 }
 
+// applyLoadSums stores the loads in the reply to a poll that was sent at a time.
+func (t *transition) applyLoadSums(m PollReply, sent time.Time) {
+	t.seeded.loadsDueAt = t.now.Add(time.Duration(len(m.Loads)) * loadByteTime)
+	// The sender may have summed the loads up to half an interval before its reply.
+	t.applyReportedLoads(m.Loads, sent.Add(-t.pollInterval()/2-m.LoadsAge))
+}
+
 // popPendingPoll removes a poll from the pending ones and returns when it was sent. known is
 // false for an unsolicited update and for a late reply.
 func (t *transition) popPendingPoll(round uint64) (sent time.Time, known bool) {
--- a/daemon/departures.go
+++ b/daemon/departures.go
@@ -40,7 +40,7 @@
 }
 
 // awaitShared waits until another replica holds a worker's report that it leaves, at most for
-// host.MaxShareTime: without a leader the report is acknowledged all the same, as hosts are told of it. It does
+// host.MaxShareTime: without a leader the report is acknowledged all the same, as hosts are sent it. It does
 // not wait while the processor is short, as few connections are at work at a time then and other workers
 // would wait with it.
 func (l *loop) awaitShared(id ident.Target) {
