--- a/review/rig/main.go
+++ b/review/rig/main.go
@@ -26,6 +26,7 @@
 	play  func(*fleet, *record, bool) (verdict, error)
 }{
 	"surplus-decline": {edges: 6, play: surplusDecline},
+	"last-key":        {edges: 6, play: lastKey},
 }
 
 func main() {
