--- a/review/rig/main.go
+++ b/review/rig/main.go
@@ -27,6 +27,7 @@
 }{
 	"surplus-decline": {edges: 6, play: surplusDecline},
 	"last-key":        {edges: 6, play: lastKey},
+	"tunnel-kill":     {edges: 7, play: tunnelKill},
 }
 
 func main() {
