gateway, daemon: Log the connection of each try

What became of a try could not be told apart by its line: whether it shared a connection with an earlier try, through which host it was tunnelled, whether its response ended with the connection, and whether responses to other requests came first.

Lines of tries now carry conn, reused, via, unframed and skipped; the key tunneled stays.

--- a/daemon/requestlog.go
+++ b/daemon/requestlog.go
@@ -110,9 +110,7 @@
 		"connected_ms", millis(try.ConnectedAfter), "sent_ms", millis(try.SentAfter),
 		"result", resultText(try.Result), "try_ms", millis(try.Duration),
 	}
-	if try.Tunneled {
-		fields = append(fields, "tunneled", true)
-	}
+	fields = append(fields, connectionFields(try)...)
 	if in.LastResort {
 		fields = append(fields, "last_resort", true)
 	}
@@ -131,6 +129,27 @@
 	return fields
 }
 
+// connectionFields are the connection of a try and how its response was framed.
+func connectionFields(try gateway.Attempt) []any {
+	var fields []any
+	if try.Via != "" {
+		fields = append(fields, "tunneled", true, "via", string(try.Via))
+	}
+	if try.LocalAddress != "" {
+		fields = append(fields, "conn", try.LocalAddress)
+	}
+	if try.Reused {
+		fields = append(fields, "reused", true)
+	}
+	if try.Unframed {
+		fields = append(fields, "unframed", true)
+	}
+	if try.Skipped > 0 {
+		fields = append(fields, "skipped", try.Skipped)
+	}
+	return fields
+}
+
 // mayHaveCrashed reports whether a worker may have crashed under a request, or it was refused for that.
 func mayHaveCrashed(o gateway.Observation) bool {
 	if len(o.Request.Prompt.Parts) == 0 || len(o.Attempts) == 0 {
--- a/gateway/call.go
+++ b/gateway/call.go
@@ -69,7 +69,8 @@
 		result = outcome.Interrupted{Reason: "no whole answer before the deadline", AnswerStarted: c.relay.headerSent}
 	}
 	c.observed.Attempts = append(c.observed.Attempts, Attempt{
-		Dispatch: d, Result: result, Duration: c.server.now().Sub(startedAt), Tunneled: x.conn != nil && x.conn.tunneled,
+		Dispatch: d, Result: result, Duration: c.server.now().Sub(startedAt), Via: x.via, LocalAddress: x.localAddress(),
+		Reused: x.conn != nil && !x.conn.newlyDialed, Unframed: x.unframed, Skipped: x.skipped,
 		ConnectedAfter: sinceOrZero(x.connectedAt, d.DecidedAt), SentAfter: sinceOrZero(x.sentAt, d.DecidedAt),
 	})
 	if expired {
--- a/gateway/connect.go
+++ b/gateway/connect.go
@@ -49,6 +49,7 @@
 		case err == nil:
 			tunnel := newWorkerConn(conn, x.dispatch.Worker)
 			tunnel.tunneled = true
+			x.via = peer
 			return tunnel, nil
 		case errors.Is(err, peers.ErrWorkerRefused), errors.Is(err, peers.ErrWorkerTimedOut):
 			return nil, outcome.NeverSent{
@@ -64,6 +65,14 @@
 	return nil, outcome.NeverSent{Reason: "no host opened a connection to the worker", NoPath: true}
 }
 
+// localAddress returns this host's end of the connection; empty if there is none.
+func (x *exchange) localAddress() string {
+	if x.conn == nil {
+		return ""
+	}
+	return x.conn.LocalAddr().String()
+}
+
 func (x *exchange) openTunnel(ctx context.Context, peer ident.Host) (net.Conn, error) {
 	if x.server.tunnels == nil {
 		return nil, peers.ErrUnavailable
--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -17,6 +17,7 @@
 	"golang.org/x/sys/unix"
 
 	"github.com/yardhall/yardhall/common/clock"
+	"github.com/yardhall/yardhall/core/ident"
 	"github.com/yardhall/yardhall/core/outcome"
 	"github.com/yardhall/yardhall/core/requests"
 )
@@ -46,6 +47,12 @@
 	// connectedAt is when the connection was open, sentAt when the request was completely written.
 	connectedAt time.Time
 	sentAt      time.Time
+	// via is the host that the connection goes through; empty if it goes to the worker directly.
+	via ident.Host
+	// unframed is set if the response ends with its connection, skipped counts responses to other
+	// requests.
+	unframed bool
+	skipped  int
 	// mu guards aborted and the read deadline of conn, which depends on it.
 	mu      sync.Mutex
 	aborted bool
@@ -175,6 +182,7 @@
 		names := x.server.headers
 		id := resp.Header.Get(names.RequestID)
 		if id == string(x.dispatch.Request) || id == "" && reportsNotRun(resp, names) {
+			x.unframed = !isFramed(resp)
 			return resp, nil
 		}
 		if id == "" {
@@ -185,6 +193,7 @@
 		if _, err := io.Copy(io.Discard, io.LimitReader(resp.Body, maxResponseBytes)); err != nil {
 			return nil, errors.Wrap(err, "skip late response")
 		}
+		x.skipped++
 	}
 	return nil, errors.New("too many responses to other requests")
 }
@@ -208,14 +217,16 @@
 // releaseConn returns the connection to the pool, or closes it if the worker asked for
 // that or the response was incomplete, unframed or followed by surplus bytes.
 func (x *exchange) releaseConn(resp *http.Response, complete bool) {
-	framed := resp.ContentLength >= 0 || len(resp.TransferEncoding) > 0
-	if !complete || resp.Close || !framed || x.conn.reader.Buffered() > 0 {
+	if !complete || resp.Close || !isFramed(resp) || x.conn.reader.Buffered() > 0 {
 		_ = x.conn.Close()
 		return
 	}
 	x.server.pool.release(x.conn, keepAliveTime(resp.Header), x.server.now())
 }
 
+// isFramed reports whether a response has a length or chunks. Otherwise its body ends with the connection.
+func isFramed(resp *http.Response) bool { return resp.ContentLength >= 0 || len(resp.TransferEncoding) > 0 }
+
 // keepAliveTime returns the timeout parameter of the Keep-Alive header; 0 if there is none.
 func keepAliveTime(h http.Header) time.Duration {
 	for part := range strings.SplitSeq(h.Get("Keep-Alive"), ",") {
--- a/gateway/server.go
+++ b/gateway/server.go
@@ -74,8 +74,16 @@
 	Dispatch requests.Dispatch
 	Result   outcome.Attempt
 	Duration time.Duration
-	// Tunneled is set if it went through another host.
-	Tunneled bool
+	// Via is the host that it went through; empty if it went to the worker directly.
+	Via ident.Host
+	// LocalAddress is this host's end of the connection, which tells connections apart; empty if
+	// there was none. Reused is set if the connection had carried another request before.
+	LocalAddress string
+	Reused       bool
+	// Unframed is set if the response had neither a length nor chunks and ended with its connection.
+	Unframed bool
+	// Skipped is the number of responses to other requests that were read and dropped.
+	Skipped int
 	// ConnectedAfter and SentAfter are the times from the choice of the worker until the connection was open
 	// and the request written; 0 if that was not reached.
 	ConnectedAfter time.Duration
