peers, gateway: Tell the end of a tunnelled answer from the loss of its host

Cause: the bytes in a tunnel had no framing. The operating system closes the connections of a killed process in order, and peers.Server.Close does so at a planned stop past drain_time; both read as the worker's own end. Ruled out by the lines of tries: an error of the carrier's code (none runs after SIGKILL) and a loss at the opener (streams through other hosts were whole).

Change: the carrier sends the worker's bytes in the chunked coding and ends it only once the worker has closed in order; the opener takes any other end for a loss. Both agree on it by a header, so that builds of two versions work together: through an earlier carrier answers without a length count as interrupted, and such a carrier is used only if no other opens a tunnel; for earlier openers a stopping carrier resets its tunnels.

--- a/gateway/connect.go
+++ b/gateway/connect.go
@@ -4,7 +4,6 @@
 
 import (
 	"context"
-	"net"
 
 	"github.com/pkg/errors"
 
@@ -18,7 +17,7 @@
 // TunnelOpener opens connections to workers through other hosts. Its errors are those of
 // peers.Pool.OpenTunnel.
 type TunnelOpener interface {
-	OpenTunnel(ctx context.Context, via ident.Host, w registry.Worker) (net.Conn, error)
+	OpenTunnel(ctx context.Context, via ident.Host, w registry.Worker) (*peers.Tunnel, error)
 }
 
 // connect returns a connection to the attempt's worker by the path that the core chose: an open one, a
@@ -41,30 +40,61 @@
 }
 
 // connectThroughPeer opens a tunnel through the first of the path's peers that can, and reports those
-// that cannot to the core.
+// that cannot to the core. An unframed tunnel is used only if no other peer opens one.
 func (x *exchange) connectThroughPeer(ctx context.Context) (*workerConn, outcome.Attempt) {
+	var unframed *peers.Tunnel
 	for _, peer := range x.dispatch.Path.Via {
-		conn, err := x.openTunnel(ctx, peer)
-		switch {
-		case err == nil:
-			tunnel := newWorkerConn(conn, x.dispatch.Worker)
-			tunnel.tunneled = true
+		tunnel, err := x.openTunnel(ctx, peer)
+		if err == nil {
+			closeTunnel(unframed)
 			x.via = peer
-			return tunnel, nil
-		case errors.Is(err, peers.ErrWorkerRefused), errors.Is(err, peers.ErrWorkerTimedOut):
-			return nil, outcome.NeverSent{
-				Reason:          "through " + string(peer) + ": " + err.Error(),
-				ConnectRefused:  errors.Is(err, peers.ErrWorkerRefused),
-				ConnectTimedOut: errors.Is(err, peers.ErrWorkerTimedOut),
+			if tunnel.Framed() {
+				return x.tunneledConn(tunnel), nil
 			}
-		case ctx.Err() != nil:
-			return nil, outcome.NeverSent{Reason: err.Error()}
+			unframed = tunnel
+			continue
 		}
-		x.server.core.Decide(requests.TunnelRefused{Peer: peer})
+		if failure := workerFailure(ctx, peer, err); failure != nil && unframed == nil {
+			return nil, failure
+		} else if failure == nil {
+			x.server.core.Decide(requests.TunnelRefused{Peer: peer})
+		}
+	}
+	if unframed != nil {
+		return x.tunneledConn(unframed), nil
 	}
 	return nil, outcome.NeverSent{Reason: "no host opened a connection to the worker", NoPath: true}
 }
 
+// workerFailure returns the result of an attempt whose worker a peer could not connect to, or whose caller
+// left; nil if the peer itself opened no tunnel.
+func workerFailure(ctx context.Context, peer ident.Host, err error) outcome.Attempt {
+	switch {
+	case errors.Is(err, peers.ErrWorkerRefused), errors.Is(err, peers.ErrWorkerTimedOut):
+		return outcome.NeverSent{
+			Reason:          "through " + string(peer) + ": " + err.Error(),
+			ConnectRefused:  errors.Is(err, peers.ErrWorkerRefused),
+			ConnectTimedOut: errors.Is(err, peers.ErrWorkerTimedOut),
+		}
+	case ctx.Err() != nil:
+		return outcome.NeverSent{Reason: err.Error()}
+	}
+	return nil
+}
+
+// tunneledConn returns the connection to the attempt's worker through a tunnel.
+func (x *exchange) tunneledConn(t *peers.Tunnel) *workerConn {
+	conn := newWorkerConn(t, x.dispatch.Worker)
+	conn.tunneled = true
+	return conn
+}
+
+func closeTunnel(t *peers.Tunnel) {
+	if t != nil {
+		_ = t.Close()
+	}
+}
+
 // localAddress returns this host's end of the connection; empty if there is none.
 func (x *exchange) localAddress() string {
 	if x.conn == nil {
@@ -73,7 +103,7 @@
 	return x.conn.LocalAddr().String()
 }
 
-func (x *exchange) openTunnel(ctx context.Context, peer ident.Host) (net.Conn, error) {
+func (x *exchange) openTunnel(ctx context.Context, peer ident.Host) (*peers.Tunnel, error) {
 	if x.server.tunnels == nil {
 		return nil, peers.ErrUnavailable
 	}
--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -225,7 +225,9 @@
 }
 
 // isFramed reports whether a response has a length or chunks. Otherwise its body ends with the connection.
-func isFramed(resp *http.Response) bool { return resp.ContentLength >= 0 || len(resp.TransferEncoding) > 0 }
+func isFramed(resp *http.Response) bool {
+	return resp.ContentLength >= 0 || len(resp.TransferEncoding) > 0
+}
 
 // keepAliveTime returns the timeout parameter of the Keep-Alive header; 0 if there is none.
 func keepAliveTime(h http.Header) time.Duration {
--- a/peers/server.go
+++ b/peers/server.go
@@ -72,8 +72,9 @@
 	options Options
 	deliver func(ident.Host, host.Message)
 	mu      sync.Mutex
-	conns   map[net.Conn]bool
-	closed  bool
+	// conns are the open connections; the value is set for those that are tunnels.
+	conns  map[net.Conn]bool
+	closed bool
 	// handshakes limits the connections that have not delivered a batch yet.
 	handshakes *gate.Gate
 	// work limits the calls of hosts that are decoded and delivered at the same time.
@@ -118,17 +119,32 @@
 		_ = conn.Close()
 		return false
 	}
-	s.conns[conn] = true
+	s.conns[conn] = false
 	return true
 }
 
-// Close closes all connections. The listener is closed by its owner.
+// markTunnel records that a connection is a tunnel. It returns false if the server is closed.
+func (s *Server) markTunnel(conn net.Conn) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if !s.closed {
+		s.conns[conn] = true
+	}
+	return !s.closed
+}
+
+// Close closes all connections. It resets tunnels, as their answers are not complete. The listener is
+// closed by its owner.
 func (s *Server) Close() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.cancel()
 	s.closed = true
-	for c := range s.conns {
+	for c, isTunnel := range s.conns {
+		if isTunnel {
+			resetConn(c)
+			continue
+		}
 		_ = c.Close()
 	}
 }
--- a/peers/tunnel.go
+++ b/peers/tunnel.go
@@ -4,6 +4,7 @@
 
 import (
 	"bufio"
+	"bytes"
 	"context"
 	"io"
 	"net"
@@ -53,7 +54,7 @@
 )
 
 // OpenTunnel connects to a worker through another host.
-func (p *Pool) OpenTunnel(ctx context.Context, via ident.Host, w registry.Worker) (net.Conn, error) {
+func (p *Pool) OpenTunnel(ctx context.Context, via ident.Host, w registry.Worker) (*Tunnel, error) {
 	addr := p.address(via)
 	if blocked := p.options.Blocked; addr == "" || blocked != nil && blocked(via) {
 		return nil, errors.Wrap(ErrUnavailable, "no address")
@@ -63,13 +64,13 @@
 		return nil, errors.Wrap(ErrUnavailable, err.Error())
 	}
 	stop := context.AfterFunc(ctx, func() { _ = conn.Close() })
-	err = p.connectTunnel(conn, w)
+	tunnel, err := p.connectTunnel(conn, w)
 	if !stop() || err != nil {
 		_ = conn.Close()
 		return nil, errors.Wrap(err, "open tunnel")
 	}
 	_ = conn.SetDeadline(time.Time{})
-	return conn, nil
+	return tunnel, nil
 }
 
 func (p *Pool) dialTunnel(ctx context.Context, addr string) (net.Conn, error) {
@@ -79,24 +80,25 @@
 }
 
 // connectTunnel sends the CONNECT request and reads the reply.
-func (p *Pool) connectTunnel(conn net.Conn, w registry.Worker) error {
+func (p *Pool) connectTunnel(conn net.Conn, w registry.Worker) (*Tunnel, error) {
 	_ = conn.SetDeadline(time.Now().Add(tunnelReplyTimeout))
 	r := &http.Request{Method: http.MethodConnect, URL: &url.URL{Host: w.Address}, Host: w.Address, Header: http.Header{}}
 	r.Header.Set(tunnelFleetHeader, p.options.Fleet)
 	r.Header.Set(tunnelWorkerHeader, string(w.ID))
 	r.Header.Set(tunnelAuthHeader, "Bearer "+p.options.Key)
+	r.Header.Set(tunnelFramingHeader, chunkedFraming)
 	if err := r.Write(conn); err != nil {
-		return errors.Wrap(ErrUnavailable, err.Error())
+		return nil, errors.Wrap(ErrUnavailable, err.Error())
 	}
 	in := bufio.NewReader(conn)
 	resp, err := http.ReadResponse(in, r) //nolint:bodyclose // A tunnel has no body.
 	switch {
 	case err != nil:
-		return errors.Wrap(ErrUnavailable, err.Error())
+		return nil, errors.Wrap(ErrUnavailable, err.Error())
 	case in.Buffered() > 0:
-		return errors.Wrap(ErrUnavailable, "bytes follow the reply")
+		return nil, errors.Wrap(ErrUnavailable, "bytes follow the reply")
 	}
-	return tunnelError(resp.StatusCode)
+	return newTunnel(conn, in, resp.Header), tunnelError(resp.StatusCode)
 }
 
 // tunnelError returns the error that a reply reports, nil if the tunnel is open.
@@ -137,21 +139,27 @@
 	worker, status := s.connectWorker(r)
 	if status != http.StatusOK {
 		s.options.Counters.TunnelsRefused.Add(1)
-		_ = writeTunnelStatus(conn, status)
+		_ = writeTunnelStatus(conn, status, nil)
 		return
 	}
 	defer func() { _ = worker.Close() }()
-	if err := writeTunnelStatus(conn, status); err != nil {
+	framing := agreedFraming(r.Header)
+	if !s.markTunnel(conn) || writeTunnelStatus(conn, status, framing) != nil {
 		return
 	}
 	s.options.Counters.TunnelsOpened.Add(1)
 	_ = conn.SetDeadline(time.Time{})
-	splice(conn, in, worker)
+	splice(conn, in, worker, len(framing) > 0)
 }
 
-func writeTunnelStatus(conn net.Conn, status int) error {
+// writeTunnelStatus replies to a CONNECT request.
+func writeTunnelStatus(conn net.Conn, status int, header http.Header) error {
 	_ = conn.SetWriteDeadline(time.Now().Add(tunnelReplyTimeout))
-	_, err := io.WriteString(conn, "HTTP/1.1 "+tunnelStatusLines[status]+"\r\n\r\n")
+	var reply bytes.Buffer
+	reply.WriteString("HTTP/1.1 " + tunnelStatusLines[status] + "\r\n")
+	_ = header.Write(&reply)
+	reply.WriteString("\r\n")
+	_, err := conn.Write(reply.Bytes())
 	return errors.Wrap(err, "reply")
 }
 
@@ -178,10 +186,10 @@
 	return worker, tunnelStatus(err)
 }
 
-// splice forwards bytes between a host and a worker until either end closes. An end that was reset is
-// passed on as a reset, as an answer without a length is whole only if its connection was closed in
-// order.
-func splice(host net.Conn, fromHost io.Reader, worker net.Conn) {
+// splice forwards bytes between a host and a worker until either end closes, those from the worker in
+// chunks if framed is set. An end that was reset is passed on as a reset, as an answer without a length is
+// whole only if its connection was closed in order.
+func splice(host net.Conn, fromHost io.Reader, worker net.Conn, framed bool) {
 	keepTunnelAlive(host)
 	var requests sync.WaitGroup
 	defer requests.Wait()
@@ -190,7 +198,7 @@
 		// The host sends one request and closes the tunnel when it is done or its caller has left.
 		_ = worker.Close()
 	})
-	if _, err := io.Copy(plainWriter{host}, plainReader{worker}); err != nil {
+	if err := forwardAnswer(host, worker, framed); err != nil {
 		resetConn(host)
 		return
 	}
--- a/standin/worker.go
+++ b/standin/worker.go
@@ -61,6 +61,8 @@
 	CutEvent
 	// CutOnce ends a stream within its third event, unless the request resumes one.
 	CutOnce
+	// SlowUnframedStream is a SlowStream without length or chunks.
+	SlowUnframedStream
 	// UnframedStream sends a whole stream without length or chunks, and closes. UnframedCut does the same
 	// and ends within the third event, unless the request resumes a stream.
 	UnframedStream
--- a/standin/workeranswers.go
+++ b/standin/workeranswers.go
@@ -25,7 +25,7 @@
 )
 
 // streamFaults are the faults with which a worker answers by a stream.
-var streamFaults = []WorkerFault{Sound, CutEvent, CutOnce, SlowStream, UnframedStream, UnframedCut}
+var streamFaults = []WorkerFault{Sound, CutEvent, CutOnce, SlowStream, SlowUnframedStream, UnframedStream, UnframedCut}
 
 // answer serves one request and tells whether the connection goes on.
 func (w *Worker) answer(conn net.Conn, req *http.Request, body string) bool {
@@ -115,7 +115,7 @@
 	case Hang:
 		<-w.stop
 		return false
-	case Sound, Full, FullForAWhile, Overloaded, CutEvent, CutOnce, UnframedStream, UnframedCut, SlowStream:
+	case Sound, Full, FullForAWhile, Overloaded, CutEvent, CutOnce, UnframedStream, UnframedCut, SlowStream, SlowUnframedStream:
 	}
 	return write(conn, right)
 }
@@ -128,7 +128,7 @@
 
 func (w *Worker) stream(conn net.Conn, req *http.Request, id string, fault WorkerFault) bool {
 	first, _ := strconv.Atoi(req.Header.Get(w.names.LastEvent))
-	if fault == UnframedStream || fault == UnframedCut {
+	if slices.Contains([]WorkerFault{UnframedStream, UnframedCut, SlowUnframedStream}, fault) {
 		w.unframedStream(conn, id, first, fault)
 		return false
 	}
@@ -160,7 +160,12 @@
 			write(conn, event[:len(event)/2])
 			return
 		}
-		write(conn, event)
+		if fault == SlowUnframedStream {
+			time.Sleep(SlowStreamPause)
+		}
+		if !write(conn, event) {
+			return
+		}
 	}
 }
 
