gateway: Note whether a connection was idle before it is released

The field reused of a try's line was read from the connection after it had gone back to the pool, where another request may already use it.

--- a/gateway/connect.go
+++ b/gateway/connect.go
@@ -26,6 +26,7 @@
 	path, pool := x.dispatch.Path, x.server.pool
 	if path.Open {
 		if conn := pool.reuse(x.dispatch.Worker, x.server.now()); conn != nil {
+			x.reused = true
 			return conn, nil
 		}
 	}
--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -47,8 +47,10 @@
 	// connectedAt is when the connection was open, sentAt when the request was completely written.
 	connectedAt time.Time
 	sentAt      time.Time
-	// via is the host that the connection goes through; empty if it goes to the worker directly.
-	via ident.Host
+	// via is the host that the connection goes through; empty if it goes to the worker directly. reused is
+	// set if it had been idle.
+	via    ident.Host
+	reused bool
 	// unframed is set if the response ends with its connection, skipped counts responses to other
 	// requests.
 	unframed bool
