gateway: Send each try of a request over a connection of its own

Cause: a declined request was resent over the connection that had just come back to the pool. The worker's late copy of the decline bears the same id as the answer that is due, and was taken for it. By the lines of tries all wrong answers came over the connection of the try before, 42 to 186 ms after they were sent; true declines take under 1 ms.

Change: a try uses no connection that has carried an earlier try of its request or carried its id last; other requests still do. A connection is closed after a decline without an id. Copies are told from the answer that is due by the id again, or come over a connection that nobody reads.

--- a/gateway/call.go
+++ b/gateway/call.go
@@ -22,7 +22,9 @@
 	startedAt time.Time
 	relay     eventRelay
 	response  *response
-	observed  Observation
+	// tried are the connections of all attempts so far.
+	tried    triedConns
+	observed Observation
 }
 
 // run carries out the core's decisions until the request is finished.
@@ -54,7 +56,7 @@
 	startedAt := c.server.now()
 	ctx, cancel := context.WithDeadline(c.request.Context(), clock.Real(d.Deadline))
 	defer cancel()
-	x := &exchange{server: c.server, dispatch: d, request: c.request, body: c.body}
+	x := &exchange{server: c.server, dispatch: d, request: c.request, body: c.body, tried: c.tried}
 	defer c.server.exchanges.remove(x)
 	var result outcome.Attempt
 	if d.Route.Kind == config.RouteStream {
@@ -62,6 +64,9 @@
 	} else {
 		c.response, result = x.attemptPlain(ctx)
 	}
+	if x.conn != nil {
+		c.tried = append(c.tried, x.conn)
+	}
 	callerGone := c.request.Context().Err() != nil || c.relay.writeFailed
 	_, answered := result.(outcome.Answered)
 	expired := !callerGone && !answered && !c.server.now().Before(d.Deadline)
--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -44,6 +44,8 @@
 	request  *http.Request
 	body     []byte
 	conn     *workerConn
+	// tried are the connections of earlier attempts.
+	tried triedConns
 	// connectedAt is when the connection was open, sentAt when the request was completely written.
 	connectedAt time.Time
 	sentAt      time.Time
@@ -80,6 +82,7 @@
 	_ = conn.SetDeadline(clock.Real(x.dispatch.Deadline))
 	head := x.encodeHead(x.server.headers.toWorker(x.request.Header, x.dispatch, remaining, lastEventID))
 	x.server.exchanges.add(x)
+	conn.lastRequest = x.dispatch.Request
 	n, err := conn.Write(append(head, x.body...))
 	if err != nil {
 		_ = conn.Close()
@@ -206,12 +209,14 @@
 }
 
 // finishDeclined releases the connection and returns the result of a response that reports
-// the request as not run. Status 421 comes from another process at the worker's address, so
-// that its connection is closed.
+// the request as not run. It closes the connection after status 421, which comes from another process
+// at the worker's address, and after a response without an id, as a late copy of it could not be told
+// from the response to the next request.
 func (x *exchange) finishDeclined(resp *http.Response) outcome.Attempt {
 	misdirected := resp.StatusCode == http.StatusMisdirectedRequest
+	nameless := resp.Header.Get(x.server.headers.RequestID) == ""
 	_, err := readBody(resp)
-	x.releaseConn(resp, err == nil && !misdirected)
+	x.releaseConn(resp, err == nil && !misdirected && !nameless)
 	notice := x.server.headers.parseNotice(resp, x.server.now())
 	return outcome.Declined{Reason: resp.Status, Leaving: misdirected, RetryAfter: max(notice.Backoff, notice.SoftBackoff)}
 }
--- a/gateway/pool.go
+++ b/gateway/pool.go
@@ -6,6 +6,7 @@
 	"bufio"
 	"context"
 	"net"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"syscall"
@@ -47,6 +48,20 @@
 	tunneled bool
 	// newlyDialed is set until the pool hands the connection out again.
 	newlyDialed bool
+	// lastRequest is the request that it carried last.
+	lastRequest ident.Request
+}
+
+// triedConns are the connections over which a request was sent already. The worker may send its answer to
+// an earlier try once more where the next answer on the connection is due. The request's id tells such a
+// copy from the answers to other requests, but not from the answer to another try of the same one, so that
+// each try needs a connection of its own.
+type triedConns []*workerConn
+
+// mayCarry reports whether a connection has carried no earlier try of a request. The caller may have sent
+// a request under the same id before.
+func (t triedConns) mayCarry(c *workerConn, id ident.Request) bool {
+	return c.lastRequest != id && !slices.Contains(t, c)
 }
 
 // workerProcess identifies one process of a worker. Connections are pooled by process, as
@@ -88,10 +103,12 @@
 	return p
 }
 
-// reuse returns an idle connection to the worker that is still usable, or nil.
-func (p *Pool) reuse(w registry.Worker, now time.Time) *workerConn {
+// reuse returns an idle connection to the worker that is still usable and has carried no earlier try of
+// the request, or nil.
+func (p *Pool) reuse(w registry.Worker, id ident.Request, tried triedConns, now time.Time) *workerConn {
+	mayCarry := func(c *workerConn) bool { return tried.mayCarry(c, id) }
 	for {
-		c := p.takeIdle(processOf(w), now)
+		c := p.takeIdle(processOf(w), mayCarry, now)
 		if c == nil {
 			return nil
 		}
@@ -105,25 +122,37 @@
 }
 
 // takeIdle removes and returns the worker's most recently added idle connection that has not
-// expired, or nil.
-func (p *Pool) takeIdle(id workerProcess, now time.Time) *workerConn {
+// expired and satisfies mayCarry, or nil.
+func (p *Pool) takeIdle(id workerProcess, mayCarry func(*workerConn) bool, now time.Time) *workerConn {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.closeExpired(now)
 	list := p.idle[id]
-	for len(list) > 0 {
-		c := list[len(list)-1]
-		list = list[:len(list)-1]
-		p.idle[id] = list
-		if now.Before(c.idleDeadline) {
+	defer func() { p.setIdle(id, list) }()
+	for i := len(list) - 1; i >= 0; i-- {
+		c := list[i]
+		expired := !now.Before(c.idleDeadline)
+		if !expired && !mayCarry(c) {
+			continue
+		}
+		list = slices.Delete(list, i, i+1)
+		if !expired {
 			return c
 		}
 		_ = c.Close()
 	}
-	delete(p.idle, id)
 	return nil
 }
 
+// setIdle sets the idle connections of a worker. The caller holds mu.
+func (p *Pool) setIdle(id workerProcess, list []*workerConn) {
+	if len(list) == 0 {
+		delete(p.idle, id)
+		return
+	}
+	p.idle[id] = list
+}
+
 // closeExpired closes the expired idle connections of all workers, at most once per
 // sweepInterval. The caller holds mu.
 func (p *Pool) closeExpired(now time.Time) {
@@ -140,11 +169,7 @@
 				_ = c.Close()
 			}
 		}
-		if len(remaining) == 0 {
-			delete(p.idle, id)
-			continue
-		}
-		p.idle[id] = remaining
+		p.setIdle(id, remaining)
 	}
 }
 
--- a/standin/worker.go
+++ b/standin/worker.go
@@ -35,6 +35,13 @@
 	// WorkerBackoff.
 	Full
 	FullForAWhile
+	// FullTwice and LimitedTwice (429) decline without running the request, and repeat their answer where
+	// the next one on the connection is due. NamelessTwice does so without the request's id.
+	FullTwice
+	LimitedTwice
+	NamelessTwice
+	// UnsignedTwice runs the request, and repeats an answer without signature likewise.
+	UnsignedTwice
 	// CutHead runs the request and closes without an answer.
 	CutHead
 	// CutBody runs it and closes within the body.
@@ -179,7 +186,7 @@
 		delete(w.conns, conn)
 		w.mu.Unlock()
 	}()
-	r := bufio.NewReader(conn)
+	r, answers := bufio.NewReader(conn), &answerConn{Conn: conn}
 	for {
 		req, err := http.ReadRequest(r)
 		if err != nil {
@@ -189,7 +196,7 @@
 		if err != nil {
 			return
 		}
-		if !w.answer(conn, req, string(body)) {
+		if !w.answer(answers, req, string(body)) {
 			return
 		}
 	}
--- a/standin/workeranswers.go
+++ b/standin/workeranswers.go
@@ -11,6 +11,8 @@
 	"strconv"
 	"strings"
 	"time"
+
+	"github.com/pkg/errors"
 )
 
 const (
@@ -28,21 +30,14 @@
 var streamFaults = []WorkerFault{Sound, CutEvent, CutOnce, SlowStream, SlowUnframedStream, UnframedStream, UnframedCut}
 
 // answer serves one request and tells whether the connection goes on.
-func (w *Worker) answer(conn net.Conn, req *http.Request, body string) bool {
+func (w *Worker) answer(conn *answerConn, req *http.Request, body string) bool {
 	id := req.Header.Get(w.names.RequestID)
 	if expect := req.Header.Get(w.names.Expect); expect != "" && expect != w.ID {
 		return write(conn, "HTTP/1.1 421 Misdirected Request\r\n"+w.names.Instance+": "+w.ID+"\r\nContent-Length: 0\r\n\r\n")
 	}
 	fault := w.take()
-	if fault == Full {
-		return write(conn, w.declined(""))
-	}
-	backoff := fmt.Sprintf("Retry-After: %g\r\n", WorkerBackoff.Seconds())
-	if fault == FullForAWhile {
-		return write(conn, w.declined(backoff))
-	}
-	if fault == Overloaded {
-		return write(conn, "HTTP/1.1 503 Service Unavailable\r\n"+backoff+"Content-Length: 0\r\n\r\n")
+	if decline := w.decline(fault, id); decline != "" {
+		return conn.answer(decline, fault)
 	}
 	w.mu.Lock()
 	w.runs = append(w.runs, WorkerRun{ID: id, Method: req.Method, Path: req.RequestURI, Body: body, Header: req.Header})
@@ -53,14 +48,61 @@
 	return w.plain(conn, id, fault)
 }
 
+// answerConn is a connection to a worker.
+type answerConn struct {
+	net.Conn
+	// due is sent ahead of the next answer.
+	due string
+}
+
+// Write implements net.Conn.
+func (c *answerConn) Write(p []byte) (int, error) {
+	if due := c.due; due != "" {
+		c.due = ""
+		if _, err := io.WriteString(c.Conn, due); err != nil {
+			return 0, errors.Wrap(err, "write")
+		}
+	}
+	return c.Conn.Write(p) //nolint:wrapcheck // As net.Conn does.
+}
+
+// answer sends a whole answer, again ahead of the next one if the fault says so.
+func (c *answerConn) answer(text string, fault WorkerFault) bool {
+	ok := write(c, text)
+	if slices.Contains([]WorkerFault{FullTwice, LimitedTwice, NamelessTwice, UnsignedTwice}, fault) {
+		c.due = text
+	}
+	return ok
+}
+
+// decline returns the answer of a fault that does not run the request; empty for others.
+func (w *Worker) decline(fault WorkerFault, id string) string {
+	const status503, status429 = "503 Service Unavailable", "429 Too Many Requests"
+	named := w.names.RequestID + ": " + id + "\r\n"
+	backoff := fmt.Sprintf("Retry-After: %g\r\n", WorkerBackoff.Seconds())
+	switch fault { //nolint:exhaustive // All others run the request.
+	case Full, FullTwice:
+		return w.declined(status503, named)
+	case LimitedTwice:
+		return w.declined(status429, named)
+	case NamelessTwice:
+		return w.declined(status503, "")
+	case FullForAWhile:
+		return w.declined(status503, named+backoff)
+	case Overloaded:
+		return "HTTP/1.1 503 Service Unavailable\r\n" + backoff + "Content-Length: 0\r\n\r\n"
+	}
+	return ""
+}
+
 func (w *Worker) head(status int, id string) string {
 	return fmt.Sprintf("HTTP/1.1 %d %s\r\n%s: %s\r\n%s: stamp-of-%s\r\n%s: 1,0,8\r\n%s",
 		status, http.StatusText(status), w.names.RequestID, id, w.names.Signature, w.ID, w.names.Load, w.leaves())
 }
 
 // declined is the answer to a request that the worker does not run.
-func (w *Worker) declined(more string) string {
-	return "HTTP/1.1 503 Service Unavailable\r\n" + w.names.NotRun + ": 1\r\n" + more + w.leaves() + "Content-Length: 0\r\n\r\n"
+func (w *Worker) declined(status, more string) string {
+	return "HTTP/1.1 " + status + "\r\n" + w.names.NotRun + ": 1\r\n" + more + w.leaves() + "Content-Length: 0\r\n\r\n"
 }
 
 // leaves is the header by which the worker says that it leaves, if it does.
@@ -84,7 +126,7 @@
 	return "Content-Length: " + strconv.Itoa(len(body)) + "\r\n\r\n" + body
 }
 
-func (w *Worker) plain(conn net.Conn, id string, fault WorkerFault) bool {
+func (w *Worker) plain(conn *answerConn, id string, fault WorkerFault) bool {
 	other := w.head(http.StatusOK, "another-request") + framed("an answer to another request")
 	right := w.head(http.StatusOK, id) + framed(WorkerBody)
 	switch fault {
@@ -96,7 +138,7 @@
 		write(conn, w.head(http.StatusOK, id)+"\r\nhalf")
 		// What was sent arrives first, as a worker that resets midway would.
 		time.Sleep(resetPause)
-		if tcp, ok := conn.(*net.TCPConn); ok {
+		if tcp, ok := conn.Conn.(*net.TCPConn); ok {
 			_ = tcp.SetLinger(0)
 		}
 		return false
@@ -110,12 +152,12 @@
 		return write(conn, other)
 	case Failing:
 		return write(conn, w.head(http.StatusInternalServerError, id)+framed("failed"))
-	case Unsigned:
-		return write(conn, "HTTP/1.1 200 OK\r\n"+w.names.RequestID+": "+id+"\r\n"+framed(WorkerBody))
+	case Unsigned, UnsignedTwice:
+		return conn.answer("HTTP/1.1 200 OK\r\n"+w.names.RequestID+": "+id+"\r\n"+framed(WorkerBody), fault)
 	case Hang:
 		<-w.stop
 		return false
-	case Sound, Full, FullForAWhile, Overloaded, CutEvent, CutOnce, UnframedStream, UnframedCut, SlowStream, SlowUnframedStream:
+	case Sound, Full, FullTwice, LimitedTwice, NamelessTwice, FullForAWhile, Overloaded, CutEvent, CutOnce, UnframedStream, UnframedCut, SlowStream, SlowUnframedStream:
 	}
 	return write(conn, right)
 }
