core/config, platform: Keep routes closed once the last key is taken away

Cause: the route index asked whether any key is held in place of whether keys are needed, and an empty list of accounts is left out where tables travel. Ruled out: a change that is not in force (the lines name the new table) and a lease that outlives it (no account was found).

Change: a table that names an account needs keys. A document whose list is there but holds no key gets an entry that no key matches; whole tables, deltas, patches, disks and hosts of earlier versions carry it like any other.

--- a/core/config/routeindex.go
+++ b/core/config/routeindex.go
@@ -18,6 +18,8 @@
 	used []ident.Service
 	// named are the names of the routes.
 	named map[string]bool
+	// keysRequired is set if routes that are not public need a key.
+	keysRequired bool
 }
 
 // Index returns the document prepared for look-ups.
@@ -42,6 +44,7 @@
 		x.pools[p.ID] = p
 	}
 	x.used = t.usedPools()
+	x.keysRequired = len(t.Keys) > 0
 	return x
 }
 
@@ -82,8 +85,9 @@
 	return h, ok
 }
 
-// Keyed tells whether any account holds a key.
-func (x RouteIndex) Keyed() bool { return len(x.owners) > 0 }
+// KeysRequired reports whether requests on routes that are not public need a key. It is true also if the
+// last key was taken away.
+func (x RouteIndex) KeysRequired() bool { return x.keysRequired }
 
 // Pool returns a pool by its id.
 func (x RouteIndex) Pool(id ident.Service) (Pool, bool) {
--- a/core/config/routetable.go
+++ b/core/config/routetable.go
@@ -18,11 +18,13 @@
 // zero value routes nothing.
 type RouteTable struct {
 	// Number is the operator's number of the document; 0 where none was taken.
-	Number uint64     `json:"number"`
-	Routes []Route    `json:"routes,omitempty"`
-	Pools  []Pool     `json:"pools,omitempty"`
-	Limits Limits     `json:"limits"`
-	Keys   []KeyOwner `json:"keys,omitempty"`
+	Number uint64  `json:"number"`
+	Routes []Route `json:"routes,omitempty"`
+	Pools  []Pool  `json:"pools,omitempty"`
+	Limits Limits  `json:"limits"`
+	// Keys are the accounts with their keys. If there is none, no route needs a key; accounts without
+	// keys leave all routes that are not public to nobody.
+	Keys []KeyOwner `json:"keys,omitempty"`
 	// Source is the document as the operator sent it, given back on a read.
 	Source []byte `json:"source,omitempty"`
 }
@@ -182,6 +184,24 @@
 	return nil
 }
 
+// noAccount and noKeyHash stand in a table for the fact that keys are needed although there are none. No
+// key has this hash.
+const (
+	noAccount ident.Account = "-"
+	noKeyHash string        = "-"
+)
+
+// WithKeysRequired returns the table in which all routes that are not public need a key, also if no account
+// holds one. An entry without a usable key says so, as an empty list of accounts is not told from an absent
+// one when a table travels, and as hosts of earlier versions look for hashes of keys alone.
+func (t RouteTable) WithKeysRequired() RouteTable {
+	if slices.ContainsFunc(t.Keys, func(o KeyOwner) bool { return len(o.KeyHashes) > 0 }) {
+		return t
+	}
+	t.Keys = append(slices.Clone(t.Keys), KeyOwner{Account: noAccount, KeyHashes: []string{noKeyHash}})
+	return t
+}
+
 // WithoutSource returns the document as hosts need it that only route.
 func (t RouteTable) WithoutSource() RouteTable {
 	t.Source = nil
--- a/core/requests/admit.go
+++ b/core/requests/admit.go
@@ -78,7 +78,7 @@
 	}
 	c.route, c.rank = route, route.Rank
 	owner, known := t.routes.KeyOwner(c.req.KeyHash)
-	if !known && !route.Public && t.routes.Keyed() {
+	if !known && !route.Public && t.routes.KeysRequired() {
 		t.refuseIfLeaseValid(c.req.ID, valid, CodeBadKey, "the API key is not known")
 		return false
 	}
--- a/operators/kinds.go
+++ b/operators/kinds.go
@@ -164,6 +164,9 @@
 			if len(g.Source) > 0 {
 				return nil, errors.New("source is not taken here")
 			}
+			if g.Keys != nil {
+				g = g.WithKeysRequired()
+			}
 			return config.PutRouteTable{Gateway: g}, g.Check()
 		},
 	}
