callers: Send each later try to a target over a connection of its own

Cause: only requests that must run at most once had a fresh connection; the others were retried at the same target over the pooled one, where the id does not tell a copy of the earlier answer from the one that is due.

Evidence: TestEachTryHasItsOwnConnection on the code before: 2 runs where 1 is expected.

--- a/callers/serve.go
+++ b/callers/serve.go
@@ -128,7 +128,8 @@
 // not as a disconnected caller.
 func (a *API) attempt(ctx context.Context, x targets.Exchange, d host.Dispatch) outcome.Attempt {
 	x.Target = targets.Endpoint{ID: d.Target.ID, Address: d.Target.Address}
-	x.FreshConnection = d.AtMostOnce
+	// A copy of the answer to an earlier attempt, which bears the same id, may arrive on a pooled connection.
+	x.FreshConnection = d.AtMostOnce || d.Attempt > 1
 	x.Header = x.Header.Clone()
 	x.Header.Set(targets.HeaderPriority, strconv.Itoa(d.Rank))
 	result := a.deps.Targets.Do(ctx, x)
