core/config: Compare all entries of an account when tables travel

Cause: a delta compared the table by account and kept one of its entries, so that a change of the other one was no change.

Change: a delta carries all entries of an account if any of them differs.

Evidence: TestAccountListedTwiceKeepsOnlyItsKeys on the code before fails for deltas and patches.

--- a/core/config/emptied_test.go
+++ b/core/config/emptied_test.go
@@ -81,3 +81,19 @@
 	held := config.RouteTable{Number: 1, Keys: []config.KeyOwner{{Account: "a", KeyHashes: []string{"k"}}}}
 	require.Equal(t, held, held.WithKeysRequired())
 }
+
+// TestAccountListedTwiceKeepsOnlyItsKeys guards against a key that stays in force once the entry that held it
+// is gone, while another entry of the same account stays.
+func TestAccountListedTwiceKeepsOnlyItsKeys(t *testing.T) {
+	first := config.KeyOwner{Account: "a", KeyHashes: []string{"k1"}}
+	second := config.KeyOwner{Account: "a", KeyHashes: []string{"k2"}, Rank: 3, Ranked: true}
+	tables := [][]config.KeyOwner{nil, {first}, {second}, {first, second}, {second, first}}
+	for i, before := range tables {
+		for j, next := range tables {
+			from, to := config.RouteTable{Number: 1, Keys: before}, config.RouteTable{Number: 2, Keys: next}
+			for name, got := range travelled(t, from, to) {
+				require.ElementsMatch(t, next, got.Keys, "%d to %d, %s", i, j, name)
+			}
+		}
+	}
+}
--- a/core/config/routetabledelta.go
+++ b/core/config/routetabledelta.go
@@ -63,28 +63,35 @@
 		slices.Equal(o.KeyHashes, other.KeyHashes)
 }
 
-// changed returns the items of next that differ from those of before, and the
-// keys that next no longer has.
+// changed returns the items of next whose key has other items than in before, and the keys that next no
+// longer has. Several items may share a key, as an account may be listed more than once.
 func changed[T any, K comparable](before, next []T, key func(T) K, equal func(a, b T) bool) (put []T, drop []K) {
-	old := make(map[K]T, len(before))
-	for _, item := range before {
-		old[key(item)] = item
-	}
+	old, held := grouped(before, key), grouped(next, key)
 	for _, item := range next {
 		k := key(item)
-		if had, ok := old[k]; !ok || !equal(had, item) {
+		if !slices.EqualFunc(old[k], held[k], equal) {
 			put = append(put, item)
 		}
-		delete(old, k)
 	}
 	for _, item := range before {
-		if _, gone := old[key(item)]; gone {
-			drop = append(drop, key(item))
+		k := key(item)
+		if _, stays := held[k]; !stays {
+			drop = append(drop, k)
+			held[k] = nil
 		}
 	}
 	return put, drop
 }
 
+// grouped returns the items of each key, in their order.
+func grouped[T any, K comparable](items []T, key func(T) K) map[K][]T {
+	out := make(map[K][]T, len(items))
+	for _, item := range items {
+		out[key(item)] = append(out[key(item)], item)
+	}
+	return out
+}
+
 // WithDelta returns the table that d leads to, or an error where d does not
 // begin at t.
 func (t RouteTable) WithDelta(d RouteTableDelta) (RouteTable, error) {
