gateway: Close no connection that went back to the pool

Cause: the connection was returned to the pool while the function that closes it for a caller that leaves was still registered.

Change: the function is unregistered first; if it has run already, the connection is closed.

--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -44,6 +44,9 @@
 	request  *http.Request
 	body     []byte
 	conn     *workerConn
+	// stopClosing keeps the connection from being closed once the caller has left or the deadline has
+	// passed. It returns false if that has happened.
+	stopClosing func() bool
 	// tried are the connections of earlier attempts.
 	tried triedConns
 	// connectedAt is when the connection was open, sentAt when the request was completely written.
@@ -222,9 +225,9 @@
 }
 
 // releaseConn returns the connection to the pool, or closes it if the worker asked for
-// that or the response was incomplete, unframed or followed by surplus bytes.
+// that, the response was incomplete, unframed or followed by surplus bytes, or the attempt was ended.
 func (x *exchange) releaseConn(resp *http.Response, complete bool) {
-	if !complete || resp.Close || !isFramed(resp) || x.conn.reader.Buffered() > 0 {
+	if !x.stopClosing() || !complete || resp.Close || !isFramed(resp) || x.conn.reader.Buffered() > 0 {
 		_ = x.conn.Close()
 		return
 	}
@@ -263,8 +266,8 @@
 	if failure := x.send(ctx, ""); failure != nil {
 		return nil, failure
 	}
-	stop := context.AfterFunc(ctx, func() { _ = x.conn.Close() })
-	defer stop()
+	x.stopClosing = context.AfterFunc(ctx, func() { _ = x.conn.Close() })
+	defer x.stopClosing()
 	resp, err := x.readResponse()
 	if err != nil {
 		_ = x.conn.Close()
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -50,8 +50,8 @@
 	if failure := x.send(ctx, r.lastEventID); failure != nil {
 		return nil, failure
 	}
-	stop := context.AfterFunc(ctx, func() { _ = x.conn.Close() })
-	defer stop()
+	x.stopClosing = context.AfterFunc(ctx, func() { _ = x.conn.Close() })
+	defer x.stopClosing()
 	resp, err := x.readResponse()
 	if err != nil {
 		_ = x.conn.Close()
