--- a/soak/bad_test.go
+++ b/soak/bad_test.go
@@ -93,6 +93,9 @@
 func (o *operator) newestKey() string {
 	o.mu.Lock()
 	defer o.mu.Unlock()
+	if len(o.keys) == 0 {
+		return strangeKey
+	}
 	return o.keys[len(o.keys)-1]
 }
 
--- a/soak/clients_test.go
+++ b/soak/clients_test.go
@@ -106,6 +106,9 @@
 			id: fmt.Sprintf("%02x%02x%012x", int(entry), number, count), entry: entry,
 			path: c.operator.path(random), key: c.operator.key(random), body: fmt.Sprintf("matter %d", random.IntN(1000)),
 		}
+		if count%strangeEvery == strangeEvery-1 {
+			r.key = strangeKey
+		}
 		r.parts = promptParts(random, r.id)
 		r.leaves = strings.HasPrefix(r.path, "/stream/") && random.Float64() < leaveShare
 		c.send(client, &r)
--- a/soak/cutoffs_test.go
+++ b/soak/cutoffs_test.go
@@ -27,6 +27,11 @@
 const (
 	minCutoff = time.Second
 	maxCutoff = 5 * time.Second
+	// carrierAfter is how long hosts that are cut off get to send through others before one of these is lost.
+	carrierAfter = 700 * time.Millisecond
+	carrierDown  = 300 * time.Millisecond
+	// carrierShare is the part of the hosts that are not cut off which are disturbed meanwhile.
+	carrierShare = 0.7
 )
 
 // cutoffs cuts entry hosts off from all workers, some at a time and at times all of them. It draws from
@@ -46,11 +51,36 @@
 		c.random.Shuffle(len(hosts), func(i, j int) { hosts[i], hosts[j] = hosts[j], hosts[i] })
 		n, kind := 1+c.random.IntN(len(hosts)), cutoffKind(c.random.IntN(int(cutoffKinds)))
 		last := minCutoff + time.Duration(c.random.Int64N(int64(maxCutoff-minCutoff)))
+		c.faults.done.Go(c.loseCarriers(hosts[n:]))
 		c.cut(hosts[:n], kind, last)
 		time.Sleep(minCutoff)
 	}
 }
 
+// loseCarriers draws how some of the hosts are lost through which others reach workers: killed, stopped or
+// frozen, one after the other.
+func (c *cutoffs) loseCarriers(hosts []node) func() {
+	var losses []func()
+	for _, n := range hosts {
+		kind, lost := c.random.IntN(4), c.random.Float64() < carrierShare
+		switch {
+		case !lost:
+		case kind == 0:
+			losses = append(losses, func() { c.faults.stop(n) })
+		case kind == 1:
+			losses = append(losses, func() { c.faults.pause(n, carrierDown) })
+		default:
+			losses = append(losses, func() { c.faults.kill(n, carrierDown) })
+		}
+	}
+	return func() {
+		for _, lose := range losses {
+			time.Sleep(carrierAfter)
+			lose()
+		}
+	}
+}
+
 func (c *cutoffs) cut(hosts []node, kind cutoffKind, d time.Duration) {
 	defer c.faults.begin("cut off from workers", hosts...)()
 	c.set(hosts, kind, true)
--- a/soak/proxy_test.go
+++ b/soak/proxy_test.go
@@ -5,6 +5,8 @@
 package soak
 
 import (
+	"errors"
+	"io"
 	"net"
 	"sync"
 	"testing"
@@ -193,6 +195,11 @@
 				return
 			}
 		}
+		if err != nil && !errors.Is(err, io.EOF) {
+			// An answer that ends with its connection is whole only if that was closed in order.
+			resetConn(to)
+			return
+		}
 		if err != nil {
 			if tcp, ok := to.(*net.TCPConn); ok {
 				_ = tcp.CloseWrite()
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -97,6 +97,7 @@
 		case <-time.After(changeInterval):
 		}
 	}
+	o.settle()
 	<-zonesTakenBack
 	<-rolled
 	e := evidence{fleet: f, departures: departures}
