--- a/core/config/routetable.go
+++ b/core/config/routetable.go
@@ -22,8 +22,8 @@
 	Routes []Route `json:"routes,omitempty"`
 	Pools  []Pool  `json:"pools,omitempty"`
 	Limits Limits  `json:"limits"`
-	// Keys are the accounts with their keys. If there is none, no route needs a key; accounts without
-	// keys leave all routes that are not public to nobody.
+	// Keys are the accounts with their keys. If there is no account, no route needs a key; if no account
+	// holds a key, only public routes can be used.
 	Keys []KeyOwner `json:"keys,omitempty"`
 	// Source is the document as the operator sent it, given back on a read.
 	Source []byte `json:"source,omitempty"`
@@ -184,16 +184,15 @@
 	return nil
 }
 
-// noAccount and noKeyHash stand in a table for the fact that keys are needed although there are none. No
-// key has this hash.
+// noAccount and noKeyHash are the entry of a table that needs keys and holds none. No key has this hash.
 const (
 	noAccount ident.Account = "-"
 	noKeyHash string        = "-"
 )
 
 // WithKeysRequired returns the table in which all routes that are not public need a key, also if no account
-// holds one. An entry without a usable key says so, as an empty list of accounts is not told from an absent
-// one when a table travels, and as hosts of earlier versions look for hashes of keys alone.
+// holds one. It then adds an entry with a key that nobody has: encoders leave an empty list of accounts out,
+// and hosts of earlier versions look for hashes of keys alone.
 func (t RouteTable) WithKeysRequired() RouteTable {
 	if slices.ContainsFunc(t.Keys, func(o KeyOwner) bool { return len(o.KeyHashes) > 0 }) {
 		return t
--- a/core/config/routetabledelta.go
+++ b/core/config/routetabledelta.go
@@ -77,7 +77,7 @@
 		k := key(item)
 		if _, stays := held[k]; !stays {
 			drop = append(drop, k)
-			held[k] = nil
+			held[k] = nil // Each key is dropped once.
 		}
 	}
 	return put, drop
--- a/core/requests/brittleroom.go
+++ b/core/requests/brittleroom.go
@@ -93,13 +93,13 @@
 // use and need.
 func (t *transition) largestPart(pool ident.Service, slots int) int {
 	inNeed := t.reportedLoads[needTag(pool)]
-	contented := max(0, t.reportedLoads[useTag(pool)]-inNeed)
-	free := max(0, slots-contented*t.partOf(slots))
+	withoutNeed := max(0, t.reportedLoads[useTag(pool)]-inNeed)
+	free := max(0, slots-withoutNeed*t.partOf(slots))
 	return min(free/(1+inNeed), int(growthLimit*float64(slots)))
 }
 
-// fitRooms takes grown parts back as far as the newest reports of other hosts ask for.
-func (t *transition) fitRooms() {
+// shrinkToReports takes grown parts back to what the newest reports of other hosts leave.
+func (t *transition) shrinkToReports() {
 	for pool, g := range t.roomGrowths.All() {
 		extra := g.extra
 		for m := range t.workers.Pool(pool).All() {
--- a/core/requests/load.go
+++ b/core/requests/load.go
@@ -37,7 +37,7 @@
 	t.smoothedLoads = smoothed(t.smoothedLoads, reported, min(1, max(0, weight)))
 	t.reportedLoads, t.reportedAsOf = reported, ev.AsOf
 	t.loadedTags = tagFilterOf(t.smoothedLoads)
-	t.fitRooms()
+	t.shrinkToReports()
 }
 
 // smoothed returns the moving average after new counts, which enter it with the given weight.
--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -217,9 +217,9 @@
 // from the response to the next request.
 func (x *exchange) finishDeclined(resp *http.Response) outcome.Attempt {
 	misdirected := resp.StatusCode == http.StatusMisdirectedRequest
-	nameless := resp.Header.Get(x.server.headers.RequestID) == ""
+	withoutID := resp.Header.Get(x.server.headers.RequestID) == ""
 	_, err := readBody(resp)
-	x.releaseConn(resp, err == nil && !misdirected && !nameless)
+	x.releaseConn(resp, err == nil && !misdirected && !withoutID)
 	notice := x.server.headers.parseNotice(resp, x.server.now())
 	return outcome.Declined{Reason: resp.Status, Leaving: misdirected, RetryAfter: max(notice.Backoff, notice.SoftBackoff)}
 }
--- a/gateway/latecopy_test.go
+++ b/gateway/latecopy_test.go
@@ -18,10 +18,10 @@
 	for name, faults := range map[string][]standin.WorkerFault{
 		"503":                  {standin.FullTwice},
 		"429":                  {standin.LimitedTwice},
-		"503 without id":       {standin.NamelessTwice},
+		"503 without id":       {standin.UnidentifiedTwice},
 		"two declines":         {standin.FullTwice, standin.FullTwice},
 		"two kinds":            {standin.LimitedTwice, standin.FullTwice},
-		"second without id":    {standin.FullTwice, standin.NamelessTwice},
+		"second without id":    {standin.FullTwice, standin.UnidentifiedTwice},
 		"declined once, twice": {standin.Full, standin.FullTwice},
 	} {
 		t.Run(name, func(t *testing.T) {
@@ -46,7 +46,7 @@
 // uses the connection next.
 func TestLateCopyEndsNoOtherRequest(t *testing.T) {
 	for name, fault := range map[string]standin.WorkerFault{
-		"503": standin.FullTwice, "429": standin.LimitedTwice, "503 without id": standin.NamelessTwice, "200": standin.UnsignedTwice,
+		"503": standin.FullTwice, "429": standin.LimitedTwice, "503 without id": standin.UnidentifiedTwice, "200": standin.UnsignedTwice,
 	} {
 		t.Run(name, func(t *testing.T) {
 			b := newTestbed(t, 1)
--- a/gateway/pool.go
+++ b/gateway/pool.go
@@ -52,10 +52,9 @@
 	lastRequest ident.Request
 }
 
-// triedConns are the connections over which a request was sent already. The worker may send its answer to
-// an earlier try once more where the next answer on the connection is due. The request's id tells such a
-// copy from the answers to other requests, but not from the answer to another try of the same one, so that
-// each try needs a connection of its own.
+// triedConns are the connections over which a request was sent before. A worker may send a copy of its answer
+// to an earlier try where the next answer on the connection is due. The id tells the copy from answers to
+// other requests, but not from the answer to a later try of the same one.
 type triedConns []*workerConn
 
 // mayCarry reports whether a connection has carried no earlier try of a request. The caller may have sent
--- a/soak/wire_test.go
+++ b/soak/wire_test.go
@@ -23,7 +23,7 @@
 const (
 	unframedShare = 0.4
 	copyShare     = 0.4
-	namelessShare = 0.3
+	withoutIDShare = 0.3
 )
 
 // misbehavingWires reports whether wires may misbehave.
@@ -129,7 +129,7 @@
 // answer is due.
 func (w *soakWorker) decline(out http.ResponseWriter, r *http.Request) {
 	names := platform.Headers()
-	if !w.drawWire(namelessShare) {
+	if !w.drawWire(withoutIDShare) {
 		out.Header().Set(names.RequestID, r.Header.Get(names.RequestID))
 	}
 	if w.drawWire(copyShare) {
--- a/standin/worker.go
+++ b/standin/worker.go
@@ -36,10 +36,10 @@
 	Full
 	FullForAWhile
 	// FullTwice and LimitedTwice (429) decline without running the request, and repeat their answer where
-	// the next one on the connection is due. NamelessTwice does so without the request's id.
+	// the next one on the connection is due. UnidentifiedTwice does so without the request's id.
 	FullTwice
 	LimitedTwice
-	NamelessTwice
+	UnidentifiedTwice
 	// UnsignedTwice runs the request, and repeats an answer without signature likewise.
 	UnsignedTwice
 	// CutHead runs the request and closes without an answer.
--- a/standin/workeranswers.go
+++ b/standin/workeranswers.go
@@ -69,7 +69,7 @@
 // answer sends a whole answer, again ahead of the next one if the fault says so.
 func (c *answerConn) answer(text string, fault WorkerFault) bool {
 	ok := write(c, text)
-	if slices.Contains([]WorkerFault{FullTwice, LimitedTwice, NamelessTwice, UnsignedTwice}, fault) {
+	if slices.Contains([]WorkerFault{FullTwice, LimitedTwice, UnidentifiedTwice, UnsignedTwice}, fault) {
 		c.due = text
 	}
 	return ok
@@ -85,7 +85,7 @@
 		return w.declined(status503, named)
 	case LimitedTwice:
 		return w.declined(status429, named)
-	case NamelessTwice:
+	case UnidentifiedTwice:
 		return w.declined(status503, "")
 	case FullForAWhile:
 		return w.declined(status503, named+backoff)
@@ -157,7 +157,7 @@
 	case Hang:
 		<-w.stop
 		return false
-	case Sound, Full, FullTwice, LimitedTwice, NamelessTwice, FullForAWhile, Overloaded, CutEvent, CutOnce, UnframedStream, UnframedCut, SlowStream, SlowUnframedStream:
+	case Sound, Full, FullTwice, LimitedTwice, UnidentifiedTwice, FullForAWhile, Overloaded, CutEvent, CutOnce, UnframedStream, UnframedCut, SlowStream, SlowUnframedStream:
 	}
 	return write(conn, right)
 }
