--- a/soak/wire_test.go
+++ b/soak/wire_test.go
@@ -21,8 +21,8 @@
 // takes lost answers for whole ones and late copies for answers.
 
 const (
-	unframedShare = 0.4
-	copyShare     = 0.4
+	unframedShare  = 0.4
+	copyShare      = 0.4
 	withoutIDShare = 0.3
 )
 
