--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -213,8 +213,8 @@
 
 // finishDeclined releases the connection and returns the result of a response that reports
 // the request as not run. It closes the connection after status 421, which comes from another process
-// at the worker's address, and after a response without an id, as a late copy of it could not be told
-// from the response to the next request.
+// at the worker's address, and after a response without an id, as a late copy of it could not be
+// distinguished from the response to the next request.
 func (x *exchange) finishDeclined(resp *http.Response) outcome.Attempt {
 	misdirected := resp.StatusCode == http.StatusMisdirectedRequest
 	withoutID := resp.Header.Get(x.server.headers.RequestID) == ""
--- a/peers/tunnelframing.go
+++ b/peers/tunnelframing.go
@@ -19,7 +19,7 @@
 //
 // The host that opens a tunnel asks for the coding by tunnelFramingHeader, and the other one confirms it
 // by the same header. One of an earlier version does not: through it answers without a length cannot be
-// told from lost ones and count as interrupted.
+// distinguished from lost ones and count as interrupted.
 const (
 	tunnelFramingHeader = "Yardhall-Framing"
 	chunkedFraming      = "chunked"
@@ -48,7 +48,7 @@
 	return t.answer.Read(p) //nolint:wrapcheck // io.Reader returns io.EOF itself.
 }
 
-// Framed reports whether the end of the worker's connection can be told from that of the tunnel.
+// Framed reports whether the end of the worker's connection can be distinguished from that of the tunnel.
 func (t *Tunnel) Framed() bool { return t.framed }
 
 // unmarkedReader reads from a connection whose end proves nothing.
