gateway, daemon: Log and count answers that cannot be matched

A try now says unidentified; surplus bytes, answers to other requests and answers without an id are counted by kind (irregular_answers) and logged, 20 lines a second at most. Nothing is decided differently.

--- a/daemon/gateway.go
+++ b/daemon/gateway.go
@@ -11,6 +11,7 @@
 	"github.com/oklog/run"
 	"github.com/pkg/errors"
 
+	"github.com/yardhall/yardhall/common/logs"
 	"github.com/yardhall/yardhall/common/sockets"
 	"github.com/yardhall/yardhall/core/host"
 	"github.com/yardhall/yardhall/core/ident"
@@ -50,7 +51,10 @@
 		return err
 	}
 	d.workers = gateway.NewPool(from, d.options.WrapWorkerDial)
-	d.gateway = gateway.NewServer(gateway.Deps{Core: d.loop, Pool: d.workers, Tunnels: d.pool, Headers: platform.Headers(), Observe: d.observeRequest()})
+	d.gateway = gateway.NewServer(gateway.Deps{
+		Core: d.loop, Pool: d.workers, Tunnels: d.pool, Headers: platform.Headers(),
+		Observe: d.observeRequest(), ObserveIrregular: d.observeIrregular(),
+	})
 	d.loop.breakOff, d.loop.probeWorker = d.gateway.AbortAttempt, d.gateway.Probe
 	ready := http.NewServeMux()
 	ready.HandleFunc("GET "+platform.ReadyPath, d.readiness)
@@ -89,6 +93,25 @@
 	}
 }
 
+// irregularLines bounds the lines a second on irregular bytes from workers.
+const irregularLines = 20
+
+// observeIrregular counts and logs irregular bytes from workers.
+func (d *Daemon) observeIrregular() func(gateway.Irregularity) {
+	budget := &logs.Budget{PerSecond: irregularLines}
+	return func(i gateway.Irregularity) {
+		d.metrics.irregular.Add(string(i.Kind), 1)
+		ok, skipped := budget.Allow(time.Now())
+		if skipped > 0 {
+			d.options.Log.Info("irregular answer lines skipped", "lines", skipped)
+		}
+		if ok {
+			d.options.Log.Info("irregular answer", "kind", string(i.Kind), "worker", string(i.Worker), "conn", i.LocalAddress,
+				"request", string(i.Request), "reused", i.Reused)
+		}
+	}
+}
+
 func listenGateway(address string) (net.Listener, error) {
 	l, err := (&net.ListenConfig{Control: sockets.Control(gateway.TCPUserTimeout)}).Listen(context.Background(), "tcp", address)
 	return l, errors.Wrap(err, "listen")
--- a/daemon/metrics.go
+++ b/daemon/metrics.go
@@ -28,6 +28,8 @@
 	prompt expvar.Int
 	// verdicts counts requests of the route table by outcome and code.
 	verdicts *expvar.Map
+	// irregular counts irregular bytes from workers by kind.
+	irregular *expvar.Map
 	rollouts rolloutCounters
 }
 
@@ -42,11 +44,12 @@
 		vars:     new(expvar.Map).Init(),
 		took:     hdrhistogram.New(1, histogramMax, histogramDigits),
 		first:    hdrhistogram.New(1, histogramMax, histogramDigits),
-		verdicts: new(expvar.Map).Init(),
+		verdicts: new(expvar.Map).Init(), irregular: new(expvar.Map).Init(),
 	}
 	m.vars.Set("core", expvar.Func(func() any { return d.loop.State().Counters() }))
 	m.vars.Set("gateway", expvar.Func(func() any { return d.loop.State().Requests().Counters() }))
 	m.vars.Set("gateway_requests", m.verdicts)
+	m.vars.Set("irregular_answers", m.irregular)
 	m.vars.Set("worker_connections", expvar.Func(func() any { return d.workerConnections() }))
 	m.vars.Set("reduced_events", d.loop.reduced)
 	m.vars.Set("polls_superseded", expvar.Func(func() any { return d.loop.inbox.polls.superseded() }))
--- a/daemon/requestlog.go
+++ b/daemon/requestlog.go
@@ -147,6 +147,9 @@
 	if try.Skipped > 0 {
 		fields = append(fields, "skipped", try.Skipped)
 	}
+	if try.Unidentified {
+		fields = append(fields, "unidentified", true)
+	}
 	return fields
 }
 
--- a/gateway/call.go
+++ b/gateway/call.go
@@ -75,7 +75,7 @@
 	}
 	c.observed.Attempts = append(c.observed.Attempts, Attempt{
 		Dispatch: d, Result: result, Duration: c.server.now().Sub(startedAt), Via: x.via, LocalAddress: x.localAddress(),
-		Reused: x.reused, Unframed: x.unframed, Skipped: x.skipped,
+		Reused: x.reused, Unframed: x.unframed, Skipped: x.skipped, Unidentified: x.unidentified,
 		ConnectedAfter: sinceOrZero(x.connectedAt, d.DecidedAt), SentAfter: sinceOrZero(x.sentAt, d.DecidedAt),
 	})
 	if expired {
--- a/gateway/connect.go
+++ b/gateway/connect.go
@@ -25,7 +25,7 @@
 func (x *exchange) connect(ctx context.Context) (conn *workerConn, failure outcome.Attempt) {
 	path, pool := x.dispatch.Path, x.server.pool
 	if path.Open {
-		if conn := pool.reuse(x.dispatch.Worker, x.dispatch.Request, x.tried, x.server.now()); conn != nil {
+		if conn := pool.reuse(x.dispatch.Worker, x.dispatch.Request, x.tried, x.server); conn != nil {
 			x.reused = true
 			return conn, nil
 		}
--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -57,9 +57,10 @@
 	via    ident.Host
 	reused bool
 	// unframed is set if the response ends with its connection, skipped counts responses to other
-	// requests.
-	unframed bool
-	skipped  int
+	// requests, unidentified is set if a response had no request id.
+	unframed     bool
+	skipped      int
+	unidentified bool
 	// mu guards aborted and the read deadline of conn, which depends on it.
 	mu      sync.Mutex
 	aborted bool
@@ -189,6 +190,10 @@
 		}
 		names := x.server.headers
 		id := resp.Header.Get(names.RequestID)
+		if id == "" {
+			x.unidentified = true
+			x.reportIrregular(UnidentifiedResponse)
+		}
 		if id == string(x.dispatch.Request) || id == "" && reportsNotRun(resp, names) {
 			x.unframed = !isFramed(resp)
 			return resp, nil
@@ -202,6 +207,7 @@
 			return nil, errors.Wrap(err, "skip late response")
 		}
 		x.skipped++
+		x.reportIrregular(ForeignResponse)
 	}
 	return nil, errors.New("too many responses to other requests")
 }
@@ -227,6 +233,9 @@
 // releaseConn returns the connection to the pool, or closes it if the worker asked for
 // that, the response was incomplete, unframed or followed by surplus bytes, or the attempt was ended.
 func (x *exchange) releaseConn(resp *http.Response, complete bool) {
+	if complete && x.conn.reader.Buffered() > 0 {
+		x.reportIrregular(SurplusBytes)
+	}
 	if !x.stopClosing() || !complete || resp.Close || !isFramed(resp) || x.conn.reader.Buffered() > 0 {
 		_ = x.conn.Close()
 		return
--- a/gateway/pool.go
+++ b/gateway/pool.go
@@ -103,19 +103,23 @@
 }
 
 // reuse returns an idle connection to the worker that is still usable and has carried no earlier try of
-// the request, or nil.
-func (p *Pool) reuse(w registry.Worker, id ident.Request, tried triedConns, now time.Time) *workerConn {
+// the request, or nil. It reports bytes that arrived on idle connections to the server.
+func (p *Pool) reuse(w registry.Worker, id ident.Request, tried triedConns, s *Server) *workerConn {
 	mayCarry := func(c *workerConn) bool { return tried.mayCarry(c, id) }
 	for {
-		c := p.takeIdle(processOf(w), mayCarry, now)
+		c := p.takeIdle(processOf(w), mayCarry, s.now())
 		if c == nil {
 			return nil
 		}
-		if c.isOpenAndIdle() {
+		state := c.idleState()
+		if state == connIdle {
 			p.Reused.Add(1)
 			c.newlyDialed = false
 			return c
 		}
+		if state == connUnread {
+			s.reportSurplus(c)
+		}
 		_ = c.Close()
 	}
 }
@@ -229,26 +233,46 @@
 	return &workerConn{Conn: conn, reader: bufio.NewReaderSize(conn, readBufferSize), process: processOf(w), newlyDialed: true}
 }
 
-// isOpenAndIdle reports whether a non-blocking read finds an idle connection neither closed by
-// the worker nor with unread bytes, which would be parsed as the next response.
-func (c *workerConn) isOpenAndIdle() bool {
+// connState is the state of a connection that carries no request.
+type connState uint8
+
+const (
+	connClosed connState = iota
+	connIdle
+	// connUnread has unread bytes, which would be parsed as the next response.
+	connUnread
+)
+
+// isOpenAndIdle reports whether an idle connection is neither closed by the worker nor has unread bytes.
+func (c *workerConn) isOpenAndIdle() bool { return c.idleState() == connIdle }
+
+// idleState returns what a non-blocking read finds on an idle connection.
+func (c *workerConn) idleState() connState {
 	if c.reader.Buffered() > 0 {
-		return false
+		return connUnread
 	}
 	socket, ok := c.Conn.(syscall.Conn)
 	if !ok {
-		return false
+		return connClosed
 	}
 	raw, err := socket.SyscallConn()
 	if err != nil {
-		return false
+		return connClosed
 	}
-	idle := false
+	state := connClosed
 	err = raw.Read(func(fd uintptr) bool {
 		var buf [1]byte
-		_, rerr := unix.Read(int(fd), buf[:])
-		idle = errors.Is(rerr, unix.EAGAIN)
+		n, rerr := unix.Read(int(fd), buf[:])
+		switch {
+		case errors.Is(rerr, unix.EAGAIN):
+			state = connIdle
+		case n > 0:
+			state = connUnread
+		}
 		return true
 	})
-	return err == nil && idle
+	if err != nil {
+		return connClosed
+	}
+	return state
 }
--- a/gateway/server.go
+++ b/gateway/server.go
@@ -49,8 +49,10 @@
 	Tunnels TunnelOpener
 	// Now returns the current time; nil means clock.Now.
 	Now func() time.Time
-	// Observe, if not nil, is called for each finished request.
-	Observe func(Observation)
+	// Observe, if not nil, is called for each finished request, ObserveIrregular for irregular bytes
+	// from workers.
+	Observe          func(Observation)
+	ObserveIrregular func(Irregularity)
 }
 
 // Observation describes a finished request, for logs and metrics.
@@ -82,8 +84,10 @@
 	Reused       bool
 	// Unframed is set if the response had neither a length nor chunks and ended with its connection.
 	Unframed bool
-	// Skipped is the number of responses to other requests that were read and dropped.
-	Skipped int
+	// Skipped is the number of responses to other requests that were read and dropped. Unidentified is
+	// set if a response without a request id was read.
+	Skipped      int
+	Unidentified bool
 	// ConnectedAfter and SentAfter are the times from the choice of the worker until the connection was open
 	// and the request written; 0 if that was not reached.
 	ConnectedAfter time.Duration
@@ -99,19 +103,24 @@
 	now       func() time.Time
 	observe   func(Observation)
 	exchanges exchangeTable
+	// observeIrregular reports irregular bytes from workers.
+	observeIrregular func(Irregularity)
 	// InFlight is the number of requests in progress.
 	InFlight atomic.Int64
 }
 
 // NewServer returns a server with the given dependencies.
 func NewServer(d Deps) *Server {
-	s := &Server{core: d.Core, pool: d.Pool, tunnels: d.Tunnels, headers: d.Headers, now: d.Now, observe: d.Observe}
+	s := &Server{core: d.Core, pool: d.Pool, tunnels: d.Tunnels, headers: d.Headers, now: d.Now, observe: d.Observe, observeIrregular: d.ObserveIrregular}
 	if s.now == nil {
 		s.now = clock.Now
 	}
 	if s.observe == nil {
 		s.observe = func(Observation) {}
 	}
+	if s.observeIrregular == nil {
+		s.observeIrregular = func(Irregularity) {}
+	}
 	return s
 }
 
