gateway, standin: Failing tests of responses that cannot be matched or do not end

The stand-in sends responses without an id where the next answer is due, and heads and bodies that do not end.

--- a/gateway/server_test.go
+++ b/gateway/server_test.go
@@ -85,6 +85,7 @@
 			{Host: "a.example", Prefix: "/unsafe/", Kind: config.RouteUnsafe, Timeout: second, MaxAttempts: 2, Shares: shares},
 			{Host: "a.example", Prefix: "/short/", Kind: config.RouteUnsafe, Timeout: second / 8, MaxAttempts: 1, Shares: shares},
 			{Host: "a.example", Prefix: "/patient/", Kind: config.RouteUnsafe, Timeout: second, Objective: second, MaxAttempts: 1, Shares: shares},
+			{Host: "a.example", Prefix: "/hasty/", Kind: config.RouteUnsafe, Timeout: second, Objective: second / 20, MaxAttempts: 1, Shares: shares},
 			{Host: "a.example", Prefix: "/stream/once/", Kind: config.RouteStream, Timeout: second, MaxAttempts: 2, Shares: shares},
 			{Host: "a.example", Prefix: "/stream/again/", Kind: config.RouteStream, Resumable: true, Timeout: second, MaxAttempts: 2, Shares: shares},
 		},
--- a/standin/worker.go
+++ b/standin/worker.go
@@ -77,6 +77,34 @@
 	// Overloaded answers as a proxy before the worker might: neither an id nor a word on
 	// whether the request has run, but a time as with FullForAWhile.
 	Overloaded
+	// SurplusFull and those below answer soundly, and send a response without a request id where the next
+	// answer is due: declines of status 503, 429, 408 and 400, a 421, a decline with an empty id, one
+	// after an interim response, one that says that the worker leaves, and a 200 without signature.
+	SurplusFull
+	SurplusLimited
+	SurplusTimeout
+	SurplusInvalid
+	SurplusMisdirected
+	SurplusEmptyID
+	SurplusInterim
+	SurplusLeaving
+	SurplusUnsigned
+	// UnidentifiedFull declines without the request's id.
+	UnidentifiedFull
+	// EndlessStatus and those below send bytes until the caller closes: a status line, a header, headers,
+	// interim responses, the head of a decline, the body of an answer to another request, the body of
+	// the answer, an event, and the head of a chunk.
+	EndlessStatus
+	EndlessHeader
+	EndlessHeaders
+	EndlessInterim
+	EndlessDeclineHead
+	EndlessForeignBody
+	EndlessBody
+	EndlessEvent
+	EndlessChunkHead
+	// DrippingDeclineBody declines with a body that comes slowly and without end.
+	DrippingDeclineBody
 )
 
 // WorkerRun is one request that a worker ran.
@@ -103,6 +131,8 @@
 	asked    int
 	leaving  bool
 	stop     chan struct{}
+	// endlessBytes counts the bytes of faults that send without end.
+	endlessBytes int64
 }
 
 // StartWorker serves on address.
--- a/standin/workeranswers.go
+++ b/standin/workeranswers.go
@@ -39,9 +39,22 @@
 	if decline := w.decline(fault, id); decline != "" {
 		return conn.answer(decline, fault)
 	}
+	endless, isEndless := w.endless(fault, id)
+	if isEndless && fault.isNotRun() {
+		w.sendEndless(conn, endless)
+		return false
+	}
 	w.mu.Lock()
 	w.runs = append(w.runs, WorkerRun{ID: id, Method: req.Method, Path: req.RequestURI, Body: body, Header: req.Header})
 	w.mu.Unlock()
+	if isEndless {
+		w.sendEndless(conn, endless)
+		return false
+	}
+	if surplus, ok := w.surplusResponses()[fault]; ok {
+		defer func() { conn.due = surplus }()
+		fault = Sound
+	}
 	if strings.Contains(req.URL.Path, "/stream/") && slices.Contains(streamFaults, fault) {
 		return w.stream(conn, req, id, fault)
 	}
@@ -85,7 +98,7 @@
 		return w.declined(status503, named)
 	case LimitedTwice:
 		return w.declined(status429, named)
-	case UnidentifiedTwice:
+	case UnidentifiedTwice, UnidentifiedFull:
 		return w.declined(status503, "")
 	case FullForAWhile:
 		return w.declined(status503, named+backoff)
@@ -129,7 +142,7 @@
 func (w *Worker) plain(conn *answerConn, id string, fault WorkerFault) bool {
 	other := w.head(http.StatusOK, "another-request") + framed("an answer to another request")
 	right := w.head(http.StatusOK, id) + framed(WorkerBody)
-	switch fault {
+	switch fault { //nolint:exhaustive // All others decline, are streams, or were answered before.
 	case CutHead:
 		return false
 	case CutBody:
@@ -157,7 +170,7 @@
 	case Hang:
 		<-w.stop
 		return false
-	case Sound, Full, FullTwice, LimitedTwice, UnidentifiedTwice, FullForAWhile, Overloaded, CutEvent, CutOnce, UnframedStream, UnframedCut, SlowStream, SlowUnframedStream:
+	default:
 	}
 	return write(conn, right)
 }
