gateway: Search only new bytes of a stream for the end of an event

An event without end was searched from its start after each read: under the race detector 1.8 to 2.0 s until its limit of 1 MiB was noticed, 504 in place of 502 for two of four cases of TestBytesWithoutEndAreNotReadOn; 0.06 to 0.09 s now.

--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -111,7 +111,7 @@
 		beforeRead()
 		n, err := resp.Body.Read(chunk)
 		buffered = append(buffered, chunk[:n]...)
-		if end := completeEventsLen(buffered); end > 0 {
+		if end := completeEventsLen(buffered, n); end > 0 {
 			pace = pace.with(bytes.Count(buffered[:end], eventEnd), r.now())
 			if werr := r.writeEvents(resp, buffered[:end]); werr != nil {
 				return 0, werr
@@ -133,10 +133,12 @@
 
 var eventEnd = []byte("\n\n")
 
-// completeEventsLen returns the length of the complete events at the start of data.
-func completeEventsLen(data []byte) int {
-	if i := bytes.LastIndex(data, eventEnd); i >= 0 {
-		return i + len(eventEnd)
+// completeEventsLen returns the length of the complete events at the start of data. No event ends before the last n
+// bytes of it.
+func completeEventsLen(data []byte, n int) int {
+	from := max(0, len(data)-n-len(eventEnd)+1)
+	if i := bytes.LastIndex(data[from:], eventEnd); i >= 0 {
+		return from + i + len(eventEnd)
 	}
 	return 0
 }
