gateway, settings: Bound the heads of responses and the bodies that are skipped

A worker that sent a head without end held its request until the deadline and filled the host's memory: 372 MB were read within 2 s in one request, and the heap reached 9,017 MB with 100 workers. http.ReadResponse reads lines of any length. A skipped body was bounded by 16 MiB for each response, and what followed it was then parsed as a head without end.

limitedReader bounds the bytes of one head, [gateway] max_response_header, 64 KiB by default; all bodies that are skipped for one request share 16 MiB. The head of a repeatable request must end within the header timeout after its first byte. Such a response closes the connection, is counted (long_header, long_body) and is no decline.

--- a/daemon/metrics.go
+++ b/daemon/metrics.go
@@ -30,7 +30,7 @@
 	verdicts *expvar.Map
 	// irregular counts irregular bytes from workers by kind.
 	irregular *expvar.Map
-	rollouts rolloutCounters
+	rollouts  rolloutCounters
 }
 
 // Times are measured in microseconds from 1 to an hour.
--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -52,6 +52,7 @@
 	// requests, unidentified is set if a response had no request id.
 	unframed     bool
 	skipped      int
+	skippedBytes int64
 	unidentified bool
 	// mu guards aborted and the read deadline of conn, which depends on it.
 	mu      sync.Mutex
@@ -124,7 +125,12 @@
 	if IsTimeout(err) && x.server.reportHeaderTimeout(x.dispatch, x.server.now().Sub(x.sentAt)) {
 		return errHeaderTimeout
 	}
-	x.setReadTimeout(0)
+	// A head that has begun has as long again to end.
+	rest := x.dispatch.HeaderTimeout
+	if err != nil {
+		rest = 0
+	}
+	x.setReadTimeout(rest)
 	return nil
 }
 
--- a/gateway/irregular.go
+++ b/gateway/irregular.go
@@ -17,6 +17,9 @@
 	ForeignResponse IrregularKind = "foreign_response"
 	// UnidentifiedResponse is a response without a request id.
 	UnidentifiedResponse IrregularKind = "unidentified_response"
+	// LongHeader and LongBody exceed a limit on their size.
+	LongHeader IrregularKind = "long_header"
+	LongBody   IrregularKind = "long_body"
 )
 
 // Irregularity describes irregular bytes from a worker, for logs and metrics.
--- a/gateway/pool.go
+++ b/gateway/pool.go
@@ -43,6 +43,7 @@
 type workerConn struct {
 	net.Conn
 	reader  *bufio.Reader
+	limit   *limitedReader
 	process workerProcess
 	// idleDeadline is when the connection expires if it is idle.
 	idleDeadline time.Time
@@ -253,7 +254,8 @@
 }
 
 func newWorkerConn(conn net.Conn, w registry.Worker) *workerConn {
-	return &workerConn{Conn: conn, reader: bufio.NewReaderSize(conn, readBufferSize), process: processOf(w), newlyDialed: true}
+	limit := &limitedReader{Reader: conn}
+	return &workerConn{Conn: conn, reader: bufio.NewReaderSize(limit, readBufferSize), limit: limit, process: processOf(w), newlyDialed: true}
 }
 
 // connState is the state of a connection that carries no request.
--- a/gateway/response.go
+++ b/gateway/response.go
@@ -16,7 +16,10 @@
 )
 
 const (
-	// maxResponseBytes bounds the body of a response that is buffered.
+	// DefaultMaxHeader bounds the head of a response in bytes.
+	DefaultMaxHeader = 64 << 10
+	// maxResponseBytes bounds the body of a response that is buffered, and all bodies together that are
+	// skipped for one request.
 	maxResponseBytes = 16 << 20
 	// maxForeignResponses bounds the responses to other requests, and interim ones, that
 	// are skipped on a connection.
@@ -60,7 +63,7 @@
 		return nil, err
 	}
 	for range maxForeignResponses {
-		resp, err := http.ReadResponse(x.conn.reader, &http.Request{Method: x.request.Method})
+		resp, err := x.readHead()
 		if err != nil {
 			return nil, x.readError(err)
 		}
@@ -87,6 +90,17 @@
 	return nil, x.readError(errors.New("too many responses to other requests"))
 }
 
+// readHead reads the head of a response within the limit on its size. The body must be read before the next head.
+func (x *exchange) readHead() (*http.Response, error) {
+	x.conn.limit.set(x.server.maxHeader)
+	resp, err := http.ReadResponse(x.conn.reader, &http.Request{Method: x.request.Method})
+	if errors.Is(err, errTooLong) {
+		x.reportIrregular(LongHeader)
+	}
+	x.conn.limit.remove()
+	return resp, err //nolint:wrapcheck // readError wraps it.
+}
+
 // awaitsAnswerBehind reports whether to wait for the answer behind a response that cannot be matched, and limits the
 // time for it to the route's objective. A request that the core sends to another worker does not wait.
 func (x *exchange) awaitsAnswerBehind(matched match) bool {
@@ -108,7 +122,13 @@
 	if matched == matchOther {
 		x.reportIrregular(ForeignResponse)
 	}
-	_, err := io.Copy(io.Discard, io.LimitReader(resp.Body, maxResponseBytes))
+	remaining := maxResponseBytes - x.skippedBytes
+	n, err := io.Copy(io.Discard, io.LimitReader(resp.Body, remaining+1))
+	x.skippedBytes += n
+	if n > remaining {
+		x.reportIrregular(LongBody)
+		return errTooLong
+	}
 	return errors.Wrap(err, "skip response")
 }
 
--- a/gateway/server.go
+++ b/gateway/server.go
@@ -13,6 +13,7 @@
 package gateway
 
 import (
+	"cmp"
 	"context"
 	"io"
 	"net/http"
@@ -45,6 +46,8 @@
 	Core    Core
 	Pool    *Pool
 	Headers Headers
+	// MaxHeader bounds the head of a worker's response in bytes; 0 is DefaultMaxHeader.
+	MaxHeader int64
 	// Tunnels, if not nil, opens connections through other hosts.
 	Tunnels TunnelOpener
 	// Now returns the current time; nil means clock.Now.
@@ -105,6 +108,7 @@
 	exchanges exchangeTable
 	// observeIrregular reports irregular bytes from workers.
 	observeIrregular func(Irregularity)
+	maxHeader        int64
 	// InFlight is the number of requests in progress.
 	InFlight atomic.Int64
 }
@@ -112,6 +116,7 @@
 // NewServer returns a server with the given dependencies.
 func NewServer(d Deps) *Server {
 	s := &Server{core: d.Core, pool: d.Pool, tunnels: d.Tunnels, headers: d.Headers, now: d.Now, observe: d.Observe, observeIrregular: d.ObserveIrregular}
+	s.maxHeader = cmp.Or(d.MaxHeader, DefaultMaxHeader)
 	if s.now == nil {
 		s.now = clock.Now
 	}
--- a/settings/check.go
+++ b/settings/check.go
@@ -271,6 +271,7 @@
 	checkSize("peer", "max_message", s.Peer.MaxSize, p)
 	checkSize("callers", "max_body", s.Callers.MaxBody, p)
 	checkSize("callers", "max_header", s.Callers.MaxHeader, p)
+	checkSize("gateway", "max_response_header", s.Gateway.MaxResponseHeader, p)
 }
 
 func checkSize(section, key, text string, p *ProblemsError) {
--- a/settings/settings_test.go
+++ b/settings/settings_test.go
@@ -49,20 +49,21 @@
 func TestBrokenSettings(t *testing.T) {
 	replace := func(pairs ...string) string { return strings.NewReplacer(pairs...).Replace(good) }
 	cases := map[string]string{
-		"unknown-section":  good + "[zoo]\nx = 1\n",
-		"unknown-key":      replace("zone = hall-a\n[peer]", "zone = hall-a\ncolour = red\n[peer]"),
-		"bad-unit":         replace("listen = 127.0.0.1:7180", "listen = 127.0.0.1:7180\nread_timeout = 30 parsecs\nmax_body = many"),
-		"host-name":        replace("127.0.0.1:7100", "localhost:7100"),
-		"data-unwritable":  replace("zone = hall-a\n[peer]", "zone = hall-a\ndata = /nowhere/at/all\n[peer]", "state-1@hall-a@127.0.0.2:7100", "entry-1@hall-a@127.0.0.1:7100"),
-		"duplicate-names":  replace("members = state-1@hall-a@127.0.0.2:7100", "members = s@hall-a@127.0.0.2:7100, s@hall-b@127.0.0.3:7100, t@hall-c@127.0.0.4:7100"),
-		"roles-contradict": replace("listen = 127.0.0.1:7180", ""),
-		"even-replicas":    replace("state-1@hall-a@127.0.0.2:7100", "a@hall-a@127.0.0.2:7100, b@hall-b@127.0.0.3:7100"),
-		"off-loopback":     replace("127.0.0.1:7100", "10.0.0.1:7100", "127.0.0.1:7190", "10.0.0.1:7190"),
-		"short-key":        replace("a key of sixteen or more", "short", "2c26b46b68ffc68f", "not-hex-not-hex-"),
-		"twice":            good + "[host]\nid = another\n",
-		"rollout-bounds":   good + "[gateway]\nrollout_share = NaN\nrollout_slack = -1\nrollout_revert = 0s\n",
-		"rollout-listed":   good + "[gateway]\nrollout_share = 0.1\n",
-		"everything":       "[host]\nid =\n[log]\nlevel = loud\n",
+		"unknown-section":    good + "[zoo]\nx = 1\n",
+		"unknown-key":        replace("zone = hall-a\n[peer]", "zone = hall-a\ncolour = red\n[peer]"),
+		"bad-unit":           replace("listen = 127.0.0.1:7180", "listen = 127.0.0.1:7180\nread_timeout = 30 parsecs\nmax_body = many"),
+		"bad-response-limit": good + "[gateway]\nmax_response_header = 0\n",
+		"host-name":          replace("127.0.0.1:7100", "localhost:7100"),
+		"data-unwritable":    replace("zone = hall-a\n[peer]", "zone = hall-a\ndata = /nowhere/at/all\n[peer]", "state-1@hall-a@127.0.0.2:7100", "entry-1@hall-a@127.0.0.1:7100"),
+		"duplicate-names":    replace("members = state-1@hall-a@127.0.0.2:7100", "members = s@hall-a@127.0.0.2:7100, s@hall-b@127.0.0.3:7100, t@hall-c@127.0.0.4:7100"),
+		"roles-contradict":   replace("listen = 127.0.0.1:7180", ""),
+		"even-replicas":      replace("state-1@hall-a@127.0.0.2:7100", "a@hall-a@127.0.0.2:7100, b@hall-b@127.0.0.3:7100"),
+		"off-loopback":       replace("127.0.0.1:7100", "10.0.0.1:7100", "127.0.0.1:7190", "10.0.0.1:7190"),
+		"short-key":          replace("a key of sixteen or more", "short", "2c26b46b68ffc68f", "not-hex-not-hex-"),
+		"twice":              good + "[host]\nid = another\n",
+		"rollout-bounds":     good + "[gateway]\nrollout_share = NaN\nrollout_slack = -1\nrollout_revert = 0s\n",
+		"rollout-listed":     good + "[gateway]\nrollout_share = 0.1\n",
+		"everything":         "[host]\nid =\n[log]\nlevel = loud\n",
 	}
 	for name, text := range cases {
 		t.Run(name, func(t *testing.T) {
