gateway: Wait for no body that cannot change what its head has said

A decline whose body came slowly and without end held its request until the deadline: 504 after 2 s, though its head had said at once that the request did not run and another worker was free. The body of a decline now has 100 ms and 64 KiB before its connection is closed; that of a response without a signature, or of a failure behind the first event of a stream, is not read.

TestSlowBodyOfADeclineHoldsNoRequest failed on (504 after 2.0 s) and passes in less than 0.5 s.

--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -190,13 +190,14 @@
 	if reportsNotRun(resp, x.server.headers) {
 		return nil, x.finishDeclined(resp)
 	}
+	if resp.Header.Get(x.server.headers.Signature) == "" || resp.Header.Get("Content-Encoding") != "" {
+		x.releaseConn(resp, false)
+		return nil, outcome.Interrupted{Reason: "response without a worker's signature"}
+	}
 	body, err := readBody(resp)
 	x.releaseConn(resp, err == nil)
 	if err != nil {
 		return nil, outcome.Interrupted{Reason: err.Error()}
 	}
-	if resp.Header.Get(x.server.headers.Signature) == "" || resp.Header.Get("Content-Encoding") != "" {
-		return nil, outcome.Interrupted{Reason: "response without a worker's signature"}
-	}
 	return &response{status: resp.StatusCode, header: resp.Header, body: body}, outcome.Answered{Status: resp.StatusCode, Pace: took}
 }
--- a/gateway/response.go
+++ b/gateway/response.go
@@ -21,6 +21,10 @@
 	// maxResponseBytes bounds the body of a response that is buffered, and all bodies together that are
 	// skipped for one request.
 	maxResponseBytes = 16 << 20
+	// maxDeclineBytes and declineBodyTimeout bound the body of a response that says that the request was not
+	// run, which changes nothing. If it takes more, the connection is closed.
+	maxDeclineBytes    = 64 << 10
+	declineBodyTimeout = 100 * time.Millisecond
 	// maxForeignResponses bounds the responses to other requests, and interim ones, that
 	// are skipped on a connection.
 	maxForeignResponses = 3
@@ -161,8 +165,9 @@
 // at the worker's address.
 func (x *exchange) finishDeclined(resp *http.Response) outcome.Attempt {
 	misdirected := resp.StatusCode == http.StatusMisdirectedRequest
-	_, err := readBody(resp)
-	x.releaseConn(resp, err == nil && !misdirected)
+	x.setReadTimeout(declineBodyTimeout)
+	n, err := io.Copy(io.Discard, io.LimitReader(resp.Body, maxDeclineBytes+1))
+	x.releaseConn(resp, err == nil && n <= maxDeclineBytes && !misdirected)
 	notice := x.server.headers.parseNotice(resp, x.server.now())
 	return outcome.Declined{Reason: resp.Status, Leaving: misdirected, RetryAfter: max(notice.Backoff, notice.SoftBackoff)}
 }
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -87,9 +87,13 @@
 // handleNonStream reads a response that is not a signed 200, whose body is not a stream. It
 // can be forwarded only if it is signed and no event was sent yet.
 func (x *exchange) handleNonStream(resp *http.Response, signed bool, r *eventRelay) (*response, outcome.Attempt) {
+	if !signed || r.headerSent {
+		x.releaseConn(resp, false)
+		return nil, outcome.Interrupted{Reason: "the worker answered " + resp.Status, AnswerStarted: r.headerSent}
+	}
 	body, err := readBody(resp)
 	x.releaseConn(resp, err == nil)
-	if err != nil || !signed || r.headerSent {
+	if err != nil {
 		return nil, outcome.Interrupted{Reason: "the worker answered " + resp.Status, AnswerStarted: r.headerSent}
 	}
 	return &response{status: resp.StatusCode, header: resp.Header, body: body}, outcome.Answered{Status: resp.StatusCode}
