gateway, settings: Bound the memory of all responses that are buffered

A hundred workers that sent bodies without end took a heap of 1,504 MB, as each may be buffered up to 16 MiB; an entry host has 184 MB. Responses now share [gateway] max_buffered_responses, 32 MiB by default. Up to 64 KiB of each do not count, so ordinary ones are served while large ones fill the memory. One that finds no room ends as broken and is counted (long_body). An event of a stream that is not whole counts likewise.

--- a/gateway/call.go
+++ b/gateway/call.go
@@ -22,6 +22,8 @@
 	startedAt time.Time
 	relay     eventRelay
 	response  *response
+	// memory is what the response occupies.
+	memory reservation
 	// tried are the connections of all attempts so far.
 	tried    triedConns
 	observed Observation
@@ -29,6 +31,7 @@
 
 // run carries out the core's decisions until the request is finished.
 func (c *serverCall) run(req requests.Request) {
+	defer c.memory.release()
 	next := c.server.nextDecision(req.ID, requests.Arrived{Request: req})
 	for {
 		switch d := next.(type) {
@@ -54,9 +57,10 @@
 // attempt sends the request to one worker and returns the event that reports the result.
 func (c *serverCall) attempt(d requests.Dispatch) requests.Event {
 	startedAt := c.server.now()
+	c.memory.release()
 	ctx, cancel := context.WithDeadline(c.request.Context(), clock.Real(d.Deadline))
 	defer cancel()
-	x := &exchange{server: c.server, dispatch: d, request: c.request, body: c.body, tried: c.tried}
+	x := &exchange{server: c.server, dispatch: d, request: c.request, body: c.body, tried: c.tried, memory: &c.memory}
 	defer c.server.exchanges.remove(x)
 	var result outcome.Attempt
 	if d.Route.Kind == config.RouteStream {
--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -54,6 +54,8 @@
 	skipped      int
 	skippedBytes int64
 	unidentified bool
+	// memory is what the response occupies.
+	memory *reservation
 	// mu guards aborted and the read deadline of conn, which depends on it.
 	mu      sync.Mutex
 	aborted bool
@@ -194,8 +196,7 @@
 		x.releaseConn(resp, false)
 		return nil, outcome.Interrupted{Reason: "response without a worker's signature"}
 	}
-	body, err := readBody(resp)
-	x.releaseConn(resp, err == nil)
+	body, err := x.readBody(resp)
 	if err != nil {
 		return nil, outcome.Interrupted{Reason: err.Error()}
 	}
--- a/gateway/response.go
+++ b/gateway/response.go
@@ -21,6 +21,8 @@
 	// maxResponseBytes bounds the body of a response that is buffered, and all bodies together that are
 	// skipped for one request.
 	maxResponseBytes = 16 << 20
+	// minBodyBuffer is the first size of the buffer for a body.
+	minBodyBuffer = 4 << 10
 	// maxDeclineBytes and declineBodyTimeout bound the body of a response that says that the request was not
 	// run, which changes nothing. If it takes more, the connection is closed.
 	maxDeclineBytes    = 64 << 10
@@ -202,13 +204,45 @@
 	return 0
 }
 
-func readBody(resp *http.Response) ([]byte, error) {
-	body, err := io.ReadAll(io.LimitReader(resp.Body, maxResponseBytes+1))
-	if err != nil {
-		return nil, errors.Wrap(err, "read response body")
+// readBody reads the body of the response and releases the connection.
+func (x *exchange) readBody(resp *http.Response) ([]byte, error) {
+	body, err := readBody(resp, x.memory)
+	x.reportLongBody(err)
+	x.releaseConn(resp, err == nil)
+	return body, err
+}
+
+// reportLongBody reports a body that could not be buffered because of its size.
+func (x *exchange) reportLongBody(err error) {
+	if errors.Is(err, errTooLong) || errors.Is(err, errMemory) {
+		x.reportIrregular(LongBody)
+	}
+}
+
+// readBody reads the body of a response into reserved memory.
+func readBody(resp *http.Response, r *reservation) ([]byte, error) {
+	if resp.ContentLength > maxResponseBytes {
+		return nil, errTooLong
 	}
-	if len(body) > maxResponseBytes {
-		return nil, errors.New("response body exceeds the size limit")
+	body := make([]byte, 0, minBodyBuffer)
+	for {
+		if len(body) == cap(body) {
+			if len(body) > maxResponseBytes {
+				return nil, errTooLong
+			}
+			size := min(2*cap(body), maxResponseBytes+1)
+			if err := r.grow(size); err != nil {
+				return nil, err
+			}
+			body = append(make([]byte, 0, size), body...)
+		}
+		n, err := resp.Body.Read(body[len(body):cap(body)])
+		body = body[:len(body)+n]
+		if errors.Is(err, io.EOF) {
+			return body, nil
+		}
+		if err != nil {
+			return nil, errors.Wrap(err, "read response body")
+		}
 	}
-	return body, nil
 }
--- a/gateway/server.go
+++ b/gateway/server.go
@@ -46,8 +46,10 @@
 	Core    Core
 	Pool    *Pool
 	Headers Headers
-	// MaxHeader bounds the head of a worker's response in bytes; 0 is DefaultMaxHeader.
-	MaxHeader int64
+	// MaxHeader bounds the head of a worker's response, MaxBuffered all responses that are buffered at a time,
+	// both in bytes; 0 is DefaultMaxHeader and DefaultMaxBuffered.
+	MaxHeader   int64
+	MaxBuffered int64
 	// Tunnels, if not nil, opens connections through other hosts.
 	Tunnels TunnelOpener
 	// Now returns the current time; nil means clock.Now.
@@ -109,6 +111,7 @@
 	// observeIrregular reports irregular bytes from workers.
 	observeIrregular func(Irregularity)
 	maxHeader        int64
+	memory           *memory
 	// InFlight is the number of requests in progress.
 	InFlight atomic.Int64
 }
@@ -117,6 +120,7 @@
 func NewServer(d Deps) *Server {
 	s := &Server{core: d.Core, pool: d.Pool, tunnels: d.Tunnels, headers: d.Headers, now: d.Now, observe: d.Observe, observeIrregular: d.ObserveIrregular}
 	s.maxHeader = cmp.Or(d.MaxHeader, DefaultMaxHeader)
+	s.memory = &memory{limit: cmp.Or(d.MaxBuffered, DefaultMaxBuffered)}
 	if s.now == nil {
 		s.now = clock.Now
 	}
@@ -150,7 +154,7 @@
 		http.Error(w, http.StatusText(status), status)
 		return
 	}
-	c := &serverCall{server: s, writer: w, request: r, body: body, startedAt: startedAt, relay: eventRelay{w: w, now: s.now, headers: s.headers, lastEventID: r.Header.Get(s.headers.LastEventID)}}
+	c := &serverCall{memory: reservation{memory: s.memory}, server: s, writer: w, request: r, body: body, startedAt: startedAt, relay: eventRelay{w: w, now: s.now, headers: s.headers, lastEventID: r.Header.Get(s.headers.LastEventID)}}
 	req.Digest = digest(r, body)
 	c.observed.Request = req
 	c.run(req)
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -65,9 +65,10 @@
 	if resp.StatusCode != http.StatusOK || !signed {
 		return x.handleNonStream(resp, signed, r)
 	}
-	pace, err := r.copyEvents(resp, func() { x.setReadTimeout(x.dispatch.StallTimeout) })
+	pace, err := r.copyEvents(resp, x.memory, func() { x.setReadTimeout(x.dispatch.StallTimeout) })
 	x.releaseConn(resp, err == nil)
 	if err != nil {
+		x.reportLongBody(err)
 		return nil, outcome.Interrupted{Reason: err.Error(), AnswerStarted: r.headerSent}
 	}
 	if !r.headerSent {
@@ -91,8 +92,7 @@
 		x.releaseConn(resp, false)
 		return nil, outcome.Interrupted{Reason: "the worker answered " + resp.Status, AnswerStarted: r.headerSent}
 	}
-	body, err := readBody(resp)
-	x.releaseConn(resp, err == nil)
+	body, err := x.readBody(resp)
 	if err != nil {
 		return nil, outcome.Interrupted{Reason: "the worker answered " + resp.Status, AnswerStarted: r.headerSent}
 	}
@@ -107,9 +107,10 @@
 
 // copyEvents forwards complete events until the response ends, and returns their pace. It calls
 // beforeRead before each read.
-func (r *eventRelay) copyEvents(resp *http.Response, beforeRead func()) (time.Duration, error) {
+func (r *eventRelay) copyEvents(resp *http.Response, memory *reservation, beforeRead func()) (time.Duration, error) {
 	var buffered []byte
 	var pace eventPace
+	defer memory.release()
 	chunk := make([]byte, readChunkSize)
 	for {
 		beforeRead()
@@ -130,7 +131,10 @@
 		case err != nil:
 			return 0, errors.Wrap(err, "read stream")
 		case len(buffered) > maxEventBytes:
-			return 0, errors.New("stream event exceeds the size limit")
+			return 0, errTooLong
+		}
+		if err := memory.grow(cap(buffered)); err != nil {
+			return 0, err
 		}
 	}
 }
--- a/settings/check.go
+++ b/settings/check.go
@@ -272,6 +272,7 @@
 	checkSize("callers", "max_body", s.Callers.MaxBody, p)
 	checkSize("callers", "max_header", s.Callers.MaxHeader, p)
 	checkSize("gateway", "max_response_header", s.Gateway.MaxResponseHeader, p)
+	checkSize("gateway", "max_buffered_responses", s.Gateway.MaxBufferedResponses, p)
 }
 
 func checkSize(section, key, text string, p *ProblemsError) {
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -118,20 +118,21 @@
 
 // Gateway is the entry for requests of the route table, in a seeded fleet.
 type Gateway struct {
-	Listen            string        `ini:"listen" doc:"ip:port for requests; empty on a host that takes none."`
-	Ready             string        `ini:"ready" doc:"ip:port at which the balancer asks whether this host takes requests."`
-	Control           string        `ini:"control" doc:"ip:port for workers' registrations and for operators of the route table."`
-	Relay             string        `ini:"relay" doc:"ip:port at which a host that takes requests also takes workers' heartbeats for the replicas, where these are many; empty for none."`
-	KeyLease          time.Duration `ini:"key_lease" default:"4s" doc:"Time for which a confirmed configuration may be used for requests with a key."`
-	InForce           time.Duration `ini:"in_force" default:"2s" doc:"Time after its acknowledgement in which a route table is in force everywhere. An acknowledgement waits for hosts that cannot be reached, at most key_lease less this."`
-	Revoke            time.Duration `ini:"revoke" default:"5s" doc:"Time after the acknowledgement in which keys that were taken away stop working everywhere. Where it is shorter than in_force, it takes its place."`
-	ZoneDrain         time.Duration `ini:"zone_drain" default:"5s" doc:"Time after the acknowledgement of an order to drain a zone in which nothing more is sent to its workers, from any host. Until then a service whose other workers are missing or full is still served there."`
-	Heartbeat         time.Duration `ini:"heartbeat" default:"1200ms" doc:"Time between two heartbeats of a worker."`
-	RetryShare        string        `ini:"retry_share" default:"0.2" doc:"Part of a pool's requests that may be sent once more."`
-	RetryExtra        string        `ini:"retry_extra" default:"20" doc:"Requests that the whole fleet may send once more beyond that."`
-	LoadFactor        string        `ini:"load_factor" default:"2" doc:"Multiple of the mean load that no engine may go beyond."`
-	MaxResponseHeader string        `ini:"max_response_header" default:"64KiB" doc:"Largest head of a worker's response."`
-	DrainTime         time.Duration `ini:"drain_time" default:"8s" doc:"Time that a planned stop may take."`
+	Listen               string        `ini:"listen" doc:"ip:port for requests; empty on a host that takes none."`
+	Ready                string        `ini:"ready" doc:"ip:port at which the balancer asks whether this host takes requests."`
+	Control              string        `ini:"control" doc:"ip:port for workers' registrations and for operators of the route table."`
+	Relay                string        `ini:"relay" doc:"ip:port at which a host that takes requests also takes workers' heartbeats for the replicas, where these are many; empty for none."`
+	KeyLease             time.Duration `ini:"key_lease" default:"4s" doc:"Time for which a confirmed configuration may be used for requests with a key."`
+	InForce              time.Duration `ini:"in_force" default:"2s" doc:"Time after its acknowledgement in which a route table is in force everywhere. An acknowledgement waits for hosts that cannot be reached, at most key_lease less this."`
+	Revoke               time.Duration `ini:"revoke" default:"5s" doc:"Time after the acknowledgement in which keys that were taken away stop working everywhere. Where it is shorter than in_force, it takes its place."`
+	ZoneDrain            time.Duration `ini:"zone_drain" default:"5s" doc:"Time after the acknowledgement of an order to drain a zone in which nothing more is sent to its workers, from any host. Until then a service whose other workers are missing or full is still served there."`
+	Heartbeat            time.Duration `ini:"heartbeat" default:"1200ms" doc:"Time between two heartbeats of a worker."`
+	RetryShare           string        `ini:"retry_share" default:"0.2" doc:"Part of a pool's requests that may be sent once more."`
+	RetryExtra           string        `ini:"retry_extra" default:"20" doc:"Requests that the whole fleet may send once more beyond that."`
+	LoadFactor           string        `ini:"load_factor" default:"2" doc:"Multiple of the mean load that no engine may go beyond."`
+	MaxResponseHeader    string        `ini:"max_response_header" default:"64KiB" doc:"Largest head of a worker's response."`
+	MaxBufferedResponses string        `ini:"max_buffered_responses" default:"32MiB" doc:"Memory for workers' responses that are buffered at a time; up to 64 KiB of each do not count."`
+	DrainTime            time.Duration `ini:"drain_time" default:"8s" doc:"Time that a planned stop may take."`
 
 	RolloutShare  string        `ini:"rollout_share" default:"0" doc:"Largest part of a service's requests, from 0 to 1, that a bad version may get while it is rolled out; the same on all hosts. 0 disables rollouts: versions of targets are ignored. Only with seeds."`
 	RolloutSlack  string        `ini:"rollout_slack" default:"50" doc:"Requests that a bad version may get beyond rollout_share, over all hosts together."`
