--- a/operators/client.go
+++ b/operators/client.go
@@ -46,7 +46,11 @@
 	Key string
 }
 
-const clientTimeout = 15 * time.Second
+const (
+	clientTimeout = 15 * time.Second
+	// maxAnswer bounds the body of an answer in bytes; the dump of a large fleet is some megabytes.
+	maxAnswer = 64 << 20
+)
 
 // Do makes the call and decodes its answer into out, where that is not nil; it
 // returns the ETag. A host that cannot be reached or that sends us elsewhere is
@@ -83,10 +87,13 @@
 		return "", errors.Wrap(err, "call host")
 	}
 	defer func() { _ = resp.Body.Close() }()
-	body, err := io.ReadAll(resp.Body)
+	body, err := io.ReadAll(io.LimitReader(resp.Body, maxAnswer+1))
 	if err != nil {
 		return "", errors.Wrap(err, "read answer")
 	}
+	if len(body) > maxAnswer {
+		return "", errors.New("the answer exceeds the size limit")
+	}
 	if resp.StatusCode != http.StatusOK {
 		ce := &CallError{Status: resp.StatusCode}
 		if json.Unmarshal(body, &ce.Detail) != nil {
--- a/peers/tunnel.go
+++ b/peers/tunnel.go
@@ -32,7 +32,7 @@
 	tunnelReplyTimeout = 600 * time.Millisecond
 	// tunnelUserTimeout closes a tunnel whose data stays unacknowledged (RFC 5482).
 	tunnelUserTimeout = 3 * time.Second
-	// tunnelHeaderSize bounds the header of a CONNECT request.
+	// tunnelHeaderSize bounds the header of a CONNECT request and that of its reply.
 	tunnelHeaderSize = 4 << 10
 )
 
@@ -90,15 +90,15 @@
 	if err := r.Write(conn); err != nil {
 		return nil, errors.Wrap(ErrUnavailable, err.Error())
 	}
-	in := bufio.NewReader(conn)
-	resp, err := http.ReadResponse(in, r) //nolint:bodyclose // A tunnel has no body.
+	header := bufio.NewReader(io.LimitReader(conn, tunnelHeaderSize))
+	resp, err := http.ReadResponse(header, r) //nolint:bodyclose // A tunnel has no body.
 	switch {
 	case err != nil:
 		return nil, errors.Wrap(ErrUnavailable, err.Error())
-	case in.Buffered() > 0:
+	case header.Buffered() > 0:
 		return nil, errors.Wrap(ErrUnavailable, "bytes follow the reply")
 	}
-	return newTunnel(conn, in, resp.Header), tunnelError(resp.StatusCode)
+	return newTunnel(conn, bufio.NewReader(conn), resp.Header), tunnelError(resp.StatusCode)
 }
 
 // tunnelError returns the error that a reply reports, nil if the tunnel is open.
--- a/peers/tunnel_test.go
+++ b/peers/tunnel_test.go
@@ -179,3 +179,26 @@
 	require.Less(t, time.Since(begun), 200*time.Millisecond)
 	require.EqualValues(t, 1, opened.Load())
 }
+
+// TestReplyWithoutEndIsNotReadOn guards against reading the reply of a peer without end while a tunnel is opened.
+func TestReplyWithoutEndIsNotReadOn(t *testing.T) {
+	t.Parallel()
+	var sent atomic.Int64
+	peer := startEndpoint(t, func(c *net.TCPConn) {
+		defer func() { _ = c.Close() }()
+		_, err := io.WriteString(c, "HTTP/1.1 200 ")
+		for filler := make([]byte, 32<<10); err == nil; {
+			var n int
+			n, err = c.Write(filler)
+			sent.Add(int64(n))
+		}
+	})
+	pool := peers.NewPool(peers.Options{Self: "a", Fleet: "f", Key: fleetKey, MaxMessage: 1 << 20})
+	t.Cleanup(pool.Close)
+	pool.SetAddresses([]config.Host{{ID: "b", Address: peer.Address}})
+	began := time.Now()
+	_, err := pool.OpenTunnel(t.Context(), "b", registry.Worker{ID: "w", Address: "127.0.0.1:1"})
+	require.ErrorIs(t, err, peers.ErrUnavailable)
+	require.Less(t, time.Since(began), 400*time.Millisecond, "the reply has 600 ms")
+	require.Less(t, sent.Load(), int64(12<<20), "the buffers of a connection take some")
+}
--- a/targets/client.go
+++ b/targets/client.go
@@ -55,6 +55,7 @@
 const (
 	maxIdlePerTarget   = 64
 	idleTimeout        = 90 * time.Second
+	maxHeader          = 64 << 10
 	maxControlBody     = 1 << 20
 	defaultMaxResponse = 32 << 20
 )
@@ -100,7 +101,7 @@
 			}
 			return d.DialContext(ctx, network, address)
 		},
-		MaxIdleConnsPerHost: maxIdlePerTarget, IdleConnTimeout: idleTimeout, DisableCompression: true,
+		MaxResponseHeaderBytes: maxHeader, MaxIdleConnsPerHost: maxIdlePerTarget, IdleConnTimeout: idleTimeout, DisableCompression: true,
 	}
 }
 
