soak: Draw surplus responses without an id and bytes without end

Three in 100 answers are followed by a decline or a 421 without an id where the next answer is due, one in 100 is replaced by a status line, a header, another answer's body or a slow body without end.

--- a/soak/wire_test.go
+++ b/soak/wire_test.go
@@ -16,8 +16,8 @@
 )
 
 // The wire of a worker may misbehave: an answer has neither a length nor chunks and ends with its
-// connection, or a decline is sent once more where the next answer on the connection is due. Both are drawn
-// from series of their own. A fleet that is mixed with an earlier program has sound wires, as that program
+// connection, a decline is sent once more where the next answer on the connection is due, a response without an
+// id is sent there (surplus_test.go), or bytes come without end. All are drawn from series of their own. A fleet that is mixed with an earlier program has sound wires, as that program
 // takes lost answers for whole ones and late copies for answers.
 
 const (
@@ -36,6 +36,8 @@
 	// copies is set if the next answer is sent again, due is what is sent ahead of the next write.
 	copies bool
 	due    []byte
+	// later is sent ahead of the answer to the next request.
+	later []byte
 	// unframed is set while an answer is under way that ends with the connection.
 	unframed bool
 }
--- a/soak/worker_test.go
+++ b/soak/worker_test.go
@@ -41,6 +41,8 @@
 	byID map[string][]*run
 	// ends are when workers ended under the bad request.
 	ends []time.Time
+	// endless are the bytes of each response without end.
+	endless []int64
 	// notices are what workers said of themselves, one for each request that arrived.
 	notices []notice
 }
@@ -260,6 +262,7 @@
 	if err != nil {
 		return
 	}
+	wireOf(r).beginRequest()
 	fault := w.draw()
 	id := r.Header.Get(names.RequestID)
 	if fault == faultFull {
@@ -283,6 +286,13 @@
 	if fault == faultCutsBefore || w.lives() != life {
 		cut(r)
 	}
+	if w.drawWire(endlessShare) {
+		w.sendEndless(out, id)
+		return
+	}
+	if w.drawWire(surplusShare) {
+		wireOf(r).sendLater(w.surplusResponse())
+	}
 	out.Header().Set(names.RequestID, id)
 	out.Header().Set(names.Signature, "stamp-of-"+w.id)
 	if fault == faultFails || isFailed {
