--- a/gateway/endless_test.go
+++ b/gateway/endless_test.go
@@ -86,6 +86,26 @@
 	}
 }
 
+// TestSlowHeadHoldsNoRepeatableRequest guards against waiting until the deadline for a head that has begun, while another
+// worker can answer.
+func TestSlowHeadHoldsNoRepeatableRequest(t *testing.T) {
+	for _, path := range []string{"/safe/x", "/stream/again/x"} {
+		b := newTestbed(t, 2)
+		slow := b.workers[0]
+		for slow.Asked() == 0 {
+			slow.Next(standin.DrippingHead)
+			start := time.Now()
+			status, text, _, err := b.call(path, "body")
+			require.NoError(t, err)
+			require.Equal(t, http.StatusOK, status, text)
+			require.Less(t, time.Since(start), maxEndlessTime, "the deadline is 2 s")
+			if slow.Asked() == 0 {
+				slow.Reset()
+			}
+		}
+	}
+}
+
 // TestMemoryUnderManyEndlessResponses guards against a host that runs out of memory as many workers send without end.
 func TestMemoryUnderManyEndlessResponses(t *testing.T) {
 	const (
--- a/standin/endless.go
+++ b/standin/endless.go
@@ -50,6 +50,8 @@
 		return endlessPart{start: w.head(http.StatusOK, id) + events, again: chunk(filler)}, true
 	case EndlessChunkHead:
 		return endlessPart{start: w.head(http.StatusOK, id) + events + "5;", again: filler}, true
+	case DrippingHead:
+		return endlessPart{start: w.head(http.StatusOK, id) + "X-Filler: ", again: "x", pause: dripPause}, true
 	case DrippingDeclineBody:
 		return endlessPart{start: notRun + long, again: "x", pause: dripPause}, true
 	}
--- a/standin/worker.go
+++ b/standin/worker.go
@@ -103,8 +103,10 @@
 	EndlessBody
 	EndlessEvent
 	EndlessChunkHead
-	// DrippingDeclineBody declines with a body that comes slowly and without end.
+	// DrippingDeclineBody declines with a body that comes slowly and without end, DrippingHead answers by such
+	// a head.
 	DrippingDeclineBody
+	DrippingHead
 )
 
 // WorkerRun is one request that a worker ran.
