--- a/core/requests/event.go
+++ b/core/requests/event.go
@@ -118,25 +118,25 @@
 	Tick struct{}
 )
 
-func (ZonesSilent) event()    {}
-func (Arrived) event()        {}
-func (HeaderReceived) event() {}
+func (ZonesSilent) event()       {}
+func (Arrived) event()           {}
+func (HeaderReceived) event()    {}
 func (ResponseUnmatched) event() {}
-func (HeaderTimedOut) event() {}
-func (Connected) event()      {}
-func (StreamBegun) event()    {}
-func (OriginFound) event()    {}
-func (AttemptEnded) event()   {}
-func (PauseEnded) event()     {}
-func (Expired) event()        {}
-func (Registered) event()     {}
-func (LoadsReported) event()  {}
-func (Confirmed) event()      {}
-func (ProbeEnded) event()     {}
-func (TunnelRefused) event()  {}
-func (Withdrawn) event()      {}
-func (Closing) event()        {}
-func (Tick) event()           {}
+func (HeaderTimedOut) event()    {}
+func (Connected) event()         {}
+func (StreamBegun) event()       {}
+func (OriginFound) event()       {}
+func (AttemptEnded) event()      {}
+func (PauseEnded) event()        {}
+func (Expired) event()           {}
+func (Registered) event()        {}
+func (LoadsReported) event()     {}
+func (Confirmed) event()         {}
+func (ProbeEnded) event()        {}
+func (TunnelRefused) event()     {}
+func (Withdrawn) event()         {}
+func (Closing) event()           {}
+func (Tick) event()              {}
 
 // Request is what the gateway has read of a request.
 type Request struct {
--- a/core/requests/timeouts.go
+++ b/core/requests/timeouts.go
@@ -9,7 +9,7 @@
 // An attempt is canceled before its deadline only if the request is repeatable and another worker
 // can take it: after headerObjectiveFactor times the route's objective without a response header,
 // if the retry budget allows another attempt by then, or after eventGapFactor times the route's
-// longest gap between stream events. A worker that hangs, is partitioned, or has become slow thus
+// longest gap between stream events, or at once after a response that may not be its own. A worker that hangs, is partitioned, or has become slow thus
 // does not hold requests that others could answer. Shorter timeouts would make more engines read
 // the same prompts: canceling as soon as most answers had begun served 0.737 of the requests by value
 // instead of 0.751. Never canceling served as much; the rule is for workers that answer nothing.
--- a/gateway/endless_test.go
+++ b/gateway/endless_test.go
@@ -40,10 +40,10 @@
 func TestBytesWithoutEndAreNotReadOn(t *testing.T) {
 	for name, c := range endlessFaults {
 		for _, path := range []string{"/unsafe/x", "/stream/once/x"} {
-			for tunneled, via := range map[string]bool{"": false, " through a tunnel": true} {
-				t.Run(name+path+tunneled, func(t *testing.T) {
+			for way, tunneled := range map[string]bool{"direct": false, "through a tunnel": true} {
+				t.Run(name+path+" "+way, func(t *testing.T) {
 					b := newTestbed(t, 1)
-					if via {
+					if tunneled {
 						b.sendingVia("current")
 					}
 					b.next(c.fault)
--- a/gateway/server_test.go
+++ b/gateway/server_test.go
@@ -5,6 +5,7 @@
 import (
 	"bufio"
 	"context"
+	"expvar"
 	"fmt"
 	"io"
 	"net"
@@ -73,6 +74,8 @@
 	server  *gateway.Server
 	workers []*standin.Worker
 	number  int
+	// irregular counts irregular responses by kind.
+	irregular *expvar.Map
 }
 
 func newTestbed(t *testing.T, workers int) *testbed {
@@ -91,7 +94,7 @@
 		},
 		Keys: []config.KeyOwner{{Account: "halls", KeyHashes: []string{keys.Hash(callerKey)}}},
 	}
-	b := &testbed{t: t, core: &fakeCore{}, pool: gateway.NewPool(nil, nil)}
+	b := &testbed{t: t, core: &fakeCore{}, pool: gateway.NewPool(nil, nil), irregular: new(expvar.Map).Init()}
 	b.core.state = requests.New(requests.Settings{KeyLease: time.Hour}).WithRouteTable(table).WithHostCount(1)
 	registered := make([]registry.Worker, 0, workers)
 	for i := range workers {
@@ -103,7 +106,10 @@
 	}
 	b.core.Decide(requests.Registered{Workers: registered})
 	b.core.Decide(requests.Confirmed{Confirmation: confirmation.At(time.Now())})
-	b.server = gateway.NewServer(gateway.Deps{Core: b.core, Pool: b.pool, Headers: names})
+	b.server = gateway.NewServer(gateway.Deps{
+		Core: b.core, Pool: b.pool, Headers: names,
+		ObserveIrregular: func(i gateway.Irregularity) { b.irregular.Add(string(i.Kind), 1) },
+	})
 	server := httptest.NewServer(b.server)
 	t.Cleanup(server.Close)
 	t.Cleanup(b.pool.Close)
--- a/standin/workeranswers.go
+++ b/standin/workeranswers.go
@@ -142,7 +142,7 @@
 func (w *Worker) plain(conn *answerConn, id string, fault WorkerFault) bool {
 	other := w.head(http.StatusOK, "another-request") + framed("an answer to another request")
 	right := w.head(http.StatusOK, id) + framed(WorkerBody)
-	switch fault { //nolint:exhaustive // All others decline, are streams, or were answered before.
+	switch fault {
 	case CutHead:
 		return false
 	case CutBody:
