--- a/core/requests/requests.go
+++ b/core/requests/requests.go
@@ -216,12 +216,9 @@
 // Counters returns the counts so far.
 func (s State) Counters() Counters { return s.counters }
 
-// Reduce applies one event and returns the next state with the decisions that follow.
-func Reduce(s State, ev Event, now time.Time) (State, []Decision) {
-	t := transition{State: s, now: now}
+// handleAttempt applies an event of an attempt in progress.
+func (t *transition) handleAttempt(ev Event) {
 	switch ev := ev.(type) {
-	case Arrived:
-		t.handleArrival(ev.Request)
 	case HeaderReceived:
 		t.handleHeader(ev)
 	case HeaderTimedOut:
@@ -232,10 +229,21 @@
 		t.handleConnected(ev)
 	case StreamBegun:
 		t.handleStreamBegun(ev)
-	case OriginFound:
-		t.handleOriginFound(ev)
 	case AttemptEnded:
 		t.handleAttemptEnded(ev)
+	}
+}
+
+// Reduce applies one event and returns the next state with the decisions that follow.
+func Reduce(s State, ev Event, now time.Time) (State, []Decision) {
+	t := transition{State: s, now: now}
+	switch ev := ev.(type) {
+	case Arrived:
+		t.handleArrival(ev.Request)
+	case HeaderReceived, HeaderTimedOut, ResponseUnmatched, Connected, StreamBegun, AttemptEnded:
+		t.handleAttempt(ev)
+	case OriginFound:
+		t.handleOriginFound(ev)
 	case PauseEnded:
 		t.handlePauseEnded(ev)
 	case Expired:
