commands/yardhalld: Keep processes that start alive at a hangup

A replica that was asked to read its settings anew while it started ended: SIGHUP was taken only once the daemon had opened its disk and its log. That SIGHUP ended it is inferred from the times.

Signals are taken before anything else now. TestHangupDuringStartEndsNoProcess failed before (the process had ended, broken pipe) and passes.

--- a/commands/yardhalld/serve.go
+++ b/commands/yardhalld/serve.go
@@ -52,6 +52,12 @@
 }
 
 func (c *serveCommand) serve(ctx context.Context) error {
+	// A signal without a handler would end the process while it starts, which takes a replica some time.
+	hangup := make(chan os.Signal, 1)
+	signal.Notify(hangup, syscall.SIGHUP)
+	defer signal.Stop(hangup)
+	ctx, stop := signal.NotifyContext(ctx, syscall.SIGTERM, os.Interrupt)
+	defer stop()
 	s, err := settings.Load(c.file)
 	if err != nil {
 		return errors.Wrap(err, "settings")
@@ -61,24 +67,20 @@
 		return err
 	}
 	defer closeLog()
-	ctx, stop := signal.NotifyContext(ctx, syscall.SIGTERM, os.Interrupt)
-	defer stop()
 	d, err := daemon.New(s, daemon.Options{Log: log.WithValues("host", s.Host.ID)})
 	if err != nil {
 		return errors.Wrap(err, "start")
 	}
-	stopReload := reloadOnHangup(c.file, d, log)
+	stopReload := reloadOnHangup(c.file, hangup, d, log)
 	defer stopReload()
 	log.Info("started", "host", s.Host.ID, "zone", s.Host.Zone, "replica", s.IsReplica(), "serves", s.Serves(), "trusted_network", s.Peer.Trusted)
 	defer log.Info("stopped", "host", s.Host.ID)
 	return errors.Wrap(d.Run(ctx), "serve")
 }
 
-// reloadOnHangup reads the settings file anew at SIGHUP, and when it has
+// reloadOnHangup reads the settings file anew at each hangup, and when it has
 // changed. A file with mistakes changes nothing.
-func reloadOnHangup(file string, d *daemon.Daemon, log logr.Logger) (stop func()) {
-	hangup := make(chan os.Signal, 1)
-	signal.Notify(hangup, syscall.SIGHUP)
+func reloadOnHangup(file string, hangup <-chan os.Signal, d *daemon.Daemon, log logr.Logger) (stop func()) {
 	done := make(chan struct{})
 	go func() {
 		ticker := time.NewTicker(settingsPoll)
@@ -99,10 +101,7 @@
 			}
 		}
 	}()
-	return func() {
-		signal.Stop(hangup)
-		close(done)
-	}
+	return func() { close(done) }
 }
 
 // settingsPoll is the time between two looks at the settings file.
--- a/commands/yardhalld/serve_test.go
+++ b/commands/yardhalld/serve_test.go
@@ -5,6 +5,8 @@
 import (
 	"context"
 	"os"
+	"os/exec"
+	"os/signal"
 	"path/filepath"
 	"strings"
 	"syscall"
@@ -44,7 +46,10 @@
 	ctx, cancel := context.WithCancel(t.Context())
 	ended := make(chan error, 1)
 	go func() { ended <- d.Run(ctx) }()
-	stop := reloadOnHangup(file, d, log)
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, syscall.SIGHUP)
+	defer signal.Stop(signals)
+	stop := reloadOnHangup(file, signals, d, log)
 	hangup := func(want string) {
 		require.NoError(t, syscall.Kill(os.Getpid(), syscall.SIGHUP))
 		for {
@@ -65,3 +70,40 @@
 	cancel()
 	require.NoError(t, <-ended)
 }
+
+// settingsVariable names the settings file of a process that TestMain has serve.
+const settingsVariable = "YARDHALLD_TEST_SETTINGS"
+
+func TestMain(m *testing.M) {
+	if file := os.Getenv(settingsVariable); file != "" {
+		if err := (&serveCommand{file: file}).serve(context.Background()); err != nil {
+			_, _ = os.Stderr.WriteString(err.Error())
+			os.Exit(1)
+		}
+		os.Exit(0)
+	}
+	os.Exit(m.Run())
+}
+
+// TestHangupDuringStartEndsNoProcess guards against a process that ends because it is asked to read its settings anew
+// while it starts.
+func TestHangupDuringStartEndsNoProcess(t *testing.T) {
+	file := filepath.Join(t.TempDir(), "host.ini")
+	require.NoError(t, syscall.Mkfifo(file, 0o600))
+	cmd := exec.CommandContext(t.Context(), os.Args[0])
+	cmd.Env = append(os.Environ(), settingsVariable+"="+file)
+	var said strings.Builder
+	cmd.Stderr = &said
+	require.NoError(t, cmd.Start())
+	// The pipe opens once the process begins to read its settings.
+	pipe, err := os.OpenFile(file, os.O_WRONLY, 0)
+	require.NoError(t, err)
+	require.NoError(t, cmd.Process.Signal(syscall.SIGHUP))
+	time.Sleep(100 * time.Millisecond)
+	_, err = pipe.WriteString("[zoo]\nx = 1\n")
+	require.NoError(t, err)
+	require.NoError(t, pipe.Close())
+	require.Error(t, cmd.Wait())
+	require.True(t, cmd.ProcessState.Exited(), "ended by %s", cmd.ProcessState)
+	require.Contains(t, said.String(), "unknown section")
+}
