gateway: Believe what a worker says of itself in a response without an id

Whose answer it is does not matter for what a worker says of itself; a 421 says nothing of it, as before.

--- a/gateway/response.go
+++ b/gateway/response.go
@@ -146,14 +146,13 @@
 	return errors.Wrap(err, "read the answer")
 }
 
-// reportUnidentified reports a response without a request id, and ends the reuse of connections to its worker. Its
-// backoff counts whichever request it belongs to.
+// reportUnidentified reports a response without a request id, and ends the reuse of connections to its worker.
 func (x *exchange) reportUnidentified(resp *http.Response, matched match) {
 	x.unidentified = true
 	x.reportIrregular(UnidentifiedResponse)
 	x.server.pool.stopReuse(x.conn.process, x.server.now())
 	if matched != matchOwn || !reportsNotRun(resp, x.server.headers) {
-		x.server.reportBackoff(x.dispatch, resp, x.conn)
+		x.server.reportNotice(x.dispatch, resp, x.conn)
 	}
 }
 
--- a/gateway/server.go
+++ b/gateway/server.go
@@ -195,13 +195,12 @@
 	})
 }
 
-// reportBackoff reports to the core the backoff in a response that is not an answer to the request, such as that
-// of a proxy before the worker.
-func (s *Server) reportBackoff(d requests.Dispatch, resp *http.Response, conn *workerConn) {
-	notice := s.headers.parseNotice(resp, s.now())
+// reportNotice reports to the core what the worker says of itself in a response that is not known to be an answer to the
+// request. It holds for whichever request the response belongs to.
+func (s *Server) reportNotice(d requests.Dispatch, resp *http.Response, conn *workerConn) {
 	s.core.Decide(requests.HeaderReceived{
 		Request: d.Request, Attempt: d.Attempt, Worker: d.Worker.ID, NewConnection: conn.newlyDialed, Tunneled: conn.tunneled,
-		Declined: true, Notice: requests.Notice{Backoff: notice.Backoff, SoftBackoff: notice.SoftBackoff}, Route: d.Route.Name,
+		Declined: true, Notice: s.headers.parseNotice(resp, s.now()), Route: d.Route.Name,
 	})
 }
 
