--- a/core/host/registrations.go
+++ b/core/host/registrations.go
@@ -35,13 +35,13 @@
 // registerHeartbeat registers a worker's heartbeat on a replica and logs a change of the
 // registration.
 func (t *transition) registerHeartbeat(w registry.Worker) {
-	before, _ := t.registry.Get(w.ID)
+	before, known := t.registry.Get(w.ID)
 	next, changed := t.registry.WithHeartbeat(w, t.now)
 	t.registry = next
 	if changed {
 		t.recordDeparture(w, departures.Registered)
-		t.logRegistration(w, fmt.Sprintf("pool=%s state=%s seq=%d at=%s cold=%s born=%s before=%s",
-			w.Pool, w.State, w.Seq, w.Address, w.Cold, w.Born, before.Born))
+		t.logRegistration(w, fmt.Sprintf("pool=%s state=%s seq=%d at=%s cold=%s born=%s before=%s known=%t up=%s",
+			w.Pool, w.State, w.Seq, w.Address, w.Cold, w.Born, before.Born, known, t.now.Sub(t.started).Round(time.Millisecond)))
 	}
 }
 
