--- a/core/departures/log.go
+++ b/core/departures/log.go
@@ -11,6 +11,8 @@
 //	workers, position := l.After(position, departures.Registered, limit)
 //	l = l.Forget(now)
 //
+// A Record holds the departures that a replica keeps on its disk.
+//
 // Positions grow with each departure. A host reports the one up to which it knows all departures of a
 // log, and is sent those after it.
 package departures
@@ -150,15 +152,28 @@
 func (l Log) Len() int { return l.byPosition.Len() }
 
 // Forget returns the log without the departures that are older than Lifetime.
-func (l Log) Forget(now time.Time) Log {
+func (l Log) Forget(now time.Time) Log { return l.forgetOlder(Lifetime, now) }
+
+// forgetOlder returns the log without the departures that this process learned of longer ago than an age.
+func (l Log) forgetOlder(age time.Duration, now time.Time) Log {
 	for {
-		at, first, ok := l.byPosition.First()
-		if !ok || now.Sub(first.since) <= Lifetime {
+		_, first, ok := l.byPosition.First()
+		if !ok || now.Sub(first.since) <= age {
 			return l
 		}
-		l.byPosition = l.byPosition.Without(at)
-		if newest, _ := l.positions.Get(first.worker.ID); newest == at {
-			l.positions = l.positions.Without(first.worker.ID)
-		}
+		l = l.withoutOldest()
+	}
+}
+
+// withoutOldest returns the log without its first departure.
+func (l Log) withoutOldest() Log {
+	at, first, ok := l.byPosition.First()
+	if !ok {
+		return l
 	}
+	l.byPosition = l.byPosition.Without(at)
+	if newest, _ := l.positions.Get(first.worker.ID); newest == at {
+		l.positions = l.positions.Without(first.worker.ID)
+	}
+	return l
 }
--- a/core/host/departures.go
+++ b/core/host/departures.go
@@ -3,6 +3,7 @@
 package host
 
 import (
+	"slices"
 	"time"
 
 	"github.com/yardhall/yardhall/core/departures"
@@ -16,8 +17,8 @@
 // registrations for now. Replicas tell each other with the messages of the replicated log, so that hosts
 // which poll only some of them, as while all hubs are lost, learn of each departure from any of them.
 //
-// A worker's report is answered once another replica is known to hold it, as that one repeats it: a replica
-// that is lost right after its answer takes no departure with it.
+// A worker's report is answered once it is on the disk of this replica and, as it repeats it, on that of
+// another one: see persisteddepartures.go.
 const (
 	// departureInterval is the time between two updates of departures to a client, which batches those of a
 	// release.
@@ -25,9 +26,6 @@
 	// relayedFor is how long a replica includes a departure in its messages to other replicas: several
 	// heartbeats of the log, as a message may be lost.
 	relayedFor = time.Second
-	// MaxShareTime is how long the answer to a worker that leaves waits for another replica: two heartbeats
-	// of the log, and less than half of the time that workers wait for an answer.
-	MaxShareTime = 400 * time.Millisecond
 	// shareSupportLifetime is how long after a message of a replica that repeats departures such messages
 	// are expected.
 	shareSupportLifetime = time.Second
@@ -36,6 +34,8 @@
 // departureState is what a replica or a hub holds of departures. Its slice is never modified in place.
 type departureState struct {
 	log departures.Log
+	// record holds the departures that are kept on disk; only on replicas.
+	record departures.Record
 	// forReplicas are the packed departures that accompany the messages of the replicated log.
 	forReplicas []byte
 	// repeatedAt is when a replica that repeats departures last sent a message.
@@ -56,6 +56,7 @@
 // recordDeparture adds a worker to the departures that this host reports if it is leaving.
 func (t *transition) recordDeparture(w registry.Worker, source departures.Source) {
 	t.seeded.departures.log = t.seeded.departures.log.With(w, source, t.now)
+	t.persistDeparture(w)
 }
 
 // departureSource returns which departures a client is sent: one that polls all replicas is sent Relayed
@@ -154,26 +155,24 @@
 		wasUnshared := d.log.IsUnshared(w.ID)
 		d.log = d.log.WithShared(w)
 		if wasUnshared && !d.log.IsUnshared(w.ID) {
-			t.emit(DepartureShared{Worker: w.ID})
+			t.emit(DepartureProgressed{Worker: w.ID})
 		}
 	}
 }
 
-// IsUnshared reports whether the answer to a worker that leaves must wait for a DepartureShared. Without other
-// replicas that repeat departures there is none.
-func (s State) IsUnshared(id ident.Target, now time.Time) bool {
-	d := s.seeded.departures
-	return now.Sub(d.repeatedAt) <= shareSupportLifetime && d.log.IsUnshared(id)
-}
-
-// tickDepartures drops old departures and packs the recent ones for other replicas. All are repeated: only the
-// leader exchanges messages with all replicas, and each learns from it that its own have arrived.
+// tickDepartures drops old departures and packs the recent ones that are on disk for other replicas. All are
+// repeated: only the leader exchanges messages with all replicas, and each learns from it that its own have
+// arrived.
 func (t *transition) tickDepartures() {
 	d := &t.seeded.departures
 	d.log = d.log.Forget(t.now)
+	d.record = d.record.Forget(t.now)
 	d.forReplicas = nil
 	if d.log.Len() == 0 || !t.settings.IsReplica() {
 		return
 	}
-	d.forReplicas = registry.Pack(d.log.Since(t.now.Add(-relayedFor)))
+	recent := slices.DeleteFunc(d.log.Since(t.now.Add(-relayedFor)), func(w registry.Worker) bool {
+		return !d.record.IsPersisted(w.ID)
+	})
+	d.forReplicas = registry.Pack(recent)
 }
--- a/core/host/drainbulk_test.go
+++ b/core/host/drainbulk_test.go
@@ -77,7 +77,7 @@
 // drain has a worker report that it leaves, and runs until that is acknowledged.
 func (f *drainFleet) drain(i int) ident.Target {
 	w, at := f.report(i), f.size.replicaOf(i)
-	for end := f.now.Add(host.MaxShareTime); f.states[at].IsUnshared(w.ID, f.now) && f.now.Before(end); {
+	for end := f.now.Add(host.MaxShareTime); !f.isSecured(at, w.ID) && f.now.Before(end); {
 		f.release(1)
 	}
 	f.left[w.ID] = f.now
@@ -175,7 +175,7 @@
 		f.release(1)
 		reported = slices.DeleteFunc(reported, func(i int) bool {
 			id, at := registrationOf(i).ID, f.size.replicaOf(i)
-			isAnswered := !f.states[at].IsUnshared(id, f.now) || f.now.Sub(f.left[id]) >= host.MaxShareTime
+			isAnswered := f.isSecured(at, id) || f.now.Sub(f.left[id]) >= host.MaxShareTime
 			if isAnswered && !f.down[at] {
 				f.left[id] = f.now
 				acknowledged = append(acknowledged, id)
--- a/core/host/effect.go
+++ b/core/host/effect.go
@@ -7,6 +7,7 @@
 
 	"github.com/yardhall/yardhall/core/catalog"
 	"github.com/yardhall/yardhall/core/config"
+	"github.com/yardhall/yardhall/core/departures"
 	"github.com/yardhall/yardhall/core/ident"
 	"github.com/yardhall/yardhall/core/raft"
 	"github.com/yardhall/yardhall/core/requests"
@@ -82,8 +83,12 @@
 		ID      string
 		Current bool
 	}
-	// DepartureShared reports that another replica holds the departure of a worker, which can be answered.
-	DepartureShared struct{ Worker ident.Target }
+	// PersistDepartures replaces the departures on a replica's disk. A DeparturesPersisted event reports
+	// completion.
+	PersistDepartures struct{ Record departures.Record }
+	// DepartureProgressed reports that the departure of a worker is on disk, or that another replica holds it:
+	// its DepartureStatus has changed.
+	DepartureProgressed struct{ Worker ident.Target }
 	// HeartbeatAnswer answers a worker's heartbeat or deregistration. Relay is the ip:port for
 	// its next heartbeats, empty for no change.
 	HeartbeatAnswer struct {
@@ -107,7 +112,8 @@
 func (UpdateHostAddresses) effect() {}
 func (RequestDecision) effect()     {}
 func (AnswerRead) effect()          {}
-func (DepartureShared) effect()     {}
+func (PersistDepartures) effect()   {}
+func (DepartureProgressed) effect() {}
 func (HeartbeatAnswer) effect()     {}
 
 // LogKind is the message of a LogRecord.
--- a/core/host/event.go
+++ b/core/host/event.go
@@ -64,6 +64,8 @@
 	}
 	// EntriesPersisted reports that a raft.Persist is on disk.
 	EntriesPersisted struct{ Persisted raft.Persisted }
+	// DeparturesPersisted reports that the departures of a PersistDepartures are on disk up to a position.
+	DeparturesPersisted struct{ Position uint64 }
 	// Drain starts a graceful shutdown of this process.
 	Drain struct{}
 	// ReplicaChange asks the leader to add, promote or remove a replica.
@@ -106,6 +108,7 @@
 func (WriteSubmitted) event()         {}
 func (OrderEnded) event()             {}
 func (EntriesPersisted) event()       {}
+func (DeparturesPersisted) event()    {}
 func (Drain) event()                  {}
 func (ReplicaChange) event()          {}
 func (RequestEvent) event()           {}
--- a/core/host/host.go
+++ b/core/host/host.go
@@ -21,7 +21,7 @@
 //	poll*.go                     polls of seeded fleets, and how replies are applied
 //	clients.go, updates.go       replies to polling hosts, and updates between polls
 //	hub.go, fallback.go          hubs, and polling other entry hosts when no replica replies
-//	departures.go, sendwindow.go workers that leave, and what a client has of ordered updates
+//	*departures.go, sendwindow.go workers that leave, and what a client has of ordered updates
 //	stall.go                     when requests wait for news of workers
 //	crashes.go                   distribution of the requests that crash workers
 //	origins.go                   distribution of the versions that began streams
@@ -173,6 +173,8 @@
 		t.handleOrderEnded(ev)
 	case EntriesPersisted:
 		t.stepRaft(ev.Persisted)
+	case DeparturesPersisted:
+		t.handleDeparturesPersisted(ev.Position)
 	case Drain:
 		t.startDrain()
 	case ReplicaChange:
--- a/core/host/registrations.go
+++ b/core/host/registrations.go
@@ -35,6 +35,7 @@
 // registerHeartbeat registers a worker's heartbeat on a replica and logs a change of the
 // registration.
 func (t *transition) registerHeartbeat(w registry.Worker) {
+	t.recallDeparture(w.ID)
 	before, known := t.registry.Get(w.ID)
 	next, changed := t.registry.WithHeartbeat(w, t.now)
 	t.registry = next
@@ -52,6 +53,7 @@
 
 // deregister marks a worker as gone on a replica.
 func (t *transition) deregister(id ident.Target, born registry.Incarnation) {
+	t.recallDeparture(id)
 	next, changed := t.registry.WithGone(id, born, t.now)
 	t.registry = next
 	if changed {
--- a/core/host/seeded_test.go
+++ b/core/host/seeded_test.go
@@ -12,6 +12,7 @@
 
 	"github.com/yardhall/yardhall/core/catalog"
 	"github.com/yardhall/yardhall/core/config"
+	"github.com/yardhall/yardhall/core/departures"
 	"github.com/yardhall/yardhall/core/host"
 	"github.com/yardhall/yardhall/core/ident"
 	"github.com/yardhall/yardhall/core/raft"
@@ -27,6 +28,10 @@
 	// crashes is the crash list as of crashesSavedAt.
 	crashes        []host.CrashEntry
 	crashesSavedAt time.Time
+	// departures are those of the last PersistDepartures.
+	departures []departures.Entry
+	// hangs is set while the disk writes no departures.
+	hangs bool
 }
 
 func (d *seededDisk) persist(p raft.Persist) {
@@ -165,7 +170,7 @@
 		for i := range aged {
 			aged[i].Age += f.now.Sub(d.crashesSavedAt)
 		}
-		state = state.WithCrashList(aged, f.now)
+		state = state.WithCrashList(aged, f.now).WithDepartures(d.departures, f.now)
 	}
 	f.states[id], f.down[id] = state, false
 }
@@ -206,6 +211,11 @@
 			f.reduce(id, host.EntriesPersisted{Persisted: raft.Persisted{Index: e.Persist.Index, Term: e.Persist.Term}})
 		case host.PersistCrashes:
 			f.disks[id].crashes, f.disks[id].crashesSavedAt = e.Entries, f.now
+		case host.PersistDepartures:
+			if d := f.disks[id]; !d.hangs {
+				d.departures = e.Record.Entries()
+				f.reduce(id, host.DeparturesPersisted{Position: e.Record.Position()})
+			}
 		case host.AnswerWrite:
 			f.writes[e.ID] = e
 		case host.AnswerRead:
--- a/daemon/crashes.go
+++ b/daemon/crashes.go
@@ -3,8 +3,6 @@
 package daemon
 
 import (
-	"context"
-	"sync"
 	"time"
 
 	"github.com/go-logr/logr"
@@ -14,18 +12,11 @@
 	"github.com/yardhall/yardhall/storage"
 )
 
-// crashKeeper writes a replica's list of crashes, the newest one only. Nothing waits for it,
-// and a disk that refuses it holds up nothing else.
-type crashKeeper struct {
-	log     logr.Logger
-	write   func([]crashes.Entry) error
-	mu      sync.Mutex
-	waiting []crashes.Entry
-	wake    chan struct{}
-}
+// crashKeeper writes a replica's list of crashes. Nothing waits for it.
+type crashKeeper struct{ listWriter[[]crashes.Entry] }
 
 func newCrashKeeper(log logr.Logger, write func([]crashes.Entry) error) *crashKeeper {
-	return &crashKeeper{log: log, write: write, wake: make(chan struct{}, 1)}
+	return &crashKeeper{newListWriter(log, "list of crashes", write)}
 }
 
 // keep takes entries as of now, a time of day.
@@ -34,46 +25,7 @@
 	for _, e := range entries {
 		next = append(next, crashes.Entry{Content: e.Content, Crashes: e.Ends, At: now.Add(-e.Age)})
 	}
-	k.mu.Lock()
-	k.waiting = next
-	k.mu.Unlock()
-	select {
-	case k.wake <- struct{}{}:
-	default:
-	}
-}
-
-func (k *crashKeeper) newest() []crashes.Entry {
-	k.mu.Lock()
-	defer k.mu.Unlock()
-	return k.waiting
-}
-
-// run writes until ctx ends.
-func (k *crashKeeper) run(ctx context.Context) {
-	failing := false
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-k.wake:
-		}
-		for {
-			err := k.write(k.newest())
-			if err != nil != failing {
-				failing = err != nil
-				k.log.Info("list of crashes", "written", err == nil, "error", err)
-			}
-			if err == nil {
-				break
-			}
-			select {
-			case <-ctx.Done():
-				return
-			case <-time.After(diskRetry):
-			}
-		}
-	}
+	k.put(next)
 }
 
 // keptCrashes reads the list of crashes of a replica's data folder. Where it cannot be read
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -103,6 +103,7 @@
 	}
 	if log != nil {
 		state = state.WithCrashList(keptCrashes(s.Host.Data, o.Log, time.Now()), clock.Now())
+		state = state.WithDepartures(readDepartures(s.Host.Data, o.Log, clock.Now(), time.Now()), clock.Now())
 	}
 	d.loop = newLoop(state, o.Log, d.pool, d.targets)
 	d.loop.delays.peers = d.counters
@@ -111,6 +112,7 @@
 		d.loop.crashes = newCrashKeeper(o.Log, func(entries []crashes.Entry) error {
 			return storage.KeepCrashes(s.Host.Data, entries, o.WrapFile)
 		})
+		d.loop.departureDisk = newDepartureWriter(d.loop, s.Host.Data, o.WrapFile)
 	}
 	d.server = peers.NewServer(popts, func(from ident.Host, m host.Message) {
 		d.loop.post(host.MessageReceived{From: from, Message: m})
@@ -226,6 +228,7 @@
 		return err
 	}, func(error) { stop() })
 	g.Add(func() error { d.loop.crashes.run(ctx); return nil }, func(error) { stop() })
+	g.Add(func() error { d.loop.departureDisk.run(ctx); return nil }, func(error) { stop() })
 }
 
 // State returns the newest state of the core.
--- a/daemon/effects.go
+++ b/daemon/effects.go
@@ -37,7 +37,9 @@
 		l.pool.SetAddresses(e.Hosts)
 	case host.AnswerRead:
 		l.answerRead(e)
-	case host.DepartureShared:
+	case host.PersistDepartures:
+		l.departureDisk.put(e.Record)
+	case host.DepartureProgressed:
 		l.departures.end(e.Worker)
 	}
 }
--- a/daemon/loop.go
+++ b/daemon/loop.go
@@ -41,11 +41,13 @@
 	targets *targets.Client
 	disk    *diskWriter
 	crashes *crashKeeper
-	done    chan struct{}
-	reduced *expvar.Int
-	answers *callers.ResponseCache
-	delays  *delays
-	pace    pace
+	// departureDisk writes the departures that a replica keeps.
+	departureDisk *departureWriter
+	done          chan struct{}
+	reduced       *expvar.Int
+	answers       *callers.ResponseCache
+	delays        *delays
+	pace          pace
 
 	// rejectedOrders counts orders of rollouts that were answered with 400.
 	rejectedOrders expvar.Int
--- a/daemon/requestcore.go
+++ b/daemon/requestcore.go
@@ -73,7 +73,7 @@
 }
 
 // Heartbeat implements platform.Core: it feeds a worker's heartbeat or deregistration and
-// returns the answer, for a worker that leaves once another replica holds its report.
+// returns the answer, for a worker that leaves once its departure is secured.
 func (l *loop) Heartbeat(ev host.Event) host.HeartbeatAnswer {
 	var answer host.HeartbeatAnswer
 	for _, e := range l.reduce(context.Background(), ev) {
@@ -81,8 +81,8 @@
 			answer = a
 		}
 	}
-	if id := workerOf(ev); answer.Accepted && l.state.Load().IsUnshared(id, l.now()) {
-		l.awaitShared(id)
+	if answer.Accepted && !l.awaitDeparture(workerOf(ev)) {
+		return host.HeartbeatAnswer{}
 	}
 	return answer
 }
--- a/storage/crashes.go
+++ b/storage/crashes.go
@@ -3,14 +3,8 @@
 package storage
 
 import (
-	"bytes"
-	"os"
-	"path/filepath"
 	"time"
 
-	"github.com/fxamacker/cbor/v2"
-	"github.com/pkg/errors"
-
 	"github.com/yardhall/yardhall/core/crashes"
 )
 
@@ -41,29 +35,14 @@
 	for _, e := range entries {
 		content.Crashes = append(content.Crashes, keptCrash{Content: []byte(e.Content), Ends: e.Crashes, At: e.At.UnixMilli()})
 	}
-	var b bytes.Buffer
-	if err := appendFrame(&b, content); err != nil {
-		return err
-	}
-	return writeWhole(filepath.Join(dir, crashesFile), b.Bytes(), wrap)
+	return writeList(dir, crashesFile, content, wrap)
 }
 
 // ReadCrashes reads what KeepCrashes wrote; none where nothing was written.
 func ReadCrashes(dir string) ([]crashes.Entry, error) {
-	data, err := os.ReadFile(filepath.Join(dir, crashesFile))
-	if errors.Is(err, os.ErrNotExist) {
-		return nil, nil
-	}
-	if err != nil {
-		return nil, errors.Wrap(err, "read crashes")
-	}
-	frame, _, whole := cutFrame(data)
-	if !whole {
-		return nil, errors.Wrap(ErrDamaged, crashesFile)
-	}
 	var content keptCrashes
-	if err := cbor.Unmarshal(frame, &content); err != nil {
-		return nil, errors.Wrap(ErrDamaged, crashesFile+": "+err.Error())
+	if err := readList(dir, crashesFile, &content); err != nil {
+		return nil, err
 	}
 	out := make([]crashes.Entry, 0, len(content.Crashes))
 	for _, c := range content.Crashes {
--- a/storage/storage.go
+++ b/storage/storage.go
@@ -7,6 +7,7 @@
 //	state-g.snap  the snapshot that generation g begins with
 //	state-g.log   frames written since; one frame per sync
 //	crashes.cbor  the list of crashes, a single frame; no part of the replicated state
+//	departures.cbor  the workers that leave, likewise
 //
 // A frame is its length, its CRC-32C and its CBOR content. The next frame is
 // written only after the last one has been synced, so only the last frame of
