--- a/core/host/clients.go
+++ b/core/host/clients.go
@@ -215,7 +215,7 @@
 		Epoch: t.settings.Incarnation, Since: since, Revision: batch.revision, Workers: batch.packed,
 		NewestRevision: t.registry.Revision(),
 		CrashList:      t.requests.CrashList().Key, CrashEntries: t.crashEntriesFor(c.crashList),
-		Origins: t.originsFor(m.LookedUp),
+		Origins: t.originsFor(m.LookedUp), ReadsStreamsBegun: true,
 	}
 	r, c = t.withDepartures(r, c)
 	if c.holdsAll {
--- a/core/host/crashes_test.go
+++ b/core/host/crashes_test.go
@@ -176,7 +176,7 @@
 		m.CrashList, m.CrashEntries = 0, nil
 		m.Zones = zones.Drained{}
 		m.KnowsRollouts, m.Rollouts = false, rollouts.State{}
-		m.Origins = nil
+		m.Origins, m.ReadsStreamsBegun = nil, false
 		return m
 	}
 	return m
--- a/core/host/host.go
+++ b/core/host/host.go
@@ -274,6 +274,8 @@
 		t.handlePollReply(from, m)
 	case AwaitInForce:
 		t.handleAwaitInForce(from, m)
+	case StreamsBegun:
+		t.handleBegunStreams(from, m.Origins)
 	case Join:
 		t.handleJoin(from, m)
 	case ReadRequest:
--- a/core/host/origins.go
+++ b/core/host/origins.go
@@ -13,14 +13,18 @@
 )
 
 // Package requests needs the origin of a stream that its caller resumes at another host than the one that
-// began it. Hosts report the streams that they begin in polls, each in two polls as one may be lost.
+// began it. Hosts report the streams that they begin within reportInterval, to outlive a kill right after, and
+// once more in their next poll, as a message may be lost.
 // Replicas and hubs keep the reports, and a hub passes them on in its own polls. A host that looks an origin
 // up names the stream in polls until it is found or no longer looked for, and the replies give what the
 // receiver knows. A hub looks up in turn what its clients look up and it does not know.
 //
-// Hosts of an earlier version neither report origins nor answer with any; they ignore the fields.
+// Hosts of an earlier version neither report origins nor answer with any; they ignore the fields. Those that
+// cannot read StreamsBegun are sent reports in two polls.
 
 const (
+	// reportInterval is the least time between two reports of streams apart from polls.
+	reportInterval = 100 * time.Millisecond
 	// minOriginPollInterval is the time between two polls sent early because of origins, so that streams
 	// that break off together are looked up together.
 	minOriginPollInterval = 100 * time.Millisecond
@@ -38,6 +42,8 @@
 	// received are those that a hub received since its last poll, sent those of the last poll.
 	received origins.Report
 	sent     origins.Report
+	// reportedAt is when streams were last reported apart from polls.
+	reportedAt time.Time
 	// lookups holds since when each origin has been looked up.
 	lookups table.Table[hash.Key, time.Time]
 }
@@ -91,6 +97,31 @@
 	return begun, origins.EncodeKeys(keys)
 }
 
+// tickOriginReport reports the streams that were begun since the last report to the hosts that are polled.
+func (t *transition) tickOriginReport() {
+	o := &t.seeded.origins
+	isIdle := !t.requests.HasUnreportedOrigins() && len(o.received) == 0
+	if isIdle || t.now.Sub(o.reportedAt) < reportInterval || t.needsPeersForOrigins() {
+		return
+	}
+	var to []ident.Host
+	for _, h := range t.seeded.hub.lastPolled {
+		if c, _ := t.seeded.contacts.Get(h); c.readsStreamsBegun && !c.lost {
+			to = append(to, h)
+		}
+	}
+	if len(to) == 0 {
+		return
+	}
+	next, taken := t.requests.TakeOrigins()
+	t.requests = next
+	taken = taken.Merge(o.received)
+	o.reportedAt, o.received, o.sent = t.now, nil, o.sent.Merge(taken)
+	for _, h := range to {
+		t.send(h, StreamsBegun{Origins: taken.Encode()})
+	}
+}
+
 // handleBegunStreams keeps the origins that a client reports.
 func (t *transition) handleBegunStreams(from ident.Host, packed []byte) {
 	r, err := origins.Decode(packed)
--- a/core/host/origins_test.go
+++ b/core/host/origins_test.go
@@ -302,3 +302,37 @@
 	require.Positive(t, reported)
 	require.LessOrEqual(t, hubs, 8, "only hubs pass on the reports of others")
 }
+
+// killed is how long processes are down that were killed together.
+const killed = time.Second
+
+// TestStreamsGoOnAfterAllEntryHostsWereKilled guards against streams that no host can resume because the one
+// that began them was killed with all others before it reported them.
+func TestStreamsGoOnAfterAllEntryHostsWereKilled(t *testing.T) {
+	for _, age := range []time.Duration{200 * time.Millisecond, time.Second} {
+		for _, entries := range []int{5, largeFleet} {
+			t.Run(fmt.Sprint(age, " ", entries), func(t *testing.T) {
+				f := newStreamFleet(t, entries, nil, "v1", "v2")
+				begun := map[ident.Request]ident.Version{}
+				for i := range 24 {
+					id, version := f.begin(entryName(i % entries))
+					begun[id] = version
+				}
+				f.advance(age)
+				for i := range entries {
+					f.stop(entryName(i))
+				}
+				f.advance(killed)
+				for i := range entries {
+					f.start(entryName(i))
+				}
+				f.advance(3 * time.Second)
+				at := 0
+				for id, version := range begun {
+					at++
+					f.requireResumed(entryName(at%entries), id, version)
+				}
+			})
+		}
+	}
+}
--- a/core/host/polling.go
+++ b/core/host/polling.go
@@ -75,6 +75,8 @@
 	registered bool
 	// knowsRollouts is set if the contact supports rollouts.
 	knowsRollouts bool
+	// readsStreamsBegun is set if the contact reads StreamsBegun.
+	readsStreamsBegun bool
 }
 
 // tickPolls sends polls if they are due.
--- a/core/host/pollmessage.go
+++ b/core/host/pollmessage.go
@@ -168,8 +168,15 @@
 		DeparturesUpTo  uint64
 		// NewestDeparture is the position of the sender's last departure that the client wants.
 		NewestDeparture uint64
+		// ReadsStreamsBegun is set by versions that read StreamsBegun.
+		ReadsStreamsBegun bool
 	}
 )
 
-func (Poll) message()      {}
-func (PollReply) message() {}
+// StreamsBegun reports packed origins of streams that the host, or clients of the hub, began since its last
+// report. It has no reply.
+type StreamsBegun struct{ Origins []byte }
+
+func (Poll) message()         {}
+func (PollReply) message()    {}
+func (StreamsBegun) message() {}
--- a/core/host/pollreply.go
+++ b/core/host/pollreply.go
@@ -177,6 +177,7 @@
 		t.log(LogReplicaContact, string(from), "found")
 	}
 	c.lastReply, c.lost, c.crashList, c.zone, c.knowsRollouts = t.now, false, m.CrashList, m.Zone, m.KnowsRollouts
+	c.readsStreamsBegun = m.ReadsStreamsBegun
 	if !m.Cut {
 		c.lastUsefulReply = t.now
 		if t.seeded.hub.pollSet.Has(from) {
--- a/core/host/seeded.go
+++ b/core/host/seeded.go
@@ -109,6 +109,7 @@
 		t.maybeCompact()
 	}
 	t.tickDepartures()
+	t.tickOriginReport()
 	t.tickHub()
 	t.tickEvidence()
 	if !t.requests.Idle() || !t.requests.HasContact() {
--- a/core/host/wire.go
+++ b/core/host/wire.go
@@ -67,6 +67,7 @@
 		{"re", RolloutEvidence{}},
 		{"wq", RegistrationsRequest{}},
 		{"wr", RegistrationsReply{}},
+		{"sb", StreamsBegun{}},
 	}...)
 	for i, v := range config.Types() {
 		types = append(types, WireType{"c" + strconv.Itoa(i), v})
--- a/peers/forms_test.go
+++ b/peers/forms_test.go
@@ -21,8 +21,8 @@
 // addForms adds the encodings of types that the golden file lacks; it never replaces any.
 var addForms = flag.Bool("add-forms", false, "add the encodings of new types to the golden file")
 
-// departureFields are the fields that support departures in messages older than them.
-var departureFields = []string{"Missed", "KnowsDepartures", "Departures", "AllDepartures", "DeparturesSince", "DeparturesUpTo", "NewestDeparture"}
+// laterFields are the fields of messages that came after the parts of prompts.
+var laterFields = []string{"Missed", "KnowsDepartures", "Departures", "AllDepartures", "DeparturesSince", "DeparturesUpTo", "NewestDeparture", "ReadsStreamsBegun"}
 
 const wireGolden = "testdata/wire.golden"
 
@@ -75,7 +75,7 @@
 		name, value := "type-"+w.Name, filledValue(w.Value, "ColdPerSecond", "Parts", "Beside")
 		switch w.Value.(type) {
 		case host.Poll, host.PollReply, host.PeerHeartbeat:
-			forms = append(forms, gobForm(name+"-parts", carrier{Value: filledValue(w.Value, departureFields...)}))
+			forms = append(forms, gobForm(name+"-parts", carrier{Value: filledValue(w.Value, laterFields...)}))
 		}
 		if whole, ok := w.Value.(host.WholeConfig); ok {
 			forms = append(forms, gobForm(name+"-cold", carrier{Value: filledValue(whole)}))
@@ -108,6 +108,8 @@
 			value = beat
 		}
 		if reply, ok := value.(host.PollReply); ok {
+			forms = append(forms, gobForm(name+"-begun", carrier{Value: reply}))
+			reply.ReadsStreamsBegun = false
 			forms = append(forms, gobForm(name+"-departures", carrier{Value: reply}))
 			reply.KnowsDepartures, reply.Departures = false, nil
 			reply.DeparturesSince, reply.DeparturesUpTo, reply.NewestDeparture = 0, 0, 0
