--- a/core/host/follow.go
+++ b/core/host/follow.go
@@ -252,7 +252,9 @@
 	}
 	hostsChanged := t.config.Hosts != cfg.Hosts
 	t.config = cfg
-	t.requests = t.requests.WithRouteTable(cfg.Gateway)
+	if cfg.Gateway.Number > t.requests.TableNumber() {
+		t.requests = t.requests.WithRouteTable(cfg.Gateway).WithRoutesChanged(t.now)
+	}
 	t.recordNewestVersion(cfg.Version)
 	t.recordTable(cfg)
 	t.counters.ConfigApplied++
--- a/core/host/origins_test.go
+++ b/core/host/origins_test.go
@@ -12,6 +12,7 @@
 	"github.com/yardhall/yardhall/core/config"
 	"github.com/yardhall/yardhall/core/host"
 	"github.com/yardhall/yardhall/core/ident"
+	"github.com/yardhall/yardhall/core/origins"
 	"github.com/yardhall/yardhall/core/outcome"
 	"github.com/yardhall/yardhall/core/registry"
 	"github.com/yardhall/yardhall/core/requests"
@@ -212,6 +213,7 @@
 	require.Zero(t, verdict.RetryAfter, "a later request fares no better")
 
 	f = newStreamFleet(t, 5, earlier, "v1")
+	f.advance(origins.Retention)
 	id, _ = f.begin(entryName(0))
 	f.advance(time.Second)
 	f.requireResumed(entryName(3), id, "v1")
@@ -229,6 +231,7 @@
 	f.requireRefused(entryName(3), id, requests.CodeVersionUnknown)
 
 	f = newStreamFleet(t, 5, earlier, "v1")
+	f.advance(origins.Retention)
 	id, _ = f.begin(entryName(0))
 	f.advance(time.Second)
 	f.requireResumed(entryName(3), id, "v1")
@@ -336,3 +339,34 @@
 		}
 	}
 }
+
+// TestNoStreamChangesItsVersionAfterAllWereKilled guards against streams of two versions: all hosts are killed, and
+// meanwhile all workers start again at another version, which alone is known then.
+func TestNoStreamChangesItsVersionAfterAllWereKilled(t *testing.T) {
+	for _, replicas := range []bool{false, true} {
+		f := newStreamFleet(t, 5, nil, "v1")
+		var begun []ident.Request
+		for i := range 24 {
+			id, _ := f.begin(entryName(i % 5))
+			begun = append(begun, id)
+		}
+		down := f.order[3:]
+		if replicas {
+			down = f.order
+		}
+		for _, id := range down {
+			f.stop(id)
+		}
+		f.versions = []ident.Version{"v2"}
+		f.advance(killed)
+		for _, id := range down {
+			f.start(id)
+		}
+		f.advance(3 * time.Second)
+		for i, id := range begun {
+			d, ok := f.ask(entryName(i%5), id, resumeTime).(requests.Finish)
+			require.True(t, ok, "a stream of v1 goes on at v2")
+			require.Equal(t, outcome.NotRun, d.Verdict.Outcome)
+		}
+	}
+}
--- a/core/requests/origin.go
+++ b/core/requests/origin.go
@@ -18,13 +18,12 @@
 // A host knows the origins of the streams that it began. The caller of another one names the request that
 // brought the first event, and the host looks its origin up at replicas or hubs, to which all hosts report
 // theirs (package origins). The host that began the stream may have stopped before it reported it, or be of
-// an earlier version that does not report. After originTimeout, the stream then goes on if all workers of
-// the service that this host has known recently are of one version, as of a confirmation since the request
-// arrived, and is refused otherwise: which version began it cannot be known.
+// an earlier version that does not report. After originTimeout, the stream then goes on if a single version
+// can have begun it (soleversion.go), and is refused otherwise.
 //
 // A caller that does not name the request is served like a new one.
 //
-// Inputs: the request that a caller names, known origins, workers' versions, the newest confirmation.
+// Inputs: the request that a caller names, known origins, workers' versions.
 
 const (
 	// originTimeout is how long an origin is looked up: longer than the host that began the stream
@@ -136,28 +135,6 @@
 	return false
 }
 
-// soleOrigin returns the only origin that a stream of the call's route can have: all its requests go to one
-// service, of which only one version is known. Workers that ended are known for a minute at least.
-func (t *transition) soleOrigin(c *call, since time.Time) (origins.Origin, bool) {
-	if !t.confirmed.AsOf.After(since) {
-		return origins.Origin{}, false
-	}
-	for _, s := range c.route.Shares {
-		if s.Pool != c.pool.ID {
-			return origins.Origin{}, false
-		}
-	}
-	o, found := origins.Origin{Service: c.pool.ID}, false
-	for m := range t.workers.Pool(c.pool.ID).All() {
-		version := m.placement.Value().version
-		if found && version != o.Version {
-			return origins.Origin{}, false
-		}
-		o.Version, found = version, true
-	}
-	return o, found
-}
-
 // awaitOrigin queues a request until its origin is found.
 func (t *transition) awaitOrigin(w waitingRequest) {
 	w.awaitsOrigin, w.originSince, w.deadline = true, t.now, t.now.Add(originTimeout)
--- a/core/requests/requests.go
+++ b/core/requests/requests.go
@@ -142,6 +142,10 @@
 	brokenOffAt table.Table[ident.Target, time.Time]
 	// streams are the versions that began streams.
 	streams streamOrigins
+	// soleVersions are the pools that have had a single version of late; routesChangedAt is when the route
+	// table last changed.
+	soleVersions    table.Table[ident.Service, soleVersion]
+	routesChangedAt time.Time
 	// startedAt is when the host started, zero if requests do not wait for that; waiting holds those that do.
 	startedAt time.Time
 	waiting   table.Table[ident.Request, waitingRequest]
--- a/core/requests/worker.go
+++ b/core/requests/worker.go
@@ -121,6 +121,7 @@
 		})
 	}
 	t.workers = t.workers.With(r.ID, next)
+	t.recordVersion(previous.Worker, next.Worker)
 	if restarted {
 		t.abortAttempts(r.ID, previous.incarnation)
 		t.recordProcessEnd(r.ID, previous.incarnation)
