--- a/core/host/effect.go
+++ b/core/host/effect.go
@@ -9,6 +9,7 @@
 	"github.com/yardhall/yardhall/core/config"
 	"github.com/yardhall/yardhall/core/departures"
 	"github.com/yardhall/yardhall/core/ident"
+	"github.com/yardhall/yardhall/core/origins"
 	"github.com/yardhall/yardhall/core/raft"
 	"github.com/yardhall/yardhall/core/requests"
 )
@@ -86,6 +87,8 @@
 	// PersistDepartures replaces the departures on a replica's disk. A DeparturesPersisted event reports
 	// completion.
 	PersistDepartures struct{ Record departures.Record }
+	// PersistOrigins appends the origins of streams to a replica's disk. Its completion is not reported.
+	PersistOrigins struct{ Report origins.Report }
 	// DepartureProgressed reports that the departure of a worker is on disk, or that another replica holds it:
 	// its DepartureStatus has changed.
 	DepartureProgressed struct{ Worker ident.Target }
@@ -113,6 +116,7 @@
 func (RequestDecision) effect()     {}
 func (AnswerRead) effect()          {}
 func (PersistDepartures) effect()   {}
+func (PersistOrigins) effect()      {}
 func (DepartureProgressed) effect() {}
 func (HeartbeatAnswer) effect()     {}
 
--- a/core/host/host.go
+++ b/core/host/host.go
@@ -268,22 +268,8 @@
 		t.handleForwardWrite(from, m)
 	case WriteAnswered:
 		t.handleWriteAnswered(m.ID, m.Result)
-	case Poll:
-		t.handlePoll(from, m)
-	case PollReply:
-		t.handlePollReply(from, m)
-	case AwaitInForce:
-		t.handleAwaitInForce(from, m)
-	case StreamsBegun:
-		t.handleBegunStreams(from, m.Origins)
-	case Join:
-		t.handleJoin(from, m)
-	case ReadRequest:
-		t.handleReadRequest(from, m)
-	case ReadReply:
-		t.handleReadReply(m)
 	default:
-		t.receiveRolloutMessage(from, m)
+		t.receiveSeeded(from, m)
 	}
 }
 
--- a/core/host/origins.go
+++ b/core/host/origins.go
@@ -15,7 +15,7 @@
 // Package requests needs the origin of a stream that its caller resumes at another host than the one that
 // began it. Hosts report the streams that they begin within reportInterval, to outlive a kill right after, and
 // once more in their next poll, as a message may be lost.
-// Replicas and hubs keep the reports, and a hub passes them on in its own polls. A host that looks an origin
+// Replicas and hubs keep the reports, replicas on their disks as well, and a hub passes them on in its own polls. A host that looks an origin
 // up names the stream in polls until it is found or no longer looked for, and the replies give what the
 // receiver knows. A hub looks up in turn what its clients look up and it does not know.
 //
@@ -122,20 +122,35 @@
 	}
 }
 
-// handleBegunStreams keeps the origins that a client reports.
-func (t *transition) handleBegunStreams(from ident.Host, packed []byte) {
+// handleStreamsBegun keeps the origins that a host reports, on the disk of a replica as well. Those that polls
+// repeat are kept in memory only.
+func (t *transition) handleStreamsBegun(from ident.Host, m StreamsBegun) {
+	if r := t.handleBegunStreams(from, m.Origins); r.Len() > 0 && t.settings.IsReplica() {
+		t.emit(PersistOrigins{Report: r})
+	}
+}
+
+// WithOrigins returns the state with origins read from disk, as of a time.
+func (s State) WithOrigins(r origins.Report, at time.Time) State {
+	s.seeded.origins.reported = s.seeded.origins.reported.WithReport(r, at)
+	return s
+}
+
+// handleBegunStreams keeps the origins that a client reports, and returns them.
+func (t *transition) handleBegunStreams(from ident.Host, packed []byte) origins.Report {
 	r, err := origins.Decode(packed)
 	if err != nil {
 		t.log(LogReplicaContact, string(from), "cannot decode origins: "+err.Error())
 	}
 	if r.Len() == 0 {
-		return
+		return nil
 	}
 	o := &t.seeded.origins
 	o.reported = o.reported.WithReport(r, t.now)
 	if !t.settings.IsReplica() {
 		o.received = o.received.Merge(r)
 	}
+	return r
 }
 
 // originsFor returns the known ones of the origins that a client looks up. A hub looks the others up.
--- a/core/host/origins_test.go
+++ b/core/host/origins_test.go
@@ -306,30 +306,41 @@
 	require.LessOrEqual(t, hubs, 8, "only hubs pass on the reports of others")
 }
 
-// killed is how long processes are down that were killed together.
-const killed = time.Second
+const (
+	// streamsBegun is the number of streams in progress when hosts are killed.
+	streamsBegun = 24
+	// killed is how long processes are down that were killed together, recovered how long the fleet takes to
+	// serve again.
+	killed    = time.Second
+	recovered = 5 * time.Second
+)
 
 // TestStreamsGoOnAfterAllEntryHostsWereKilled guards against streams that no host can resume because the one
 // that began them was killed with all others before it reported them.
 func TestStreamsGoOnAfterAllEntryHostsWereKilled(t *testing.T) {
+	requireResumedAfterKill(t, func(f *streamFleet) []ident.Host { return f.order[len(f.disks):] })
+}
+
+// TestStreamsGoOnAfterAllWereKilled guards against streams that no host can resume because replicas hold their
+// origins in memory alone.
+func TestStreamsGoOnAfterAllWereKilled(t *testing.T) {
+	requireResumedAfterKill(t, func(f *streamFleet) []ident.Host { return f.order })
+}
+
+// requireResumedAfterKill kills hosts together at several ages of streams, and requires that each stream goes on
+// at its version at some host.
+func requireResumedAfterKill(t *testing.T, hosts func(*streamFleet) []ident.Host) {
 	for _, age := range []time.Duration{200 * time.Millisecond, time.Second} {
 		for _, entries := range []int{5, largeFleet} {
 			t.Run(fmt.Sprint(age, " ", entries), func(t *testing.T) {
 				f := newStreamFleet(t, entries, nil, "v1", "v2")
 				begun := map[ident.Request]ident.Version{}
-				for i := range 24 {
+				for i := range streamsBegun {
 					id, version := f.begin(entryName(i % entries))
 					begun[id] = version
 				}
 				f.advance(age)
-				for i := range entries {
-					f.stop(entryName(i))
-				}
-				f.advance(killed)
-				for i := range entries {
-					f.start(entryName(i))
-				}
-				f.advance(3 * time.Second)
+				f.killAndRestart(hosts(f))
 				at := 0
 				for id, version := range begun {
 					at++
@@ -340,29 +351,33 @@
 	}
 }
 
+// killAndRestart kills hosts together and runs until the fleet serves again.
+func (f *streamFleet) killAndRestart(hosts []ident.Host) {
+	for _, id := range hosts {
+		f.stop(id)
+	}
+	f.advance(killed)
+	for _, id := range hosts {
+		f.start(id)
+	}
+	f.advance(recovered)
+}
+
 // TestNoStreamChangesItsVersionAfterAllWereKilled guards against streams of two versions: all hosts are killed, and
 // meanwhile all workers start again at another version, which alone is known then.
 func TestNoStreamChangesItsVersionAfterAllWereKilled(t *testing.T) {
 	for _, replicas := range []bool{false, true} {
 		f := newStreamFleet(t, 5, nil, "v1")
-		var begun []ident.Request
-		for i := range 24 {
-			id, _ := f.begin(entryName(i % 5))
-			begun = append(begun, id)
+		begun := make([]ident.Request, streamsBegun)
+		for i := range begun {
+			begun[i], _ = f.begin(entryName(i % 5))
 		}
-		down := f.order[3:]
+		down := f.order[len(f.disks):]
 		if replicas {
 			down = f.order
 		}
-		for _, id := range down {
-			f.stop(id)
-		}
 		f.versions = []ident.Version{"v2"}
-		f.advance(killed)
-		for _, id := range down {
-			f.start(id)
-		}
-		f.advance(3 * time.Second)
+		f.killAndRestart(down)
 		for i, id := range begun {
 			d, ok := f.ask(entryName(i%5), id, resumeTime).(requests.Finish)
 			require.True(t, ok, "a stream of v1 goes on at v2")
--- a/core/host/seeded.go
+++ b/core/host/seeded.go
@@ -164,3 +164,25 @@
 		}
 	}
 }
+
+// receiveSeeded handles a message of a seeded fleet other than those of the replicated log.
+func (t *transition) receiveSeeded(from ident.Host, m Message) {
+	switch m := m.(type) {
+	case Poll:
+		t.handlePoll(from, m)
+	case PollReply:
+		t.handlePollReply(from, m)
+	case AwaitInForce:
+		t.handleAwaitInForce(from, m)
+	case StreamsBegun:
+		t.handleStreamsBegun(from, m)
+	case Join:
+		t.handleJoin(from, m)
+	case ReadRequest:
+		t.handleReadRequest(from, m)
+	case ReadReply:
+		t.handleReadReply(m)
+	default:
+		t.receiveRolloutMessage(from, m)
+	}
+}
--- a/core/host/seeded_test.go
+++ b/core/host/seeded_test.go
@@ -15,6 +15,7 @@
 	"github.com/yardhall/yardhall/core/departures"
 	"github.com/yardhall/yardhall/core/host"
 	"github.com/yardhall/yardhall/core/ident"
+	"github.com/yardhall/yardhall/core/origins"
 	"github.com/yardhall/yardhall/core/raft"
 	"github.com/yardhall/yardhall/core/registry"
 	"github.com/yardhall/yardhall/core/requests"
@@ -30,10 +31,18 @@
 	crashesSavedAt time.Time
 	// departures are those of the last PersistDepartures.
 	departures []departures.Entry
+	// origins are the reports of streams, as of their times.
+	origins []timedReport
 	// hangs is set while the disk writes no departures.
 	hangs bool
 }
 
+// timedReport is a report of streams with its time.
+type timedReport struct {
+	report origins.Report
+	at     time.Time
+}
+
 func (d *seededDisk) persist(p raft.Persist) {
 	d.boot.Hard = p.Hard
 	for _, e := range p.Entries {
@@ -171,6 +180,9 @@
 			aged[i].Age += f.now.Sub(d.crashesSavedAt)
 		}
 		state = state.WithCrashList(aged, f.now).WithDepartures(d.departures, f.now)
+		for _, r := range d.origins {
+			state = state.WithOrigins(r.report, r.at)
+		}
 	}
 	f.states[id], f.down[id] = state, false
 }
@@ -216,6 +228,8 @@
 				d.departures = e.Record.Entries()
 				f.reduce(id, host.DeparturesPersisted{Position: e.Record.Position()})
 			}
+		case host.PersistOrigins:
+			f.disks[id].origins = append(f.disks[id].origins, timedReport{e.Report, f.now})
 		case host.AnswerWrite:
 			f.writes[e.ID] = e
 		case host.AnswerRead:
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -96,24 +96,12 @@
 		return nil, err
 	}
 	state := host.New(hs, incarnation, clock.Now())
-	if log != nil {
-		if state, err = state.WithReplicaState(boot, clock.Now()); err != nil {
-			return nil, errors.Wrap(err, "read replicated state")
-		}
-	}
-	if log != nil {
-		state = state.WithCrashList(keptCrashes(s.Host.Data, o.Log, time.Now()), clock.Now())
-		state = state.WithDepartures(readDepartures(s.Host.Data, o.Log, clock.Now(), time.Now()), clock.Now())
+	if log == nil {
+		d.loop = newLoop(state, o.Log, d.pool, d.targets)
+	} else if err := d.newReplicaLoop(state, log, boot); err != nil {
+		return nil, err
 	}
-	d.loop = newLoop(state, o.Log, d.pool, d.targets)
 	d.loop.delays.peers = d.counters
-	if log != nil {
-		d.loop.disk = newDiskWriter(d.loop, log)
-		d.loop.crashes = newCrashKeeper(o.Log, func(entries []crashes.Entry) error {
-			return storage.KeepCrashes(s.Host.Data, entries, o.WrapFile)
-		})
-		d.loop.departureDisk = newDepartureWriter(d.loop, s.Host.Data, o.WrapFile)
-	}
 	d.server = peers.NewServer(popts, func(from ident.Host, m host.Message) {
 		d.loop.post(host.MessageReceived{From: from, Message: m})
 	})
@@ -121,6 +109,26 @@
 	return d, d.listen()
 }
 
+// newReplicaLoop makes the event loop of a replica with the state read from its disk, and what writes there.
+func (d *Daemon) newReplicaLoop(state host.State, log *storage.Log, boot raft.Boot) error {
+	o, dir, now, timeOfDay := d.options, d.settings.Host.Data, clock.Now(), time.Now()
+	state, err := state.WithReplicaState(boot, now)
+	if err != nil {
+		return errors.Wrap(err, "read replicated state")
+	}
+	state = state.WithCrashList(keptCrashes(dir, o.Log, timeOfDay), now)
+	state = state.WithDepartures(readDepartures(dir, o.Log, now, timeOfDay), now)
+	state, streams := withOrigins(state, o, dir, now, timeOfDay)
+	d.loop = newLoop(state, o.Log, d.pool, d.targets)
+	d.loop.disk = newDiskWriter(d.loop, log)
+	d.loop.crashes = newCrashKeeper(o.Log, func(entries []crashes.Entry) error {
+		return storage.KeepCrashes(dir, entries, o.WrapFile)
+	})
+	d.loop.departureDisk = newDepartureWriter(d.loop, dir, o.WrapFile)
+	d.loop.origins = streams
+	return nil
+}
+
 // hostSettings are what the core learns from the settings file.
 func hostSettings(s settings.Settings, o Options, incarnation uint64) host.Settings {
 	hs := host.Settings{
@@ -229,6 +237,7 @@
 	}, func(error) { stop() })
 	g.Add(func() error { d.loop.crashes.run(ctx); return nil }, func(error) { stop() })
 	g.Add(func() error { d.loop.departureDisk.run(ctx); return nil }, func(error) { stop() })
+	g.Add(func() error { return d.loop.origins.run(ctx) }, func(error) { stop() })
 }
 
 // State returns the newest state of the core.
--- a/daemon/effects.go
+++ b/daemon/effects.go
@@ -39,6 +39,8 @@
 		l.answerRead(e)
 	case host.PersistDepartures:
 		l.departureDisk.put(e.Record)
+	case host.PersistOrigins:
+		l.origins.put(e.Report)
 	case host.DepartureProgressed:
 		l.departures.end(e.Worker)
 	}
--- a/daemon/loop.go
+++ b/daemon/loop.go
@@ -41,6 +41,8 @@
 	targets *targets.Client
 	disk    *diskWriter
 	crashes *crashKeeper
+	// origins writes the origins of streams that a replica keeps.
+	origins *originWriter
 	// departureDisk writes the departures that a replica keeps.
 	departureDisk *departureWriter
 	done          chan struct{}
--- a/storage/storage.go
+++ b/storage/storage.go
@@ -8,6 +8,7 @@
 //	state-g.log   frames written since; one frame per sync
 //	crashes.cbor  the list of crashes, a single frame; no part of the replicated state
 //	departures.cbor  the workers that leave, likewise
+//	origins-a.log, origins-b.log  the origins of streams, written in turn
 //
 // A frame is its length, its CRC-32C and its CBOR content. The next frame is
 // written only after the last one has been synced, so only the last frame of
