--- a/storage/generation.go
+++ b/storage/generation.go
@@ -45,15 +45,19 @@
 	return generation, true, nil
 }
 
-// writeSnapshot begins a new generation with snap and what follows it.
-func (l *Log) writeSnapshot(snap raft.Snapshot, b batch) error {
+// writeSnapshot begins a new generation with the last snapshot of persists and the entries that follow it.
+func (l *Log) writeSnapshot(persists []raft.Persist) error {
 	before := *l
 	l.entries = slices.Clone(l.entries)
-	l.absorb(b)
-	if len(l.entries) > 0 && !l.continues(snap) {
-		l.entries = nil
+	var snap raft.Snapshot
+	for _, p := range persists {
+		if p.Snapshot != nil {
+			snap = *p.Snapshot
+			l.dropCovered(snap)
+		}
+		l.absorb(batch{Hard: p.Hard, Entries: p.Entries})
 	}
-	l.entries = slices.DeleteFunc(l.entries, func(e raft.Entry) bool { return e.Index <= snap.Index })
+	l.dropCovered(snap)
 	if err := l.startGeneration(snap, &before); err != nil {
 		*l = before
 		return err
@@ -61,6 +65,14 @@
 	return nil
 }
 
+// dropCovered drops the entries that a snapshot replaces: those up to it, and all if they do not agree with it.
+func (l *Log) dropCovered(snap raft.Snapshot) {
+	if len(l.entries) > 0 && !l.continues(snap) {
+		l.entries = nil
+	}
+	l.entries = slices.DeleteFunc(l.entries, func(e raft.Entry) bool { return e.Index <= snap.Index })
+}
+
 // continues tells whether the entries held agree with the snapshot, so that
 // those after it stay valid.
 func (l *Log) continues(snap raft.Snapshot) bool {
--- a/storage/storage.go
+++ b/storage/storage.go
@@ -25,6 +25,7 @@
 	"bytes"
 	"io"
 	"os"
+	"slices"
 
 	"github.com/fxamacker/cbor/v2"
 	"github.com/pkg/errors"
@@ -196,23 +197,19 @@
 // Write makes persists durable with one sync. After an error nothing of them
 // counts, and the same call may be made again.
 func (l *Log) Write(persists []raft.Persist) error {
+	if slices.ContainsFunc(persists, func(p raft.Persist) bool { return p.Snapshot != nil }) {
+		return l.writeSnapshot(persists)
+	}
 	b := batch{Hard: l.hard}
-	var snap *raft.Snapshot
 	for _, p := range persists {
 		b.Hard = p.Hard
 		b.Entries = append(b.Entries, p.Entries...)
-		if p.Snapshot != nil {
-			snap = p.Snapshot
-		}
 	}
-	if snap == nil {
-		if err := l.appendBatch(b); err != nil {
-			return err
-		}
-		l.absorb(b)
-		return nil
+	if err := l.appendBatch(b); err != nil {
+		return err
 	}
-	return l.writeSnapshot(*snap, b)
+	l.absorb(b)
+	return nil
 }
 
 func (l *Log) appendBatch(b batch) error {
