--- a/core/raft/snapshot.go
+++ b/core/raft/snapshot.go
@@ -53,8 +53,9 @@
 	w.followLeader(from)
 	reply := SnapshotReply{Term: w.hard.Term, Index: m.Index}
 	if m.Index <= w.commit {
+		// The snapshot may have been installed by an earlier copy of this chunk and not be on disk yet.
 		reply.Done = true
-		w.send(from, reply)
+		w.sendSynced(from, reply)
 		return
 	}
 	if m.Offset == 0 || w.incomeIdx != m.Index {
