--- a/storage/frame.go
+++ b/storage/frame.go
@@ -61,6 +61,10 @@
 		return nil, len(data), false
 	}
 	n := int(binary.LittleEndian.Uint32(data))
+	if n == 0 && len(bytes.TrimLeft(data, "\x00")) == 0 {
+		// A file system may leave zero bytes where a write was lost with the power. No frame is empty.
+		return nil, len(data), false
+	}
 	if n > maxFrame || len(data) < frameHeader+n {
 		return nil, len(data), false
 	}
--- a/storage/storage_test.go
+++ b/storage/storage_test.go
@@ -117,6 +117,28 @@
 	return f.File.Sync()
 }
 
+// TestZeroBytesAtTheEndAreTorn guards against a replica that takes its disk for damaged because a loss of power left
+// zero bytes after the last frame of its log.
+func TestZeroBytesAtTheEndAreTorn(t *testing.T) {
+	for _, zeros := range []int{1, 8, 9, 4096} {
+		dir := t.TempDir()
+		l, _ := open(t, dir)
+		require.NoError(t, l.Write([]raft.Persist{persist(1, entries(1, 2, 1))}))
+		require.NoError(t, l.Close())
+		name := newest(t, dir, "log")
+		whole, err := os.ReadFile(name)
+		require.NoError(t, err)
+		require.NoError(t, os.WriteFile(name, append(whole, make([]byte, zeros)...), 0o600))
+		l, boot := open(t, dir)
+		require.Equal(t, entries(1, 2, 1), boot.Entries)
+		require.Equal(t, int64(zeros), l.Cut)
+		require.NoError(t, l.Write([]raft.Persist{persist(1, entries(3, 3, 1))}))
+		require.NoError(t, l.Close())
+		_, boot = open(t, dir)
+		require.Equal(t, entries(1, 3, 1), boot.Entries)
+	}
+}
+
 func TestFullDiskAcknowledgesNothingAndRecovers(t *testing.T) {
 	for _, sync := range []bool{false, true} {
 		dir, full := t.TempDir(), false
