--- a/core/host/write.go
+++ b/core/host/write.go
@@ -23,7 +23,7 @@
 type pendingWrite struct {
 	write catalog.Write
 	// logEntry is the write as it is logged, made from the configuration of version base.
-	// packed is its encoding for the leader, if it was forwarded.
+	// packed is its encoding for the leader.
 	logEntry catalog.Write
 	base     config.Version
 	packed   []byte
@@ -83,7 +83,14 @@
 	}
 	p.resendAt = t.now.Add(resendInterval)
 	if p.logEntry.Command == nil || p.base != t.catalog.Config.Version {
-		p.logEntry, p.packed, p.base = t.asPatch(p.write), nil, t.catalog.Config.Version
+		p.logEntry, p.base = t.asPatch(p.write), t.catalog.Config.Version
+		p.packed = p.logEntry.Encode()
+		if _, err := catalog.DecodeWrite(p.packed); err != nil {
+			// No replica could apply it, and those that had committed it would stop at each start.
+			t.writes = t.writes.Without(p.write.ID)
+			t.completeWrite(p.write.ID, catalog.Result{Code: catalog.Invalid, Reason: err.Error()}, true)
+			return
+		}
 	}
 	if t.raft.Role() == raft.Leader {
 		if r, isRefused := t.refusalIfUnsupported(p.write); isRefused {
@@ -100,9 +107,6 @@
 		}
 		return
 	}
-	if p.packed == nil {
-		p.packed = p.logEntry.Encode()
-	}
 	t.writes = t.writes.With(p.write.ID, p)
 	if leader := t.leaderHint(); leader != "" && leader != t.settings.ID {
 		t.send(leader, ForwardWrite{ID: p.write.ID, Packed: p.packed})
--- a/storage/batches_test.go
+++ b/storage/batches_test.go
@@ -74,7 +74,7 @@
 // drawEntries draws entries from an index on.
 func (m replicaModel) drawEntries(t *rapid.T, from raft.Index) []raft.Entry {
 	n := rapid.IntRange(1, 4).Draw(t, "entries")
-	return entries(int(from), int(from)+n-1, int(m.hard.Term)) //nolint:gosec // Drawn and small.
+	return entries(int(from), int(from)+n-1, int(m.hard.Term))
 }
 
 // errCrashed is what a crashed disk answers.
