--- a/soak/faults_test.go
+++ b/soak/faults_test.go
@@ -158,7 +158,7 @@
 	case 5:
 		return func() { x.wipe(replica, last) }
 	case 6:
-		return func() { x.killReplicas(last / 4) }
+		return func() { x.killAtOnce(x.fleet.replicas(), last/4) }
 	case 7:
 		return func() { x.isolate(host, last, true, true) }
 	case 8:
@@ -269,10 +269,10 @@
 	return a
 }
 
-// killReplicas kills all replicas that are not disturbed otherwise at once.
-func (x *faults) killReplicas(d time.Duration) {
+// killAtOnce kills the hosts that are not disturbed otherwise.
+func (x *faults) killAtOnce(nodes []node, d time.Duration) {
 	var mine []node
-	for _, n := range x.fleet.replicas() {
+	for _, n := range nodes {
 		if x.claim(n) {
 			mine = append(mine, n)
 			defer x.release(n)
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -83,6 +83,9 @@
 		x.done.Go(func() { newRestarts(x, o).run(*duration) })
 		x.done.Go(func() { newRestarts(x, o).leave(*duration) })
 		x.done.Go(func() { departures = newRestarts(x, o).depart(*duration) })
+		if *withMassKills {
+			x.done.Go(func() { x.killTogether(*duration) })
+		}
 		if *withCutoffs {
 			x.done.Go(func() { newCutoffs(x).run(*duration) })
 		}
