--- a/daemon/requestcore.go
+++ b/daemon/requestcore.go
@@ -24,6 +24,10 @@
 	case requests.Pause:
 		id = d.Request
 	case requests.Finish:
+		if d.Verdict.Code == requests.CodeDuplicate {
+			// It refuses another request under the id, whose event yielded it.
+			return false
+		}
 		id = d.Request
 	}
 	ch, ok := l.waits[id]
--- a/daemon/waits_test.go
+++ b/daemon/waits_test.go
@@ -4,9 +4,14 @@
 
 import (
 	"testing"
+	"time"
 
+	"github.com/go-logr/logr"
 	"github.com/stretchr/testify/require"
 
+	"github.com/yardhall/yardhall/common/clock"
+	"github.com/yardhall/yardhall/core/host"
+	"github.com/yardhall/yardhall/core/ident"
 	"github.com/yardhall/yardhall/core/requests"
 )
 
@@ -23,3 +28,26 @@
 	}
 	require.False(t, l.toWaiting(requests.Pause{Request: "b"}))
 }
+
+// TestSecondRequestUnderAnIDIsRefused guards against a request that gets the answer of one that waits under the same
+// id, and against one that is refused in place of the other.
+func TestSecondRequestUnderAnIDIsRefused(t *testing.T) {
+	l := startingHost()
+	arrived := requests.Arrived{Request: requests.Request{ID: "a", Host: "a.example", Path: "/x/", Deadline: l.now().Add(time.Minute)}}
+	require.Equal(t, []requests.Decision{requests.Wait{Request: "a"}}, l.Decide(arrived))
+	second := l.Decide(arrived)
+	require.Len(t, second, 1)
+	refused, ok := second[0].(requests.Finish)
+	require.True(t, ok)
+	require.Equal(t, requests.CodeDuplicate, refused.Verdict.Code)
+	require.Empty(t, l.waits["a"], "the first one waits on")
+}
+
+// startingHost returns the event loop of an entry host that has just started, at which requests wait.
+func startingHost() *loop {
+	settings := host.Settings{
+		ID: "127.77.0.1:7139", Seeds: []ident.Host{"127.77.0.2:7139"}, Serves: true,
+		Requests: requests.Settings{StartupTimeout: time.Minute},
+	}
+	return newLoop(host.New(settings, 1, clock.Now()), logr.Discard(), nil, nil)
+}
