--- a/core/host/origins.go
+++ b/core/host/origins.go
@@ -13,11 +13,12 @@
 )
 
 // Package requests needs the origin of a stream that its caller resumes at another host than the one that
-// began it. Hosts report the streams that they begin within reportInterval, to outlive a kill right after, and
-// once more in their next poll, as a message may be lost. Replicas and hubs keep the reports, replicas on
-// their disks as well, and a hub passes them on as its own. A host that looks an origin up names the stream in
-// polls until it is found or no longer looked for, and the replies give what the receiver knows. A hub looks
-// up in turn what its clients look up and it does not know.
+// began it. Hosts report the streams that they begin within reportInterval, to outlive a kill right after, to
+// each replica or hub that they poll. A message may be lost, so one that has a single receiver is repeated in
+// the next poll. Replicas and hubs keep the reports, replicas on their disks as well, and a hub passes them on
+// as its own. A host that looks an origin up names the stream in polls until it is found or no longer looked
+// for, and the replies give what the receiver knows. A hub looks up in turn what its clients look up and it
+// does not know.
 //
 // Hosts of an earlier version neither report origins nor answer with any; they ignore the fields. Those that
 // cannot read StreamsBegun are sent reports in two polls.
@@ -116,7 +117,10 @@
 	next, taken := t.requests.TakeOrigins()
 	t.requests = next
 	taken = taken.Merge(o.received)
-	o.reportedAt, o.received, o.sent = t.now, nil, o.sent.Merge(taken)
+	o.reportedAt, o.received = t.now, nil
+	if len(to) == 1 {
+		o.sent = o.sent.Merge(taken)
+	}
 	m := StreamsBegun{Origins: taken.Encode()}
 	for _, h := range to {
 		t.send(h, m)
--- a/core/host/origins_test.go
+++ b/core/host/origins_test.go
@@ -276,12 +276,19 @@
 func TestOriginTrafficIsBounded(t *testing.T) {
 	const perSecond, seconds, maxBytesPerSecond = 20, 5, 1 << 10
 	f := newStreamFleet(t, largeFleet, nil, "v1", "v2")
-	var reported, polls int
+	var reported, messages int
 	byHost := map[ident.Host]int{}
 	f.onDeliver = func(p seededPacket) {
-		if m, ok := p.message.(host.Poll); ok && len(m.Begun) > 0 {
-			reported, polls = reported+len(m.Begun), polls+1
-			byHost[p.from] += len(m.Begun)
+		var begun []byte
+		switch m := p.message.(type) {
+		case host.Poll:
+			begun = m.Begun
+		case host.StreamsBegun:
+			begun = m.Origins
+		}
+		if len(begun) > 0 {
+			reported, messages = reported+len(begun), messages+1
+			byHost[p.from] += len(begun)
 		}
 	}
 	for range perSecond * seconds {
@@ -295,7 +302,7 @@
 		}
 		f.advance(time.Second / perSecond)
 	}
-	t.Logf("%d bytes in %d polls", reported, polls)
+	t.Logf("%d bytes in %d messages", reported, messages)
 	hubs := 0
 	for _, n := range byHost {
 		if n/seconds > maxBytesPerSecond {
