core/host: Hold that the configuration is read back after any last fault

Within 15 s, the users' bound for recovery, each replica must hold the acknowledged table or a newer one and each host must serve by it.

The disks of the simulation sync after a time of their own; of what is not synced a power loss leaves a part.

--- a/core/host/seeded_test.go
+++ b/core/host/seeded_test.go
@@ -104,6 +104,17 @@
 	entryStart time.Duration
 	// rollouts are the settings of rollouts; disabled by default.
 	rollouts rollouts.Limits
+	// syncTime, if set, returns how long a write of a replica takes to be synced. unsynced are the writes that are
+	// not, in their order.
+	syncTime func(ident.Host) time.Duration
+	unsynced []unsyncedWrite
+}
+
+// unsyncedWrite is a write of a replica's process that its disk syncs at a time.
+type unsyncedWrite struct {
+	replica ident.Host
+	persist raft.Persist
+	due     time.Time
 }
 
 type delayedPacket struct {
@@ -215,12 +226,11 @@
 		case host.Send:
 			f.wire = append(f.wire, seededPacket{id, e.To, e.Message})
 		case host.Persist:
-			f.disks[id].persist(e.Persist)
-			for _, s := range e.Persist.Then {
-				to, m := f.states[id].Envelope(s)
-				f.wire = append(f.wire, seededPacket{id, to, m})
+			if f.syncTime != nil {
+				f.unsynced = append(f.unsynced, unsyncedWrite{id, e.Persist, f.now.Add(f.syncTime(id))})
+				continue
 			}
-			f.reduce(id, host.EntriesPersisted{Persisted: raft.Persisted{Index: e.Persist.Index, Term: e.Persist.Term}})
+			f.sync(id, e.Persist)
 		case host.PersistCrashes:
 			f.disks[id].crashes, f.disks[id].crashesSavedAt = e.Entries, f.now
 		case host.PersistDepartures:
@@ -245,6 +255,33 @@
 	}
 }
 
+// sync puts a write on a replica's disk and reports it.
+func (f *seededFleet) sync(id ident.Host, p raft.Persist) {
+	f.disks[id].persist(p)
+	for _, s := range p.Then {
+		to, m := f.states[id].Envelope(s)
+		f.wire = append(f.wire, seededPacket{id, to, m})
+	}
+	f.reduce(id, host.EntriesPersisted{Persisted: raft.Persisted{Index: p.Index, Term: p.Term}})
+}
+
+// syncDue syncs the writes that are due. A replica's writes are synced in their order.
+func (f *seededFleet) syncDue() {
+	writes := f.unsynced
+	f.unsynced = nil
+	waiting := map[ident.Host]bool{}
+	var later []unsyncedWrite
+	for _, w := range writes {
+		if waiting[w.replica] || w.due.After(f.now) {
+			waiting[w.replica] = true
+			later = append(later, w)
+			continue
+		}
+		f.sync(w.replica, w.persist)
+	}
+	f.unsynced = append(later, f.unsynced...)
+}
+
 const seededStep = 50 * time.Millisecond
 
 func (f *seededFleet) run(d time.Duration) {
@@ -253,6 +290,7 @@
 		for _, id := range f.order {
 			f.reduce(id, host.Tick{})
 		}
+		f.syncDue()
 		f.deliverDue()
 		for range 6 {
 			batch := f.wire
