core/host, startup: Log when a process reached what it needs to serve, and what it lacks

From one replica's and one host's log it could not be told whether the replicas had no quorum, hosts had no route table, or answers came too late: the lines say what happened, and nothing where nothing happens.

Change: each process logs once when it knew a leader, held a table, knew a target, was ready and gave its first answer, counted from its start; and 5 s after its start and ever more rarely from then on what is missing: on a replica its role, term, votes, voters and members, on a host the polls sent and the contacts that replied. A replica says what it read from its disk. The same times stand in the counters. 'yardhall startup' draws their distribution over a fleet from the logs.

Tests: TestStartupSaysWhatIsMissing tells a replica without a quorum, a host without a confirmation and a fleet without a table apart; first answer, report and golden keys (added only).

--- a/commands/yardhall/losses.go
+++ b/commands/yardhall/losses.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 	"flag"
+	"io"
 	"os"
 	"path/filepath"
 
@@ -54,10 +55,13 @@
 	return subcommands.ExitSuccess
 }
 
+// logReport is a report that takes in logs.
+type logReport interface{ Read(in io.Reader) error }
+
 // readLogs reads standard input, or all files of a folder.
-func readLogs(r *losses.Report, from string) error {
+func readLogs(r logReport, from string) error {
 	if from == "-" {
-		return r.Read(os.Stdin)
+		return errors.Wrap(r.Read(os.Stdin), "standard input")
 	}
 	files, err := filepath.Glob(filepath.Join(from, "*"))
 	if err != nil {
@@ -74,7 +78,7 @@
 	return nil
 }
 
-func readLog(r *losses.Report, file string) error {
+func readLog(r logReport, file string) error {
 	f, err := os.Open(file)
 	if err != nil {
 		return errors.Wrap(err, "open log")
--- a/commands/yardhall/yardhall.go
+++ b/commands/yardhall/yardhall.go
@@ -45,6 +45,7 @@
 	commander.Register(&keyCommand{}, "tools")
 	commander.Register(&restoreCommand{}, "tools")
 	commander.Register(&lossesCommand{}, "tools")
+	commander.Register(&startupCommand{}, "tools")
 	commander.Register(&demoCommand{}, "tools")
 	flag.Parse()
 	if flag.NArg() == 0 {
--- a/core/host/counters.go
+++ b/core/host/counters.go
@@ -50,6 +50,8 @@
 	// MembershipRisks are, on the leader, the failures that the members of the log would not
 	// survive; unlike the other counters they may also fall.
 	MembershipRisks membership.Risks
+	// Startup is when this process reached what it needs to serve.
+	Startup Milestones
 	// Rollouts describe, on the leader, the running rollouts; they may also fall.
 	Rollouts RolloutCounters
 }
--- a/core/host/effect.go
+++ b/core/host/effect.go
@@ -132,6 +132,7 @@
 	LogGroupOwner         LogKind = "group ownership"
 	LogTargetHealth       LogKind = "target health"
 	LogReady              LogKind = "ready"
+	LogStartup            LogKind = "startup"
 	LogDraining           LogKind = "draining"
 	LogOwnerUnreachable   LogKind = "owner unreachable"
 	LogStateRestored      LogKind = "state restored"
--- a/core/host/lastfault_test.go
+++ b/core/host/lastfault_test.go
@@ -156,14 +156,7 @@
 		d.pass(d.drawTime(1, 160, "cut"))
 		d.partition(id, false)
 	case "slow disk":
-		d.syncTime = func(of ident.Host) time.Duration {
-			if of == id {
-				return 20 * seededStep
-			}
-			return 0
-		}
-		d.pass(d.drawTime(1, 80, "slow"))
-		d.syncTime = func(ident.Host) time.Duration { return seededStep }
+		d.slowDisk(id)
 	case "kill all":
 		for _, r := range d.replicas {
 			d.off(r)
@@ -179,6 +172,18 @@
 	d.pass(d.drawTime(0, 150, "calm"))
 }
 
+// slowDisk makes a replica's disk take a second for each write for a while, and from then on all disks a step.
+func (d *disturbedFleet) slowDisk(id ident.Host) {
+	d.syncTime = func(of ident.Host) time.Duration {
+		if of == id {
+			return 20 * seededStep
+		}
+		return 0
+	}
+	d.pass(d.drawTime(1, 80, "slow"))
+	d.syncTime = func(ident.Host) time.Duration { return seededStep }
+}
+
 // replace removes a machine for good. Another one with an empty disk joins at another address.
 func (d *disturbedFleet) replace(id ident.Host) {
 	d.lost++
--- a/core/host/seeded.go
+++ b/core/host/seeded.go
@@ -90,6 +90,8 @@
 	registryScannedAt time.Time
 	// origins are the versions that began streams.
 	origins originState
+	// startup is the progress from the start to service.
+	startup startupState
 	// membership tracks, on a replica, the replicas that asked to join.
 	membership membership.State
 }
@@ -116,6 +118,7 @@
 		t.reduceRequests(requests.Tick{})
 	}
 	t.updateReady()
+	t.updateStartup()
 }
 
 // updateReady decides whether this host reports itself ready to the load balancer.
@@ -160,6 +163,7 @@
 		case requests.ZoneChanged:
 			t.log(LogZoneContact, string(d.Zone), fmt.Sprintf("reached=%t others=%t missed=%s", d.Reachable, d.AllOthers, d.LastFailed))
 		default:
+			t.noteAnswer(d)
 			t.emit(RequestDecision{Decision: d})
 		}
 	}
--- a/core/host/seeded_test.go
+++ b/core/host/seeded_test.go
@@ -100,6 +100,8 @@
 	intercept func(seededPacket) bool
 	// onDecision, if set, is called with each decision on requests.
 	onDecision func(ident.Host, requests.Decision)
+	// onLog, if set, is called with each line that is logged.
+	onLog func(ident.Host, host.LogRecord)
 	// entryStart is how long requests wait for an entry host that starts.
 	entryStart time.Duration
 	// rollouts are the settings of rollouts; disabled by default.
@@ -249,6 +251,10 @@
 			if f.onDecision != nil {
 				f.onDecision(id, e.Decision)
 			}
+		case host.LogRecord:
+			if f.onLog != nil {
+				f.onLog(id, e)
+			}
 		case host.HeartbeatAnswer:
 			f.heartbeatAnswers = append(f.heartbeatAnswers, e)
 		}
--- a/core/host/view.go
+++ b/core/host/view.go
@@ -51,7 +51,11 @@
 func (s State) Registry() registry.Registry { return s.registry }
 
 // Counters returns the counters of this process.
-func (s State) Counters() Counters { return s.counters }
+func (s State) Counters() Counters {
+	c := s.counters
+	c.Startup = s.seeded.startup.milestones
+	return c
+}
 
 // Leader returns the leader known to this host, or "".
 func (s State) Leader() ident.Host { return s.leaderHint() }
--- a/core/raft/state.go
+++ b/core/raft/state.go
@@ -112,6 +112,16 @@
 	return n
 }
 
+// VoterCount returns the number of voters by the member list in force.
+func (s State) VoterCount() int { return s.voters() }
+
+// Votes returns how many voters, this replica included, have promised or given it their votes in the election
+// that it stands in.
+func (s State) Votes() int { return len(s.votes) }
+
+// Refusals returns how many voters have refused it their votes in that election.
+func (s State) Refusals() int { return len(s.refusals) }
+
 // IsMember tells whether id stands in the member list in force.
 func (s State) IsMember(id ident.Host) bool {
 	return slices.ContainsFunc(s.members, func(m Member) bool { return m.ID == id })
--- a/daemon/data.go
+++ b/daemon/data.go
@@ -7,6 +7,7 @@
 
 	"github.com/pkg/errors"
 
+	"github.com/yardhall/yardhall/common/clock"
 	"github.com/yardhall/yardhall/core/host"
 	"github.com/yardhall/yardhall/core/ident"
 	"github.com/yardhall/yardhall/core/raft"
@@ -29,6 +30,7 @@
 			o.Members = append(o.Members, raft.Member{ID: r.ID, Voter: true})
 		}
 	}
+	begun := clock.Now()
 	log, boot, err := storage.Open(d.settings.Host.Data, o)
 	if errors.Is(err, storage.ErrDamaged) && hs.Seeded() {
 		d.options.Log.Error(err, "the data folder is set aside; this replica joins as one whose disk was lost")
@@ -41,6 +43,8 @@
 		d.options.Log.Info("cut a torn end off the log", "bytes", log.Cut)
 	}
 	hs.Identity = log.Identity()
+	d.options.Log.Info("replicated state read", "identity", string(log.Identity()), "took_ms", millis(clock.Now().Sub(begun)),
+		"snapshot", uint64(boot.Snapshot.Index), "entries", len(boot.Entries), "term", uint64(boot.Hard.Term), "founds", len(o.Members) > 0)
 	return log, boot, nil
 }
 
