--- a/core/host/startup.go
+++ b/core/host/startup.go
@@ -40,22 +40,23 @@
 	reportAt time.Time
 }
 
-// updateStartup records the milestones reached by now. It logs them once the host is ready, or once a
-// replica holds the configuration, and until then from time to time what is missing.
+// isComplete reports whether a process has all it needs to serve, or on a replica the configuration.
+func (m Milestones) isComplete(serves bool) bool {
+	return m.Table > 0 && m.Leader > 0 && (!serves || m.Target > 0 && m.Ready > 0)
+}
+
+// updateStartup records the milestones reached by now. It logs them once they are complete, and until then from
+// time to time what is missing.
 func (t *transition) updateStartup() {
-	m := &t.seeded.startup.milestones
-	last := &m.Table
-	if t.settings.Serves {
-		last = &m.Ready
-	}
-	if *last > 0 {
+	m, serves := &t.seeded.startup.milestones, t.settings.Serves
+	if m.isComplete(serves) {
 		return
 	}
 	t.reach(&m.Leader, t.knowsLeader())
 	t.reach(&m.Table, t.requests.TableNumber() > 0 || t.config.Gateway.Number > 0)
-	t.reach(&m.Target, t.settings.Serves && t.requests.WorkerCount() > 0)
-	t.reach(&m.Ready, t.settings.Serves && t.ready)
-	if *last > 0 {
+	t.reach(&m.Target, serves && t.requests.WorkerCount() > 0)
+	t.reach(&m.Ready, serves && t.ready)
+	if m.isComplete(serves) {
 		t.logStartup("")
 		return
 	}
--- a/core/host/startup_test.go
+++ b/core/host/startup_test.go
@@ -71,7 +71,7 @@
 		require.GreaterOrEqual(t, m.Ready, m.Table)
 		require.GreaterOrEqual(t, m.Ready, m.Leader)
 		require.Len(t, lines[entryName(i)], 1)
-		require.Regexp(t, `^serves=true after=\S+ leader=\S+ table=\S+ (target=\S+ )?ready=\S+$`, lines[entryName(i)][0])
+		require.Regexp(t, `^serves=true after=\S+ leader=\S+ table=\S+ target=\S+ ready=\S+$`, lines[entryName(i)][0])
 	}
 }
 
