gateway, daemon: Count refusals of workers that do not say that the request was not run

Whether to change that is the users' decision (docs/questions.md, 10); until then operators could not tell which workers do it.

Change: such answers are counted, by worker (unmarked_refusals, 256 workers and others), and logged as irregular answers, 20 lines a second at most. They stay answers: the attempt ends as run, and a request that must not run twice is not sent again.

--- a/daemon/gateway.go
+++ b/daemon/gateway.go
@@ -102,6 +102,9 @@
 	budget := &logs.Budget{PerSecond: irregularLines}
 	return func(i gateway.Irregularity) {
 		d.metrics.irregular.Add(string(i.Kind), 1)
+		if i.Kind == gateway.UnmarkedRefusal {
+			d.metrics.unmarkedRefusals.add(i.Worker)
+		}
 		ok, skipped := budget.Allow(time.Now())
 		if skipped > 0 {
 			d.options.Log.Info("irregular answer lines skipped", "lines", skipped)
--- a/daemon/metrics.go
+++ b/daemon/metrics.go
@@ -30,6 +30,8 @@
 	verdicts *expvar.Map
 	// irregular counts irregular bytes from workers by kind.
 	irregular *expvar.Map
+	// unmarkedRefusals counts refusals that do not say that the request was not run.
+	unmarkedRefusals workerCounts
 	rollouts  rolloutCounters
 }
 
@@ -50,6 +52,7 @@
 	m.vars.Set("gateway", expvar.Func(func() any { return d.loop.State().Requests().Counters() }))
 	m.vars.Set("gateway_requests", m.verdicts)
 	m.vars.Set("irregular_answers", m.irregular)
+	m.vars.Set("unmarked_refusals", expvar.Func(m.unmarkedRefusals.snapshot))
 	m.vars.Set("worker_connections", expvar.Func(func() any { return d.workerConnections() }))
 	m.vars.Set("reduced_events", d.loop.reduced)
 	m.vars.Set("polls_superseded", expvar.Func(func() any { return d.loop.inbox.polls.superseded() }))
--- a/gateway/irregular.go
+++ b/gateway/irregular.go
@@ -20,6 +20,9 @@
 	// LongHeader and LongBody exceed a limit on their size.
 	LongHeader IrregularKind = "long_header"
 	LongBody   IrregularKind = "long_body"
+	// UnmarkedRefusal is a response with a status by which hosts promise that a request was not run, and without
+	// the header that says so. The worker may have run the request, so it is passed on as an answer.
+	UnmarkedRefusal IrregularKind = "unmarked_refusal"
 )
 
 // Irregularity describes irregular bytes from a worker, for logs and metrics.
--- a/gateway/response.go
+++ b/gateway/response.go
@@ -84,6 +84,9 @@
 		if matched == matchOwn && (!unidentified || reportsNotRun(resp, x.server.headers)) {
 			x.setReadTimeout(0)
 			x.unframed = !isFramed(resp)
+			if isUnmarkedRefusal(resp, x.server.headers) {
+				x.reportIrregular(UnmarkedRefusal)
+			}
 			return resp, nil
 		}
 		if unidentified && !x.awaitsAnswerBehind(matched) {
@@ -161,6 +164,16 @@
 	return resp.Header.Get(names.NotRun) != "" || resp.StatusCode == http.StatusMisdirectedRequest
 }
 
+// isUnmarkedRefusal reports whether the response has a status that hosts send only for requests that were not run,
+// but does not state that this one was not.
+func isUnmarkedRefusal(resp *http.Response, names Headers) bool {
+	switch resp.StatusCode {
+	case http.StatusRequestTimeout, http.StatusTooManyRequests, http.StatusServiceUnavailable:
+		return !reportsNotRun(resp, names)
+	}
+	return false
+}
+
 // finishDeclined releases the connection and returns the result of a response that reports
 // the request as not run. It closes the connection after status 421, which comes from another process
 // at the worker's address.
