--- a/daemon/metrics.go
+++ b/daemon/metrics.go
@@ -32,7 +32,7 @@
 	irregular *expvar.Map
 	// unmarkedRefusals counts refusals that do not say that the request was not run.
 	unmarkedRefusals workerCounts
-	rollouts  rolloutCounters
+	rollouts         rolloutCounters
 }
 
 // Times are measured in microseconds from 1 to an hour.
