--- a/core/crashes/list_test.go
+++ b/core/crashes/list_test.go
@@ -91,3 +91,49 @@
 		}
 	})
 }
+
+// message is an entry on its way to a host. Its age does not grow in transit.
+type message struct {
+	to    int
+	entry crashes.Entry
+	age   time.Duration
+}
+
+// gossip has hosts send their lists at once to all others that hold a different one, as busy hosts do whose messages
+// wait in queues, while workers go on answering the request. It returns how many entries changed in the last second.
+func gossip(lists []crashes.List, transit, limit time.Duration) (changes int) {
+	var wire []message
+	for at := time.Duration(0); at < limit; at += transit {
+		now := start.Add(at)
+		for _, m := range wire {
+			before := lists[m.to].Key
+			m.entry.At = now.Add(-m.age)
+			lists[m.to] = lists[m.to].With(now, m.entry)
+			if lists[m.to].Key != before && at >= limit-time.Second {
+				changes++
+			}
+		}
+		wire = nil
+		answering := int(at/transit) % len(lists)
+		lists[answering] = lists[answering].WithAnswer(content("a"), now)
+		for from := range lists {
+			for _, e := range lists[from].Entries() {
+				for to := range lists {
+					if lists[to].Key != lists[from].Key {
+						wire = append(wire, message{to, e, now.Sub(e.At)})
+					}
+				}
+			}
+		}
+	}
+	return changes
+}
+
+// TestAnsweredRequestStaysAnswered guards against hosts that send each other an answer and an earlier crash without end.
+func TestAnsweredRequestStaysAnswered(t *testing.T) {
+	lists := make([]crashes.List, 12)
+	for i := range lists {
+		lists[i] = lists[i].With(start, entry("a", 2, start))
+	}
+	require.Zero(t, gossip(lists, 10*time.Millisecond, 10*time.Second))
+}
