core/host: Reproduce engines above the bound, in three tests that fail

A simulated fleet of 61 entry hosts, six replicas and 60 engines shows it on this code, in steps of 10 ms; worst five seconds, 0.03 allowed:

--- /dev/null
+++ b/core/host/engineload_test.go
@@ -0,0 +1,390 @@
+// Copyright 2026 The Yardhall Authors. Licensed under the Apache License, Version 2.0.
+
+package host_test
+
+import (
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/yardhall/yardhall/core/config"
+	"github.com/yardhall/yardhall/core/host"
+	"github.com/yardhall/yardhall/core/ident"
+	"github.com/yardhall/yardhall/core/outcome"
+	"github.com/yardhall/yardhall/core/registry"
+	"github.com/yardhall/yardhall/core/requests"
+)
+
+const (
+	// engineStep is the step of an engineFleet, well below the age of loads.
+	engineStep = 10 * time.Millisecond
+	// promisedFactor and promisedSlack are the promised bound on an engine's load; promisedShare is the share of
+	// requests in any boundWindow that may find more.
+	promisedFactor = 2.0
+	promisedSlack  = 3
+	promisedShare  = 0.03
+	boundWindow    = 5 * time.Second
+	engineSlots    = 64
+	// answerDelay is how long after a request an engine tells its load.
+	answerDelay = 100 * time.Millisecond
+)
+
+// engineTraffic is the traffic to the engines of a fleet.
+type engineTraffic struct {
+	replicas, entries, engines int
+	perSecond                  float64
+	// work is the mean time that an engine needs for a request.
+	work time.Duration
+	// popular is the fraction of requests with one prefix, from popularFrom on; prefixes is the number of others.
+	popular     float64
+	popularFrom time.Duration
+	prefixes    int
+	// silent engines do not tell their load.
+	silent bool
+}
+
+// engineJob is a request at an engine.
+type engineJob struct {
+	host     ident.Host
+	dispatch requests.Dispatch
+	answerAt time.Time
+	answered bool
+	due      time.Time
+}
+
+type boundSample struct {
+	at   time.Time
+	over bool
+}
+
+// engineFleet is a seeded fleet before engines that count what they hold.
+type engineFleet struct {
+	*seededFleet
+	traffic engineTraffic
+	random  *rand.Rand
+	jobs    map[ident.Target][]*engineJob
+	began   time.Time
+	beatAt  time.Time
+	tickAt  time.Time
+	samples []boundSample
+	// elsewhere counts the requests that were not sent to the first engine of their prefix; prefixed holds the engines
+	// that read each prefix.
+	elsewhere int
+	prefixed  map[string]map[ident.Target]bool
+	sent      map[ident.Request]string
+	refused   int
+	// oldest is the oldest count of other hosts' requests that decided.
+	oldest time.Duration
+}
+
+func newEngineFleet(t *testing.T, load engineTraffic, seed uint64) *engineFleet {
+	f := &engineFleet{
+		seededFleet: newSeededFleet(t, load.replicas, load.entries), traffic: load, random: rand.New(rand.NewPCG(seed, 1)),
+		jobs: map[ident.Target][]*engineJob{}, prefixed: map[string]map[ident.Target]bool{}, sent: map[ident.Request]string{},
+	}
+	f.run(8 * time.Second)
+	g := config.RouteTable{
+		Number: 1, Source: []byte("document 1"), Pools: []config.Pool{{ID: "engines", Engine: true}},
+		Routes: []config.Route{{
+			Name: "chat", Host: "a.example", Prefix: "/chat/", Kind: config.RouteStream, Public: true, Resumable: true,
+			Timeout: config.Duration(12 * time.Second), MaxAttempts: 2, Shares: []config.Share{{Pool: "engines", Weight: 1}},
+		}},
+	}
+	require.True(t, f.putTable(f.leader(), g, 3*time.Second))
+	f.sendHeartbeats()
+	f.run(4 * time.Second)
+	f.began = f.now
+	f.onDecision = f.decide
+	return f
+}
+
+func engineName(i int) ident.Target { return ident.Target(fmt.Sprintf("e-%04x", i*7919)) }
+
+// sendHeartbeats sends a heartbeat of each engine to a replica that runs.
+func (f *engineFleet) sendHeartbeats() {
+	var live []ident.Host
+	for i := range f.traffic.replicas {
+		if !f.down[replicaName(i)] {
+			live = append(live, replicaName(i))
+		}
+	}
+	f.beatAt = f.now.Add(time.Second)
+	if len(live) == 0 {
+		return
+	}
+	for i := range f.traffic.engines {
+		f.reduce(live[(i+int(f.starts))%len(live)], host.HeartbeatReceived{Worker: registry.Worker{
+			ID: engineName(i), Pool: "engines", Zone: ident.Zone(fmt.Sprint("z", i%3)), Slots: engineSlots,
+			Address: fmt.Sprintf("10.9.%d.%d:80", i/250, i%250), Seq: uint64(f.now.UnixMilli()),
+		}})
+	}
+}
+
+// advance lets d pass with traffic.
+func (f *engineFleet) advance(d time.Duration) {
+	for end := f.now.Add(d); f.now.Before(end); {
+		f.now = f.now.Add(engineStep)
+		if !f.now.Before(f.beatAt) {
+			f.sendHeartbeats()
+		}
+		if !f.now.Before(f.tickAt) {
+			f.tickAt = f.now.Add(seededStep)
+			for _, id := range f.order {
+				f.reduce(id, host.Tick{})
+			}
+		}
+		f.syncDue()
+		f.deliverDue()
+		for len(f.wire) > 0 {
+			batch := f.wire
+			f.wire = nil
+			for _, p := range batch {
+				f.transmit(p)
+			}
+		}
+		f.work()
+		for range f.poisson(f.traffic.perSecond * engineStep.Seconds()) {
+			f.arrive()
+		}
+	}
+}
+
+func (f *engineFleet) poisson(mean float64) int {
+	n, p, limit := 0, f.random.Float64(), math.Exp(-mean)
+	for p > limit {
+		p *= f.random.Float64()
+		n++
+	}
+	return n
+}
+
+// arrive sends a request to an entry host that runs.
+func (f *engineFleet) arrive() {
+	at := entryName(f.random.IntN(f.traffic.entries))
+	if f.down[at] {
+		return
+	}
+	prefix := fmt.Sprint("prefix ", f.random.IntN(f.traffic.prefixes))
+	if f.now.Sub(f.began) >= f.traffic.popularFrom && f.random.Float64() < f.traffic.popular {
+		prefix = "popular"
+	}
+	r := requests.Request{
+		ID: ident.Request(fmt.Sprintf("%016x", f.random.Uint64())), Host: "a.example", Path: "/chat/1",
+		Deadline: f.now.Add(12 * time.Second),
+	}
+	r.Prompt = requests.Prompt{Model: "m", TokensIn: 2300, TokensOut: 100, Parts: []requests.Part{
+		{ID: prefix, Tokens: 2048}, {ID: string(r.ID), Tokens: 252},
+	}}
+	f.sent[r.ID] = prefix
+	f.reduce(at, host.RequestEvent{Event: requests.Arrived{Request: r}})
+}
+
+// decide starts a request at the engine that its host chose.
+func (f *engineFleet) decide(at ident.Host, d requests.Decision) {
+	switch d := d.(type) {
+	case requests.Dispatch:
+		f.record(d)
+		f.jobs[d.Worker.ID] = append(f.jobs[d.Worker.ID], &engineJob{
+			host: at, dispatch: d, answerAt: f.now.Add(answerDelay),
+			due: f.now.Add(answerDelay + time.Duration(f.random.ExpFloat64()*float64(f.traffic.work-answerDelay))),
+		})
+	case requests.Finish:
+		if d.Verdict.Code != requests.CodeOK {
+			f.refused++
+		}
+	}
+}
+
+// record adds an arrival at an engine to the samples.
+func (f *engineFleet) record(d requests.Dispatch) {
+	total := 0
+	for _, jobs := range f.jobs {
+		total += len(jobs)
+	}
+	mean := float64(total) / float64(f.traffic.engines)
+	over := float64(len(f.jobs[d.Worker.ID])) > promisedFactor*mean+promisedSlack
+	f.samples = append(f.samples, boundSample{f.now, over})
+	f.oldest = max(f.oldest, d.Inputs.LoadAge)
+	if d.Inputs.Position > 0 {
+		f.elsewhere++
+	}
+	prefix := f.sent[d.Request]
+	if f.prefixed[prefix] == nil {
+		f.prefixed[prefix] = map[ident.Target]bool{}
+	}
+	f.prefixed[prefix][d.Worker.ID] = true
+}
+
+// work lets engines answer and end requests.
+func (f *engineFleet) work() {
+	for i := range f.traffic.engines {
+		id := engineName(i)
+		for _, j := range slices.Clone(f.jobs[id]) {
+			if !j.answered && !f.now.Before(j.answerAt) {
+				j.answered = true
+				f.answer(id, j)
+			}
+			if !f.now.Before(j.due) {
+				f.jobs[id] = slices.DeleteFunc(f.jobs[id], func(o *engineJob) bool { return o == j })
+				f.reduce(j.host, host.RequestEvent{Event: requests.AttemptEnded{
+					Request: j.dispatch.Request, Attempt: j.dispatch.Attempt, Result: outcome.Answered{Status: 200}, CallerWaiting: true,
+				}})
+			}
+		}
+	}
+}
+
+func (f *engineFleet) answer(id ident.Target, j *engineJob) {
+	h := requests.HeaderReceived{
+		Request: j.dispatch.Request, Attempt: j.dispatch.Attempt, Worker: id, Route: "chat", Took: answerDelay,
+	}
+	if !f.traffic.silent {
+		h.Load = requests.Load{Running: len(f.jobs[id]), Slots: engineSlots}
+	}
+	f.reduce(j.host, host.RequestEvent{Event: h})
+}
+
+// kill stops hosts and starts them again after a while.
+func (f *engineFleet) kill(hosts []ident.Host, down time.Duration) {
+	for _, id := range hosts {
+		f.stop(id)
+	}
+	f.advance(down)
+	for _, id := range hosts {
+		f.start(id)
+	}
+}
+
+// worstShare returns the largest share of arrivals above the bound in any window since a time.
+func (f *engineFleet) worstShare(since time.Time) (share float64, at time.Time) {
+	first, over := 0, 0
+	var in []boundSample
+	for _, s := range f.samples {
+		if s.at.Before(since) {
+			continue
+		}
+		in = append(in, s)
+		if s.over {
+			over++
+		}
+		for s.at.Sub(in[first].at) > boundWindow {
+			if in[first].over {
+				over--
+			}
+			first++
+		}
+		if s.at.Sub(since) >= boundWindow {
+			if worst := float64(over) / float64(len(in)-first); worst > share {
+				share, at = worst, s.at
+			}
+		}
+	}
+	return share, at
+}
+
+// enginesPerPrefix returns the mean number of engines that read a prefix.
+func (f *engineFleet) enginesPerPrefix() float64 {
+	n := 0
+	for _, engines := range f.prefixed {
+		n += len(engines)
+	}
+	return float64(n) / float64(max(1, len(f.prefixed)))
+}
+
+func sixtyEngines() engineTraffic {
+	return engineTraffic{replicas: 6, entries: 61, engines: 60, perSecond: 410, work: 2 * time.Second, popular: 0.05, prefixes: 200}
+}
+
+// with returns the traffic with a change.
+func (l engineTraffic) with(change func(*engineTraffic)) engineTraffic {
+	change(&l)
+	return l
+}
+
+func (f *engineFleet) replicas() []ident.Host {
+	out := make([]ident.Host, 0, f.traffic.replicas)
+	for i := range f.traffic.replicas {
+		out = append(out, replicaName(i))
+	}
+	return out
+}
+
+// requireBound requires the promised bound on engines' loads since a time.
+func (f *engineFleet) requireBound(t *testing.T, since time.Time) {
+	t.Helper()
+	share, at := f.worstShare(since)
+	t.Logf("most requests above the bound in %s: %.4f, %.1f s after the start; of %d requests %.3f not at the first engine, %.2f engines a prefix, %d refused, oldest loads %s",
+		boundWindow, share, at.Sub(f.began).Seconds(), len(f.samples), float64(f.elsewhere)/float64(len(f.samples)), f.enginesPerPrefix(), f.refused, f.oldest)
+	require.LessOrEqual(t, share, promisedShare)
+	require.Zero(t, f.refused)
+}
+
+// TestBoundHoldsWhileReplicasAreLost guards against hosts that take requests of others for none, and so fill the
+// first engine of each prefix, while no replica reports their loads: all replicas are killed, and so report none for
+// a while after they have started again. The engines do not tell their load.
+func TestBoundHoldsWhileReplicasAreLost(t *testing.T) {
+	t.Parallel()
+	for seed := range uint64(2) {
+		for _, down := range []time.Duration{engineStep, 2500 * time.Millisecond} {
+			t.Run(fmt.Sprintf("%d/%s", seed, down), func(t *testing.T) {
+				t.Parallel()
+				l := sixtyEngines()
+				l.silent = true
+				f := newEngineFleet(t, l, seed)
+				f.advance(8 * time.Second)
+				lost := f.now
+				for range 2 {
+					f.kill(f.replicas(), down)
+					f.advance(7 * time.Second)
+				}
+				f.requireBound(t, lost)
+			})
+		}
+	}
+}
+
+// TestBoundHoldsWhileHubsAreLost guards against loads that are counted twice, by a hub that is lost and by the next
+// one of its clients, so that the mean and the bound seem higher than they are.
+func TestBoundHoldsWhileHubsAreLost(t *testing.T) {
+	t.Parallel()
+	for seed := range uint64(2) {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			t.Parallel()
+			f := newEngineFleet(t, sixtyEngines(), seed)
+			f.advance(8 * time.Second)
+			lost := f.now
+			for range 2 {
+				f.kill(f.hubs(), 2500*time.Millisecond)
+				f.advance(7 * time.Second)
+			}
+			f.requireBound(t, lost)
+		})
+	}
+}
+
+// TestBoundHoldsWhilePrefixBecomesPopular guards against hosts that all send the prompts of a prefix that has just
+// become popular to the same engine before they know of each other's requests.
+func TestBoundHoldsWhilePrefixBecomesPopular(t *testing.T) {
+	t.Parallel()
+	for name, l := range map[string]engineTraffic{
+		"from the start": sixtyEngines(),
+		"at once":        sixtyEngines().with(func(l *engineTraffic) { l.popular, l.popularFrom = 0.1, 6*time.Second }),
+		"loads not told": sixtyEngines().with(func(l *engineTraffic) { l.popular, l.popularFrom, l.silent = 0.1, 6*time.Second, true }),
+		"7 hosts":        sixtyEngines().with(func(l *engineTraffic) { l.entries, l.replicas, l.popular, l.popularFrom = 7, 3, 0.1, 6*time.Second }),
+		"150 hosts":      sixtyEngines().with(func(l *engineTraffic) { l.entries = 150 }),
+	} {
+		for seed := range uint64(2) {
+			t.Run(fmt.Sprintf("%s/%d", name, seed), func(t *testing.T) {
+				t.Parallel()
+				f := newEngineFleet(t, l, seed)
+				f.advance(16 * time.Second)
+				f.requireBound(t, f.began)
+			})
+		}
+	}
+}
