core/host: Say of how many hosts a sum of loads is, and extrapolate from it

Cause: a replica reports sums after a fixed time, whether or not the hosts have polled it, and a hub that has just started has replaced the loads of its whole group by its own. Who receives such a sum takes the requests of some hosts for those of all.

Change: a replica's reply says how many hosts its sum includes. Where that is less than the leader's number of entry hosts, the others are assumed to have as many requests as those; a sum of less than a quarter of them is not used.

Class: not knowing is taken for knowing that there is nothing.

--- a/core/host/clients.go
+++ b/core/host/clients.go
@@ -236,6 +236,9 @@
 	if r.Summed {
 		r.Loads = t.sumLoads().excluding(to, t.loadsOutside())
 	}
+	if r.Summed && t.settings.IsReplica() {
+		r.LoadsOf = t.sumLoads().reported - t.sumLoads().reportedBy[to]
+	}
 	r.Neighbour = c.fallback
 	if m.Lead {
 		r = t.withHubList(r, m)
--- a/core/host/loadsums.go
+++ b/core/host/loadsums.go
@@ -47,6 +47,10 @@
 	// overlaps holds, by client, the loads of its hosts that others have reported since and that are in the sum
 	// in place of its own.
 	overlaps map[ident.Host][]loads.Digest
+	// reported is the number of entry hosts whose loads are in the sum, reportedBy that of those which each client
+	// counts itself.
+	reported   int
+	reportedBy map[ident.Host]int
 	// entryHosts is the number of entry hosts.
 	entryHosts int
 }
@@ -78,6 +82,7 @@
 	}
 	reports := t.loadReports()
 	reporters := newestReporters(reports)
+	next.reported, next.reportedBy = len(reporters), map[ident.Host]int{}
 	for id, r := range reports {
 		counted := 0
 		elsewhere := map[ident.Host]int{}
@@ -88,7 +93,7 @@
 				elsewhere[reporter]++
 			}
 		}
-		next.byHost[id] = r.part(counted)
+		next.byHost[id], next.reportedBy[id] = r.part(counted), len(r.hosts)
 		for reporter, n := range elsewhere {
 			next.overlaps[id] = append(next.overlaps[id], reports[reporter].part(n))
 		}
--- a/core/host/pollreply.go
+++ b/core/host/pollreply.go
@@ -11,6 +11,7 @@
 	"github.com/yardhall/yardhall/core/config"
 	"github.com/yardhall/yardhall/core/confirmation"
 	"github.com/yardhall/yardhall/core/ident"
+	"github.com/yardhall/yardhall/core/loads"
 	"github.com/yardhall/yardhall/core/registry"
 	"github.com/yardhall/yardhall/core/requests"
 )
@@ -77,8 +78,29 @@
 // applyLoadSums stores the loads in the reply to a poll that was sent at a time.
 func (t *transition) applyLoadSums(m PollReply, sent time.Time) {
 	t.seeded.loadsDueAt = t.now.Add(time.Duration(len(m.Loads)) * loadByteTime)
+	reported, ok := t.extrapolated(m)
+	if !ok {
+		return
+	}
 	// The sender may have summed the loads up to half an interval before its reply.
-	t.applyReportedLoads(m.Loads, sent.Add(-t.pollInterval()/2-m.LoadsAge))
+	t.applyReportedLoads(reported, sent.Add(-t.pollInterval()/2-m.LoadsAge))
+}
+
+// minReportedShare is the least share of the other hosts that a sum must include.
+const minReportedShare = 0.25
+
+// extrapolated returns the loads of all other hosts. Where a replica lacks those of some, as after its start or while
+// hosts turn to other hubs, they are assumed to have as many requests as the hosts that it knows. ok is false if it knows
+// too few.
+func (t *transition) extrapolated(m PollReply) (reported loads.Digest, ok bool) {
+	others := t.seeded.hosts - 1
+	if t.seeded.hub.replies {
+		others = t.seeded.hosts - len(t.loadReports()) - 1
+	}
+	if m.LoadsOf == 0 || m.LoadsOf >= others {
+		return m.Loads, true
+	}
+	return m.Loads.Scaled(float64(others) / float64(m.LoadsOf)), float64(m.LoadsOf) >= minReportedShare*float64(others)
 }
 
 // popPendingPoll removes a poll from the pending ones and returns when it was sent. known is
