core/host: Ask for loads where a replica has them

Cause: a source is a contact that replies. A replica that has just started replies at once, and reports loads after 2.8 s.

Change: a contact that was asked for loads and replied without is not a source for that time, as long as another one is left.

--- a/core/host/hubreturn_test.go
+++ b/core/host/hubreturn_test.go
@@ -122,3 +122,24 @@
 		})
 	}
 }
+
+// TestLoadsComeFromReplicasThatReportThem guards against hosts that have no loads of others for seconds, as they ask a
+// replica that has just started, while another one has them.
+func TestLoadsComeFromReplicasThatReportThem(t *testing.T) {
+	t.Parallel()
+	const entries = 12
+	f := loadedFleet(t, 3, entries)
+	for i := range entries {
+		f.sendRequest(entryName(i), "/x/1", "k")
+	}
+	f.run(2 * time.Second)
+	for r := range 2 {
+		f.start(replicaName(r))
+	}
+	f.run(1200 * time.Millisecond)
+	for i := range entries {
+		d, ok := f.sendRequest(entryName(i), "/x/1", "k").(requests.Dispatch)
+		require.True(t, ok)
+		require.Less(t, d.Inputs.LoadAge, time.Second, "%s", entryName(i))
+	}
+}
--- a/core/host/polling.go
+++ b/core/host/polling.go
@@ -70,6 +70,8 @@
 	crashList hash.Key
 	// crashListSent is the crash list last sent to it.
 	crashListSent crashListSent
+	// noLoadsAt is when it last replied without the loads that it was asked for.
+	noLoadsAt time.Time
 	// zone is the contact's zone; empty if it has not said.
 	zone ident.Zone
 	// registered is set once all registrations of the contact have arrived.
@@ -212,6 +214,9 @@
 	}
 	s.lastPollNumber++
 	m.Round = s.lastPollNumber
+	if m.Sums {
+		s.loadsPoll = m.Round
+	}
 	s.pendingPolls = s.pendingPolls.With(s.lastPollNumber, t.now)
 	for s.pendingPolls.Len() > max(minPendingPolls, pendingPollsPerContact*len(s.hub.lastPolled)) {
 		oldest, _, _ := s.pendingPolls.First()
@@ -221,24 +226,39 @@
 }
 
 // tableSource returns the contact that sends route tables to this host.
-func (t *transition) tableSource() ident.Host { return t.pickSource("table", replicaTimeout) }
+func (t *transition) tableSource() ident.Host {
+	return t.pickSource("table", t.liveContacts(replicaTimeout))
+}
 
 // loadSource returns the contact that reports the loads of all hosts to this one. Its timeout
-// is short because loads become outdated quickly.
+// is short because loads become outdated quickly. A replica that has just started replies without
+// loads, so another one that has them is asked.
 func (t *transition) loadSource() ident.Host {
-	return t.pickSource("loads", leaderTimeoutIntervals*t.pollInterval())
+	live := t.liveContacts(leaderTimeoutIntervals * t.pollInterval())
+	withLoads := slices.DeleteFunc(slices.Clone(live), func(h ident.Host) bool {
+		c, _ := t.seeded.contacts.Get(h)
+		return !c.noLoadsAt.IsZero() && t.now.Sub(c.noLoadsAt) < sumWarmUp
+	})
+	if len(withLoads) > 0 {
+		live = withLoads
+	}
+	return t.pickSource("loads", live)
 }
 
-// pickSource picks one of the contacts that replied within the timeout, by rendezvous hash of
-// the purpose and this host, so that the hosts spread over the contacts. If none did, it
-// returns the leader contact.
-func (t *transition) pickSource(purpose string, timeout time.Duration) ident.Host {
+// liveContacts returns the contacts that replied within a timeout.
+func (t *transition) liveContacts(timeout time.Duration) []ident.Host {
 	var live []ident.Host
 	for _, h := range t.sourceCandidates() {
 		if c, ok := t.seeded.contacts.Get(h); ok && t.now.Sub(c.lastReply) <= timeout {
 			live = append(live, h)
 		}
 	}
+	return live
+}
+
+// pickSource picks one of the live contacts by rendezvous hash of the purpose and this host, so that the
+// hosts spread over the contacts. If there is none, it returns the leader contact.
+func (t *transition) pickSource(purpose string, live []ident.Host) ident.Host {
 	source, ok := hash.Best(hash.Of(purpose, string(t.settings.ID)), live, func(h ident.Host) string { return string(h) })
 	if !ok {
 		return t.seeded.leaderContact
--- a/core/host/pollreply.go
+++ b/core/host/pollreply.go
@@ -70,8 +70,13 @@
 	if !m.Cut && t.hasAllDepartures(from, m) {
 		t.requests = t.requests.WithDeparturesKnown(sent)
 	}
-	if m.Summed {
+	switch {
+	case m.Summed:
 		t.applyLoadSums(m, sent)
+	case m.Round == t.seeded.loadsPoll:
+		c, _ := t.seeded.contacts.Get(from)
+		c.noLoadsAt = t.now
+		t.seeded.contacts = t.seeded.contacts.With(from, c)
 	}
 }
 
--- a/core/host/relay.go
+++ b/core/host/relay.go
@@ -137,7 +137,7 @@
 	if primary := t.primaryHub(); primary != "" {
 		return primary
 	}
-	return t.pickSource("beats", replicaTimeout)
+	return t.pickSource("beats", t.liveContacts(replicaTimeout))
 }
 
 // selectRelays updates the relays of the fleet, on a replica.
--- a/core/host/seeded.go
+++ b/core/host/seeded.go
@@ -47,8 +47,9 @@
 	// newer than the one held; zero while it is not.
 	newestVersion config.Version
 	newerKnownAt  time.Time
-	// loadsDueAt is when loads are requested next.
+	// loadsDueAt is when loads are requested next, loadsPoll is the number of the poll that last did.
 	loadsDueAt time.Time
+	loadsPoll  uint64
 	hub        hubState
 	fallback   fallbackState
 
