core/requests: Spread a popular prefix before loads show that its engine is full

Cause: loads of other hosts are 0.3 to 0.9 s old. While a prefix becomes popular all hosts fill its first engine within that age: the headroom is drawn against the smoothed load, which lags by 3 s, and a prefix is spread only once its engine is nearly at the bound. The lines of such requests show right means, ages below 1 s, and loads of 0.66 to 0.83 of the true one.

Change: a host estimates from its last 64 prompts which share of all a prefix has, and spreads it over as many engines as that needs (popular.go); the headroom holds for the latest load as well as for the smoothed one.

--- a/core/requests/dispatch.go
+++ b/core/requests/dispatch.go
@@ -83,6 +83,7 @@
 	}
 	if c.attempt == 0 {
 		c.drawn = t.isDrawn(c)
+		t.recordPrefix(c)
 	}
 	picked, ok := t.chooseWorker(c)
 	if !ok && picked.noRoom {
--- a/core/requests/engine.go
+++ b/core/requests/engine.go
@@ -13,13 +13,14 @@
 // prefix, without coordination. In nine simulations 0.76 of the requests by value were served with this
 // order, 0.49 without it. An engine has room if
 //
-//	smoothed load + 1 <= (LoadFactor x mean load of the candidates + LoadSlack) x (1 - headroom)
+//	smoothed and latest load + 1 <= (LoadFactor x mean load of the candidates + LoadSlack) x (1 - headroom)
 //	latest load <= LoadFactor x mean load of the pool + LoadSlack
 //
 // and, while the loads of other hosts are aged, if this host has less than its part of it (part.go).
 // The second is the bound on load relative to the fleet's mean, which includes engines that
 // accept nothing new, because their zone is drained or they are leaving. The first keeps engines
-// below that bound, by loads that do not oscillate (load.go). It uses the mean of the candidates:
+// below that bound: the smoothed load does not oscillate (load.go), the latest one shows first that an engine
+// fills. It uses the mean of the candidates:
 // by the pool's mean, most of them would seem full while part of the pool accepts nothing, and
 // the remaining few would get all the traffic. Near saturation, prompts with a cheap prefix
 // follow another rule (subset.go).
@@ -64,7 +65,8 @@
 		index = highestScored(candidates, func(w candidate) bool { return w.zone == t.settings.Zone && hasRoom(w) })
 	}
 	if index < 0 {
-		index = t.pickFromSpread(c, spreadSet(candidates, mean, bound), func(i int) bool { return hasRoom(candidates[i]) })
+		least := t.enginesForPrefix(c, len(candidates), mean, bound)
+		index = t.pickFromSpread(c, spreadSet(candidates, least, mean, bound), func(i int) bool { return hasRoom(candidates[i]) })
 	}
 	if index < 0 {
 		index = highestScored(candidates, hasRoom)
--- a/core/requests/enginescan.go
+++ b/core/requests/enginescan.go
@@ -83,7 +83,7 @@
 		return choice{}, false
 	}
 	w, position := t.pickScanned(c, &scan, mean, limits)
-	if w == nil && !isSurging(scan.first.engines[0], mean, limits.latest) {
+	if w == nil && !t.isSpread(c, &scan, mean, limits.latest) {
 		w, position = t.pickAdmitted(c, f, &scan, limits)
 	}
 	if w == nil {
@@ -104,12 +104,17 @@
 			return nil, 0
 		}
 	}
-	if isSurging(scan.first.engines[0], mean, limits.latest) {
+	if t.isSpread(c, scan, mean, limits.latest) {
 		return nil, 0
 	}
 	return scan.first.firstWithRoom(limits)
 }
 
+// isSpread reports whether the call's prefix is spread over several engines.
+func (t *transition) isSpread(c call, scan *engineScan, mean, bound float64) bool {
+	return isSurging(scan.first.engines[0], mean, bound) || t.enginesForPrefix(c, scan.available, mean, bound) > 1
+}
+
 // pickAdmitted returns the engine to use if none of those kept has room, as while loads are aged and this host has a part of
 // few engines; nil if no engine has room.
 func (t *transition) pickAdmitted(c call, f versionFilter, scan *engineScan, limits roomLimits) (*candidate, int) {
--- a/core/requests/part.go
+++ b/core/requests/part.go
@@ -20,7 +20,7 @@
 
 // roomLimits are the bounds within which an engine has room for a request.
 type roomLimits struct {
-	// withHeadroom bounds the smoothed load, latest the latest one.
+	// withHeadroom bounds the smoothed and the latest load, latest the latest one.
 	withHeadroom, latest float64
 	// host is the key of this host, one of hosts.
 	host  hash.Key
@@ -37,7 +37,7 @@
 
 // admits reports whether an engine's loads leave room for one more request.
 func (l *roomLimits) admits(w *candidate) bool {
-	if w.smoothedLoad+1 > l.withHeadroom || float64(w.load) > l.latest || w.load >= w.slots {
+	if max(w.smoothedLoad, float64(w.load))+1 > l.withHeadroom || float64(w.load) > l.latest || w.load >= w.slots {
 		return false
 	}
 	return !w.aged || w.own < l.part(w)
--- a/core/requests/part_test.go
+++ b/core/requests/part_test.go
@@ -64,7 +64,7 @@
 		all[i].Slots = engineSlots
 		counts[loads.TagOf(all[i].ID)] = load
 	}
-	var out []requests.State
+	out := make([]requests.State, 0, hosts)
 	for i := range hosts {
 		s := requests.New(requests.Settings{Host: ident.Host(fmt.Sprint("h", i)), Zone: "z0"}).WithRouteTable(table()).WithHostCount(hosts)
 		s, _ = requests.Reduce(s, requests.Registered{From: "r", Workers: all}, now)
--- a/core/requests/requests.go
+++ b/core/requests/requests.go
@@ -17,6 +17,7 @@
 //	engine.go         how an engine is chosen, and the bound on its load
 //	subset.go         how an engine is chosen when the pool is near saturation
 //	spread.go         how many engines share a surging prefix
+//	popular.go        how many engines share a popular prefix
 //	part.go           how much of an engine a host may use while loads are not known
 //	cachesource.go    which engine a cached prompt prefix is copied from
 //	load.go           how a worker's load is estimated
@@ -116,6 +117,8 @@
 	brittlePools table.Table[ident.Service, brittleness]
 	roomGrowths  table.Table[ident.Service, roomGrowth]
 	sendRates    table.Table[ident.Service, sendRate]
+	// recentPrefixes are the prefixes of this host's latest prompts to pools of engines.
+	recentPrefixes table.Table[ident.Service, recentPrefixes]
 	// contact is the host's contact with the workers of all zones.
 	contact contact
 	// peers are the other entry hosts, through which workers may be reached; those that opened no
--- a/core/requests/spread.go
+++ b/core/requests/spread.go
@@ -12,7 +12,7 @@
 // of a prefix are therefore spread evenly, by request id, over the fewest engines of its
 // rendezvous order for which the load beyond the mean is at most spreadFraction of the bound
 // each. As that load is counted over all engines in the set, the set stays as large as the surge
-// needs, and is a single engine without a surge.
+// needs, and is a single engine without a surge. A popular prefix is spread from the start (popular.go).
 //
 // Inputs: load estimates in requests (load.go), the mean, and the bound.
 
@@ -20,11 +20,11 @@
 // rest is left for the engine's other load and for requests not reported yet.
 const spreadFraction = 0.5
 
-// spreadSet returns the indexes of the engines over which a prefix is spread, the most preferred
-// first; nil if the first one alone is enough.
-func spreadSet(candidates []candidate, mean, bound float64) []int {
+// spreadSet returns the indexes of the engines over which a prefix is spread, at least some number of them, the
+// most preferred first; nil if the first one alone is enough.
+func spreadSet(candidates []candidate, least int, mean, bound float64) []int {
 	first := highestScored(candidates, func(candidate) bool { return true })
-	if !isSurging(candidates[first], mean, bound) {
+	if least <= 1 && !isSurging(candidates[first], mean, bound) {
 		return nil
 	}
 	order := make([]int, len(candidates))
@@ -35,7 +35,7 @@
 	excess := 0.0
 	for n, i := range order {
 		excess += max(0, float64(candidates[i].load)-mean)
-		if excess <= float64(n+1)*spreadFraction*bound {
+		if n+1 >= least && excess <= float64(n+1)*spreadFraction*bound {
 			return order[:n+1]
 		}
 	}
