--- a/core/requests/choose.go
+++ b/core/requests/choose.go
@@ -98,7 +98,7 @@
 		return picked, true
 	}
 	view := t.poolView(c, f)
-	candidates := t.withKnownProcess(c, view.candidates())
+	candidates := view.candidates()
 	if len(candidates) == 0 || !view.hasAvailable() && !mayUseLastResort {
 		return choice{onlyCold: view.coldSkipped > 0, noRoom: view.withoutRoom > 0}, false
 	}
--- a/core/requests/enginescan.go
+++ b/core/requests/enginescan.go
@@ -68,7 +68,7 @@
 // scanForEngine picks the engine that chooseEngine would pick among those that f allows; ok is false if
 // only chooseEngine can tell.
 func (t *transition) scanForEngine(c call, f versionFilter) (picked choice, ok bool) {
-	if !c.pool.Engine || len(c.tried) > 0 || c.hasOrigin && t.processes.reported || t.isBrittle(c.pool.ID) {
+	if !c.pool.Engine || len(c.tried) > 0 || t.isBrittle(c.pool.ID) {
 		return choice{}, false
 	}
 	var scan engineScan
--- a/core/requests/process.go
+++ b/core/requests/process.go
@@ -27,8 +27,6 @@
 //   - A stream that has begun is written only over a connection to a process of its version. If the
 //     process is not known, up to maxUnknownProcesses other workers are tried, and then the same again every
 //     processRetryInterval, over the same connections, for processTimeout.
-//     A worker over a connection to which a request was answered lately, and whose process is known, is
-//     chosen first: a new connection leads to an unknown process for two heartbeats.
 //   - A stream that begins over a connection to an unknown process has an unproved origin until the process is
 //     known. Hosts report it as such, so that no other host guesses its version.
 //
@@ -47,9 +45,7 @@
 	maxUnknownProcesses = 3
 	// maxLivesPerWorker bounds the processes of a worker that are remembered, maxUnprovedStreams the streams that
 	// have ended with an unproved origin.
-	maxLivesPerWorker = 3
-	// connectionLifetime is how long after an answer a connection is likely to be open still.
-	connectionLifetime = 5 * time.Second
+	maxLivesPerWorker  = 3
 	maxUnprovedStreams = 1 << 10
 )
 
@@ -61,8 +57,6 @@
 	// reported is set once a replica or hub has replied that reports lives.
 	reported bool
 	lives    table.Table[ident.Target, workerLives]
-	// connections are those over which workers last answered.
-	connections table.Table[ident.Target, answeredConnection]
 	// unproved are the streams that ended before their origin was proved. It is never modified in place.
 	unproved []unprovedStream
 }
@@ -76,9 +70,6 @@
 	endedAt  time.Time
 }
 
-// answeredConnection is a connection over which a worker answered at a time.
-type answeredConnection struct{ openedAt, answeredAt time.Time }
-
 // WithProcessesReported returns the state of a host to which a replica or hub reports the lives of processes.
 func (s State) WithProcessesReported() State {
 	s.processes.reported = true
@@ -139,9 +130,6 @@
 // the request was sent that it answers.
 func (t *transition) recordProcessAnswer(ev HeaderReceived) {
 	c, ok := t.calls.Get(ev.Request)
-	if ok && c.checksProcess && !ev.OpenedAt.IsZero() {
-		t.processes.connections = t.processes.connections.With(ev.Worker, answeredConnection{ev.OpenedAt, t.now})
-	}
 	if _, known := t.versionOn(ev.Worker, ev.OpenedAt); !ok || c.attempt != ev.Attempt || !known {
 		return
 	}
@@ -247,33 +235,6 @@
 	return false
 }
 
-// withKnownProcess returns the candidates that a call which goes on with a stream can likely be written to at once: those
-// whose last connection leads to a known process of its version. It returns all candidates if there is none.
-func (t *transition) withKnownProcess(c call, candidates []candidate) []candidate {
-	if !c.hasOrigin || !t.processes.reported {
-		return candidates
-	}
-	var known []candidate
-	for _, w := range candidates {
-		id := w.member.idOf()
-		conn, ok := t.processes.connections.Get(id)
-		version, isKnown := t.versionOn(id, conn.openedAt)
-		if ok && isKnown && version == c.origin.Version && t.now.Sub(conn.answeredAt) <= connectionLifetime && t.isNewestLife(id, conn.openedAt) {
-			known = append(known, w)
-		}
-	}
-	if len(known) == 0 {
-		return candidates
-	}
-	return known
-}
-
-// isNewestLife reports whether no process of a worker is known that is later than the one that ran at a time.
-func (t *transition) isNewestLife(id ident.Target, at time.Time) bool {
-	lives := t.LivesOf(id)
-	return len(lives) > 0 && lives[0].RanAt(at)
-}
-
 // lookUpProcess asks for the lives of a worker's processes. It is urgent if a stream waits for them.
 func (t *transition) lookUpProcess(id ident.Target, urgent bool) {
 	t.out = append(t.out, LookUpProcess{Worker: id, Urgent: urgent})
@@ -317,13 +278,8 @@
 	return slices.ContainsFunc(t.LivesOf(c.originWorker), func(l registry.Life) bool { return l.From.After(c.originOpenedAt) })
 }
 
-// removeOldLives drops the processes of workers that are no longer known, and connections that may be closed.
+// removeOldLives drops the processes of workers that are no longer known.
 func (t *transition) removeOldLives() {
-	for id, conn := range t.processes.connections.All() {
-		if t.now.Sub(conn.answeredAt) > connectionLifetime {
-			t.processes.connections = t.processes.connections.Without(id)
-		}
-	}
 	for id := range t.processes.lives.All() {
 		if t.workers.find(id) == nil {
 			t.processes.lives = t.processes.lives.Without(id)
