--- a/core/host/clients.go
+++ b/core/host/clients.go
@@ -233,12 +233,7 @@
 	} else {
 		r = t.hubReply(r, m)
 	}
-	if r.Summed {
-		r.Loads = t.sumLoads().excluding(to, t.loadsOutside())
-	}
-	if r.Summed && t.settings.IsReplica() {
-		r.LoadsOf = t.sumLoads().reported - t.sumLoads().reportedBy[to]
-	}
+	r = t.withLoads(r, to)
 	r.Neighbour = c.fallback
 	if m.Lead {
 		r = t.withHubList(r, m)
@@ -252,6 +247,19 @@
 	t.send(to, r)
 }
 
+// withLoads adds to a reply the loads of the hosts that a client does not count itself, if it asked for them.
+func (t *transition) withLoads(r PollReply, to ident.Host) PollReply {
+	if !r.Summed {
+		return r
+	}
+	sums := t.sumLoads()
+	r.Loads = sums.excluding(to, t.loadsOutside())
+	if t.settings.IsReplica() {
+		r.LoadsOf = sums.reported - sums.reportedBy[to]
+	}
+	return r
+}
+
 // withTable adds to a reply the route table if the client lacks it, and returns the client that has been sent it.
 func (t *transition) withTable(r PollReply, c client) (PollReply, client) {
 	if !c.receivesTable || c.version >= r.Version || !t.seeded.bulk.hasRoom() {
