core/requests, daemon: Say which bound decided, and what the load rests on

A try at an engine now has the bound, load_aged (the host kept to its part, as the load is too old to be relied on) and load_told (the engine told its load, later than the hosts' report). Counters: LoadsAged and AboveBound, attempts at engines with such a load, and at engines beyond the bound by what the host knew, as no other one had room.

What a replica knows afterwards of requests above the bound is not counted.

--- a/core/requests/counters.go
+++ b/core/requests/counters.go
@@ -23,6 +23,10 @@
 	Backoffs uint64
 	// Overflowed counts requests that were not sent to their preferred engine.
 	Overflowed uint64 `json:"Spilled"`
+	// LoadsAged counts attempts at engines whose load was too old to be relied on, AboveBound those at engines
+	// whose load was beyond the bound, as no other one had room.
+	LoadsAged  uint64
+	AboveBound uint64
 	// Waited counts requests that waited for this host to start; WaitedUnserved is the total time
 	// waited by those that were then refused.
 	Waited         uint64
--- a/core/requests/decision.go
+++ b/core/requests/decision.go
@@ -143,6 +143,11 @@
 	Load     int
 	LoadAge  time.Duration
 	MeanLoad float64
+	// LoadBound is the bound on an engine's load, 0 for plain workers. LoadAged is set if the load is too old to
+	// be relied on, so that the host kept to its part of the bound; LoadTold is set if the worker told the load itself.
+	LoadBound float64
+	LoadAged  bool
+	LoadTold  bool
 	// Position is the worker's rank in the rendezvous order, 0 for the first; Candidates is the
 	// number of candidates.
 	Position   int
--- a/core/requests/dispatch.go
+++ b/core/requests/dispatch.go
@@ -175,6 +175,7 @@
 	header, eventGap := c.responseTimeouts()
 	inputs := t.decisionInputs(picked)
 	inputs.Rollout = c.drawn && c.side.New
+	t.countLoad(inputs)
 	t.out = append(t.out, Dispatch{
 		Request: c.req.ID, Attempt: c.attempt, Worker: picked.worker.Worker, Route: c.route,
 		Account: c.account, Content: c.content, Rank: c.rank, Deadline: c.req.Deadline, Engine: c.pool.Engine,
@@ -195,6 +196,7 @@
 	if asOf := t.loadAsOf(&picked.worker); !asOf.IsZero() {
 		in.LoadAge = t.now.Sub(asOf)
 	}
+	t.addLoadInputs(&in, &picked.worker)
 	in.DeparturesAge = neverKnown
 	if !t.departuresAsOf.IsZero() {
 		in.DeparturesAge = t.now.Sub(t.departuresAsOf)
@@ -207,6 +209,27 @@
 	return in
 }
 
+// countLoad counts attempts at engines by what is known of their load.
+func (t *transition) countLoad(in Inputs) {
+	if in.LoadAged {
+		t.counters.LoadsAged++
+	}
+	// The load includes this attempt.
+	if in.LoadBound > 0 && float64(in.Load-1) > in.LoadBound {
+		t.counters.AboveBound++
+	}
+}
+
+// addLoadInputs adds the bound on an engine's load, and what its load rests on.
+func (t *transition) addLoadInputs(in *Inputs, w *worker) {
+	if in.MeanLoad == 0 {
+		return
+	}
+	in.LoadBound = t.loadBound(in.MeanLoad)
+	in.LoadTold = w.selfReportedAt.After(t.reportedAsOf)
+	in.LoadAged = t.hostCount > 1 && t.now.Sub(t.loadAsOf(w)) > reportTTL
+}
+
 // neverConfirmed is the logged age of a route table that was never confirmed.
 const neverConfirmed = -time.Millisecond
 
--- a/daemon/requestlog.go
+++ b/daemon/requestlog.go
@@ -110,6 +110,9 @@
 		"connected_ms", millis(try.ConnectedAfter), "sent_ms", millis(try.SentAfter),
 		"result", resultText(try.Result), "try_ms", millis(try.Duration),
 	}
+	if in.LoadBound > 0 {
+		fields = append(fields, "bound", fmt.Sprintf("%.1f", in.LoadBound), "load_aged", in.LoadAged, "load_told", in.LoadTold)
+	}
 	fields = append(fields, connectionFields(try)...)
 	if in.LastResort {
 		fields = append(fields, "last_resort", true)
