core/host: Divide limits by the most hosts that were reported lately

What callers would see: limits of the whole fleet that all hosts exceed together after the replicas have started again.

Cause: a leader that has just started counts the entry hosts that have polled it so far, and hosts divide by that number: parts of engines, slots of brittle workers, rates of cold workers, retry budgets.

Change: a lower number counts once it has been lower for 5 s. Polls and sums use the present number as before.

--- a/core/host/clients.go
+++ b/core/host/clients.go
@@ -247,19 +247,6 @@
 	t.send(to, r)
 }
 
-// withLoads adds to a reply the loads of the hosts that a client does not count itself, if it asked for them.
-func (t *transition) withLoads(r PollReply, to ident.Host) PollReply {
-	if !r.Summed {
-		return r
-	}
-	sums := t.sumLoads()
-	r.Loads = sums.excluding(to, t.loadsOutside())
-	if t.settings.IsReplica() {
-		r.LoadsOf = sums.reported - sums.reportedBy[to]
-	}
-	return r
-}
-
 // withTable adds to a reply the route table if the client lacks it, and returns the client that has been sent it.
 func (t *transition) withTable(r PollReply, c client) (PollReply, client) {
 	if !c.receivesTable || c.version >= r.Version || !t.seeded.bulk.hasRoom() {
--- a/core/host/loadsums.go
+++ b/core/host/loadsums.go
@@ -201,6 +201,19 @@
 	return reporters
 }
 
+// withLoads adds to a reply the loads of the hosts that a client does not count itself, if it asked for them.
+func (t *transition) withLoads(r PollReply, to ident.Host) PollReply {
+	if !r.Summed {
+		return r
+	}
+	sums := t.sumLoads()
+	r.Loads = sums.excluding(to, t.loadsOutside())
+	if t.settings.IsReplica() {
+		r.LoadsOf = sums.reported - sums.reportedBy[to]
+	}
+	return r
+}
+
 // keepDepartedLoads keeps counting the requests of a client that reports them to another host now.
 func (t *transition) keepDepartedLoads(id ident.Host, c client) {
 	if len(c.loads) > 0 {
--- a/core/host/partialsums_test.go
+++ b/core/host/partialsums_test.go
@@ -37,3 +37,24 @@
 		require.InDelta(t, want, f.observedLoad(entryName(0)), 2, "%d hosts lacking", lacking)
 	}
 }
+
+// TestHostsThatALeaderLacksStillCount guards against limits of the whole fleet that hosts exceed together after the
+// replicas have started again, as the leader counts the hosts that have polled it so far.
+func TestHostsThatALeaderLacksStillCount(t *testing.T) {
+	f := newLargeFleet(t, largeFleet)
+	fewest := largeFleet
+	f.onDeliver = func(p seededPacket) {
+		if m, ok := p.message.(host.PollReply); ok && m.Fresh && m.Hosts > 0 {
+			fewest = min(fewest, m.Hosts)
+		}
+	}
+	for r := range 3 {
+		f.start(replicaName(r))
+	}
+	for end := f.now.Add(4 * time.Second); f.now.Before(end); f.run(seededStep) {
+		for i := range largeFleet {
+			require.GreaterOrEqual(t, f.states[entryName(i)].Requests().HostCount(), largeFleet, "%s", entryName(i))
+		}
+	}
+	require.Less(t, fewest, largeFleet, "the leader counted all hosts at once")
+}
--- a/core/host/pollreply.go
+++ b/core/host/pollreply.go
@@ -56,13 +56,27 @@
 	t.recordNewestVersion(m.Version)
 	if m.Hosts > 0 {
 		t.seeded.hosts = m.Hosts
-		t.requests = t.requests.WithHostCount(m.Hosts)
+		t.requests = t.requests.WithHostCount(t.mostHosts(m.Hosts))
 	}
 	if known {
 		t.applyConfirmation(m, sent)
 	}
 }
 
+// hostsSettleTime is how long a number of entry hosts must be lower before it counts: longer than a leader that has just
+// started lacks hosts, or the hosts of hubs.
+const hostsSettleTime = 5 * time.Second
+
+// mostHosts returns the highest number of entry hosts that leaders have reported lately. Limits of the whole fleet are
+// divided by it, so that a number that is too low for a while would let all hosts together exceed them.
+func (t *transition) mostHosts(reported int) int {
+	s := &t.seeded
+	if reported >= s.mostHosts || t.now.Sub(s.mostHostsAt) > hostsSettleTime {
+		s.mostHosts, s.mostHostsAt = reported, t.now
+	}
+	return s.mostHosts
+}
+
 // applyDatedReply applies what the reply to a poll that was sent at a time says as of then.
 func (t *transition) applyDatedReply(from ident.Host, m PollReply, sent time.Time) {
 	t.handleLives(m.Lives, sent)
--- a/core/host/seeded.go
+++ b/core/host/seeded.go
@@ -43,6 +43,9 @@
 	nextReplica int
 	// hosts is the number of entry hosts, as reported by a leader.
 	hosts int
+	// mostHosts is the highest number of entry hosts reported lately, mostHostsAt is when it was last reported.
+	mostHosts   int
+	mostHostsAt time.Time
 	// newestVersion is the newest table version known, newerKnownAt is since when it has been
 	// newer than the one held; zero while it is not.
 	newestVersion config.Version
--- a/core/requests/requests.go
+++ b/core/requests/requests.go
@@ -192,6 +192,9 @@
 	return s
 }
 
+// HostCount returns the number of entry hosts by which limits of the whole fleet are divided.
+func (s State) HostCount() int { return s.hostCount }
+
 // TableNumber returns the number of the route table in force; 0 if there is none.
 func (s State) TableNumber() uint64 { return s.tableNumber }
 
