--- a/Makefile
+++ b/Makefile
@@ -99,7 +99,7 @@
 # product from its two programs alone, where the rigs of tests are left out and so are
 # yardhall's own header names, which an adapter replaces.
 lint: bin/golangci-lint-$(LINT_VERSION) bin/deadcode-$(TOOLS_VERSION)
-	for m in $(MODULES); do (cd $$m && $(CURDIR)/$< run --config $(CURDIR)/.golangci.yml ./...) || exit 1; done
+	for m in $(MODULES); do (cd $$m && $(CURDIR)/$< run --allow-parallel-runners --config $(CURDIR)/.golangci.yml ./...) || exit 1; done
 	for m in . core; do (cd $$m && $(CURDIR)/bin/deadcode-$(TOOLS_VERSION) -test ./... | (! grep .)) || exit 1; done
 	bin/deadcode-$(TOOLS_VERSION) -filter github.com/yardhall/yardhall ./yardhalld ./yardhall | \
 	  grep -vE '^(standin|site)/|: DefaultHeaders$$' | (! grep .)
