core/requests: Count every attempt at an engine above the bound

Cause: the counter AboveBound compared the load less one, on the assumption that it holds the attempt that is counted; it is taken before that. An engine that was above the bound by less than a request was not counted. Nothing decides by it.

Test: TestRequestsAboveTheBoundAreCounted; the case of one engine left, with a load of 8 and a bound of 7.8, counts 0 before and 1 now.

--- a/core/requests/dispatch.go
+++ b/core/requests/dispatch.go
@@ -214,8 +214,7 @@
 	if in.LoadAged {
 		t.counters.LoadsAged++
 	}
-	// The load includes this attempt.
-	if in.LoadBound > 0 && float64(in.Load-1) > in.LoadBound {
+	if in.LoadBound > 0 && float64(in.Load) > in.LoadBound {
 		t.counters.AboveBound++
 	}
 }
--- a/core/requests/part_test.go
+++ b/core/requests/part_test.go
@@ -4,6 +4,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -12,6 +13,7 @@
 	"github.com/yardhall/yardhall/core/confirmation"
 	"github.com/yardhall/yardhall/core/ident"
 	"github.com/yardhall/yardhall/core/loads"
+	"github.com/yardhall/yardhall/core/registry"
 	"github.com/yardhall/yardhall/core/requests"
 )
 
@@ -55,6 +57,53 @@
 	require.LessOrEqual(t, float64(over), 0.03*total)
 }
 
+// TestRequestsAboveTheBoundAreCounted guards against counters that miss requests at engines beyond the bound, or whose load is
+// too old to be relied on.
+func TestRequestsAboveTheBoundAreCounted(t *testing.T) {
+	all := workers("engines", 3)
+	for name, c := range map[string]struct {
+		loads []int
+		age   time.Duration
+		above uint64
+		aged  uint64
+	}{
+		"room":                            {loads: []int{5, 5, 5}},
+		"aged":                            {loads: []int{5, 5, 5}, age: 3 * time.Second, aged: 1},
+		"only one left":                   {loads: []int{8, 0, 0}, above: 1},
+		"only one left, within the bound": {loads: []int{7, 0, 0}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			counts := loads.Counts{}
+			for i, n := range c.loads {
+				counts[loads.TagOf(all[i].ID)] = n
+			}
+			s := requests.New(requests.Settings{Zone: "z"}).WithRouteTable(table()).WithHostCount(2)
+			registered := all
+			if c.loads[1] == 0 {
+				registered = withOnlyFirstReady(all)
+			}
+			s, _ = requests.Reduce(s, requests.Registered{From: "r", Workers: registered}, start)
+			s, _ = requests.Reduce(s, requests.Confirmed{Confirmation: confirmation.At(start)}, start)
+			s, _ = requests.Reduce(s, requests.LoadsReported{Loads: loads.Pack(counts), AsOf: start.Add(-c.age)}, start)
+			r := request("r", "/resumable/x")
+			r.Prompt = prompt("one")
+			s, d := arrive(t, s, r, start)
+			require.IsType(t, requests.Dispatch{}, d)
+			require.Equal(t, c.above, s.Counters().AboveBound)
+			require.Equal(t, c.aged, s.Counters().LoadsAged)
+		})
+	}
+}
+
+// withOnlyFirstReady returns the workers, of which all but the first one are leaving.
+func withOnlyFirstReady(all []registry.Worker) []registry.Worker {
+	out := slices.Clone(all)
+	for i := range out[1:] {
+		out[i+1].State = registry.Draining
+	}
+	return out
+}
+
 // olderHosts returns hosts that know loads of each engine as of an age; none at age 0.
 func olderHosts(hosts, engines, load int, age time.Duration) []requests.State {
 	now := start.Add(time.Minute)
