--- a/core/host/hub.go
+++ b/core/host/hub.go
@@ -168,9 +168,9 @@
 	t.reduceRequests(requests.LoadsReported{Loads: reported, AsOf: asOf})
 }
 
-// groupReport returns the hosts that this hub counts, those that have just departed included. due reports whether they must be reported
-// in this round, which groupReport then records. A host that is no hub any more reports none for as long as a
-// replica may hold its last report.
+// groupReport returns the hosts that this hub counts, including those that have just departed. due reports
+// whether they must be reported in this round, which groupReport then records. A host that is no longer a hub
+// reports none for as long as a replica may hold its last report.
 func (t *transition) groupReport() (hosts []hubs.Host, due bool) {
 	if !t.isHub() {
 		return nil, !t.seeded.hub.groupReportedAt.IsZero() && t.now.Sub(t.seeded.hub.groupReportedAt) <= clientLifetime
--- a/core/host/loadsums.go
+++ b/core/host/loadsums.go
@@ -148,8 +148,8 @@
 	return t.now.Sub(d.since) > departedIntervals*t.pollInterval()
 }
 
-// loadsOutside returns the requests of the hosts that this hub does not count. Those of departed clients that it has
-// just stopped to report are among them, until replicas have replied to a poll without them.
+// loadsOutside returns the requests of the hosts that this hub does not count. These include departed clients that
+// it has just stopped reporting, until replicas have replied to a poll without them.
 func (t *transition) loadsOutside() loads.Digest {
 	t.forgetDepartures()
 	outside := []loads.Digest{t.seeded.hub.outsideLoads}
@@ -183,10 +183,10 @@
 	return r.loads.Scaled(float64(hosts) / float64(len(r.hosts)))
 }
 
-// newestReporters returns which client reported each host last. A host counts there only: a hub that is lost, or a host
-// that polled replicas while its hubs were, would otherwise be counted twice until it expires, and the mean and the bound
-// on loads would seem higher than they are. Hosts that nobody else reports are still counted, as their requests do not
-// end with their hub.
+// newestReporters returns which client reported each host last; the host counts only there. Otherwise the clients of a
+// lost hub would be counted twice until it expires, and so would hosts that polled replicas while their hubs were
+// lost: the mean, and with it the bound on loads, would seem higher than they are. Hosts that no other client
+// reports are still counted, as their requests do not end with their hub.
 func newestReporters(reports map[ident.Host]loadReport) map[ident.Host]ident.Host {
 	reporters := map[ident.Host]ident.Host{}
 	for id, r := range reports {
--- a/core/requests/engine.go
+++ b/core/requests/engine.go
@@ -99,8 +99,8 @@
 	return float64(total) / float64(len(candidates))
 }
 
-// wholeMean returns the mean load of engines by that of the requests known here. Where no other host's loads are known,
-// the others are assumed to have as many requests as this one.
+// wholeMean returns the mean load of engines, given that of the requests known here. If the loads of other hosts
+// are not known, these are assumed to have as many requests each as this host.
 func (t *transition) wholeMean(mean float64) float64 {
 	if t.hostCount > 1 && t.now.Sub(t.reportedAsOf) > reportLifetime {
 		return mean * float64(t.hostCount)
@@ -146,8 +146,8 @@
 }
 
 // leastLoaded returns the index of the least loaded candidate; the highest-scored one among
-// equals. Aged loads are the same on all hosts, which would all choose the same engine by them, so only this host's own
-// requests are compared then.
+// equals. By aged loads of others all hosts would choose the same engine for as long as they are aged, so
+// only this host's own requests are compared then.
 func leastLoaded(candidates []candidate, aged bool) int {
 	index := 0
 	for i, w := range candidates {
--- a/core/requests/enginescan.go
+++ b/core/requests/enginescan.go
@@ -11,8 +11,8 @@
 // among the first few. scanForEngine therefore looks at each engine of the pool once, keeps only the
 // highest-scored ones, and makes the same choice as chooseEngine does from the list of all
 // candidates. In all other cases it makes none: after a failed attempt, where a prefix is spread over
-// several engines, near saturation, and where no engine has room. Where none of the engines kept has room, it looks at the pool
-// once more.
+// several engines, near saturation, and where no engine has room. Where none of the engines kept has room,
+// it looks at the pool once more.
 
 // scannedEngines is the number of engines kept. With a tenth of the engines full, all of them are in
 // less than one of 10^15 choices.
@@ -115,8 +115,8 @@
 	return isSurging(scan.first.engines[0], mean, bound) || t.enginesForPrefix(c, scan.available, mean, bound) > 1
 }
 
-// pickAdmitted returns the engine to use if none of those kept has room, as while loads are aged and this host has a part of
-// few engines; nil if no engine has room.
+// pickAdmitted returns the engine to use if none of those kept has room, as when loads are aged and this host
+// has a part of few engines only; nil if no engine has room.
 func (t *transition) pickAdmitted(c call, f versionFilter, scan *engineScan, limits roomLimits) (*candidate, int) {
 	var admitted engineScan
 	t.scanEngines(c, f, &admitted, &limits)
@@ -154,8 +154,9 @@
 	return e.first.size
 }
 
-// scanEngines fills a scan of the call's pool; within, if set, are the limits of those to keep. Engines of which only the registration is known are
-// nearly all of a large pool, so they are judged without unpacking them.
+// scanEngines fills a scan of the call's pool. If within is set, only engines within these limits are kept.
+// Engines of which only the registration is known are nearly all of a large pool, so they are judged without
+// unpacking them.
 func (t *transition) scanEngines(c call, f versionFilter, e *engineScan, within *roomLimits) {
 	key, estimate, open := prefixKey(c), t.loadEstimate(t.now), t.openZones()
 	for _, page := range t.workers.Pool(c.pool.ID).members.pages {
--- a/core/requests/part.go
+++ b/core/requests/part.go
@@ -6,11 +6,12 @@
 	"github.com/yardhall/yardhall/core/hash"
 )
 
-// While the estimate of an engine's load is aged (load.go), each host keeps to its part of the engine's bound, so that
-// all hosts together stay below it however old their estimates are. With more hosts than requests within the
-// bound, the part is less than one request: whether a host has one is drawn from its name and the engine's id, so
-// that on average as many hosts have one as the bound allows. A prompt goes to the first engine of its rendezvous order at
-// which the host has room, so its prefix is read by a few engines more until loads are reported again.
+// While the estimate of an engine's load is aged (load.go), each host keeps to its part of the engine's bound,
+// so that all hosts together stay below it however old their estimates are. With more hosts than requests within
+// the bound, the part is less than one request. Whether a host may send one is then drawn from its name and the
+// engine's id, so that on average as many hosts may as the bound allows. A prompt goes to the first engine of its
+// rendezvous order at which the host has room, so a few more engines read its prefix until loads are reported
+// again.
 //
 // Inputs: the bound, slots, this host's requests at the engine, and the number of entry hosts.
 
--- a/core/requests/part_test.go
+++ b/core/requests/part_test.go
@@ -57,8 +57,8 @@
 	require.LessOrEqual(t, float64(over), 0.03*total)
 }
 
-// TestRequestsAboveTheBoundAreCounted guards against counters that miss requests at engines beyond the bound, or whose load is
-// too old to be relied on.
+// TestRequestsAboveTheBoundAreCounted guards against counters that miss requests at engines above the bound, or at
+// engines whose load is too old to be relied on.
 func TestRequestsAboveTheBoundAreCounted(t *testing.T) {
 	all := workers("engines", 3)
 	for name, c := range map[string]struct {
--- a/core/requests/popular.go
+++ b/core/requests/popular.go
@@ -8,11 +8,11 @@
 	"github.com/yardhall/yardhall/core/hash"
 )
 
-// The prompts of a popular prefix are spread over several engines before loads show that the first one is full: its
-// requests from all hosts fill an engine within the age of the loads that other hosts report. A host knows how popular
-// a prefix is from its own latest prompts, which are a sample of those of the fleet. The prefix is spread over as many
-// engines of its rendezvous order as its expected share of the pool's load needs, if it uses popularFraction of the bound
-// of each. All hosts see about the same share, so they spread it over about the same engines.
+// The prompts of a popular prefix are spread over several engines before loads show that the first one is full,
+// as all hosts together can fill an engine faster than they learn of each other's requests. A host estimates how
+// popular a prefix is from its own latest prompts, which are a sample of those of the fleet. The prefix is spread
+// over the first engines of its rendezvous order, as many as its expected share of the pool's load needs if it uses
+// popularFraction of the bound of each. All hosts see about the same share, so they use about the same engines.
 //
 // Inputs: the prefixes of this host's latest prompts to the pool, the mean load, and the bound.
 const (
--- a/core/requests/popular_test.go
+++ b/core/requests/popular_test.go
@@ -11,8 +11,8 @@
 	"github.com/yardhall/yardhall/core/hash"
 )
 
-// TestOnlyPopularPrefixesAreSpread guards against spreading prefixes that an engine bears alone, and against sending a popular
-// one to a single engine while its load is not known.
+// TestOnlyPopularPrefixesAreSpread guards against spreading prefixes that one engine bears, and against sending a
+// popular one to a single engine.
 func TestOnlyPopularPrefixesAreSpread(t *testing.T) {
 	var recent recentPrefixes
 	for i := range 5 * recentPrompts {
