--- a/core/host/pollmessage.go
+++ b/core/host/pollmessage.go
@@ -126,9 +126,6 @@
 		// Summed is set if Loads are the requests of all other hosts.
 		Summed bool
 		Loads  loads.Digest
-		// LoadsOf is the number of entry hosts whose requests are in Loads, if the sender is a replica; 0 from
-		// earlier versions.
-		LoadsOf int
 		// Hosts is the number of entry hosts.
 		Hosts int
 		// HubList is the key of the list of hubs, 0 if it is not known. Hubs is the list if the
@@ -181,6 +178,9 @@
 		Lives          []WorkerLife
 		// WorkersAge is how long ago the sender, a hub, knew all workers; 0 if it never did.
 		WorkersAge time.Duration
+		// LoadsOf is the number of entry hosts whose requests are in Loads, if the sender is a replica; 0 from
+		// earlier versions.
+		LoadsOf int
 	}
 )
 
