--- a/core/host/engineload_test.go
+++ b/core/host/engineload_test.go
@@ -46,6 +46,10 @@
 	prefixes    int
 	// silent engines do not tell their load.
 	silent bool
+	// slots returns the slots of an engine; nil means engineSlots for all.
+	slots func(i int) int
+	// skewed is the fraction of requests that come to the first two entry hosts.
+	skewed float64
 }
 
 // engineJob is a request at an engine.
@@ -80,12 +84,18 @@
 	refused   int
 	// oldest is the oldest count of other hosts' requests that decided.
 	oldest time.Duration
+	// leaving and gone are the engines that are shutting down and that have ended; slow multiplies the work at engines.
+	leaving, gone map[ident.Target]bool
+	slow          map[ident.Target]float64
+	// cut is a zone whose hosts and engines exchange nothing with others; empty if there is none.
+	cut ident.Zone
 }
 
 func newEngineFleet(t *testing.T, load engineTraffic, seed uint64) *engineFleet {
 	f := &engineFleet{
 		seededFleet: newSeededFleet(t, load.replicas, load.entries), traffic: load, random: rand.New(rand.NewPCG(seed, 1)),
 		jobs: map[ident.Target][]*engineJob{}, prefixed: map[string]map[ident.Target]bool{}, sent: map[ident.Request]string{},
+		leaving: map[ident.Target]bool{}, gone: map[ident.Target]bool{}, slow: map[ident.Target]float64{},
 	}
 	f.run(8 * time.Second)
 	g := config.RouteTable{
@@ -105,24 +115,47 @@
 
 func engineName(i int) ident.Target { return ident.Target(fmt.Sprintf("e-%04x", i*7919)) }
 
-// sendHeartbeats sends a heartbeat of each engine to a replica that runs.
+// sendHeartbeats sends a heartbeat of each engine to a replica that runs and that it reaches.
 func (f *engineFleet) sendHeartbeats() {
-	var live []ident.Host
-	for i := range f.traffic.replicas {
-		if !f.down[replicaName(i)] {
-			live = append(live, replicaName(i))
+	f.beatAt = f.now.Add(time.Second)
+	for i := range f.traffic.engines {
+		var live []ident.Host
+		for r := range f.traffic.replicas {
+			if id := replicaName(r); !f.down[id] && !f.isCut(f.zoneOf(id), engineZone(i)) {
+				live = append(live, id)
+			}
+		}
+		if len(live) > 0 {
+			f.reduce(live[(i+int(f.starts))%len(live)], host.HeartbeatReceived{Worker: f.registration(i)})
 		}
 	}
-	f.beatAt = f.now.Add(time.Second)
-	if len(live) == 0 {
-		return
+}
+
+// isCut reports whether two zones are separated from each other.
+func (f *engineFleet) isCut(a, b ident.Zone) bool { return f.cut != "" && (a == f.cut) != (b == f.cut) }
+
+// registration returns what an engine says of itself.
+func (f *engineFleet) registration(i int) registry.Worker {
+	w := registry.Worker{
+		ID: engineName(i), Pool: "engines", Zone: engineZone(i), Slots: f.slotsOf(i),
+		Address: fmt.Sprintf("10.9.%d.%d:80", i/250, i%250), Seq: uint64(f.now.UnixMilli()),
 	}
-	for i := range f.traffic.engines {
-		f.reduce(live[(i+int(f.starts))%len(live)], host.HeartbeatReceived{Worker: registry.Worker{
-			ID: engineName(i), Pool: "engines", Zone: ident.Zone(fmt.Sprint("z", i%3)), Slots: engineSlots,
-			Address: fmt.Sprintf("10.9.%d.%d:80", i/250, i%250), Seq: uint64(f.now.UnixMilli()),
-		}})
+	switch {
+	case f.gone[w.ID]:
+		w.State = registry.Gone
+	case f.leaving[w.ID]:
+		w.State = registry.Draining
+	}
+	return w
+}
+
+func engineZone(i int) ident.Zone { return ident.Zone(fmt.Sprint("z", i%3)) }
+
+func (f *engineFleet) slotsOf(i int) int {
+	if f.traffic.slots == nil {
+		return engineSlots
 	}
+	return f.traffic.slots(i)
 }
 
 // advance lets d pass with traffic.
@@ -166,6 +199,9 @@
 // arrive sends a request to an entry host that runs.
 func (f *engineFleet) arrive() {
 	at := entryName(f.random.IntN(f.traffic.entries))
+	if f.traffic.skewed > 0 && f.random.Float64() < f.traffic.skewed {
+		at = entryName(f.random.IntN(2))
+	}
 	if f.down[at] {
 		return
 	}
@@ -188,10 +224,18 @@
 func (f *engineFleet) decide(at ident.Host, d requests.Decision) {
 	switch d := d.(type) {
 	case requests.Dispatch:
-		f.record(d)
+		if f.isCut(f.zoneOf(at), d.Worker.Zone) {
+			f.reduce(at, host.RequestEvent{Event: requests.AttemptEnded{
+				Request: d.Request, Attempt: d.Attempt, Result: outcome.NeverSent{Reason: "no route"}, CallerWaiting: true,
+			}})
+			return
+		}
+		if f.cut == "" || f.zoneOf(at) != f.cut {
+			f.record(d)
+		}
 		f.jobs[d.Worker.ID] = append(f.jobs[d.Worker.ID], &engineJob{
 			host: at, dispatch: d, answerAt: f.now.Add(answerDelay),
-			due: f.now.Add(answerDelay + time.Duration(f.random.ExpFloat64()*float64(f.traffic.work-answerDelay))),
+			due: f.now.Add(answerDelay + time.Duration(f.random.ExpFloat64()*max(1, f.slow[d.Worker.ID])*float64(f.traffic.work-answerDelay))),
 		})
 	case requests.Finish:
 		if d.Verdict.Code != requests.CodeOK {
@@ -202,11 +246,7 @@
 
 // record adds an arrival at an engine to the samples.
 func (f *engineFleet) record(d requests.Dispatch) {
-	total := 0
-	for _, jobs := range f.jobs {
-		total += len(jobs)
-	}
-	mean := float64(total) / float64(f.traffic.engines)
+	mean := f.meanLoad()
 	over := float64(len(f.jobs[d.Worker.ID])) > promisedFactor*mean+promisedSlack
 	f.samples = append(f.samples, boundSample{f.now, over})
 	f.oldest = max(f.oldest, d.Inputs.LoadAge)
@@ -220,6 +260,15 @@
 	f.prefixed[prefix][d.Worker.ID] = true
 }
 
+// meanLoad returns the mean load of the engines that have not ended.
+func (f *engineFleet) meanLoad() float64 {
+	total := 0
+	for _, jobs := range f.jobs {
+		total += len(jobs)
+	}
+	return float64(total) / float64(f.traffic.engines-len(f.gone))
+}
+
 // work lets engines answer and end requests.
 func (f *engineFleet) work() {
 	for i := range f.traffic.engines {
@@ -244,7 +293,7 @@
 		Request: j.dispatch.Request, Attempt: j.dispatch.Attempt, Worker: id, Route: "chat", Took: answerDelay,
 	}
 	if !f.traffic.silent {
-		h.Load = requests.Load{Running: len(f.jobs[id]), Slots: engineSlots}
+		h.Load = requests.Load{Running: len(f.jobs[id]), Slots: j.dispatch.Worker.Slots}
 	}
 	f.reduce(j.host, host.RequestEvent{Event: h})
 }
--- a/soak/engines_test.go
+++ b/soak/engines_test.go
@@ -28,12 +28,12 @@
 	engineCount = flag.Int("engines", 0, "engines that do not tell their load, of which none may stand above the bound; 0 for none of this")
 	prompts     = flag.Float64("prompts", 200, "prompts a second to the engines")
 	popular     = flag.Float64("popular", 0.08, "part of the prompts that have one prefix")
+	prefixes    = flag.Int("prefixes", 200, "number of other prefixes")
 )
 
 const (
 	engineSlots = 64
 	engineWork  = time.Second
-	prefixes    = 200
 	// boundFactor and boundSlack are the promised bound on an engine's load, boundShare the part of the arrivals in any
 	// boundWindow that may be at an engine above it.
 	boundFactor = 2.0
@@ -219,7 +219,7 @@
 			return
 		case <-time.After(time.Until(next)):
 		}
-		prefix, id, entry := fmt.Sprintf("%08x", random.IntN(prefixes)), fmt.Sprintf("%016x", random.Uint64()), hosts[random.IntN(len(hosts))]
+		prefix, id, entry := fmt.Sprintf("%08x", random.IntN(*prefixes)), fmt.Sprintf("%016x", random.Uint64()), hosts[random.IntN(len(hosts))]
 		if random.Float64() < *popular {
 			prefix = "ffffffff"
 		}
