core/requests: Draw the engines of a popular prefix by their room

Cause: each popular prefix was spread evenly over the first engines of its own rendezvous order, whatever else these engines have. An engine that is in the sets of several prefixes gets the sum of their parts, until its load of 0.3 to 0.9 s ago shows that it is full. The class: one resource divided by several who do not know of each other. Change: within a set an engine is drawn with the square of its room as its weight, so that one in more sets gets a smaller part of each; the first engine of a prefix counts twice, as it is the most likely to have it cached. While loads are not known, room is the rest of the host's part.

--- a/core/requests/engine.go
+++ b/core/requests/engine.go
@@ -66,7 +66,7 @@
 	}
 	if index < 0 {
 		least := t.enginesForPrefix(c, len(candidates), mean, bound)
-		index = t.pickFromSpread(c, spreadSet(candidates, least, mean, bound), func(i int) bool { return hasRoom(candidates[i]) })
+		index = drawFromSpread(c, candidates, spreadSet(candidates, least, mean, bound), limits)
 	}
 	if index < 0 {
 		index = highestScored(candidates, hasRoom)
--- a/core/requests/part.go
+++ b/core/requests/part.go
@@ -19,6 +19,9 @@
 // varies by less than half of the square root of their number.
 const partedFraction = 0.85
 
+// leastRoom keeps the weight of an engine above zero.
+const leastRoom = 0.1
+
 // roomLimits are the bounds within which an engine has room for a request.
 type roomLimits struct {
 	// withHeadroom bounds the smoothed and the latest load, latest the latest one.
@@ -44,6 +47,15 @@
 	return !w.aged || w.own < l.part(w)
 }
 
+// room returns how many requests fit into an engine that is admitted, at least a small part of one. If its load is not
+// known, that is the rest of this host's part.
+func (l *roomLimits) room(w *candidate) float64 {
+	if w.aged {
+		return float64(l.part(w) - w.own)
+	}
+	return max(leastRoom, min(l.withHeadroom, float64(w.slots))-max(w.smoothedLoad, float64(w.load)))
+}
+
 // part returns how many requests this host may have at an engine while its load is not known.
 func (l *roomLimits) part(w *candidate) int {
 	part := partedFraction * min(l.latest, float64(w.slots)) / float64(l.hosts)
--- a/core/requests/spread.go
+++ b/core/requests/spread.go
@@ -4,15 +4,22 @@
 
 import (
 	"cmp"
+	"math"
 	"slices"
+
+	"github.com/yardhall/yardhall/core/hash"
 )
 
 // When requests that share one prefix surge, hundreds of hosts send them to the same engine
 // before they learn of each other's requests, and then all at once to the next one. The prompts
-// of a prefix are therefore spread evenly, by request id, over the fewest engines of its
-// rendezvous order for which the load beyond the mean is at most spreadFraction of the bound
-// each. As that load is counted over all engines in the set, the set stays as large as the surge
-// needs, and is a single engine without a surge. A popular prefix is spread from the start (popular.go).
+// of a prefix are therefore spread over the fewest engines of its rendezvous order for which the
+// load beyond the mean is at most spreadFraction of the bound each. As that load is counted over
+// all engines in the set, the set stays as large as the surge needs, and is a single engine without
+// a surge. A popular prefix is spread from the start (popular.go).
+//
+// An engine may be in the sets of several prefixes, as each prefix has its own order. Within a set an
+// engine is therefore drawn, by request id, with the square of its room as its weight: one that is
+// in more sets than others gets a smaller part of each.
 //
 // Inputs: load estimates in requests (load.go), the mean, and the bound.
 
@@ -20,6 +27,9 @@
 // rest is left for the engine's other load and for requests not reported yet.
 const spreadFraction = 0.5
 
+// firstWeight multiplies the weight of the first engine of a prefix, which is the most likely to have it cached.
+const firstWeight = 2
+
 // spreadSet returns the indexes of the engines over which a prefix is spread, at least some number of them, the
 // most preferred first; nil if the first one alone is enough.
 func spreadSet(candidates []candidate, least int, mean, bound float64) []int {
@@ -47,17 +57,21 @@
 	return float64(first.load)-mean > spreadFraction*bound
 }
 
-// pickFromSpread returns the engine of the set drawn by the request's id, or the next one with
-// room; -1 if none has room.
-func (t *transition) pickFromSpread(c call, engines []int, hasRoom func(i int) bool) int {
-	if len(engines) == 0 {
-		return -1
-	}
-	start := int(uint64(requestKey(c.req.ID)) / drawSteps % uint64(len(engines))) //nolint:gosec // Below their number.
-	for i := range engines {
-		if at := engines[(start+i)%len(engines)]; hasRoom(at) {
-			return at
+// drawFromSpread draws an engine with room from the set by the request's id; -1 if none has room.
+func drawFromSpread(c call, candidates []candidate, engines []int, limits roomLimits) int {
+	index, best, key := -1, math.Inf(-1), requestKey(c.req.ID)
+	for place, i := range engines {
+		w := &candidates[i]
+		if !limits.admits(w) {
+			continue
+		}
+		weight := limits.room(w) * limits.room(w)
+		if place == 0 {
+			weight *= firstWeight
+		}
+		if drawn := math.Log(unit(hash.Mix(key, w.key))) / weight; drawn > best {
+			index, best = i, drawn
 		}
 	}
-	return -1
+	return index
 }
