core/requests: Spread a prefix that is popular among a host's first prompts

Cause: a prefix counted as popular from its third occurrence among a host's prompts on. With few prompts at each host that takes seconds, in which all hosts send it to its first engine. Change: among the first 16 prompts two occurrences are enough; later, with 64, two are what chance brings.

--- a/core/requests/popular.go
+++ b/core/requests/popular.go
@@ -16,9 +16,12 @@
 //
 // Inputs: the prefixes of this host's latest prompts to the pool, the mean load, and the bound.
 const (
-	// recentPrompts is the size of the sample. A prefix counts as popular if it occurs minOccurrences times in it.
-	recentPrompts  = 64
-	minOccurrences = 3
+	// recentPrompts is the size of the sample. A prefix counts as popular if it occurs minOccurrences times in it, or
+	// minOccurrencesAtFirst times among the first smallSample prompts.
+	recentPrompts         = 64
+	minOccurrences        = 3
+	smallSample           = 16
+	minOccurrencesAtFirst = 2
 	// popularFraction is the fraction of an engine's load bound that a popular prefix may use. The mean load of
 	// other prefixes is just below half of the bound.
 	popularFraction = 0.35
@@ -47,7 +50,7 @@
 			found++
 		}
 	}
-	if found < minOccurrences {
+	if found < minOccurrencesAtFirst || found < minOccurrences && size > smallSample {
 		return 0
 	}
 	// The first occurrence is why the prefix was looked up.
