core/requests: Keep a request while a late one under its id is refused

What a caller would see: its request, in progress at a host that is being stopped, ends with a 503 that says that it was not run although it is running.

Cause: late in a planned stop arrivals are refused before their id is looked at, and the refusal removes whatever is in progress under the id. Change: the id is looked at first.

Test: TestClosingHostGoesOnWithRequestOfSameID fails before (the second request got draining, and the first one was gone).

--- a/core/requests/admit.go
+++ b/core/requests/admit.go
@@ -30,14 +30,14 @@
 // dispatches it.
 func (t *transition) handleArrival(r Request) {
 	t.counters.Requests++
-	if t.closing {
-		t.refuseForOtherHost(r.ID, CodeDraining, "this host is being stopped")
-		return
-	}
 	if t.calls.Has(r.ID) || t.waiting.Has(r.ID) {
 		t.refuseDuplicate(r.ID)
 		return
 	}
+	if t.closing {
+		t.refuseForOtherHost(r.ID, CodeDraining, "this host is being stopped")
+		return
+	}
 	if t.deferUntilStarted(r) || t.deferUntilResumed(r) {
 		return
 	}
--- a/core/requests/admit_test.go
+++ b/core/requests/admit_test.go
@@ -72,6 +72,15 @@
 	require.False(t, s.Idle())
 }
 
+// TestClosingHostGoesOnWithRequestOfSameID guards against a late request under an id in use that ends the first one.
+func TestClosingHostGoesOnWithRequestOfSameID(t *testing.T) {
+	s, _ := arrive(t, ready(1), request("1", "/unsafe/x"), start)
+	s, _ = requests.Reduce(s, requests.Closing{}, start)
+	s, d := arrive(t, s, request("1", "/unsafe/x"), start)
+	require.Equal(t, requests.CodeDuplicate, d.(requests.Finish).Verdict.Code)
+	require.False(t, s.Idle())
+}
+
 // TestOlderRouteTableIsIgnored guards against going back to an older route table.
 func TestOlderRouteTableIsIgnored(t *testing.T) {
 	s := requests.New(requests.Settings{})
