core/requests, gateway, daemon: Answer requests that come late in a planned stop

Cause: a stopping host took every request for 3 s, whatever was left of its time. It stopped waiting 0.7 s before the end without a word to those still in progress, and then waited for its HTTP server for up to 5 s, longer than its grace. Bodies were read before the refusal that their heads decided.

Change: it takes what will end in time, by the request's deadline or how long the route's latest requests took; others are refused as not run. A second before the end, what is still in progress is ended: 503 if it was not sent, 502 if it may have run, streams break off. The process then ends within its grace. From the notice on heads are refused before their bodies are read, and bodies in progress are given up. Notice and margins follow from drain_time.

--- a/core/requests/admit.go
+++ b/core/requests/admit.go
@@ -34,8 +34,7 @@
 		t.refuseDuplicate(r.ID)
 		return
 	}
-	if t.closing {
-		t.refuseForOtherHost(r.ID, CodeDraining, "this host is being stopped")
+	if t.refusesForStop(r) {
 		return
 	}
 	if t.deferUntilStarted(r) || t.deferUntilResumed(r) {
--- a/core/requests/dispatch.go
+++ b/core/requests/dispatch.go
@@ -242,6 +242,7 @@
 func (t *transition) finish(id ident.Request, verdict Verdict) {
 	if c, ok := t.calls.Get(id); ok {
 		t.settleOrigin(c, verdict)
+		t.recordDuration(c, verdict)
 	}
 	t.calls = t.calls.Without(id)
 	if verdict.Code != CodeOK {
--- a/core/requests/event.go
+++ b/core/requests/event.go
@@ -118,6 +118,16 @@
 	TunnelRefused struct{ Peer ident.Host }
 	// Withdrawn reports that the caller of a waiting request has left.
 	Withdrawn struct{ Request ident.Request }
+	// Stopping reports that a planned stop has begun, and when it ends.
+	Stopping struct{ EndsAt time.Time }
+	// HeadReceived carries a request during a planned stop whose body was not read yet. There is a decision only if the request
+	// is refused.
+	HeadReceived struct{ Request Request }
+	// Stopped ends a request at the end of a planned stop. Result is that of the attempt that was cut; nil if there was none.
+	Stopped struct {
+		Request ident.Request
+		Result  outcome.Attempt
+	}
 	// Closing stops the admission of new requests, late in a planned stop.
 	Closing struct{}
 	// Tick advances time for waiting requests.
@@ -143,6 +153,9 @@
 func (TunnelRefused) event()     {}
 func (Withdrawn) event()         {}
 func (Closing) event()           {}
+func (Stopping) event()          {}
+func (HeadReceived) event()      {}
+func (Stopped) event()           {}
 func (Tick) event()              {}
 
 // Request is what the gateway has read of a request.
--- a/core/requests/headertimes.go
+++ b/core/requests/headertimes.go
@@ -52,12 +52,17 @@
 	t.headerEstimates = t.headerEstimates.With(route, h.withSample(took))
 }
 
-// withoutRemovedRoutes drops the estimates of routes that are not in the route table.
+// withoutRemovedRoutes drops the estimates and durations of routes that are not in the route table.
 func (s State) withoutRemovedRoutes() State {
 	for name := range s.headerEstimates.All() {
 		if !s.routes.Named(name) {
 			s.headerEstimates = s.headerEstimates.Without(name)
 		}
 	}
+	for name := range s.routeDurations.All() {
+		if !s.routes.Named(name) {
+			s.routeDurations = s.routeDurations.Without(name)
+		}
+	}
 	return s
 }
--- a/core/requests/requests.go
+++ b/core/requests/requests.go
@@ -135,9 +135,12 @@
 	// it.
 	hostCount      int
 	hostCountKnown bool
-	// closing is set late in a planned stop; new requests are then refused.
-	closing  bool
-	counters Counters
+	// stopsAt is when a planned stop ends, zero if none has begun; closing is set late in it, and new requests are then
+	// refused. routeDurations is how long the latest requests took, by route name.
+	stopsAt        time.Time
+	closing        bool
+	routeDurations table.Table[string, durations]
+	counters       Counters
 	// rollouts holds the current version of each service and its newest rollout.
 	rollouts rollouts.State
 	// evidence counts the requests and answers of running rollouts since it was last taken;
@@ -278,6 +281,12 @@
 		t.handleTunnelRefused(ev)
 	case Withdrawn:
 		t.handleWithdrawal(ev.Request)
+	case Stopping:
+		t.stopsAt = ev.EndsAt
+	case HeadReceived:
+		t.handleHead(ev.Request)
+	case Stopped:
+		t.handleStopped(ev)
 	case Closing:
 		t.closing = true
 	case Tick:
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -63,6 +63,8 @@
 	workers  *gateway.Pool
 	// tunnels is the number of connections to workers that are open for other hosts.
 	tunnels atomic.Int64
+	// exitAt is when the process must have ended; nil if no planned stop has begun.
+	exitAt  atomic.Pointer[time.Time]
 	peerL   net.Listener
 	callerL net.Listener
 	operL   net.Listener
--- a/daemon/limited_test.go
+++ b/daemon/limited_test.go
@@ -41,7 +41,7 @@
 	served := make(chan error, 1)
 	go func() { served <- s.Serve(l) }()
 	t.Cleanup(func() {
-		stopHTTP(l, s)
+		stopHTTP(l, s, func() time.Duration { return shutdownTime })
 		require.ErrorIs(t, <-served, http.ErrServerClosed)
 		require.NoError(t, s.Close())
 	})
--- a/daemon/ports.go
+++ b/daemon/ports.go
@@ -86,7 +86,7 @@
 		return nil
 	}, func(error) {
 		if d.killed.Err() == nil {
-			stopHTTP(l, server)
+			stopHTTP(l, server, d.shutdownLimit)
 		}
 		_ = server.Close()
 		close(ended)
--- a/daemon/stop.go
+++ b/daemon/stop.go
@@ -7,6 +7,7 @@
 	"net"
 	"time"
 
+	"github.com/yardhall/yardhall/common/clock"
 	"github.com/yardhall/yardhall/common/sockets"
 	"github.com/yardhall/yardhall/core/host"
 	"github.com/yardhall/yardhall/core/requests"
@@ -19,9 +20,15 @@
 	// stopNotice is how long a stopping host of a seeded fleet goes on taking
 	// connections: longer than a balancer needs to notice that it is not ready.
 	stopNotice = 3 * time.Second
-	// stopMargin is kept from the time that a planned stop may take, for the end of the
-	// process itself. Chosen, not measured.
-	stopMargin = 700 * time.Millisecond
+	// endMargin is kept from the time that a planned stop may take, for the responses to
+	// requests that are still in progress and the end of the process.
+	endMargin = time.Second
+	// endTime is what callers get to take these responses, exitMargin what the process keeps for its own end.
+	endTime    = 150 * time.Millisecond
+	exitMargin = 200 * time.Millisecond
+	// noticeFraction and endFraction bound stopNotice and endMargin where a stop may take little time.
+	noticeFraction = 0.375
+	endFraction    = 0.25
 	// handOverTime lets a replica pass on its leadership: more than two heartbeats of
 	// the log.
 	handOverTime = 500 * time.Millisecond
@@ -62,36 +69,64 @@
 	return context.Canceled
 }
 
+// stopTimes are the times of a planned stop: until when requests are taken, until when those in progress may end,
+// and by when the process has ended.
+type stopTimes struct{ notice, finish, exit time.Time }
+
+// stopTimesFrom returns the times of a stop that begins now and may take total.
+func stopTimesFrom(now time.Time, total time.Duration) stopTimes {
+	margin := min(endMargin, time.Duration(endFraction*float64(total)))
+	return stopTimes{
+		notice: now.Add(min(stopNotice, time.Duration(noticeFraction*float64(total)))),
+		finish: now.Add(total - margin),
+		exit:   now.Add(total - time.Duration(float64(exitMargin)*float64(margin)/float64(endMargin))),
+	}
+}
+
 // awaitGateway goes on serving until the balancer has noticed the stop and
-// every request in flight has ended.
+// every request in flight has ended. Requests that have not ended in time get the outcome that is known.
 func (d *Daemon) awaitGateway() error {
-	begun := time.Now()
 	if d.settings.Gateway.Listen == "" {
 		time.Sleep(handOverTime)
 		return context.Canceled
 	}
-	deadline := begun.Add(d.settings.Gateway.DrainTime - stopMargin)
-	time.Sleep(stopNotice)
+	times := stopTimesFrom(time.Now(), d.settings.Gateway.DrainTime)
+	d.exitAt.Store(&times.exit)
+	d.loop.Decide(requests.Stopping{EndsAt: clock.Now().Add(time.Until(times.finish))})
+	time.Sleep(time.Until(times.notice))
 	// Callers' kept connections must not bring requests until the end. They are
 	// left open, as a close could cross a request; each answer closes its own.
 	d.loop.Decide(requests.Closing{})
-	for time.Now().Before(deadline) {
-		if d.gateway.InFlight.Load() == 0 && d.tunnels.Load() == 0 {
-			break
-		}
+	d.gateway.RefuseBodies()
+	d.awaitIdleGateway(times.finish, func() bool { return d.tunnels.Load() == 0 })
+	d.gateway.EndRequests()
+	d.awaitIdleGateway(time.Now().Add(endTime), func() bool { return true })
+	return context.Canceled
+}
+
+// awaitIdleGateway waits until no request is in progress and a further condition holds, at most until a time.
+func (d *Daemon) awaitIdleGateway(until time.Time, alsoIdle func() bool) {
+	for time.Now().Before(until) && (d.gateway.InFlight.Load() != 0 || !alsoIdle()) {
 		time.Sleep(idlePoll)
 	}
-	return context.Canceled
+}
+
+// shutdownLimit returns what handlers get to write their last bytes.
+func (d *Daemon) shutdownLimit() time.Duration {
+	if exit := d.exitAt.Load(); exit != nil {
+		return max(0, min(shutdownTime, time.Until(*exit)))
+	}
+	return shutdownTime
 }
 
 // stopHTTP ends a server as planned: whoever has connected is answered, and
 // whoever has not is refused.
-func stopHTTP(l net.Listener, server httpServer) {
+func stopHTTP(l net.Listener, server httpServer, limit func() time.Duration) {
 	if sockets.RefuseNew(l) == nil {
 		// Those that have connected until now are accepted meanwhile.
 		time.Sleep(acceptTime)
 	}
-	ctx, cancel := context.WithTimeout(context.Background(), shutdownTime)
+	ctx, cancel := context.WithTimeout(context.Background(), limit())
 	defer cancel()
-	_ = server.Shutdown(ctx) // Its error is that shutdownTime is over; Close follows.
+	_ = server.Shutdown(ctx) // Its error is that the time is over; Close follows.
 }
--- a/daemon/stop_test.go
+++ b/daemon/stop_test.go
@@ -40,7 +40,7 @@
 			callers.Go(func() { failures <- callUntilFailure(t, l.Addr()) })
 		}
 		time.Sleep(servedFirst)
-		stopHTTP(l, server)
+		stopHTTP(l, server, func() time.Duration { return shutdownTime })
 		require.ErrorIs(t, <-served, http.ErrServerClosed)
 		callers.Wait()
 		close(failures)
--- a/gateway/body.go
+++ b/gateway/body.go
@@ -55,7 +55,11 @@
 	if r.ContentLength > b.limit {
 		return nil, nil, errBodyTooLong
 	}
+	stop := s.interruptBody(w)
 	body, err := b.read()
+	if interrupted := stop(); interrupted && !errors.Is(err, errBodyTooLong) {
+		err = errStopping
+	}
 	if err != nil {
 		b.hold.release(s.now())
 		return nil, nil, err
@@ -79,6 +83,9 @@
 	for {
 		now := b.server.now()
 		_ = control.SetReadDeadline(clock.Real(bodyDeadline(b.startedAt, len(body), b.allowance, now)))
+		if b.server.stopping.bodiesRefused.Err() != nil {
+			return nil, errStopping
+		}
 		n, err := b.request.Body.Read(body[len(body):cap(body)])
 		body = body[:len(body)+n]
 		if errors.Is(err, io.EOF) {
@@ -124,7 +131,9 @@
 	m := b.server.bodies
 	wait := bodyWaitLimit(b.parsed.Deadline, b.server.now())
 	claim := m.limits.claimOf(length, b.server.core.Rank(b.parsed), b.parsed.KeyHash)
-	hold, retryAfter := m.acquire(b.request.Context(), claim, wait, b.server.now)
+	ctx, cancel := withStop(b.request.Context(), b.server.stopping.bodiesRefused)
+	defer cancel()
+	hold, retryAfter := m.acquire(ctx, claim, wait, b.server.now)
 	b.hold = hold
 	if hold == nil {
 		return bodyMemoryError{retryAfter: retryAfter}
@@ -134,11 +143,11 @@
 
 // refuseBody responds to a request whose body was not read, and was not run.
 func (c *serverCall) refuseBody(err error) {
-	// The rest of the body is not waited for.
-	c.writer.Header().Set("Connection", "close")
-	_ = http.NewResponseController(c.writer).SetReadDeadline(clock.Real(c.server.now().Add(unreadBodyTime)))
+	c.boundUnreadBody()
 	var full bodyMemoryError
 	switch {
+	case errors.Is(err, errStopping):
+		c.finish(stoppingVerdict())
 	case errors.As(err, &full):
 		c.finish(requests.Verdict{
 			Outcome: outcome.NotRun, Code: requests.CodeOverloaded, Reason: full.Error(), RetryAfter: full.retryAfter, TryOtherHost: true,
@@ -150,5 +159,11 @@
 	}
 }
 
+// boundUnreadBody closes the connection behind the response, and does not wait for the rest of the body.
+func (c *serverCall) boundUnreadBody() {
+	c.writer.Header().Set("Connection", "close")
+	_ = http.NewResponseController(c.writer).SetReadDeadline(clock.Real(c.server.now().Add(unreadBodyTime)))
+}
+
 // unreadBodyTime bounds the time that net/http takes to discard the rest of a body once the response is written.
 const unreadBodyTime = 500 * time.Millisecond
--- a/gateway/call.go
+++ b/gateway/call.go
@@ -42,11 +42,10 @@
 	for {
 		switch d := next.(type) {
 		case requests.Wait:
-			next = c.server.core.Await(c.request.Context(), d.Request)
+			next = c.await(d)
 			c.observed.StartupWait = c.server.now().Sub(c.startedAt)
 		case requests.Pause:
-			sleep(c.request.Context(), d.For)
-			next = c.server.nextDecision(req.ID, requests.PauseEnded{Request: d.Request, CallerWaiting: c.request.Context().Err() == nil})
+			next = c.server.nextDecision(req.ID, c.pause(d))
 		case requests.Dispatch:
 			next = c.server.nextDecision(req.ID, c.attempt(d))
 		case requests.Finish:
@@ -71,7 +70,9 @@
 func (c *serverCall) attempt(d requests.Dispatch) requests.Event {
 	startedAt := c.server.now()
 	c.memory.release()
-	ctx, cancel := context.WithDeadline(c.request.Context(), clock.Real(d.Deadline))
+	ctx, remove := withStop(c.request.Context(), c.server.stopping.ended)
+	defer remove()
+	ctx, cancel := context.WithDeadline(ctx, clock.Real(d.Deadline))
 	defer cancel()
 	x := &exchange{server: c.server, dispatch: d, request: c.request, body: c.body, tried: c.tried, withheld: c.withheld, memory: &c.memory}
 	defer c.server.exchanges.remove(x)
@@ -90,6 +91,7 @@
 	if expired {
 		result = outcome.Interrupted{Reason: "no whole answer before the deadline", AnswerStarted: c.relay.headerSent}
 	}
+	stopped := !callerGone && !answered && !expired && c.server.hasEnded()
 	openFor := time.Duration(0)
 	if d.ReportsConnection && x.conn != nil {
 		openFor = x.connectedAt.Sub(x.conn.openedAt)
@@ -102,6 +104,9 @@
 	if expired {
 		return requests.Expired{Request: d.Request}
 	}
+	if stopped {
+		return requests.Stopped{Request: d.Request, Result: result}
+	}
 	return requests.AttemptEnded{Request: d.Request, Attempt: d.Attempt, Result: result, CallerWaiting: !callerGone}
 }
 
--- a/gateway/server.go
+++ b/gateway/server.go
@@ -119,6 +119,7 @@
 	maxHeader        int64
 	memory           *memory
 	bodies           *bodyMemory
+	stopping         stopping
 	// InFlight is the number of requests in progress.
 	InFlight atomic.Int64
 }
@@ -126,6 +127,7 @@
 // NewServer returns a server with the given dependencies.
 func NewServer(d Deps) *Server {
 	s := &Server{core: d.Core, pool: d.Pool, tunnels: d.Tunnels, headers: d.Headers, now: d.Now, observe: d.Observe, observeIrregular: d.ObserveIrregular}
+	s.stopping = newStopping()
 	s.maxHeader = cmp.Or(d.MaxHeader, DefaultMaxHeader)
 	limits := bufferLimitsFor(d.Memory, d.MaxBuffered)
 	s.memory, s.bodies = &memory{limit: limits.responses}, &bodyMemory{limits: limits}
@@ -154,8 +156,12 @@
 		http.Error(w, "a request needs an id", http.StatusBadRequest)
 		return
 	}
+	c := &serverCall{memory: reservation{memory: s.memory}, server: s, writer: w, request: r, startedAt: startedAt, relay: eventRelay{w: w, now: s.now, headers: s.headers, lastEventID: r.Header.Get(s.headers.LastEventID)}}
+	if s.refuseByHead(c, req) {
+		return
+	}
 	body, hold, err := s.readBody(w, r, req)
-	c := &serverCall{memory: reservation{memory: s.memory}, server: s, writer: w, request: r, body: body, bodyHold: hold, startedAt: startedAt, relay: eventRelay{w: w, now: s.now, headers: s.headers, lastEventID: r.Header.Get(s.headers.LastEventID)}}
+	c.body, c.bodyHold = body, hold
 	defer c.releaseBody()
 	if err != nil {
 		c.observed.Request = req
