gateway: Bound the number of fields in the head of a response

Cause: the head of a response is bounded by its bytes only. A field of five bytes occupies over a hundred once it is parsed, and again when it is copied to the caller, and is held for as long as its stream goes on: with heads of 60 KB, within the limit, 100 streams held 156 MB in the test, its stand-ins and callers included. Change: a head has at most 256 fields; more count as a head that is too long.

TestMemoryUnderManyHeaders: 156 MB before, 100 allowed, 59 MB now (48 under the race detector). Short headers without end are a new case of the tests of bytes without end; it passed before (40 MB).

--- a/gateway/endless_test.go
+++ b/gateway/endless_test.go
@@ -32,7 +32,8 @@
 	"status line": {standin.EndlessStatus, maxHeadSize}, "header": {standin.EndlessHeader, maxHeadSize},
 	"headers": {standin.EndlessHeaders, maxHeadSize}, "interim responses": {standin.EndlessInterim, maxHeadSize},
 	"head of a decline": {standin.EndlessDeclineHead, maxHeadSize}, "body of another answer": {standin.EndlessForeignBody, maxBodySize},
-	"body": {standin.EndlessBody, maxBodySize}, "event": {standin.EndlessEvent, maxBodySize}, "chunk head": {standin.EndlessChunkHead, maxHeadSize},
+	"short headers": {standin.EndlessShortHeaders, maxHeadSize},
+	"body":          {standin.EndlessBody, maxBodySize}, "event": {standin.EndlessEvent, maxBodySize}, "chunk head": {standin.EndlessChunkHead, maxHeadSize},
 }
 
 // TestBytesWithoutEndAreNotReadOn guards against reading a head or a body without end until the deadline passes or
@@ -141,6 +142,34 @@
 	}
 }
 
+// TestMemoryUnderManyHeaders guards against a host that runs out of memory as heads that are within the limit, of very many short
+// headers, are held while their streams go on.
+func TestMemoryUnderManyHeaders(t *testing.T) {
+	const (
+		streams = 100
+		maxHeap = 100 << 20
+	)
+	b := newTestbed(t, streams)
+	for range 3 {
+		b.next(standin.ManyShortHeaders)
+	}
+	runtime.GC()
+	heap, stop := watchHeap()
+	var calls sync.WaitGroup
+	for range streams {
+		r := b.request(t.Context(), "/stream/once/x", "body")
+		calls.Go(func() {
+			if resp, err := http.DefaultTransport.RoundTrip(r); err == nil {
+				_ = resp.Body.Close()
+			}
+		})
+	}
+	calls.Wait()
+	stop()
+	t.Logf("heap of %d MB at most", heap.Load()>>20)
+	require.Less(t, heap.Load(), uint64(maxHeap))
+}
+
 // watchHeap measures the largest heap until stop is called.
 func watchHeap() (largest *atomic.Uint64, stop func()) {
 	largest = &atomic.Uint64{}
--- a/gateway/response.go
+++ b/gateway/response.go
@@ -18,6 +18,8 @@
 const (
 	// DefaultMaxHeader bounds the head of a response in bytes.
 	DefaultMaxHeader = 64 << 10
+	// maxHeaderFields bounds the fields of a head, as a field of a few bytes occupies over a hundred once it is parsed.
+	maxHeaderFields = 256
 	// maxResponseBytes bounds the body of a response that is buffered, and all bodies together that are
 	// skipped for one request.
 	maxResponseBytes = 16 << 20
@@ -103,6 +105,9 @@
 func (x *exchange) readHead() (*http.Response, error) {
 	x.conn.limit.set(x.server.maxHeader)
 	resp, err := http.ReadResponse(x.conn.reader, &http.Request{Method: x.request.Method})
+	if err == nil && fieldCount(resp.Header) > maxHeaderFields {
+		err = errTooLong
+	}
 	if errors.Is(err, errTooLong) {
 		x.reportIrregular(LongHeader)
 	}
@@ -110,6 +115,15 @@
 	return resp, err //nolint:wrapcheck // readError wraps it.
 }
 
+// fieldCount returns the number of fields of a head.
+func fieldCount(h http.Header) int {
+	n := 0
+	for _, values := range h {
+		n += len(values)
+	}
+	return n
+}
+
 // awaitsAnswerBehind reports whether to wait for the answer behind a response that cannot be matched, and limits the
 // time for it to the route's objective. A request that the core sends to another worker does not wait.
 func (x *exchange) awaitsAnswerBehind(matched match) bool {
--- a/standin/endless.go
+++ b/standin/endless.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"net/http"
+	"strconv"
 	"strings"
 	"time"
 )
@@ -20,6 +21,8 @@
 
 const (
 	fillerBytes = 32 << 10
+	// manyHeaderBytes is nearly a whole head.
+	manyHeaderBytes = 60 << 10
 	// dripPause is the pause between the parts of a slow body.
 	dripPause = 20 * time.Millisecond
 )
@@ -50,6 +53,10 @@
 		return endlessPart{start: w.head(http.StatusOK, id) + events, again: chunk(filler)}, true
 	case EndlessChunkHead:
 		return endlessPart{start: w.head(http.StatusOK, id) + events + "5;", again: filler}, true
+	case EndlessShortHeaders:
+		return endlessPart{start: w.head(http.StatusOK, id), again: shortHeaders(fillerBytes)}, true
+	case ManyShortHeaders:
+		return endlessPart{start: w.head(http.StatusOK, id) + shortHeaders(manyHeaderBytes) + events, again: chunk("x"), pause: dripPause}, true
 	case DrippingHead:
 		return endlessPart{start: w.head(http.StatusOK, id) + "X-Filler: ", again: "x", pause: dripPause}, true
 	case DrippingDeclineBody:
@@ -58,6 +65,15 @@
 	return endlessPart{}, false
 }
 
+// shortHeaders returns different headers without a value, of a number of bytes together.
+func shortHeaders(size int) string {
+	var text strings.Builder
+	for i := 0; text.Len() < size; i++ {
+		text.WriteString(strconv.FormatInt(int64(i), 36) + ":\r\n")
+	}
+	return text.String()
+}
+
 // isNotRun reports whether a fault without end says that the request was not run.
 func (f WorkerFault) isNotRun() bool { return f == EndlessDeclineHead || f == DrippingDeclineBody }
 
--- a/standin/worker.go
+++ b/standin/worker.go
@@ -103,6 +103,10 @@
 	EndlessBody
 	EndlessEvent
 	EndlessChunkHead
+	// EndlessShortHeaders sends headers of a few bytes each without end, ManyShortHeaders as many as fit into a head, and then an
+	// event without end.
+	EndlessShortHeaders
+	ManyShortHeaders
 	// DrippingDeclineBody declines with a body that comes slowly and without end, DrippingHead answers by such
 	// a head.
 	DrippingDeclineBody
