core/requests, gateway, daemon: Reword and split what a planned stop decides

No change of behaviour but for the process's own part of a short grace, which is a fifth of the margin as before.

--- a/core/requests/admit.go
+++ b/core/requests/admit.go
@@ -34,7 +34,7 @@
 		t.refuseDuplicate(r.ID)
 		return
 	}
-	if t.refusesForStop(r) {
+	if t.refuseForStop(r) {
 		return
 	}
 	if t.deferUntilStarted(r) || t.deferUntilResumed(r) {
--- a/core/requests/requests.go
+++ b/core/requests/requests.go
@@ -135,12 +135,8 @@
 	// it.
 	hostCount      int
 	hostCountKnown bool
-	// stopsAt is when a planned stop ends, zero if none has begun; closing is set late in it, and new requests are then
-	// refused. routeDurations is how long the latest requests took, by route name.
-	stopsAt        time.Time
-	closing        bool
-	routeDurations table.Table[string, durations]
-	counters       Counters
+	plannedStop
+	counters Counters
 	// rollouts holds the current version of each service and its newest rollout.
 	rollouts rollouts.State
 	// evidence counts the requests and answers of running rollouts since it was last taken;
--- a/core/requests/stopping.go
+++ b/core/requests/stopping.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/yardhall/yardhall/core/outcome"
+	"github.com/yardhall/yardhall/core/table"
 )
 
 // In a planned stop a host goes on admitting requests until balancers have noticed it, but only those that will
@@ -15,6 +16,15 @@
 //
 // Inputs: when the stop ends, the request's deadline, the route's timeout, and how long its latest requests took.
 
+// plannedStop is what decides on admission while this host is being stopped.
+type plannedStop struct {
+	// stopsAt is when the stop ends, zero if none has begun; closing is set late in it, and all new requests are then refused.
+	stopsAt time.Time
+	closing bool
+	// routeDurations is how long the latest requests took, by route name.
+	routeDurations table.Table[string, durations]
+}
+
 // recentDurations is the size of the sample of a route's requests. The longest of them stands for the slowest
 // hundredth.
 const recentDurations = 64
@@ -68,8 +78,8 @@
 	return limit > left && (!known || d.longest() > left)
 }
 
-// refusesForStop refuses a request because this host is being stopped, and reports whether it did.
-func (t *transition) refusesForStop(r Request) bool {
+// refuseForStop refuses a request if this host is being stopped, and reports whether it did.
+func (t *transition) refuseForStop(r Request) bool {
 	switch {
 	case t.closing:
 		t.refuseForOtherHost(r.ID, CodeDraining, "this host is being stopped")
@@ -81,10 +91,10 @@
 	return true
 }
 
-// handleHead refuses a request by its head, before its body is read, if this host is being stopped. Duplicates are left to
-// handleArrival.
+// handleHead refuses a request by its head, before its body is read, if this host is being stopped. Duplicates are
+// left to handleArrival.
 func (t *transition) handleHead(r Request) {
-	if !t.calls.Has(r.ID) && !t.waiting.Has(r.ID) && t.refusesForStop(r) {
+	if !t.calls.Has(r.ID) && !t.waiting.Has(r.ID) && t.refuseForStop(r) {
 		t.counters.Requests++
 	}
 }
@@ -109,5 +119,7 @@
 		t.refuseForOtherHost(ev.Request, CodeDraining, "this host was stopped before the request was run")
 		return
 	}
-	t.finish(ev.Request, Verdict{Outcome: c.combinedOutcome, Code: CodeDraining, Reason: "this host was stopped before the answer was whole"})
+	t.finish(ev.Request, Verdict{
+		Outcome: c.combinedOutcome, Code: CodeDraining, Reason: "this host was stopped before the answer was whole",
+	})
 }
--- a/daemon/stop.go
+++ b/daemon/stop.go
@@ -5,6 +5,8 @@
 import (
 	"context"
 	"net"
+	"slices"
+	"sync/atomic"
 	"time"
 
 	"github.com/yardhall/yardhall/common/clock"
@@ -23,9 +25,10 @@
 	// endMargin is kept from the time that a planned stop may take, for the responses to
 	// requests that are still in progress and the end of the process.
 	endMargin = time.Second
-	// endTime is what callers get to take these responses, exitMargin what the process keeps for its own end.
-	endTime    = 150 * time.Millisecond
-	exitMargin = 200 * time.Millisecond
+	// endTime is what callers get to take these responses, exitFraction the part of the margin that the process keeps
+	// for its own end.
+	endTime      = 150 * time.Millisecond
+	exitFraction = 0.2
 	// noticeFraction and endFraction bound stopNotice and endMargin where a stop may take little time.
 	noticeFraction = 0.375
 	endFraction    = 0.25
@@ -75,14 +78,18 @@
 
 // stopTimesFrom returns the times of a stop that begins now and may take total.
 func stopTimesFrom(now time.Time, total time.Duration) stopTimes {
-	margin := min(endMargin, time.Duration(endFraction*float64(total)))
+	margin := min(endMargin, fractionOf(total, endFraction))
 	return stopTimes{
-		notice: now.Add(min(stopNotice, time.Duration(noticeFraction*float64(total)))),
+		notice: now.Add(min(stopNotice, fractionOf(total, noticeFraction))),
 		finish: now.Add(total - margin),
-		exit:   now.Add(total - time.Duration(float64(exitMargin)*float64(margin)/float64(endMargin))),
+		exit:   now.Add(total - fractionOf(margin, exitFraction)),
 	}
 }
 
+func fractionOf(d time.Duration, fraction float64) time.Duration {
+	return time.Duration(fraction * float64(d))
+}
+
 // awaitGateway goes on serving until the balancer has noticed the stop and
 // every request in flight has ended. Requests that have not ended in time get the outcome that is known.
 func (d *Daemon) awaitGateway() error {
@@ -98,15 +105,16 @@
 	// left open, as a close could cross a request; each answer closes its own.
 	d.loop.Decide(requests.Closing{})
 	d.gateway.RefuseBodies()
-	d.awaitIdleGateway(times.finish, func() bool { return d.tunnels.Load() == 0 })
+	awaitIdle(times.finish, &d.gateway.InFlight, &d.tunnels)
 	d.gateway.EndRequests()
-	d.awaitIdleGateway(time.Now().Add(endTime), func() bool { return true })
+	awaitIdle(time.Now().Add(endTime), &d.gateway.InFlight)
 	return context.Canceled
 }
 
-// awaitIdleGateway waits until no request is in progress and a further condition holds, at most until a time.
-func (d *Daemon) awaitIdleGateway(until time.Time, alsoIdle func() bool) {
-	for time.Now().Before(until) && (d.gateway.InFlight.Load() != 0 || !alsoIdle()) {
+// awaitIdle waits until all counts are 0, at most until a time.
+func awaitIdle(until time.Time, counts ...*atomic.Int64) {
+	isBusy := func(n *atomic.Int64) bool { return n.Load() != 0 }
+	for time.Now().Before(until) && slices.ContainsFunc(counts, isBusy) {
 		time.Sleep(idlePoll)
 	}
 }
--- a/gateway/stopping.go
+++ b/gateway/stopping.go
@@ -37,7 +37,7 @@
 // hasEnded reports whether EndRequests was called.
 func (s *Server) hasEnded() bool { return s.stopping.ended.Err() != nil }
 
-// withStop returns a context that is done once ctx is, or a step of the stop.
+// withStop returns a context that is done once ctx is done or a step of the stop is reached.
 func withStop(ctx, step context.Context) (context.Context, context.CancelFunc) {
 	ctx, cancel := context.WithCancel(ctx)
 	remove := context.AfterFunc(step, cancel)
@@ -79,8 +79,8 @@
 	return requests.PauseEnded{Request: d.Request, CallerWaiting: c.request.Context().Err() == nil}
 }
 
-// interruptBody ends reads of a request's body once bodies are refused. The function that it returns ends that, waits until
-// the read deadline is no longer changed, and reports whether bodies are refused.
+// interruptBody ends reads of a request's body once bodies are refused. The function that it returns undoes this, waits
+// until the read deadline is no longer changed, and reports whether bodies are refused.
 func (s *Server) interruptBody(w http.ResponseWriter) func() bool {
 	control, done := http.NewResponseController(w), make(chan struct{})
 	stop := context.AfterFunc(s.stopping.bodiesRefused, func() {
@@ -102,7 +102,8 @@
 // stoppingVerdict is the verdict on a request whose body was not read.
 func stoppingVerdict() requests.Verdict {
 	return requests.Verdict{
-		Outcome: outcome.NotRun, Code: requests.CodeDraining, Reason: errStopping.Error(), RetryAfter: retryElsewhere, TryOtherHost: true,
+		Outcome: outcome.NotRun, Code: requests.CodeDraining, Reason: errStopping.Error(),
+		RetryAfter: retryElsewhere, TryOtherHost: true,
 	}
 }
 
