--- a/core/host/enginechange_test.go
+++ b/core/host/enginechange_test.go
@@ -111,6 +111,34 @@
 	require.LessOrEqual(t, share, promisedShare)
 }
 
+// drainZone empties a zone by order, after calm traffic.
+func (f *engineFleet) drainZone(zone ident.Zone) {
+	f.advance(calmTraffic)
+	f.submitZoneOrder(f.leader(), zone, true)
+	f.advance(4 * time.Second)
+}
+
+// TestBoundHoldsWhileZoneIsDrained guards against engines above the bound while a third of the engines gets nothing new but counts
+// in the mean, so that the bound is little above the load of the others.
+func TestBoundHoldsWhileZoneIsDrained(t *testing.T) {
+	t.Parallel()
+	f := newEngineFleet(t, sixtyEngines(), changeSeed)
+	f.drainZone("z2")
+	drained := f.now
+	f.advance(6 * time.Second)
+	f.requireBound(t, drained)
+}
+
+// TestBoundHoldsWhileEnginesOfDrainedFleetAreReplaced guards against the same while engines are replaced beside it.
+func TestBoundHoldsWhileEnginesOfDrainedFleetAreReplaced(t *testing.T) {
+	t.Parallel()
+	f := newEngineFleet(t, sixtyEngines(), changeSeed)
+	f.drainZone("z2")
+	drained := f.now
+	f.replaceEngines(20, 4)
+	f.requireBound(t, drained)
+}
+
 // TestBoundHoldsWithUnevenTraffic guards against engines above the bound where engines differ in slots, or a balancer
 // hands most requests to two hosts.
 func TestBoundHoldsWithUnevenTraffic(t *testing.T) {
