daemon, gateway: Reword comments on the end of a planned stop

Three comments spoke of what is kept from a time and what callers are told; they say in the field's terms what is reserved and what a response states.

--- a/daemon/stop.go
+++ b/daemon/stop.go
@@ -22,11 +22,11 @@
 	// stopNotice is how long a stopping host of a seeded fleet goes on taking
 	// connections: longer than a balancer needs to notice that it is not ready.
 	stopNotice = 3 * time.Second
-	// endMargin is kept from the time that a planned stop may take, for the responses to
-	// requests that are still in progress and the end of the process.
+	// endMargin is the last part of the time for a planned stop, in which requests still in progress
+	// are answered and the process ends.
 	endMargin = time.Second
-	// endTime is what callers get to take these responses, exitFraction the part of the margin that the process keeps
-	// for its own end.
+	// endTime is how long these responses may take to be written; exitFraction is the fraction of the margin
+	// that is reserved for the exit of the process.
 	endTime      = 150 * time.Millisecond
 	exitFraction = 0.2
 	// noticeFraction and endFraction bound stopNotice and endMargin where a stop may take little time.
--- a/gateway/stopping.go
+++ b/gateway/stopping.go
@@ -31,7 +31,7 @@
 // RefuseBodies refuses the requests whose bodies are being read. The core refuses later ones by their heads.
 func (s *Server) RefuseBodies() { s.stopping.refuseBodies() }
 
-// EndRequests ends all requests in progress. Their callers are told whether they may have run, and streams break off.
+// EndRequests ends all requests in progress. The responses state whether they may have run; streams break off.
 func (s *Server) EndRequests() { s.stopping.endRequests() }
 
 // hasEnded reports whether EndRequests was called.
